--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,93 @@
+// Package fault gives every failure a type: a code, the outcome of the work it
+// stands for, and what to do about it.
+package fault
+
+import (
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Code identifies a kind of failure. The texts are part of the callers'
+// interface and stay stable.
+type Code string
+
+// The failure codes of the project.
+const (
+	CodeBadRequest      Code = "bad_request"
+	CodeUnknownService  Code = "unknown_service"
+	CodeUnknownCustomer Code = "unknown_customer"
+	CodeWrongMethod     Code = "wrong_method_for_service"
+	CodeTooLarge        Code = "too_large"
+	CodePastDeadline    Code = "past_deadline"
+	CodeOverloaded      Code = "overloaded"
+	CodeNotReady        Code = "not_ready"
+	CodeDraining        Code = "draining"
+	CodeKeyMissing      Code = "key_missing"
+	CodeKeyInvalid      Code = "key_invalid"
+	CodeKeyExpired      Code = "key_expired"
+	CodeKeyReused       Code = "key_reused"
+	CodeHomeGone        Code = "home_gone"
+	CodeRefused         Code = "refused"
+	CodeLost            Code = "lost"
+	CodeTextInvalid     Code = "text_invalid"
+	CodeSettingsInvalid Code = "settings_invalid"
+	CodeTLS             Code = "tls"
+	CodePeer            Code = "peer"
+	CodePlatform        Code = "platform"
+	CodeUpstream        Code = "upstream"
+	CodeAddress         Code = "address"
+	CodeInternal        Code = "internal"
+)
+
+// Error is a typed failure. Message gives the value and the limit, Fix what
+// would help. RetryAfter is zero when coming back later would not help.
+type Error struct {
+	Code       Code
+	Outcome    core.Outcome
+	Message    string
+	Fix        string
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := string(e.Code) + ": " + e.Message
+	if e.Fix != "" {
+		text += " (" + e.Fix + ")"
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// NotRun makes a failure whose work is proven not to have run.
+func NotRun(code Code, message, fix string) *Error {
+	return &Error{Code: code, Outcome: core.NotRun, Message: message, Fix: fix}
+}
+
+// Step wraps err with the step that failed, keeping its type reachable by As.
+func Step(step string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return oops.In(step).Wrapf(err, "%s", step)
+}
+
+// As finds the typed failure in err; an untyped one becomes CodeInternal with
+// outcome unknown.
+func As(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{Code: CodeInternal, Message: "unexpected failure", Cause: err}
+}
