The whole path, thin: text to one answer over QUIC and HTTP

A caller asks for addresses, an entry plans the closure, owners queue and run each shard upstream, and the answer carries one version and its coverage.

--- a/internal/catalog/parse.go
+++ b/internal/catalog/parse.go
@@ -178,11 +178,7 @@
 	for i, replica := range written.Replicas {
 		at := fmt.Sprintf("%s.replicas[%d].address", key, i)
 		b.address(at, replica.Address)
-		shard.Replicas = append(shard.Replicas, Replica{
-			Address:    replica.Address,
-			DataCentre: replica.DataCentre,
-			Draining:   replica.Draining,
-		})
+		shard.Replicas = append(shard.Replicas, Replica(replica))
 	}
 	service.Shards = append(service.Shards, shard)
 }
--- /dev/null
+++ b/internal/command/query.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+const defaultQueryTimeout = 5 * time.Second
+
+type queryOptions struct {
+	service  string
+	entry    string
+	customer string
+	question string
+	prefer   string
+	raw      bool
+	timeout  time.Duration
+}
+
+func queryCommand() *command {
+	parser := flaggy.NewSubcommand("query")
+	parser.Description = "ask a question as a caller would"
+	options := queryOptions{customer: "operator", question: "null", timeout: defaultQueryTimeout}
+	parser.AddPositionalValue(&options.service, "service", 1, true, "the service to ask")
+	parser.String(&options.entry, "a", "address", "the callers' address of any node (required)")
+	parser.String(&options.customer, "c", "customer", "the customer to ask for")
+	parser.String(&options.question, "q", "question", "the question, as JSON")
+	parser.String(&options.prefer, "p", "prefer", "whole or early")
+	parser.Bool(&options.raw, "j", "json", "print the raw answer")
+	parser.Duration(&options.timeout, "t", "timeout", "the time to answer in")
+	return &command{
+		parser:  parser,
+		example: `pistachiopier query plate-costing --address 10.0.0.1:7001 --question '"pork shoulder"'`,
+		run:     func(out io.Writer) error { return runQuery(options, out) },
+	}
+}
+
+func runQuery(options queryOptions, out io.Writer) error {
+	if options.entry == "" {
+		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT of any node")
+	}
+	if !json.Valid([]byte(options.question)) {
+		return fault.NotRun(fault.CodeBadRequest, "the question is not JSON", `quote a text twice, such as '"pork"'`)
+	}
+	caller := client.New()
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), options.timeout+time.Second)
+	defer cancel()
+	entries, err := caller.Entries(ctx, options.entry)
+	if err != nil {
+		return err
+	}
+	if len(entries.Entries) == 0 {
+		return fault.NotRun(fault.CodeNotReady, "the node knows no entries yet", "try again")
+	}
+	timeoutMs := options.timeout.Milliseconds()
+	reply, err := caller.Query(ctx, entries.Entries[0].Address, options.service, api.QueryRequest{
+		Customer:  core.Customer(options.customer),
+		Question:  json.RawMessage(options.question),
+		TimeoutMs: &timeoutMs,
+		Prefer:    options.prefer,
+	})
+	if err != nil {
+		return err
+	}
+	if options.raw {
+		return json.NewEncoder(out).Encode(reply)
+	}
+	printReply(reply, out)
+	return nil
+}
+
+func printReply(reply api.QueryReply, out io.Writer) {
+	mark := "whole"
+	if reply.Coverage.Thin {
+		mark = "THIN"
+	}
+	fmt.Fprintf(out, "%s: %s answer, %d of %d shards (%.1f%%), index %s version %d, %.1f ms\n",
+		reply.Service, mark, reply.Coverage.Answered, reply.Coverage.Asked, reply.Coverage.Share*percent, reply.Index, reply.Version, reply.ElapsedMs)
+	for _, missing := range reply.Coverage.Missing {
+		fmt.Fprintf(out, "  missing %s/%d: %s\n", missing.Service, missing.Shard, missing.Reason)
+	}
+}
+
+const percent = 100
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -53,13 +53,17 @@
 	Draining bool
 }
 
+// Reconfigured says that the operators' text has changed the shard.
+type Reconfigured struct{ Config Config }
+
 // Woken is the alarm that a WakeAt asked for.
 type Woken struct{}
 
-func (Offered) isEvent()   {}
-func (Withdrawn) isEvent() {}
-func (TryEnded) isEvent()  {}
-func (Woken) isEvent()     {}
+func (Offered) isEvent()      {}
+func (Withdrawn) isEvent()    {}
+func (TryEnded) isEvent()     {}
+func (Reconfigured) isEvent() {}
+func (Woken) isEvent()        {}
 
 // Action is something the shard wants done.
 type Action interface{ isAction() }
@@ -68,7 +72,7 @@
 type Dispatch struct {
 	Try     TryID
 	Request RequestID
-	Replica int
+	Address string
 	// TimeLeft is the time to the request's deadline.
 	TimeLeft time.Duration
 }
@@ -104,7 +108,7 @@
 // Shard is the state of one shard's queue. It is not safe for concurrent use.
 type Shard struct {
 	config   Config
-	replicas []replica
+	replicas []*replica
 	waiting  []*request
 	running  map[TryID]*try
 	nextTry  TryID
@@ -112,8 +116,12 @@
 }
 
 type replica struct {
+	address  string
 	inFlight int
+	// draining is set by the text or by the upstream's own reply.
 	draining bool
+	// gone is set when the text no longer lists the replica.
+	gone bool
 }
 
 type request struct {
@@ -123,15 +131,13 @@
 
 type try struct {
 	request *request
-	replica int
+	replica *replica
 }
 
 // NewShard makes an idle shard.
 func NewShard(config Config) *Shard {
-	shard := &Shard{config: config, running: map[TryID]*try{}}
-	for _, written := range config.Replicas {
-		shard.replicas = append(shard.replicas, replica{draining: written.Draining})
-	}
+	shard := &Shard{running: map[TryID]*try{}}
+	shard.configure(config)
 	return shard
 }
 
@@ -146,6 +152,8 @@
 		s.withdrawn(e)
 	case TryEnded:
 		s.tryEnded(e)
+	case Reconfigured:
+		s.configure(e.Config)
 	}
 	s.shedLate(now)
 	s.dispatch(now)
@@ -155,6 +163,27 @@
 // Waiting is the number of queued requests.
 func (s *Shard) Waiting() int { return len(s.waiting) }
 
+// configure takes over the text's replicas. One that is running work keeps its
+// state, so that its slots stay counted.
+func (s *Shard) configure(config Config) {
+	s.config = config
+	for _, existing := range s.replicas {
+		existing.gone = true
+	}
+	for _, written := range config.Replicas {
+		at := slices.IndexFunc(s.replicas, func(r *replica) bool { return r.address == written.Address })
+		if at < 0 {
+			s.replicas = append(s.replicas, &replica{address: written.Address, draining: written.Draining})
+			continue
+		}
+		s.replicas[at].gone = false
+		s.replicas[at].draining = written.Draining
+	}
+	s.replicas = slices.DeleteFunc(s.replicas, func(r *replica) bool { return r.gone && r.inFlight == 0 })
+}
+
+func (r *replica) usable() bool { return !r.draining && !r.gone }
+
 func (s *Shard) offered(now core.Time, e Offered) {
 	switch {
 	case e.Deadline <= now:
@@ -169,7 +198,7 @@
 }
 
 func (s *Shard) usable() bool {
-	return slices.ContainsFunc(s.replicas, func(r replica) bool { return !r.draining })
+	return slices.ContainsFunc(s.replicas, (*replica).usable)
 }
 
 func (s *Shard) withdrawn(e Withdrawn) {
@@ -187,8 +216,8 @@
 		return
 	}
 	delete(s.running, e.Try)
-	s.replicas[ended.replica].inFlight--
-	s.replicas[ended.replica].draining = s.replicas[ended.replica].draining || e.Draining
+	ended.replica.inFlight--
+	ended.replica.draining = ended.replica.draining || e.Draining
 	s.actions = append(s.actions, Settle{Request: ended.request.ID, Try: e.Try, Tries: ended.request.tries})
 }
 
@@ -205,31 +234,31 @@
 func (s *Shard) dispatch(now core.Time) {
 	for len(s.waiting) > 0 {
 		chosen := s.freest()
-		if chosen < 0 {
+		if chosen == nil {
 			break
 		}
 		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		next.tries++
 		s.nextTry++
-		s.replicas[chosen].inFlight++
+		chosen.inFlight++
 		s.running[s.nextTry] = &try{request: next, replica: chosen}
-		s.actions = append(s.actions, Dispatch{Try: s.nextTry, Request: next.ID, Replica: chosen, TimeLeft: next.Deadline - now})
+		s.actions = append(s.actions, Dispatch{Try: s.nextTry, Request: next.ID, Address: chosen.address, TimeLeft: next.Deadline - now})
 	}
 	if len(s.waiting) > 0 {
 		s.actions = append(s.actions, WakeAt{At: s.nextDeadline()})
 	}
 }
 
-// freest returns the usable replica with the most free slots, or -1.
-func (s *Shard) freest() int {
-	best := -1
-	for i, candidate := range s.replicas {
-		if candidate.draining || candidate.inFlight >= s.config.Slots {
+// freest returns the usable replica with the most free slots, or nil.
+func (s *Shard) freest() *replica {
+	var best *replica
+	for _, candidate := range s.replicas {
+		if !candidate.usable() || candidate.inFlight >= s.config.Slots {
 			continue
 		}
-		if best < 0 || candidate.inFlight < s.replicas[best].inFlight {
-			best = i
+		if best == nil || candidate.inFlight < best.inFlight {
+			best = candidate
 		}
 	}
 	return best
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -74,7 +74,7 @@
 	}
 	switch e := event.(type) {
 	case PartArrived:
-		m.partArrived(e)
+		m.partArrived(now, e)
 	case PartFailed:
 		m.partFailed(now, e)
 	case SendFailed:
@@ -118,12 +118,17 @@
 	return n.serves == nil || slices.Contains(n.serves, version)
 }
 
-func (m *Machine) partArrived(e PartArrived) {
+func (m *Machine) partArrived(now core.Time, e PartArrived) {
 	send := m.take(e.Send, e.Need)
+	if send == nil {
+		m.dropped++
+		return
+	}
 	// A part of a version that was not asked for is a crossed reply: merging
 	// it would mix snapshots.
-	if send == nil || e.Version == 0 || send.version != 0 && send.version != e.Version {
+	if e.Version == 0 || send.version != 0 && send.version != e.Version {
 		m.dropped++
+		m.failed(now, e.Need, core.ReasonCrossedReply, 0)
 		return
 	}
 	need := &m.needs[e.Need]
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,168 @@
+// Package keys makes the certificate authority and the node certificates for
+// mutual TLS between nodes, and builds TLS configurations from PEM texts.
+package keys
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+// NodeServerName is the DNS name in every node certificate. Nodes are dialled
+// by IP number, so that the name stands for "a node of this fleet".
+const NodeServerName = "node.pistachiopier"
+
+// ProtocolName is the ALPN name between nodes.
+const ProtocolName = "pistachiopier-peer/1"
+
+const (
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "EC PRIVATE KEY"
+	serialBits       = 120
+	clockSlack       = 5 * time.Minute
+)
+
+// Pair is a certificate and its private key, both as PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Authority signs node certificates.
+type Authority struct {
+	Pair
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes a self-signed authority valid from now for the given time.
+func NewAuthority(now time.Time, validity time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fault.Step("make authority key", err)
+	}
+	template, err := newTemplate("pistachiopier authority", now, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
+	pair, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{Pair: pair, certificate: template, key: key}, nil
+}
+
+// LoadAuthority reads an authority back from its PEM texts.
+func LoadAuthority(pair Pair) (*Authority, error) {
+	loaded, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return nil, tlsFault("the authority's certificate and key do not fit", err)
+	}
+	certificate, err := x509.ParseCertificate(loaded.Certificate[0])
+	if err != nil {
+		return nil, tlsFault("the authority's certificate cannot be read", err)
+	}
+	key, ok := loaded.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, tlsFault("the authority's key is not an elliptic curve key", nil)
+	}
+	return &Authority{Pair: pair, certificate: certificate, key: key}, nil
+}
+
+// Issue makes a certificate for the node named id.
+func (a *Authority) Issue(id string, now time.Time, validity time.Duration) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fault.Step("make node key", err)
+	}
+	template, err := newTemplate(id, now, validity)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.DNSNames = []string{NodeServerName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return sign(template, a.certificate, key, a.key)
+}
+
+// Config builds the TLS configuration of a node, for both ends of a peer
+// connection. Both ends must show a certificate of the authority.
+func Config(authority []byte, node Pair) (*tls.Config, error) {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, tlsFault("the authority PEM holds no certificate", nil)
+	}
+	certificate, err := tls.X509KeyPair(node.Certificate, node.Key)
+	if err != nil {
+		return nil, tlsFault("the node's certificate and key do not fit", err)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   NodeServerName,
+		NextProtos:   []string{ProtocolName},
+	}, nil
+}
+
+// Validity returns the validity of the first certificate of a PEM text.
+func Validity(certificate []byte) (from, until time.Time, err error) {
+	block, _ := pem.Decode(certificate)
+	if block == nil || block.Type != certificateBlock {
+		return from, until, tlsFault("the PEM holds no certificate", nil)
+	}
+	parsed, err := x509.ParseCertificate(block.Bytes)
+	if err != nil {
+		return from, until, tlsFault("the certificate cannot be read", err)
+	}
+	return parsed.NotBefore, parsed.NotAfter, nil
+}
+
+func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, fault.Step("make serial number", err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSlack),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return Pair{}, fault.Step("sign certificate", err)
+	}
+	keyBytes, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Pair{}, fault.Step("encode key", err)
+	}
+	return Pair{Certificate: encode(certificateBlock, der), Key: encode(keyBlock, keyBytes)}, nil
+}
+
+func encode(block string, der []byte) []byte {
+	var out bytes.Buffer
+	_ = pem.Encode(&out, &pem.Block{Type: block, Bytes: der})
+	return out.Bytes()
+}
+
+func tlsFault(message string, cause error) error {
+	return &fault.Error{Code: fault.CodeTLS, Message: message, Fix: "make new ones with pistachiopier keys", Cause: cause}
+}
--- /dev/null
+++ b/internal/owner/loop.go
@@ -0,0 +1,327 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/alarm"
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+const (
+	maxQueue = 512
+	// connectionShareDivisor keeps half of a replica's connections for a second
+	// owner: during a partition, a pause or a hand-over two nodes may each take
+	// themselves for the owner, and together they must stay under the limit.
+	connectionShareDivisor = 2
+)
+
+// event is what a loop's ring carries.
+type event interface{ isEvent() }
+
+// arrived is a bundle request; at is when it was taken from the stream.
+type arrived struct {
+	inbound *peer.Inbound
+	at      core.Time
+}
+
+// withdrawn says that the asker has gone.
+type withdrawn struct{ inbound *peer.Inbound }
+
+// ended is the end of an upstream request.
+type ended struct {
+	ref    core.ShardRef
+	try    admit.TryID
+	result upstream.Result
+}
+
+func (arrived) isEvent()   {}
+func (withdrawn) isEvent() {}
+func (ended) isEvent()     {}
+
+// loop is one goroutine's share of the shards.
+type loop struct {
+	options Options
+	ctx     context.Context
+	events  *ring.Ring[event]
+	// changed holds one token while a change of beliefs is not yet taken up.
+	changed chan struct{}
+	alarms  *alarm.Alarms[core.ShardRef]
+	shards  map[core.ShardRef]*shard
+	next    admit.RequestID
+}
+
+// shard is one shard's machine with the messages behind its requests.
+type shard struct {
+	ref      core.ShardRef
+	machine  *admit.Shard
+	requests map[admit.RequestID]*request
+	tries    map[admit.TryID]*running
+}
+
+// bundleReply counts the shards of a message that are still to be answered.
+type bundleReply struct {
+	inbound   *peer.Inbound
+	remaining int
+	stopWatch func() bool
+}
+
+type request struct {
+	bundle   *bundleReply
+	ask      *peerpb.ShardAsk
+	deadline core.Time
+}
+
+type running struct {
+	cancel context.CancelFunc
+	result upstream.Result
+}
+
+func newLoop(ctx context.Context, options Options) *loop {
+	return &loop{
+		options: options,
+		ctx:     ctx,
+		events:  ring.New[event](ringDepth),
+		changed: make(chan struct{}, 1),
+		alarms:  alarm.New[core.ShardRef](),
+		shards:  map[core.ShardRef]*shard{},
+	}
+}
+
+func (l *loop) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if at, ok := l.alarms.Next(); ok {
+			timer.Reset(at - l.options.Now())
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.events.Items():
+			l.handle(e)
+		case <-l.changed:
+			l.reload()
+		case <-timer.C:
+		}
+		for _, ref := range l.alarms.Pop(l.options.Now()) {
+			if s := l.shards[ref]; s != nil {
+				l.step(s, admit.Woken{})
+			}
+		}
+	}
+}
+
+func (l *loop) handle(e event) {
+	switch e := e.(type) {
+	case arrived:
+		l.arrived(e)
+	case withdrawn:
+		l.withdrawn(e)
+	case ended:
+		l.ended(e)
+	}
+}
+
+func (l *loop) arrived(e arrived) {
+	message := e.inbound.Envelope.GetBundleRequest()
+	deadline := e.at + timeLeft(message.GetTimeLeftUs())
+	config := l.options.Belief.Config()
+	customer, _ := config.Catalog.Customer(core.Customer(message.GetCustomer()))
+	reply := &bundleReply{inbound: e.inbound, remaining: len(message.GetAsks())}
+	reply.stopWatch = context.AfterFunc(e.inbound.Context, func() {
+		_ = l.events.Put(l.ctx, withdrawn{inbound: e.inbound})
+	})
+	for _, ask := range message.GetAsks() {
+		ref := core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())}
+		s := l.shard(config.Catalog, ref)
+		if s == nil {
+			l.answer(reply, failedPart(ask, core.NotRun, core.ReasonNotOwner))
+			continue
+		}
+		l.next++
+		s.requests[l.next] = &request{bundle: reply, ask: ask, deadline: deadline}
+		l.step(s, admit.Offered{ID: l.next, Customer: customer.Name, Weight: customer.Weight, Deadline: deadline})
+	}
+}
+
+// shard returns the shard's machine, made on first use, or nil when the text
+// does not know the shard.
+func (l *loop) shard(text *catalog.Catalog, ref core.ShardRef) *shard {
+	if existing := l.shards[ref]; existing != nil {
+		return existing
+	}
+	if text.Shard(ref) == nil {
+		return nil
+	}
+	created := &shard{
+		ref:      ref,
+		machine:  admit.NewShard(l.configure(text, ref)),
+		requests: map[admit.RequestID]*request{},
+		tries:    map[admit.TryID]*running{},
+	}
+	l.shards[ref] = created
+	return created
+}
+
+// configure gives each replica its share of connections and returns the
+// machine's configuration.
+func (l *loop) configure(text *catalog.Catalog, ref core.ShardRef) admit.Config {
+	service := text.Services[ref.Service]
+	share := connectionShare(text, service, len(l.options.Belief.View().Nodes()))
+	config := admit.Config{Slots: min(service.Slots, share), MaxQueue: maxQueue}
+	for _, replica := range text.Shard(ref).Replicas {
+		l.options.Upstream.Limit(replica.Address, share)
+		config.Replicas = append(config.Replicas, admit.ReplicaConfig{Address: replica.Address, Draining: replica.Draining})
+	}
+	return config
+}
+
+// connectionShare is how many connections this node may hold to a replica.
+func connectionShare(text *catalog.Catalog, service *catalog.Service, nodes int) int {
+	if text.Policy.Routing == catalog.RoutingDirect {
+		return max(1, service.Connections/max(1, nodes))
+	}
+	return max(1, service.Connections/connectionShareDivisor)
+}
+
+func (l *loop) withdrawn(e withdrawn) {
+	message := e.inbound.Envelope.GetBundleRequest()
+	for _, ask := range message.GetAsks() {
+		s := l.shards[core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())}]
+		if s == nil {
+			continue
+		}
+		for id, waiting := range s.requests {
+			if waiting.bundle.inbound == e.inbound {
+				delete(s.requests, id)
+				l.step(s, admit.Withdrawn{ID: id})
+			}
+		}
+	}
+}
+
+func (l *loop) ended(e ended) {
+	s := l.shards[e.ref]
+	if s == nil || s.tries[e.try] == nil {
+		return
+	}
+	s.tries[e.try].result = e.result
+	l.step(s, admit.TryEnded{Try: e.try, Outcome: e.result.Outcome, Reason: e.result.Reason, Draining: e.result.Draining})
+	delete(s.tries, e.try)
+}
+
+// reload brings every machine up to the present text. Shards that the text no
+// longer lists finish what they run.
+func (l *loop) reload() {
+	config := l.options.Belief.Config()
+	if config == nil {
+		return
+	}
+	for ref, s := range l.shards {
+		if config.Catalog.Shard(ref) == nil {
+			l.step(s, admit.Reconfigured{})
+			continue
+		}
+		l.step(s, admit.Reconfigured{Config: l.configure(config.Catalog, ref)})
+	}
+}
+
+func (l *loop) step(s *shard, e admit.Event) {
+	for _, action := range s.machine.Step(l.options.Now(), e) {
+		switch a := action.(type) {
+		case admit.Dispatch:
+			l.dispatch(s, a)
+		case admit.Abort:
+			s.tries[a.Try].cancel()
+		case admit.Settle:
+			l.settle(s, a)
+		case admit.Refuse:
+			l.refuse(s, a)
+		case admit.WakeAt:
+			l.alarms.Set(s.ref, a.At)
+		}
+	}
+}
+
+func (l *loop) dispatch(s *shard, a admit.Dispatch) {
+	waiting := s.requests[a.Request]
+	message := waiting.bundle.inbound.Envelope.GetBundleRequest()
+	ctx, cancel := context.WithCancel(l.ctx)
+	s.tries[a.Try] = &running{cancel: cancel}
+	call := upstream.Call{
+		Address:   a.Address,
+		Ref:       s.ref,
+		RequestID: message.GetRequestId(),
+		Customer:  core.Customer(message.GetCustomer()),
+		Version:   core.Version(message.GetVersion()),
+		TimeLeft:  a.TimeLeft,
+		Body:      upstream.Body{Question: message.GetQuestion(), Dependencies: dependencies(waiting.ask)},
+	}
+	go func() {
+		defer cancel()
+		result := l.options.Upstream.Do(ctx, call)
+		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
+	}()
+}
+
+func (l *loop) settle(s *shard, a admit.Settle) {
+	waiting := s.requests[a.Request]
+	if waiting == nil {
+		return
+	}
+	delete(s.requests, a.Request)
+	result := s.tries[a.Try].result
+	part := &peerpb.Part{
+		Service:      waiting.ask.GetService(),
+		Shard:        waiting.ask.GetShard(),
+		Version:      uint64(result.Version),
+		Payload:      result.Payload,
+		Outcome:      uint32(result.Outcome),
+		Reason:       string(result.Reason),
+		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
+		Tries:        uint32(a.Tries),
+	}
+	for _, version := range result.Serves {
+		part.Serves = append(part.Serves, uint64(version))
+	}
+	l.answer(waiting.bundle, part)
+}
+
+func (l *loop) refuse(s *shard, a admit.Refuse) {
+	waiting := s.requests[a.Request]
+	if waiting == nil {
+		return
+	}
+	delete(s.requests, a.Request)
+	part := failedPart(waiting.ask, core.NotRun, a.Reason)
+	part.RetryAfterMs = uint64(a.RetryAfter.Milliseconds())
+	l.answer(waiting.bundle, part)
+}
+
+func (l *loop) answer(reply *bundleReply, part *peerpb.Part) {
+	reply.remaining--
+	last := reply.remaining == 0
+	if last {
+		reply.stopWatch()
+	}
+	reply.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Part{Part: part}}, last)
+}
+
+func failedPart(ask *peerpb.ShardAsk, outcome core.Outcome, reason core.Reason) *peerpb.Part {
+	return &peerpb.Part{Service: ask.GetService(), Shard: ask.GetShard(), Outcome: uint32(outcome), Reason: string(reason)}
+}
+
+func dependencies(ask *peerpb.ShardAsk) []upstream.Dependency {
+	var list []upstream.Dependency
+	for _, part := range ask.GetDependencies() {
+		list = append(list, upstream.Dependency{Service: part.GetService(), Shard: int(part.GetShard()), Part: part.GetPayload()})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
+)
+
+// Server accepts peers' connections and hands their requests to a Handler.
+type Server struct {
+	self     Identity
+	handler  Handler
+	udp      *net.UDPConn
+	listener *quic.Listener
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// Listen opens the peer address and serves until Close.
+func Listen(address string, tlsConfig *tls.Config, self Identity, handler Handler) (*Server, error) {
+	udpAddress, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, addressFault(address, err)
+	}
+	udp, err := net.ListenUDP("udp", udpAddress)
+	if err != nil {
+		return nil, addressFault(address, err)
+	}
+	listener, err := quic.Listen(udp, tlsConfig, quicConfig())
+	if err != nil {
+		_ = udp.Close()
+		return nil, fault.Step("listen for peers", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	server := &Server{self: self, handler: handler, udp: udp, listener: listener, stop: stop}
+	server.done.Add(1)
+	go server.accept(ctx)
+	return server, nil
+}
+
+// Address is the UDP address in use, with the port chosen for port 0.
+func (s *Server) Address() string { return s.udp.LocalAddr().String() }
+
+// Close ends all connections and frees the address.
+func (s *Server) Close() error {
+	s.stop()
+	err := s.listener.Close()
+	s.done.Wait()
+	return errors.Join(err, s.udp.Close())
+}
+
+func (s *Server) accept(ctx context.Context) {
+	defer s.done.Done()
+	for {
+		connection, err := s.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s.done.Add(1)
+		go s.serveConnection(ctx, connection)
+	}
+}
+
+func (s *Server) serveConnection(ctx context.Context, connection *quic.Conn) {
+	defer s.done.Done()
+	defer func() { _ = connection.CloseWithError(codeClosing, "closing") }()
+	for {
+		stream, err := connection.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		s.done.Add(1)
+		go s.serveStream(ctx, connection, stream)
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, connection *quic.Conn, stream *quic.Stream) {
+	defer s.done.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(codeClosing) })
+	defer stop()
+	reader := bufio.NewReaderSize(stream, bufferBytes)
+	from, err := s.welcome(connection, reader)
+	if err != nil {
+		_ = connection.CloseWithError(codeProtocol, err.Error())
+		return
+	}
+	session := newSession(ctx, s, from)
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		defer cancel()
+		_ = writeBatches(ctx, session.out.Items(), bufio.NewWriterSize(stream, bufferBytes), writeAll)
+		stream.CancelWrite(codeClosing)
+	}()
+	session.read(reader)
+}
+
+// writeAll wants every message.
+func writeAll(*peerpb.Envelope) bool { return true }
+
+// welcome checks that the peer is who its certificate says.
+func (s *Server) welcome(connection *quic.Conn, reader *bufio.Reader) (Identity, error) {
+	envelope, err := readEnvelope(reader)
+	if err != nil {
+		return Identity{}, err
+	}
+	hello := envelope.GetHello()
+	if hello == nil {
+		return Identity{}, fault.NotRun(fault.CodePeer, "the first message is not a hello", "use a pistachiopier node")
+	}
+	certified := connection.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName
+	if certified != hello.GetNode() {
+		return Identity{}, fault.NotRun(fault.CodePeer, "node "+hello.GetNode()+" shows the certificate of "+certified, "issue a certificate for this node")
+	}
+	return Identity{Node: core.NodeID(hello.GetNode()), Incarnation: hello.GetIncarnation()}, nil
+}
+
+// session is one peer's stream: its open requests and its replies.
+type session struct {
+	ctx    context.Context
+	server *Server
+	from   Identity
+	out    *ring.Ring[*peerpb.Envelope]
+	mutex  sync.Mutex
+	open   map[uint64]context.CancelFunc
+}
+
+func newSession(ctx context.Context, server *Server, from Identity) *session {
+	s := &session{
+		ctx:    ctx,
+		server: server,
+		from:   from,
+		out:    ring.New[*peerpb.Envelope](writeRingDepth),
+		open:   map[uint64]context.CancelFunc{},
+	}
+	_ = s.out.Put(ctx, helloEnvelope(server.self))
+	return s
+}
+
+func (s *session) read(reader *bufio.Reader) {
+	for {
+		envelope, err := readEnvelope(reader)
+		if err != nil {
+			return
+		}
+		if envelope.GetCancel() != nil {
+			s.end(envelope.GetId())
+			continue
+		}
+		s.begin(envelope)
+	}
+}
+
+func (s *session) begin(envelope *peerpb.Envelope) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.mutex.Lock()
+	s.open[envelope.GetId()] = cancel
+	s.mutex.Unlock()
+	s.server.handler.Handle(NewInbound(ctx, s.from, envelope, s.send))
+}
+
+func (s *session) send(reply *peerpb.Envelope) {
+	if reply.GetLast() {
+		defer s.end(reply.GetId())
+	}
+	_ = s.out.Put(s.ctx, reply)
+}
+
+func (s *session) end(id uint64) {
+	s.mutex.Lock()
+	cancel := s.open[id]
+	delete(s.open, id)
+	s.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func addressFault(address string, cause error) error {
+	return &fault.Error{
+		Code:    fault.CodeAddress,
+		Message: "cannot listen on " + address,
+		Fix:     "choose a free address of this VM in the settings",
+		Cause:   cause,
+	}
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,320 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Limits and times of the connections to upstreams.
+const (
+	maxReplyBytes  = 8 << 20
+	idleConnection = 30 * time.Second
+	dialTimeout    = time.Second
+	maxHeaderBytes = 64 << 10
+	decimal        = 10
+	versionBits    = 64
+)
+
+// Call is one request to one replica.
+type Call struct {
+	Address   string
+	Ref       core.ShardRef
+	RequestID string
+	Customer  core.Customer
+	// Version is the index version wanted; 0 takes the newest.
+	Version core.Version
+	// TimeLeft is the time to the caller's deadline.
+	TimeLeft time.Duration
+	Body     Body
+	// SubmitKey marks a must-not-repeat request. It is sent once.
+	SubmitKey string
+}
+
+// Result is the end of a call.
+type Result struct {
+	Outcome    core.Outcome
+	Reason     core.Reason
+	Version    core.Version
+	Serves     []core.Version
+	Payload    []byte
+	RetryAfter time.Duration
+	Draining   bool
+	// Load is the upstream's own figure, 0 to 1, or -1 when not given. It may
+	// mislead: it is a hint only.
+	Load float64
+	// Refused says that the upstream took no connection.
+	Refused bool
+	Latency time.Duration
+	Cause   error
+}
+
+// Client holds the connections to replicas, each within its share.
+type Client struct {
+	mutex      sync.Mutex
+	transports map[string]*http.Transport
+	dropped    atomic.Int64
+}
+
+// NewClient makes a client without connections.
+func NewClient() *Client {
+	return &Client{transports: map[string]*http.Transport{}}
+}
+
+// Limit sets how many connections the client may hold to an address.
+func (c *Client) Limit(address string, connections int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	existing := c.transports[address]
+	if existing != nil && existing.MaxConnsPerHost == connections {
+		return
+	}
+	if existing != nil {
+		existing.CloseIdleConnections()
+	}
+	c.transports[address] = newTransport(connections)
+}
+
+// Forget closes the idle connections to an address that has left the text.
+func (c *Client) Forget(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if transport := c.transports[address]; transport != nil {
+		transport.CloseIdleConnections()
+		delete(c.transports, address)
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, transport := range c.transports {
+		transport.CloseIdleConnections()
+	}
+}
+
+// DroppedReplies counts crossed or cut replies.
+func (c *Client) DroppedReplies() int64 { return c.dropped.Load() }
+
+func newTransport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleConnection,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (c *Client) transport(address string) *http.Transport {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	existing := c.transports[address]
+	if existing == nil {
+		existing = newTransport(1)
+		c.transports[address] = existing
+	}
+	return existing
+}
+
+// Do sends the call once and waits for its end. It never returns NotRun unless
+// no connection was had or the upstream refused the work itself.
+func (c *Client) Do(ctx context.Context, call Call) Result {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
+	defer cancel()
+	wire := &wire{}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, wire.trace()), call)
+	if err != nil {
+		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}
+	}
+	response, err := c.transport(call.Address).RoundTrip(request)
+	if err != nil {
+		return failure(ctx, wire, err, time.Since(started))
+	}
+	result := c.read(ctx, call, response, wire)
+	result.Latency = time.Since(started)
+	return result
+}
+
+// wire remembers whether a connection was had for a request, and which.
+type wire struct {
+	mutex      sync.Mutex
+	connection net.Conn
+	wrote      bool
+}
+
+func (w *wire) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			w.connection = info.Conn
+			w.wrote = true
+		},
+	}
+}
+
+// used reports whether any byte of the request may have left.
+func (w *wire) used() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.wrote
+}
+
+// close ends the connection: what follows a crossed or cut reply on it cannot
+// be trusted.
+func (w *wire) close() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.connection != nil {
+		_ = w.connection.Close()
+	}
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	body, err := json.Marshal(call.Body)
+	if err != nil {
+		return nil, err
+	}
+	verb := VerbQuery
+	if call.SubmitKey != "" {
+		verb = VerbSubmit
+	}
+	url := "http://" + call.Address + PathPrefix + call.Ref.String() + "/" + verb
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	header := request.Header
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRequestID, call.RequestID)
+	header.Set(HeaderCustomer, string(call.Customer))
+	header.Set(HeaderTimeLeft, strconv.FormatInt(call.TimeLeft.Milliseconds(), decimal))
+	if call.Version != 0 {
+		header.Set(HeaderVersion, strconv.FormatUint(uint64(call.Version), decimal))
+	}
+	if call.SubmitKey != "" {
+		// The key travels under a name of ours: net/http takes a request with
+		// an Idempotency-Key header for replayable and would send it again by
+		// itself when a reused connection breaks.
+		header.Set(HeaderSubmitKey, call.SubmitKey)
+		request.GetBody = nil
+	}
+	return request, nil
+}
+
+func failure(ctx context.Context, wire *wire, err error, latency time.Duration) Result {
+	result := Result{Outcome: core.Unknown, Reason: core.ReasonUpstreamFailed, Load: -1, Latency: latency, Cause: err}
+	if !wire.used() {
+		result.Outcome = core.NotRun
+		result.Refused = isDial(err)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result.Reason = core.ReasonDeadline
+	case ctx.Err() != nil:
+		result.Reason = core.ReasonCancelled
+	}
+	return result
+}
+
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (c *Client) read(ctx context.Context, call Call, response *http.Response, wire *wire) Result {
+	defer func() { _ = response.Body.Close() }()
+	result := headerResult(response)
+	if response.Header.Get(HeaderRequestID) != call.RequestID {
+		return c.dropReply(wire, "the reply carries another request's id")
+	}
+	if !framed(response) {
+		return c.dropReply(wire, "the reply has no length")
+	}
+	payload, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil && ctx.Err() != nil {
+		return failure(ctx, wire, err, 0)
+	}
+	if err != nil || len(payload) > maxReplyBytes {
+		return c.dropReply(wire, "the reply was cut short or is too long")
+	}
+	if response.StatusCode != http.StatusOK {
+		return notOK(result, response)
+	}
+	result.Outcome = core.Done
+	result.Payload = payload
+	return result
+}
+
+// framed reports whether the end of the reply can be told from a lost
+// connection.
+func framed(response *http.Response) bool {
+	return response.ProtoMajor >= 2 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+func (c *Client) dropReply(wire *wire, why string) Result {
+	c.dropped.Add(1)
+	wire.close()
+	return Result{Outcome: core.Unknown, Reason: core.ReasonCrossedReply, Load: -1, Cause: errors.New(why)}
+}
+
+func notOK(result Result, response *http.Response) Result {
+	result.Outcome = core.Unknown
+	result.Reason = core.ReasonUpstreamFailed
+	result.Cause = errors.New("status " + response.Status)
+	switch response.Header.Get(HeaderNotRun) {
+	case NotRunVersion:
+		result.Outcome, result.Reason = core.NotRun, core.ReasonVersionGone
+	case NotRunOverloaded:
+		result.Outcome, result.Reason = core.NotRun, core.ReasonOverloaded
+	case NotRunDraining:
+		result.Outcome, result.Reason = core.NotRun, core.ReasonDraining
+		result.Draining = true
+	case NotRunDeadline:
+		result.Outcome, result.Reason = core.NotRun, core.ReasonDeadline
+	}
+	return result
+}
+
+func headerResult(response *http.Response) Result {
+	header := response.Header
+	result := Result{Load: -1}
+	result.Version = parseVersion(header.Get(HeaderVersion))
+	for _, field := range strings.Split(header.Get(HeaderVersions), ",") {
+		if version := parseVersion(strings.TrimSpace(field)); version != 0 {
+			result.Serves = append(result.Serves, version)
+		}
+	}
+	result.Draining = header.Get(HeaderDraining) == "true"
+	if load, err := strconv.ParseFloat(header.Get(HeaderLoad), versionBits); err == nil {
+		result.Load = load
+	}
+	if ms, err := strconv.Atoi(header.Get(HeaderRetryAfter)); err == nil && ms > 0 {
+		result.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return result
+}
+
+func parseVersion(text string) core.Version {
+	number, err := strconv.ParseUint(text, decimal, versionBits)
+	if err != nil {
+		return 0
+	}
+	return core.Version(number)
+}
