State-chart interpreter, problems register, metrics, and one kind of owner work

Charts with unbound names, unreachable states or unanswered events fail when parsed. An owner's queue now takes any work, so that must-not-repeat requests can share it with parts requests.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -21,8 +21,10 @@
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
@@ -36,6 +38,8 @@
 	started  time.Time
 	identity peer.Identity
 	belief   *belief.Store
+	problems *observe.Problems
+	metrics  observe.Registry
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
@@ -89,6 +93,8 @@
 		started:  started,
 		identity: peer.Identity{Node: core.NodeID(s.Node), Incarnation: uint64(started.UnixNano())},
 		belief:   belief.NewStore(),
+		problems: observe.NewProblems(func() core.Time { return time.Since(started) }),
+		metrics:  observe.NewRegistry(),
 		upstream: upstream.NewClient(),
 		platform: platform.NewClient(s.Platform),
 	}
@@ -102,7 +108,15 @@
 	if err != nil {
 		return fault.Step("load keys", err)
 	}
-	n.owner = owner.New(owner.Options{Self: n.identity.Node, Belief: n.belief, Upstream: n.upstream, Now: n.now, Log: n.log})
+	n.owner = owner.New(owner.Options{
+		Self:     n.identity.Node,
+		Belief:   n.belief,
+		Upstream: n.upstream,
+		Now:      n.now,
+		Log:      n.log,
+		Problems: n.problems,
+		Metrics:  n.metrics,
+	})
 	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("open peer pool", err)
@@ -111,7 +125,16 @@
 	if err != nil {
 		return fault.Step("listen for peers", err)
 	}
-	n.entry = entry.New(entry.Options{Self: n.identity.Node, Incarnation: n.identity.Incarnation, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log})
+	n.entry = entry.New(entry.Options{
+		Self:        n.identity.Node,
+		Incarnation: n.identity.Incarnation,
+		Belief:      n.belief,
+		Peers:       n.pool,
+		Now:         n.now,
+		Log:         n.log,
+		Problems:    n.problems,
+		Metrics:     n.metrics,
+	})
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
@@ -178,11 +201,13 @@
 
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
-	if inbound.Envelope.GetBundleRequest() != nil {
+	switch inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_BundleRequest:
 		n.owner.HandleBundle(inbound)
-		return
+	default:
+		// A newer peer may send a body that this node does not know.
+		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
-	inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 }
 
 func (n *Node) entries() api.Entries {
--- /dev/null
+++ b/internal/chart/chart_test.go
@@ -0,0 +1,69 @@
+package chart
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const lamp = `
+name: lamp
+initial: off
+events: [press, cut]
+states:
+  - name: "on"
+    on: [{event: press, to: "off", do: [count]}, {event: cut, to: "off"}]
+  - name: "off"
+    on: [{event: press, when: powered, to: "on", do: [count]}, {event: press}]
+    ignore: [cut]
+`
+
+type lampState struct {
+	powered bool
+	presses int
+}
+
+func lampBindings() Bindings[*lampState] {
+	return Bindings[*lampState]{
+		Guards:  map[string]func(*lampState) bool{"powered": func(l *lampState) bool { return l.powered }},
+		Actions: map[string]func(*lampState){"count": func(l *lampState) { l.presses++ }},
+	}
+}
+
+func TestFireTakesTheFirstGuardThatHolds(t *testing.T) {
+	m, err := Parse([]byte(lamp), lampBindings())
+	require.NoError(t, err)
+	subject := &lampState{}
+	require.Equal(t, "off", m.Name(m.Fire(0, m.Event("press"), subject)))
+	subject.powered = true
+	require.Equal(t, "on", m.Name(m.Fire(0, m.Event("press"), subject)))
+	require.Equal(t, 1, subject.presses)
+}
+
+func TestFaultyChartsFailAtTheStart(t *testing.T) {
+	cases := map[string]struct {
+		source  string
+		message string
+	}{
+		"unbound guard":     {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, when: nobody}, {event: e}]}]", "guard nobody is not bound"},
+		"unbound action":    {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, do: [nothing]}]}]", "action nothing is not bound"},
+		"unreachable state": {"name: a\ninitial: s\nevents: []\nstates: [{name: s}, {name: t}]", "state t cannot be reached"},
+		"no answer":         {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s}]", "no answer to event e"},
+		"guarded only":      {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, when: powered}]}]", "no answer to event e"},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(one.source), lampBindings())
+			require.ErrorContains(t, err, one.message)
+		})
+	}
+}
+
+func TestEveryEmbeddedChartIsValid(t *testing.T) {
+	require.NotEmpty(t, Names())
+	for _, name := range Names() {
+		text, err := Mermaid(name)
+		require.NoError(t, err)
+		require.Contains(t, text, "stateDiagram-v2")
+	}
+}
--- /dev/null
+++ b/internal/chart/machine.go
@@ -0,0 +1,137 @@
+package chart
+
+// State is a state of one chart. The zero value is the initial state.
+type State int
+
+// Event is an event of one chart.
+type Event int
+
+// Bindings give the guards and actions of a chart. T is what they work on.
+type Bindings[T any] struct {
+	Guards  map[string]func(T) bool
+	Actions map[string]func(T)
+}
+
+// Machine is a chart bound to code. It holds no state of its own and is safe
+// for concurrent use.
+type Machine[T any] struct {
+	name   string
+	states []string
+	events map[string]Event
+	// table lists the transitions of each state and event, by state times the
+	// number of events plus event.
+	table [][]step[T]
+}
+
+// step is a bound transition. A nil guard always holds.
+type step[T any] struct {
+	guard   func(T) bool
+	actions []func(T)
+	to      State
+}
+
+// Parse reads a chart and binds its names.
+func Parse[T any](source []byte, bindings Bindings[T]) (*Machine[T], error) {
+	d, err := read(source)
+	if err != nil {
+		return nil, err
+	}
+	m := &Machine[T]{name: d.Name, events: map[string]Event{}}
+	for i, event := range d.Events {
+		m.events[event] = Event(i)
+	}
+	order := stateOrder(d)
+	for _, s := range order {
+		m.states = append(m.states, s.Name)
+	}
+	m.table = make([][]step[T], len(order)*len(d.Events))
+	for from, s := range order {
+		for _, t := range s.On {
+			bound, err := bind(d, t, bindings)
+			if err != nil {
+				return nil, err
+			}
+			bound.to = m.State(t.target(s.Name))
+			cell := from*len(d.Events) + int(m.events[t.Event])
+			m.table[cell] = append(m.table[cell], bound)
+		}
+	}
+	return m, nil
+}
+
+// Must is Parse for a package's own chart: a fault in it ends the start.
+func Must[T any](source []byte, bindings Bindings[T]) *Machine[T] {
+	m, err := Parse(source, bindings)
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// stateOrder puts the initial state first.
+func stateOrder(d *definition) []state {
+	var order []state
+	for _, s := range d.States {
+		if s.Name == d.Initial {
+			order = append([]state{s}, order...)
+			continue
+		}
+		order = append(order, s)
+	}
+	return order
+}
+
+func bind[T any](d *definition, t transition, bindings Bindings[T]) (step[T], error) {
+	var bound step[T]
+	if t.When != "" {
+		bound.guard = bindings.Guards[t.When]
+		if bound.guard == nil {
+			return bound, invalid(d.Name, "guard "+t.When+" is not bound")
+		}
+	}
+	for _, name := range t.Do {
+		action := bindings.Actions[name]
+		if action == nil {
+			return bound, invalid(d.Name, "action "+name+" is not bound")
+		}
+		bound.actions = append(bound.actions, action)
+	}
+	return bound, nil
+}
+
+// State finds a state by name; a name that the chart lacks ends the start.
+func (m *Machine[T]) State(name string) State {
+	for i, state := range m.states {
+		if state == name {
+			return State(i)
+		}
+	}
+	panic(invalid(m.name, "no state "+name))
+}
+
+// Event finds an event by name; a name that the chart lacks ends the start.
+func (m *Machine[T]) Event(name string) Event {
+	event, ok := m.events[name]
+	if !ok {
+		panic(invalid(m.name, "no event "+name))
+	}
+	return event
+}
+
+// Name returns a state's name.
+func (m *Machine[T]) Name(state State) string { return m.states[state] }
+
+// Fire answers an event: it runs the actions of the first transition whose
+// guard holds and returns the next state.
+func (m *Machine[T]) Fire(from State, event Event, subject T) State {
+	for _, candidate := range m.table[int(from)*len(m.events)+int(event)] {
+		if candidate.guard != nil && !candidate.guard(subject) {
+			continue
+		}
+		for _, action := range candidate.actions {
+			action(subject)
+		}
+		return candidate.to
+	}
+	return from
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
@@ -60,7 +61,9 @@
 	Peers       peer.Asker
 	// Now reads the node's monotonic clock.
 	Now func() core.Time
-	Log logrus.FieldLogger
+	Log      logrus.FieldLogger
+	Problems *observe.Problems
+	Metrics  observe.Registry
 }
 
 // Entry runs the entry's duty on a fixed number of goroutines.
--- /dev/null
+++ b/internal/owner/bundle.go
@@ -0,0 +1,99 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+// bundleReply counts the shards of a message that are still to be answered.
+type bundleReply struct {
+	inbound   *peer.Inbound
+	remaining int
+	stopWatch func() bool
+}
+
+// bundleWork is one shard of a bundle request.
+type bundleWork struct {
+	reply *bundleReply
+	ask   *peerpb.ShardAsk
+}
+
+func (l *loop) bundleArrived(text *catalog.Catalog, e arrived, stopWatch func() bool) {
+	message := e.inbound.Envelope.GetBundleRequest()
+	customer, _ := text.Customer(core.Customer(message.GetCustomer()))
+	reply := &bundleReply{inbound: e.inbound, remaining: len(message.GetAsks()), stopWatch: stopWatch}
+	offered := admit.Offered{
+		Customer: customer.Name,
+		Weight:   customer.Weight,
+		Deadline: e.at + timeLeft(message.GetTimeLeftUs()),
+	}
+	for _, ask := range message.GetAsks() {
+		w := &bundleWork{reply: reply, ask: ask}
+		s := l.shard(text, core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())})
+		if s == nil {
+			w.refuse(core.ReasonNotOwner, 0)
+			continue
+		}
+		l.offer(s, e.inbound, w, offered)
+	}
+}
+
+func (w *bundleWork) call() upstream.Call {
+	message := w.reply.inbound.Envelope.GetBundleRequest()
+	return upstream.Call{
+		RequestID: message.GetRequestId(),
+		Customer:  core.Customer(message.GetCustomer()),
+		Version:   core.Version(message.GetVersion()),
+		Body:      upstream.Body{Question: message.GetQuestion(), Dependencies: dependencies(w.ask)},
+	}
+}
+
+func (w *bundleWork) settle(result upstream.Result, tries int) {
+	part := &peerpb.Part{
+		Service:      w.ask.GetService(),
+		Shard:        w.ask.GetShard(),
+		Version:      uint64(result.Version),
+		Payload:      result.Payload,
+		Outcome:      uint32(result.Outcome),
+		Reason:       string(result.Reason),
+		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
+		Tries:        uint32(tries),
+	}
+	for _, version := range result.Serves {
+		part.Serves = append(part.Serves, uint64(version))
+	}
+	w.reply.answer(part)
+}
+
+func (w *bundleWork) refuse(reason core.Reason, retryAfter time.Duration) {
+	w.reply.answer(&peerpb.Part{
+		Service:      w.ask.GetService(),
+		Shard:        w.ask.GetShard(),
+		Outcome:      uint32(core.NotRun),
+		Reason:       string(reason),
+		RetryAfterMs: uint64(retryAfter.Milliseconds()),
+	})
+}
+
+func (r *bundleReply) answer(part *peerpb.Part) {
+	r.remaining--
+	last := r.remaining == 0
+	if last {
+		r.stopWatch()
+	}
+	r.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Part{Part: part}}, last)
+}
+
+func dependencies(ask *peerpb.ShardAsk) []upstream.Dependency {
+	var list []upstream.Dependency
+	for _, part := range ask.GetDependencies() {
+		list = append(list, upstream.Dependency{Service: part.GetService(), Shard: int(part.GetShard()), Part: part.GetPayload()})
+	}
+	return list
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -25,13 +25,13 @@
 // event is what a loop's ring carries.
 type event interface{ isEvent() }
 
-// arrived is a bundle request; at is when it was taken from the stream.
+// arrived is a peer's request; at is when it was taken from the stream.
 type arrived struct {
 	inbound *peer.Inbound
 	at      core.Time
 }
 
-// withdrawn says that the asker has gone.
+// withdrawn says that the asker of an arrived request has gone.
 type withdrawn struct{ inbound *peer.Inbound }
 
 // ended is the end of an upstream request.
@@ -65,17 +65,17 @@
 	tries    map[admit.TryID]*running
 }
 
-// bundleReply counts the shards of a message that are still to be answered.
-type bundleReply struct {
-	inbound   *peer.Inbound
-	remaining int
-	stopWatch func() bool
+// work is a queued request: what to send upstream and where its end goes.
+// Exactly one of settle and refuse is called, unless the request is withdrawn.
+type work interface {
+	call() upstream.Call
+	settle(result upstream.Result, tries int)
+	refuse(reason core.Reason, retryAfter time.Duration)
 }
 
 type request struct {
-	bundle   *bundleReply
-	ask      *peerpb.ShardAsk
-	deadline core.Time
+	inbound *peer.Inbound
+	work    work
 }
 
 type running struct {
@@ -130,25 +130,19 @@
 }
 
 func (l *loop) arrived(e arrived) {
-	message := e.inbound.Envelope.GetBundleRequest()
-	deadline := e.at + timeLeft(message.GetTimeLeftUs())
 	config := l.options.Belief.Config()
-	customer, _ := config.Catalog.Customer(core.Customer(message.GetCustomer()))
-	reply := &bundleReply{inbound: e.inbound, remaining: len(message.GetAsks())}
-	reply.stopWatch = context.AfterFunc(e.inbound.Context, func() {
+	stopWatch := context.AfterFunc(e.inbound.Context, func() {
 		_ = l.events.Put(l.ctx, withdrawn{inbound: e.inbound})
 	})
-	for _, ask := range message.GetAsks() {
-		ref := core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())}
-		s := l.shard(config.Catalog, ref)
-		if s == nil {
-			l.answer(reply, failedPart(ask, core.NotRun, core.ReasonNotOwner))
-			continue
-		}
-		l.next++
-		s.requests[l.next] = &request{bundle: reply, ask: ask, deadline: deadline}
-		l.step(s, admit.Offered{ID: l.next, Customer: customer.Name, Weight: customer.Weight, Deadline: deadline})
-	}
+	l.bundleArrived(config.Catalog, e, stopWatch)
+}
+
+// offer queues one request at its shard's machine.
+func (l *loop) offer(s *shard, inbound *peer.Inbound, w work, offered admit.Offered) {
+	l.next++
+	offered.ID = l.next
+	s.requests[l.next] = &request{inbound: inbound, work: w}
+	l.step(s, offered)
 }
 
 // shard returns the shard's machine, made on first use, or nil when the text
@@ -192,14 +186,13 @@
 }
 
 func (l *loop) withdrawn(e withdrawn) {
-	message := e.inbound.Envelope.GetBundleRequest()
-	for _, ask := range message.GetAsks() {
-		s := l.shards[core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())}]
+	for _, ref := range asked(e.inbound.Envelope) {
+		s := l.shards[ref]
 		if s == nil {
 			continue
 		}
 		for id, waiting := range s.requests {
-			if waiting.bundle.inbound == e.inbound {
+			if waiting.inbound == e.inbound {
 				delete(s.requests, id)
 				l.step(s, admit.Withdrawn{ID: id})
 			}
@@ -207,6 +200,15 @@
 	}
 }
 
+// asked lists the shards that a request names.
+func asked(envelope *peerpb.Envelope) []core.ShardRef {
+	var refs []core.ShardRef
+	for _, ask := range envelope.GetBundleRequest().GetAsks() {
+		refs = append(refs, core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())})
+	}
+	return refs
+}
+
 func (l *loop) ended(e ended) {
 	s := l.shards[e.ref]
 	if s == nil || s.tries[e.try] == nil {
@@ -251,19 +253,12 @@
 }
 
 func (l *loop) dispatch(s *shard, a admit.Dispatch) {
-	waiting := s.requests[a.Request]
-	message := waiting.bundle.inbound.Envelope.GetBundleRequest()
 	ctx, cancel := context.WithCancel(l.ctx)
 	s.tries[a.Try] = &running{cancel: cancel}
-	call := upstream.Call{
-		Address:   a.Address,
-		Ref:       s.ref,
-		RequestID: message.GetRequestId(),
-		Customer:  core.Customer(message.GetCustomer()),
-		Version:   core.Version(message.GetVersion()),
-		TimeLeft:  a.TimeLeft,
-		Body:      upstream.Body{Question: message.GetQuestion(), Dependencies: dependencies(waiting.ask)},
-	}
+	call := s.requests[a.Request].work.call()
+	call.Address = a.Address
+	call.Ref = s.ref
+	call.TimeLeft = a.TimeLeft
 	go func() {
 		defer cancel()
 		result := l.options.Upstream.Do(ctx, call)
@@ -277,21 +272,7 @@
 		return
 	}
 	delete(s.requests, a.Request)
-	result := s.tries[a.Try].result
-	part := &peerpb.Part{
-		Service:      waiting.ask.GetService(),
-		Shard:        waiting.ask.GetShard(),
-		Version:      uint64(result.Version),
-		Payload:      result.Payload,
-		Outcome:      uint32(result.Outcome),
-		Reason:       string(result.Reason),
-		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
-		Tries:        uint32(a.Tries),
-	}
-	for _, version := range result.Serves {
-		part.Serves = append(part.Serves, uint64(version))
-	}
-	l.answer(waiting.bundle, part)
+	waiting.work.settle(s.tries[a.Try].result, a.Tries)
 }
 
 func (l *loop) refuse(s *shard, a admit.Refuse) {
@@ -300,28 +281,5 @@
 		return
 	}
 	delete(s.requests, a.Request)
-	part := failedPart(waiting.ask, core.NotRun, a.Reason)
-	part.RetryAfterMs = uint64(a.RetryAfter.Milliseconds())
-	l.answer(waiting.bundle, part)
-}
-
-func (l *loop) answer(reply *bundleReply, part *peerpb.Part) {
-	reply.remaining--
-	last := reply.remaining == 0
-	if last {
-		reply.stopWatch()
-	}
-	reply.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Part{Part: part}}, last)
-}
-
-func failedPart(ask *peerpb.ShardAsk, outcome core.Outcome, reason core.Reason) *peerpb.Part {
-	return &peerpb.Part{Service: ask.GetService(), Shard: ask.GetShard(), Outcome: uint32(outcome), Reason: string(reason)}
-}
-
-func dependencies(ask *peerpb.ShardAsk) []upstream.Dependency {
-	var list []upstream.Dependency
-	for _, part := range ask.GetDependencies() {
-		list = append(list, upstream.Dependency{Service: part.GetService(), Shard: int(part.GetShard()), Part: part.GetPayload()})
-	}
-	return list
+	waiting.work.refuse(a.Reason, a.RetryAfter)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -29,9 +30,12 @@
 	Belief   *belief.Store
 	Upstream *upstream.Client
 	// Now reads the node's monotonic clock.
-	Now  func() core.Time
-	Log  logrus.FieldLogger
-	Loop int
+	Now      func() core.Time
+	Log      logrus.FieldLogger
+	Problems *observe.Problems
+	Metrics  observe.Registry
+	// Loops is the number of goroutines; 0 takes the default.
+	Loops int
 }
 
 // Owner runs the owner's duty on a fixed number of goroutines; a bundle always
@@ -45,12 +49,12 @@
 
 // New starts an owner; Close ends it.
 func New(options Options) *Owner {
-	if options.Loop == 0 {
-		options.Loop = defaultLoops
+	if options.Loops == 0 {
+		options.Loops = defaultLoops
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	owner := &Owner{options: options, stop: stop}
-	for range options.Loop {
+	for range options.Loops {
 		l := newLoop(ctx, options)
 		owner.loops = append(owner.loops, l)
 		owner.done.Add(1)
