--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,7 +60,7 @@
 	Belief      *belief.Store
 	Peers       peer.Asker
 	// Now reads the node's monotonic clock.
-	Now func() core.Time
+	Now      func() core.Time
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
