--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,9 +4,10 @@
 package catalog
 
 import (
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
@@ -128,19 +129,22 @@
 }
 
 // makeBundles groups shards that are asked together: shards of services with
-// the same dependents and index, in the order of the text, BundleSize at a
-// time. The ids follow from the names alone, so that a change elsewhere in
-// the text moves no bundle.
+// the same index, dependencies and dependents, in the order of the text. A
+// bundle ends where the hash of the next shard's name says so, within half and
+// one and a half times BundleSize. So the ends follow from names, not from
+// counts: a service added in the middle of a family changes the bundle around
+// it and the few up to the next common end, and all later bundles stay.
 func (c *Catalog) makeBundles() {
 	c.Bundles = map[core.BundleID]*Bundle{}
+	dependents := c.dependents()
 	open := map[string]*Bundle{}
 	for _, name := range c.Names {
 		service := c.Services[name]
-		family := c.family(service)
+		family := familyKey(service, dependents[name])
 		for i := range service.Shards {
 			shard := &service.Shards[i]
 			bundle := open[family]
-			if bundle == nil || len(bundle.Shards) >= c.Policy.BundleSize {
+			if bundle == nil || c.endsBefore(bundle, shard.Ref) {
 				bundle = c.newBundle(shard.Ref)
 				open[family] = bundle
 			}
@@ -153,6 +157,20 @@
 	}
 }
 
+// endsBefore reports whether the bundle is complete without the next shard.
+func (c *Catalog) endsBefore(bundle *Bundle, next core.ShardRef) bool {
+	half := max(1, c.Policy.BundleSize/2)
+	most := c.Policy.BundleSize + c.Policy.BundleSize/2
+	switch {
+	case len(bundle.Shards) < half:
+		return false
+	case len(bundle.Shards) >= most:
+		return true
+	}
+	return xxhash.Sum64String(next.String())%uint64(half) == 0
+}
+
+// newBundle makes a bundle whose id follows from its first shard's name.
 func (c *Catalog) newBundle(first core.ShardRef) *Bundle {
 	id := hashID(first.String())
 	for c.Bundles[id] != nil {
@@ -163,16 +181,15 @@
 	return bundle
 }
 
-// family names the set of services asked in the same step: those with the same
-// dependencies and the same dependents.
-func (c *Catalog) family(service *Service) string {
-	var dependents []string
+// dependents maps each service to those that depend on it, in the text's order.
+func (c *Catalog) dependents() map[string][]string {
+	dependents := make(map[string][]string, len(c.Names))
 	for _, name := range c.Names {
-		if slices.Contains(c.Services[name].DependsOn, service.Name) {
-			dependents = append(dependents, name)
+		for _, dependency := range c.Services[name].DependsOn {
+			dependents[dependency] = append(dependents[dependency], name)
 		}
 	}
-	return familyKey(service, dependents)
+	return dependents
 }
 
 func (c *Catalog) mainDataCentre(bundle *Bundle) string {
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -16,6 +16,9 @@
 	b.between(key+".services", services, 1, maxGroupServices)
 	b.between(key+".shards", shards, 1, maxShardsPerService)
 	b.between(key+".replicas", replicas, 1, maxReplicasPerShard)
+	if b.doc.Err() == nil && len(b.addresses)+services*shards*replicas > maxReplicas {
+		b.doc.Report(key+".services", fmt.Sprintf("%d services of %d shards of %d replicas are more than a text's %d replicas", services, shards, replicas, maxReplicas), "lower services, shards or replicas")
+	}
 	next, ok := b.addressSequence(key, written)
 	if !ok || b.doc.Err() != nil {
 		return
--- a/internal/catalog/parse.go
+++ b/internal/catalog/parse.go
@@ -26,6 +26,9 @@
 	maxGroupServices    = 1000
 	maxShardsPerService = 1000
 	maxReplicasPerShard = 100
+	// maxReplicas bounds the whole text: a few digits too many in a group would
+	// otherwise make every node of the fleet run out of memory at once.
+	maxReplicas = 50_000
 )
 
 const (
@@ -222,16 +225,19 @@
 		service := b.catalog.Services[name]
 		key := b.keys[name] + ".depends_on"
 		var expanded []string
+		seen := map[string]bool{}
 		for _, dependency := range service.DependsOn {
 			names := []string{dependency}
 			if b.catalog.Services[dependency] == nil && b.groups[dependency] != nil {
 				names = b.groups[dependency]
 			}
 			for _, one := range names {
-				b.dependency(key, service, one)
-				if !slices.Contains(expanded, one) {
-					expanded = append(expanded, one)
+				if seen[one] {
+					continue
 				}
+				seen[one] = true
+				b.dependency(key, service, one)
+				expanded = append(expanded, one)
 			}
 		}
 		service.DependsOn = expanded
@@ -255,10 +261,11 @@
 // cycles reports each cycle of depends_on once, by its path.
 func (b *builder) cycles() {
 	done := map[string]bool{}
+	place := map[string]int{}
 	var path []string
 	var visit func(string)
 	visit = func(name string) {
-		if at := slices.Index(path, name); at >= 0 {
+		if at, ok := place[name]; ok {
 			cycle := append(slices.Clone(path[at:]), name)
 			b.doc.Report(b.keys[name]+".depends_on", "cycle: "+strings.Join(cycle, " -> "), "remove one of these dependencies")
 			return
@@ -267,11 +274,13 @@
 		if done[name] || service == nil {
 			return
 		}
+		place[name] = len(path)
 		path = append(path, name)
 		for _, dependency := range service.DependsOn {
 			visit(dependency)
 		}
 		path = path[:len(path)-1]
+		delete(place, name)
 		done[name] = true
 	}
 	for _, name := range b.catalog.Names {
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -100,10 +100,11 @@
 
 func (d *Document) value(key string, node *yaml.Node, out reflect.Value) {
 	d.positions[key] = Position{Line: node.Line, Column: node.Column}
-	if node.Kind == yaml.AliasNode {
-		node = node.Alias
-	}
 	switch {
+	case node.Kind == yaml.AliasNode:
+		// A short text of aliases to aliases expands to billions of values, on
+		// every node at once.
+		d.Report(key, "an alias is not taken", "write the value itself")
 	case out.Kind() == reflect.Pointer && out.Type().Elem().Kind() == reflect.Struct:
 		out.Set(reflect.New(out.Type().Elem()))
 		d.value(key, node, out.Elem())
