Configuration decisions: what is in force, whom to follow, differences

Cause: the watcher adopted whatever was above what it had read before; a starting node asked nobody but the service, and every node read the service.

Change: internal/core/config holds three pure parts. Follower decides whom a node follows. Diff and Apply make line edits.

Reproduce: go test ./internal/core/config -run xxx -bench .

Not wired yet.

--- /dev/null
+++ b/internal/core/config/config_test.go
@@ -0,0 +1,290 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+)
+
+func reading(revision, digest uint64, source Source) *Reading {
+	return &Reading{Mark: Mark{revision, digest}, Source: source, Catalog: &catalog.Catalog{}}
+}
+
+func invalid(revision uint64) *Reading {
+	return &Reading{Mark: Mark{revision, 1}, Fault: "line 1: wrong"}
+}
+
+func fleet(dataCentres, each int) []route.Node {
+	var nodes []route.Node
+	for d := range dataCentres {
+		for n := range each {
+			nodes = append(nodes, route.Node{ID: core.NodeID(fmt.Sprintf("vm-%d-%03d", d, n)), DataCentre: fmt.Sprintf("dc%d", d)})
+		}
+	}
+	return nodes
+}
+
+// running returns a machine that has the marked text in force.
+func running(t *testing.T, revision, digest uint64) *Machine {
+	t.Helper()
+	m := New(0)
+	m.AskPeers(0, nil)
+	m.Offer(0, reading(revision, digest, FromService))
+	require.Equal(t, Mark{revision, digest}, m.InForce())
+	return m
+}
+
+func problems(actions []Action) (raised, cleared []Problem) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Report:
+			raised = append(raised, a.Problem)
+		case Clear:
+			cleared = append(cleared, a.Problem)
+		}
+	}
+	return raised, cleared
+}
+
+// An operator rolls the service back, or one of its copies lags: it offers
+// revision 3 while 10 is in force. Were 3 adopted, a drained replica would get
+// work again. Later the service shows 10, and then 11.
+func TestRolledBackServiceIsNotFollowed(t *testing.T) {
+	m := running(t, 10, 1)
+	raised, _ := problems(m.Offer(1, reading(3, 1, FromService)))
+	assert.Equal(t, []Problem{ProblemOlder}, raised)
+	assert.Equal(t, uint64(10), m.InForce().Revision)
+	assert.Equal(t, uint64(3), m.WatchAfter(), "a watch above 10 could return revision 3 over and over")
+	_, cleared := problems(m.Offer(2, reading(10, 1, FromService)))
+	assert.Equal(t, []Problem{ProblemOlder}, cleared)
+	m.Offer(3, reading(11, 1, FromService))
+	assert.Equal(t, uint64(11), m.InForce().Revision)
+}
+
+// An operator publishes an invalid revision 6, then a valid one. Each node keeps
+// 5 in force, says so, and goes on with the next valid revision, also with one
+// below a refused revision when peers have it.
+func TestInvalidRevisionIsRefusedAndTheNextTaken(t *testing.T) {
+	m := running(t, 5, 1)
+	raised, _ := problems(m.Offer(1, invalid(8)))
+	assert.Equal(t, []Problem{ProblemRefused}, raised)
+	assert.Equal(t, "holding", m.State())
+	assert.Equal(t, uint64(5), m.InForce().Revision)
+	assert.Equal(t, uint64(8), m.WatchAfter())
+	_, cleared := problems(m.Offer(2, reading(7, 1, FromPeer)))
+	assert.Empty(t, cleared, "8 is still refused")
+	assert.Equal(t, uint64(7), m.InForce().Revision)
+	_, cleared = problems(m.Offer(3, reading(9, 1, FromService)))
+	assert.Contains(t, cleared, ProblemRefused)
+	assert.Equal(t, "in_force", m.State())
+}
+
+// Two texts carry revision 4, after a service was restored from a backup. Half
+// of the fleet read one and half the other. All end with the same text, in
+// whichever order they meet the two, and all report it until a higher revision.
+func TestTwoTextsUnderOneRevisionResolveAlike(t *testing.T) {
+	for _, order := range [][2]uint64{{1, 2}, {2, 1}} {
+		m := running(t, 4, order[0])
+		raised, _ := problems(m.Offer(1, reading(4, order[1], FromPeer)))
+		assert.Equal(t, []Problem{ProblemConflict}, raised)
+		assert.Equal(t, Mark{4, 2}, m.InForce())
+		_, cleared := problems(m.Offer(2, reading(5, 1, FromService)))
+		assert.Equal(t, []Problem{ProblemConflict}, cleared)
+	}
+}
+
+// A node starts while the service is down. Its peers know revision 9 and 7; it
+// must not serve 7 although that answer came first.
+func TestStartTakesTheHighestOfPeersWhenTheServiceIsDown(t *testing.T) {
+	m := New(0)
+	nodes := fleet(2, 1)
+	m.AskPeers(0, nodes)
+	m.ServiceFailed(1)
+	actions := m.Learn(1, nodes[0].ID, Mark{7, 1})
+	assert.Equal(t, []Action{Fetch{nodes[0].ID}}, actions)
+	m.Learn(2, nodes[1].ID, Mark{9, 1})
+	actions = m.Offer(3, reading(7, 1, FromPeer))
+	assert.Equal(t, []Action{Fetch{nodes[1].ID}}, actions, "a higher revision is claimed")
+	assert.True(t, m.Gathering())
+	m.Offer(4, reading(9, 1, FromPeer))
+	assert.Equal(t, Mark{9, 1}, m.InForce())
+}
+
+// A node starts in a partition: the service answers, no peer does. It serves
+// after the bounded wait; when nobody answers at all it does not serve.
+func TestStartIsBoundedWhenPeersAreSilent(t *testing.T) {
+	m := New(0)
+	m.AskPeers(0, fleet(2, 2))
+	m.Tick(10 * StartWait)
+	assert.True(t, m.Gathering())
+	m = New(0)
+	m.AskPeers(0, fleet(2, 2))
+	m.Offer(1, reading(3, 1, FromService))
+	m.Tick(StartWait - 1)
+	assert.True(t, m.Gathering())
+	m.Tick(StartWait)
+	assert.Equal(t, Mark{3, 1}, m.InForce())
+}
+
+// The service is down overnight. The text stays in force, the problem shows its
+// age, and it ends when the service answers again.
+func TestStaleServiceIsReportedAndKept(t *testing.T) {
+	m := running(t, 5, 1)
+	raised, _ := problems(m.Tick(StaleAfter))
+	assert.Empty(t, raised)
+	actions := m.Tick(StaleAfter + 3*time.Second)
+	require.Len(t, actions, 1)
+	assert.Contains(t, actions[0].(Report).Detail, "1m3s ago")
+	_, cleared := problems(m.ServiceAnswered(StaleAfter + 4*time.Second))
+	assert.Equal(t, []Problem{ProblemStale}, cleared)
+	assert.Equal(t, uint64(5), m.InForce().Revision)
+}
+
+// Whatever comes in whichever order, what is in force never goes down, is never
+// an invalid text, and each adoption is the mark then in force.
+func TestRevisionInForceNeverGoesDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(0)
+		nodes := fleet(3, 2)
+		now := core.Time(0)
+		before := Mark{}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += core.Time(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "passed"))
+			for _, action := range anyEvent(t, m, now, nodes) {
+				adopted, ok := action.(Adopt)
+				if ok && (adopted.Reading.Mark != m.InForce() || adopted.Reading.Catalog == nil) {
+					t.Fatalf("adopted %v, in force %v", adopted.Reading.Mark, m.InForce())
+				}
+			}
+			if before.above(m.InForce()) {
+				t.Fatalf("%v replaced %v", m.InForce(), before)
+			}
+			before = m.InForce()
+		}
+	})
+}
+
+func anyEvent(t *rapid.T, m *Machine, now core.Time, nodes []route.Node) []Action {
+	mark := Mark{rapid.Uint64Range(0, 6).Draw(t, "revision"), rapid.Uint64Range(1, 3).Draw(t, "digest")}
+	node := rapid.SampledFrom(nodes).Draw(t, "node").ID
+	one := &Reading{Mark: mark, Source: Source(rapid.IntRange(0, 1).Draw(t, "source"))}
+	if rapid.Bool().Draw(t, "valid") {
+		one.Catalog = &catalog.Catalog{}
+	}
+	switch rapid.IntRange(0, 7).Draw(t, "event") {
+	case 0:
+		return m.ServiceAnswered(now)
+	case 1:
+		return m.ServiceFailed(now)
+	case 2:
+		return m.Tick(now)
+	case 3:
+		return m.AskPeers(now, nodes)
+	case 4:
+		return m.Learn(now, node, mark)
+	case 5:
+		return m.PeerFailed(now, node)
+	default:
+		return m.Offer(now, one)
+	}
+}
+
+func TestDiffAndApplyAreInverse(t *testing.T) {
+	line := rapid.SampledFrom([]string{"a\n", "b\n", "c\n", "\n", "d"})
+	rapid.Check(t, func(t *rapid.T) {
+		before := rapid.SliceOfN(line, 0, 40).Draw(t, "before")
+		after := rapid.SliceOfN(line, 0, 40).Draw(t, "after")
+		got, err := Apply(before, Diff(before, after))
+		if err != nil || strings.Join(got, "|") != strings.Join(after, "|") {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	})
+}
+
+// A peer of another version, or a broken one, sends edits for another text. They
+// are refused or give another text, which its digest shows; nothing panics.
+func TestGarbageEditsAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.IntRange(-3, 8)
+		edits := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Edit {
+			return Edit{From: number.Draw(t, "from"), Removed: number.Draw(t, "removed"), Lines: rapid.SliceOfN(rapid.Just("x\n"), 0, 3).Draw(t, "lines")}
+		})).Draw(t, "edits")
+		_, _ = Apply([]string{"a\n", "b\n"}, edits)
+	})
+	_, err := Apply([]string{"a\n"}, []Edit{{From: 1, Removed: 1}})
+	require.Error(t, err)
+	_, err = Apply(nil, []Edit{{Lines: []string{strings.Repeat("x", catalog.MaxTextBytes+1)}}})
+	require.Error(t, err)
+}
+
+// The relays of 780 nodes in four data centres take turns, so that no node
+// reads every text, and every node follows relays of its own data centre.
+func TestRelaysTakeTurns(t *testing.T) {
+	view := route.NewView(fleet(4, 195))
+	turns := map[core.NodeID]int{}
+	for revision := range uint64(400) {
+		relays := Relays(view, "dc1", revision)
+		require.Len(t, relays, activeRelays)
+		for _, node := range relays {
+			turns[node.ID]++
+			targets, relay := Targets(view, node.ID, "dc1", revision)
+			assert.True(t, relay)
+			assert.Len(t, targets, 1+3)
+		}
+	}
+	assert.Len(t, turns, groupSize)
+	for _, count := range turns {
+		assert.Equal(t, 100, count, "a quarter of the revisions")
+	}
+	assert.LessOrEqual(t, float64(780)/Gap(780).Seconds(), float64(directReads))
+}
+
+// Both relays of a node die. It sees the links fail, reads the service itself
+// within a second, and goes back to a relay that answers.
+func TestNodeWithoutRelaysReadsDirectly(t *testing.T) {
+	nodes := fleet(1, 20)
+	view := route.NewView(nodes)
+	relays := Relays(view, "dc0", 5)
+	self := nodes[0].ID
+	for _, node := range nodes {
+		if node.ID != relays[0].ID && node.ID != relays[1].ID {
+			self = node.ID
+		}
+	}
+	f := NewFollower(self, "dc0", func() float64 { return 0 })
+	assert.Equal(t, []FollowAction{Watch{}}, f.Turn(0, view, 0), "nothing in force")
+	f.Read(0, true)
+	assert.Equal(t, []FollowAction{Poll{relays[0]}, Poll{relays[1]}}, f.Turn(1, view, 5))
+	assert.Empty(t, f.Polled(time.Second, relays[0].ID, false))
+	assert.Equal(t, []FollowAction{Watch{Wait: WatchWait}}, f.Polled(time.Second, relays[1].ID, false))
+	f.Tick(3 * time.Second)
+	assert.Contains(t, f.Polled(3*time.Second, relays[1].ID, true), FollowAction(CancelWatch{}))
+	silent := f.Tick(3*time.Second + pollOverdue)
+	assert.Contains(t, silent, FollowAction(CancelPoll{relays[0].ID}))
+}
+
+func BenchmarkDiffAndApplyOneMegabyte(b *testing.B) {
+	var text strings.Builder
+	for n := 0; text.Len() < catalog.MaxTextBytes-100; n++ {
+		fmt.Fprintf(&text, "          - {address: \"10.1.%d.%d:8080\", data_centre: dc1}\n", n/250, n%250)
+	}
+	before := SplitLines(text.String())
+	after := append([]string(nil), before...)
+	after[100], after[len(after)-100] = "changed\n", "changed too\n"
+	b.ReportAllocs()
+	for b.Loop() {
+		edits := Diff(before, after)
+		if _, err := Apply(before, edits); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/config/follow.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+)
+
+// Times of following.
+const (
+	// PollWait is how long a relay holds a poll that has nothing new.
+	PollWait = 5 * time.Second
+	// pollOverdue is when a poll without an answer is given up: the relay or
+	// the connection to it is silent.
+	pollOverdue = PollWait + time.Second
+	// pollRetry is the pause before a relay that failed is polled again.
+	pollRetry = time.Second
+	// leastPoll is the least time between two polls of one relay: one whose
+	// answers cannot be used must not be asked in a tight loop.
+	leastPoll = 200 * time.Millisecond
+	// WatchWait is how long the service holds a watch that has nothing new.
+	WatchWait = 20 * time.Second
+	// maxJitter is the largest part of a wait that is added to it at random.
+	maxJitter = 0.25
+)
+
+// FollowAction is something that a Follower wants done.
+type FollowAction interface{ followAction() }
+
+// Poll asks a relay to answer when it has a text above the one at hand.
+type Poll struct{ Node route.Node }
+
+// CancelPoll withdraws a poll.
+type CancelPoll struct{ Node core.NodeID }
+
+// Watch reads the service: with Wait, until it has something new.
+type Watch struct{ Wait time.Duration }
+
+// CancelWatch withdraws a waiting watch of the service.
+type CancelWatch struct{}
+
+func (Poll) followAction()        {}
+func (CancelPoll) followAction()  {}
+func (Watch) followAction()       {}
+func (CancelWatch) followAction() {}
+
+// Jitter returns a number in [0, 1) from a seeded source.
+type Jitter func() float64
+
+// Follower decides whom a node follows: the service when it is a relay or when
+// no relay answers, the relays otherwise.
+type Follower struct {
+	self       core.NodeID
+	dataCentre string
+	jitter     Jitter
+	view       *route.View
+	relay      bool
+	targets    map[core.NodeID]*target
+	order      []core.NodeID
+	watching   bool
+	// attempted is set once the service was read, shown once it answered.
+	attempted bool
+	shown     bool
+	nextRead  core.Time
+}
+
+// target is a relay that is followed.
+type target struct {
+	node    route.Node
+	polling bool
+	since   core.Time
+	next    core.Time
+	// failed is set from a failure to the next answer.
+	failed bool
+}
+
+// NewFollower makes the follower of a node that knows no other node yet.
+func NewFollower(self core.NodeID, dataCentre string, jitter Jitter) *Follower {
+	return &Follower{self: self, dataCentre: dataCentre, jitter: jitter, view: route.NewView(nil), targets: map[core.NodeID]*target{}}
+}
+
+// Relay reports whether this node is a relay at present.
+func (f *Follower) Relay() bool { return f.relay }
+
+// Direct reports whether this node reads the service.
+func (f *Follower) Direct() bool { return f.relay || !f.followed() }
+
+// View returns the view that the relays were chosen from.
+func (f *Follower) View() *route.View { return f.view }
+
+// Targets lists the relays followed, in the order in which they are asked.
+func (f *Follower) Targets() []core.NodeID { return f.order }
+
+// Turn takes the present view and revision: both choose the relays. A node with
+// nothing in force, revision 0, follows nobody and reads the service.
+func (f *Follower) Turn(now core.Time, view *route.View, revision uint64) []FollowAction {
+	f.view = view
+	var nodes []route.Node
+	f.relay = false
+	if revision != 0 {
+		nodes, f.relay = Targets(view, f.self, f.dataCentre, revision)
+	}
+	wanted := map[core.NodeID]bool{}
+	f.order = f.order[:0]
+	for _, node := range nodes {
+		wanted[node.ID] = true
+		f.order = append(f.order, node.ID)
+		known := f.targets[node.ID]
+		if known == nil || known.node != node {
+			f.targets[node.ID] = &target{node: node, next: now}
+		}
+	}
+	var actions []FollowAction
+	for id, known := range f.targets {
+		if !wanted[id] {
+			delete(f.targets, id)
+			if known.polling {
+				actions = append(actions, CancelPoll{id})
+			}
+		}
+	}
+	return append(actions, f.Tick(now)...)
+}
+
+// Polled records the end of a poll; ok is false when no answer came.
+func (f *Follower) Polled(now core.Time, node core.NodeID, ok bool) []FollowAction {
+	known := f.targets[node]
+	if known == nil || !known.polling {
+		return nil
+	}
+	known.polling, known.failed = false, !ok
+	known.next = max(now, known.since+leastPoll)
+	if !ok {
+		known.next = now + f.spread(pollRetry)
+	}
+	return f.Tick(now)
+}
+
+// Read records the end of a service read; ok is false when it failed.
+func (f *Follower) Read(now core.Time, ok bool) []FollowAction {
+	f.watching = false
+	f.shown = f.shown || ok
+	return f.Tick(now)
+}
+
+// Woke starts everything anew after the process was paused: the answers to what
+// was asked before the pause may have been lost with their connections.
+func (f *Follower) Woke(now core.Time) []FollowAction {
+	var actions []FollowAction
+	for _, id := range f.order {
+		if t := f.targets[id]; t.polling {
+			t.polling, t.next = false, now
+			actions = append(actions, CancelPoll{id})
+		}
+	}
+	if f.watching {
+		actions = append(actions, CancelWatch{})
+	}
+	return append(actions, f.Tick(now)...)
+}
+
+// Tick starts what is due.
+func (f *Follower) Tick(now core.Time) []FollowAction {
+	var actions []FollowAction
+	for _, id := range f.order {
+		actions = append(actions, f.poll(now, f.targets[id])...)
+	}
+	return append(actions, f.watch(now)...)
+}
+
+func (f *Follower) poll(now core.Time, t *target) []FollowAction {
+	switch {
+	case t.polling && now-t.since >= pollOverdue:
+		// The relay, or the connection to it, went silent: it shows as a poll
+		// that is held longer than any relay holds one.
+		t.polling, t.failed = false, true
+		t.next = now + f.spread(pollRetry)
+		return []FollowAction{CancelPoll{t.node.ID}}
+	case t.polling || now < t.next:
+		return nil
+	}
+	t.polling, t.since = true, now
+	return []FollowAction{Poll{t.node}}
+}
+
+// watch keeps one read of the service open while this node is a relay or
+// follows none. The first read is a plain one, which also shows a text that is
+// older than, or differs from, what the peers have.
+func (f *Follower) watch(now core.Time) []FollowAction {
+	wanted := f.Direct() || !f.attempted
+	switch {
+	case f.watching && !wanted:
+		return []FollowAction{CancelWatch{}}
+	case f.watching || !wanted || now < f.nextRead:
+		return nil
+	}
+	f.watching, f.attempted = true, true
+	f.nextRead = now + f.spread(Gap(len(f.view.Nodes())))
+	if !f.shown {
+		return []FollowAction{Watch{}}
+	}
+	return []FollowAction{Watch{Wait: WatchWait}}
+}
+
+// followed reports whether a relay is believed to answer.
+func (f *Follower) followed() bool {
+	for _, t := range f.targets {
+		if !t.failed {
+			return true
+		}
+	}
+	return false
+}
+
+// spread adds jitter, so that nodes that lost the same relay do not all come at
+// the same moment.
+func (f *Follower) spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(f.jitter()*maxJitter*float64(wait))
+}
