Relays watch the service, the other nodes follow them

Cause: every node watched the configuration service itself and received each text whole; a start asked no peer, so a stale service could put an old text in force at a new node.

Change: confwatch carries out what internal/core/config decides, with one goroutine that owns the state and one that reads. Polls of the relays are held open for 5 s and answered with line edits when something newer is in force; the whole text goes only when the edits are not known or do not fit its digest. Requests of other nodes hint at newer revisions. Problems config_refused, config_conflict, config_stale and config_older_offered; metrics; a dump.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.config = n.newConfigWatcher()
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -138,12 +139,27 @@
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
-	n.config = confwatch.Start(n.platform, n.belief, n.log)
+	n.config.Start()
 	n.members = membership.Start(n.platform, n.belief, n.log)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
 }
 
+func (n *Node) newConfigWatcher() *confwatch.Watcher {
+	return confwatch.New(confwatch.Options{
+		Self:       n.identity.Node,
+		DataCentre: n.settings.DataCentre,
+		Service:    n.platform,
+		Belief:     n.belief,
+		Peers:      n.pool,
+		Now:        n.now,
+		Log:        n.log,
+		Problems:   n.problems,
+		Metrics:    n.metrics,
+		Seed:       n.identity.Incarnation,
+	})
+}
+
 func (n *Node) startHTTP() error {
 	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
 	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
@@ -201,8 +217,11 @@
 
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
-	switch inbound.Envelope.GetBody().(type) {
+	switch body := inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_ConfigRequest:
+		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
+		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
@@ -267,6 +286,8 @@
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+
+	Config confwatch.Dump `json:"config"`
 }
 
 func (n *Node) dump() any {
@@ -277,6 +298,7 @@
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Config:     n.config.Dump(),
 	}
 }
 
--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -1,10 +1,11 @@
-// Package confwatch watches the configuration service and puts each accepted
-// revision in force. Revisions only go up: an older reading is never adopted,
-// and an invalid one leaves the former in force.
+// Package confwatch keeps the operators' text in force at one node: it reads the
+// configuration service when the node is a relay, follows the relays otherwise,
+// and answers other nodes. What to do is decided by internal/core/config.
 package confwatch
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,86 +13,211 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
-	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/config"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
 const (
-	watchWait = 20 * time.Second
-	pauseLow  = 100 * time.Millisecond
+	tickEvery = 100 * time.Millisecond
+	// pausedAfter is how late a tick may come before the process counts as
+	// having been paused.
+	pausedAfter   = 2 * time.Second
+	eventDepth    = 4096
+	commandsDepth = 1
 )
 
-// Watcher follows the configuration service for one node.
+// Reader reads the configuration service.
+type Reader interface {
+	ReadConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Config, bool, error)
+}
+
+// Options are what a watcher needs of its node.
+type Options struct {
+	Self       core.NodeID
+	DataCentre string
+	Service    Reader
+	Belief     *belief.Store
+	Peers      peer.Asker
+	Now        func() core.Time
+	Log        logrus.FieldLogger
+	Problems   *observe.Problems
+	Metrics    observe.Registry
+	// Seed seeds the jitter of waits.
+	Seed uint64
+}
+
+// Watcher is the configuration duty of one node. One goroutine owns its state;
+// another one reads the service. Both are joined by rings.
 type Watcher struct {
-	client *platform.Client
-	store  *belief.Store
-	log    logrus.FieldLogger
-	stop   context.CancelFunc
-	done   sync.WaitGroup
-	seen   uint64
+	Options
+	machine  *config.Machine
+	follower *config.Follower
+	events   *ring.Ring[event]
+	commands *ring.Ring[readCommand]
+	ctx      context.Context
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+
+	asks       map[uint64]*ask
+	lastAsk    uint64
+	parked     []*parked
+	history    history
+	cancelRead context.CancelFunc
+	readFailed bool
+	logged     map[config.Problem]string
+	lastTick   core.Time
+	nextGather core.Time
 }
 
-// Start begins watching; Close ends it.
-func Start(client *platform.Client, store *belief.Store, log logrus.FieldLogger) *Watcher {
+// event is something that happened to the duty.
+type event interface{ apply(w *Watcher) }
+
+// New makes a watcher that takes requests but does nothing before Start.
+func New(options Options) *Watcher {
 	ctx, stop := context.WithCancel(context.Background())
-	w := &Watcher{client: client, store: store, log: log, stop: stop}
-	w.done.Add(1)
-	go func() {
-		defer w.done.Done()
-		w.run(ctx)
-	}()
+	jitter := rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(string(options.Self))))
+	w := &Watcher{
+		Options:    options,
+		machine:    config.New(options.Now()),
+		follower:   config.NewFollower(options.Self, options.DataCentre, jitter.Float64),
+		events:     ring.New[event](eventDepth),
+		commands:   ring.New[readCommand](commandsDepth),
+		ctx:        ctx,
+		stop:       stop,
+		asks:       map[uint64]*ask{},
+		cancelRead: func() {},
+		logged:     map[config.Problem]string{},
+		lastTick:   options.Now(),
+	}
 	return w
 }
 
-// Close ends the watch.
+// Start begins the duty; Close ends it.
+func (w *Watcher) Start() {
+	w.Belief.OnChange(func() { w.events.TryPut(turn{}) })
+	w.done.Add(2)
+	go w.readService()
+	go w.run()
+}
+
+// Close ends the duty. Held polls are refused, so that those who asked turn to
+// another relay at once.
 func (w *Watcher) Close() {
 	w.stop()
 	w.done.Wait()
 }
 
-func (w *Watcher) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait := watchWait
-		if w.seen == 0 {
-			wait = 0
-		}
-		read, changed, err := w.client.ReadConfig(ctx, w.seen, wait)
-		switch {
-		case ctx.Err() != nil:
+func (w *Watcher) run() {
+	defer w.done.Done()
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	turn{}.apply(w)
+	for {
+		select {
+		case <-w.ctx.Done():
+			w.refuseParked()
 			return
-		case err != nil:
-			w.log.WithError(err).WithField("event", "config_read_failed").Warn("configuration service not read")
-			pause(ctx, pauseLow)
-		case !changed || read.Revision <= w.seen:
-			pause(ctx, pauseLow)
-		default:
-			w.seen = read.Revision
-			w.adopt(read)
+		case happened := <-w.events.Items():
+			happened.apply(w)
+		case <-ticker.C:
+			tick{}.apply(w)
 		}
 	}
 }
 
-func (w *Watcher) adopt(read platform.Config) {
-	log := w.log.WithField("revision", read.Revision)
-	parsed, err := catalog.Parse([]byte(read.Text))
-	if err != nil {
-		log.WithError(err).WithField("event", "config_refused").Error("revision refused; the former stays in force")
+// turn says that the view or the configuration in force may have changed.
+type turn struct{}
+
+func (turn) apply(w *Watcher) {
+	w.gatherPeers()
+	w.follow(w.follower.Turn(w.Now(), w.Belief.View(), w.machine.InForce().Revision))
+}
+
+type tick struct{}
+
+func (tick) apply(w *Watcher) {
+	now := w.Now()
+	paused := now-w.lastTick > pausedAfter
+	w.lastTick = now
+	if paused {
+		w.follow(w.follower.Woke(now))
+	}
+	w.expireAsks(now)
+	w.expireParked(now)
+	w.gatherPeers()
+	w.act(w.machine.Tick(now))
+	w.follow(w.follower.Tick(now))
+	w.gauge()
+}
+
+// gatherPeers asks peers of each data centre for their revision while nothing
+// is in force here.
+func (w *Watcher) gatherPeers() {
+	now := w.Now()
+	view := w.Belief.View()
+	if !w.machine.Gathering() || len(view.Nodes()) == 0 || now < w.nextGather {
 		return
 	}
-	w.store.SetConfig(&belief.Config{
-		Revision: read.Revision,
-		Digest:   xxhash.Sum64String(read.Text),
-		Text:     []byte(read.Text),
-		Catalog:  parsed,
+	w.nextGather = now + config.GatherEvery
+	peers := config.StartPeers(view, w.Self)
+	w.act(w.machine.AskPeers(now, peers))
+	for _, node := range peers {
+		if !w.asking(askMark, node.ID) {
+			w.ask(askMark, node)
+		}
+	}
+}
+
+// act carries out what the machine decided, and what follows from it.
+func (w *Watcher) act(actions []config.Action) {
+	for len(actions) > 0 {
+		next := actions[0]
+		actions = actions[1:]
+		switch a := next.(type) {
+		case config.Adopt:
+			w.adopt(a.Reading)
+		case config.Fetch:
+			actions = append(actions, w.fetch(a.Peer)...)
+		case config.Report:
+			w.report(a)
+		case config.Clear:
+			w.clear(a.Problem)
+		}
+	}
+}
+
+// adopt puts a reading in force, tells the waiting peers, and turns to the
+// relays of the new revision.
+func (w *Watcher) adopt(reading *config.Reading) {
+	former := w.Belief.Config()
+	w.history.add(former, reading)
+	w.Belief.SetConfig(&belief.Config{
+		Revision: reading.Mark.Revision,
+		Digest:   reading.Mark.Digest,
+		Text:     reading.Text,
+		Catalog:  reading.Catalog,
 	})
-	log.WithField("event", "config_in_force").Info("revision in force")
+	w.answerParked()
+	w.Log.WithFields(logrus.Fields{"event": "config_in_force", "revision": reading.Mark.Revision}).Info("revision in force")
+	w.gauge()
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// follow carries out what the follower decided.
+func (w *Watcher) follow(actions []config.FollowAction) {
+	for _, next := range actions {
+		switch a := next.(type) {
+		case config.Poll:
+			w.ask(askPoll, a.Node)
+		case config.CancelPoll:
+			w.cancelAsk(askPoll, a.Node)
+		case config.Watch:
+			w.startRead(a.Wait)
+		case config.CancelWatch:
+			w.cancelRead()
+		}
 	}
 }
--- /dev/null
+++ b/internal/confwatch/world_test.go
@@ -0,0 +1,244 @@
+package confwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/platform"
+)
+
+const (
+	hop         = 1500 * time.Microsecond
+	dialTimeout = 2 * time.Second
+	awaitLimit  = 2 * time.Minute
+)
+
+var errUnreached = errors.New("unreached")
+
+// world is a service and nodes in one process, in the virtual time of a
+// synctest bubble. Messages take one hop each way.
+type world struct {
+	t       *testing.T
+	mutex   sync.Mutex
+	config  platform.Config
+	changed chan struct{}
+	reads   int
+	down    bool
+	// cut reports whether a node cannot reach another; "" is the service.
+	cut   func(from, to core.NodeID) bool
+	bytes map[core.NodeID]int
+	nodes []*node
+}
+
+type node struct {
+	route.Node
+	world    *world
+	belief   *belief.Store
+	problems *observe.Problems
+	watcher  *Watcher
+}
+
+// inWorld runs a test with nodes spread over data centres. The nodes are not
+// started yet.
+func inWorld(t *testing.T, nodes, dataCentres int, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, changed: make(chan struct{}), bytes: map[core.NodeID]int{}, cut: func(_, _ core.NodeID) bool { return false }}
+		for n := range nodes {
+			w.nodes = append(w.nodes, w.newNode(n, dataCentres))
+		}
+		test(w)
+		for _, one := range w.nodes {
+			one.watcher.Close()
+		}
+		// Messages under way and dials end before the bubble does.
+		time.Sleep(dialTimeout)
+	})
+}
+
+func (w *world) newNode(n, dataCentres int) *node {
+	id := core.NodeID(fmt.Sprintf("vm-%03d", n))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	started := time.Now()
+	now := func() core.Time { return time.Since(started) }
+	one := &node{
+		Node:     route.Node{ID: id, DataCentre: fmt.Sprintf("dc%d", n%dataCentres), PeerAddress: string(id)},
+		world:    w,
+		belief:   belief.NewStore(),
+		problems: observe.NewProblems(now),
+	}
+	one.watcher = New(Options{
+		Self: id, DataCentre: one.DataCentre, Service: one, Belief: one.belief, Peers: one,
+		Now: now, Log: log, Problems: one.problems, Metrics: observe.NewRegistry(), Seed: uint64(n),
+	})
+	return one
+}
+
+// start starts nodes that see all nodes of the world.
+func (w *world) start(nodes ...*node) {
+	list := make([]route.Node, 0, len(w.nodes))
+	for _, one := range w.nodes {
+		list = append(list, one.Node)
+	}
+	view := route.NewView(list)
+	for _, one := range nodes {
+		one.belief.SetView(view)
+		one.watcher.Start()
+	}
+}
+
+func (w *world) set(change func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	change()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *world) publish(revision uint64, text string) {
+	w.set(func() { w.config = platform.Config{Revision: revision, Text: text} })
+}
+
+// partition cuts the world in two: the named side and the rest.
+func (w *world) partition(side func(core.NodeID) bool) {
+	w.set(func() { w.cut = func(from, to core.NodeID) bool { return side(from) != side(to) } })
+}
+
+func (w *world) heal() {
+	w.set(func() { w.cut = func(_, _ core.NodeID) bool { return false } })
+}
+
+func (w *world) isCut(from, to core.NodeID) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.cut(from, to)
+}
+
+// await runs the world until the condition holds, and returns how long it took.
+func (w *world) await(what string, condition func() bool) time.Duration {
+	w.t.Helper()
+	start := time.Now()
+	for !condition() {
+		require.Less(w.t, time.Since(start), awaitLimit, what)
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// everywhere reports whether the text is in force at all of the nodes.
+func everywhere(nodes []*node, revision uint64, text string) func() bool {
+	return func() bool {
+		for _, one := range nodes {
+			if inForce := one.belief.Config(); inForce == nil || inForce.Revision != revision || string(inForce.Text) != text {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (n *node) has(kind observe.Kind) bool {
+	for _, problem := range n.problems.List() {
+		if problem.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadConfig implements Reader in the manner of the platform's stand-in.
+func (n *node) ReadConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Config, bool, error) {
+	w := n.world
+	over := time.After(wait)
+	w.mutex.Lock()
+	w.reads++
+	w.mutex.Unlock()
+	for {
+		w.mutex.Lock()
+		config, changed, unreached := w.config, w.changed, w.down || w.cut(n.ID, "")
+		w.mutex.Unlock()
+		if unreached {
+			return platform.Config{}, false, errUnreached
+		}
+		if wait == 0 || config.Revision != after {
+			return config, true, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return platform.Config{}, false, nil
+		case <-ctx.Done():
+			return platform.Config{}, false, ctx.Err()
+		}
+	}
+}
+
+type ticket struct{ cancel context.CancelFunc }
+
+func (t ticket) Cancel() { t.cancel() }
+
+// Ask implements peer.Asker. A node that is cut off is noticed only after the
+// dial's time, and what is under way then is lost without a word.
+func (n *node) Ask(target peer.Target, request *peerpb.Envelope, sink peer.Sink) peer.Ticket {
+	w := n.world
+	ctx, cancel := context.WithCancel(context.Background())
+	w.count(n.ID, request)
+	if w.isCut(n.ID, target.Node) {
+		time.AfterFunc(dialTimeout, func() {
+			if ctx.Err() == nil {
+				sink(nil, &peer.LinkError{Peer: target, Outcome: core.NotRun, Cause: errUnreached})
+			}
+		})
+		return ticket{cancel}
+	}
+	time.AfterFunc(hop, func() { w.deliver(ctx, n, target.Node, request, sink) })
+	return ticket{cancel}
+}
+
+func (w *world) deliver(ctx context.Context, from *node, to core.NodeID, request *peerpb.Envelope, sink peer.Sink) {
+	w.count(to, request)
+	reply := func(reply *peerpb.Envelope) {
+		w.count(to, reply)
+		time.AfterFunc(hop, func() {
+			if ctx.Err() == nil && !w.isCut(from.ID, to) {
+				w.count(from.ID, reply)
+				sink(reply, nil)
+			}
+		})
+	}
+	for _, one := range w.nodes {
+		if one.ID == to && ctx.Err() == nil {
+			one.watcher.Handle(peer.NewInbound(ctx, peer.Identity{Node: from.ID}, request, reply))
+		}
+	}
+}
+
+func (w *world) count(id core.NodeID, message proto.Message) {
+	size := proto.Size(message)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.bytes[id] += size
+}
+
+func (w *world) resetCounts() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.reads = 0
+	clear(w.bytes)
+}
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -14,10 +14,10 @@
 	Digest   uint64 `json:"digest"`
 }
 
-// above reports whether a valid text so marked replaces one marked other. Of
+// Above reports whether a valid text so marked replaces one marked other. Of
 // two texts under one revision the greater digest wins: any order does, if all
 // nodes compute the same one, whichever text they saw first.
-func (m Mark) above(other Mark) bool {
+func (m Mark) Above(other Mark) bool {
 	if m.Revision != other.Revision {
 		return m.Revision > other.Revision
 	}
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -165,7 +165,7 @@
 					t.Fatalf("adopted %v, in force %v", adopted.Reading.Mark, m.InForce())
 				}
 			}
-			if before.above(m.InForce()) {
+			if before.Above(m.InForce()) {
 				t.Fatalf("%v replaced %v", m.InForce(), before)
 			}
 			before = m.InForce()
--- a/internal/core/config/follow.go
+++ b/internal/core/config/follow.go
@@ -62,7 +62,9 @@
 	// attempted is set once the service was read, shown once it answered.
 	attempted bool
 	shown     bool
-	nextRead  core.Time
+	lastRead  core.Time
+	// share is the part of the gap to keep before the next read, with jitter.
+	share float64
 }
 
 // target is a relay that is followed.
@@ -192,17 +194,21 @@
 	switch {
 	case f.watching && !wanted:
 		return []FollowAction{CancelWatch{}}
-	case f.watching || !wanted || now < f.nextRead:
+	case f.watching || !wanted || f.attempted && now < f.lastRead+f.gap():
 		return nil
 	}
 	f.watching, f.attempted = true, true
-	f.nextRead = now + f.spread(Gap(len(f.view.Nodes())))
+	f.lastRead, f.share = now, 1+f.jitter()*maxJitter
 	if !f.shown {
 		return []FollowAction{Watch{}}
 	}
 	return []FollowAction{Watch{Wait: WatchWait}}
 }
 
+func (f *Follower) gap() time.Duration {
+	return time.Duration(f.share * float64(Gap(len(f.view.Nodes()))))
+}
+
 // followed reports whether a relay is believed to answer.
 func (f *Follower) followed() bool {
 	for _, t := range f.targets {
--- a/internal/core/config/machine.go
+++ b/internal/core/config/machine.go
@@ -16,6 +16,8 @@
 	// StaleAfter is the time without confirmation after which the
 	// configuration is reported stale. It stays in force.
 	StaleAfter = 60 * time.Second
+	// staleEvery is how often the age in that report is renewed.
+	staleEvery = time.Second
 	// fetchWait is how long a peer may take to deliver a text.
 	fetchWait = 3 * time.Second
 )
@@ -29,12 +31,15 @@
 	offered *Reading
 	// current is the reading in force or, while gathering, the best so far.
 	current *Reading
-	// refused is the highest revision that was refused.
-	refused uint64
+	// refused marks the highest revision that was refused, refusedPeer the
+	// latest text that a peer has in force and this node refused.
+	refused     Mark
+	refusedPeer Mark
 	// serviceSeen is the revision that the service showed last, 0 for none.
 	serviceSeen uint64
 	olderNoted  bool
 	staleNoted  bool
+	staleAt     core.Time
 	conflict    bool
 	confirmed   core.Time
 	gather      gather
@@ -107,6 +112,16 @@
 	return max(m.serviceSeen, m.current.Mark.Revision)
 }
 
+// PollAfter is the text above which a relay is to be polled. A relay of a newer
+// program may have in force what this node refuses: polled above the text in
+// force here, it would deliver the refused one at once, again and again.
+func (m *Machine) PollAfter() Mark {
+	if m.refusedPeer.Above(m.InForce()) {
+		return m.refusedPeer
+	}
+	return m.InForce()
+}
+
 // Age is the time since the configuration was last confirmed.
 func (m *Machine) Age(now core.Time) time.Duration { return now - m.confirmed }
 
@@ -136,7 +151,7 @@
 		return validNewer
 	case mark.Revision > current.Revision:
 		return invalidNewer
-	case valid && mark.above(current):
+	case valid && mark.Above(current):
 		return conflictWon
 	default:
 		return conflictLost
@@ -172,8 +187,8 @@
 // Tick renews what depends on time alone.
 func (m *Machine) Tick(now core.Time) []Action {
 	m.begin(now)
-	if m.Age(now) > StaleAfter {
-		m.staleNoted = true
+	if m.Age(now) > StaleAfter && (!m.staleNoted || now-m.staleAt >= staleEvery) {
+		m.staleNoted, m.staleAt = true, now
 		m.emit(Report{ProblemStale, fmt.Sprintf("revision %d was last confirmed %s ago and stays in force", m.current.Mark.Revision, m.Age(now).Round(time.Second))})
 	}
 	return m.finish()
@@ -214,7 +229,7 @@
 	if m.offered != nil && m.offered.Catalog != nil {
 		revision = max(revision, m.offered.Mark.Revision)
 	}
-	return m.refused > revision
+	return m.refused.Revision > revision
 }
 
 // keep holds the best reading so far while others are awaited.
@@ -245,11 +260,15 @@
 func (m *Machine) endFetch() { m.fetch = fetch{} }
 
 func (m *Machine) refuse() {
-	if m.offered.Mark.Revision < m.refused {
+	if m.offered.Source == FromPeer {
+		m.endFetch()
+		m.refusedPeer = m.offered.Mark
+	}
+	if m.offered.Mark.Revision < m.refused.Revision {
 		return
 	}
-	m.refused = m.offered.Mark.Revision
-	m.emit(Report{ProblemRefused, fmt.Sprintf("revision %d is invalid, revision %d stays in force: %s", m.refused, m.current.Mark.Revision, m.offered.Fault)})
+	m.refused = m.offered.Mark
+	m.emit(Report{ProblemRefused, fmt.Sprintf("revision %d is invalid, revision %d stays in force: %s", m.refused.Revision, m.current.Mark.Revision, m.offered.Fault)})
 }
 
 // confirm takes note that a source offers what is in force.
