--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
@@ -8,53 +10,119 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
 )
 
+// checkReport is what check found, as JSON.
+type checkReport struct {
+	File      string              `json:"file"`
+	Valid     bool                `json:"valid"`
+	Problems  strictyaml.Problems `json:"problems,omitempty"`
+	Services  int                 `json:"services"`
+	Bundles   int                 `json:"bundles"`
+	Customers int                 `json:"customers"`
+	Explained *explanation        `json:"explained,omitempty"`
+}
+
+// explanation is a service's closure and how much a question to it asks.
+type explanation struct {
+	Service  string             `json:"service"`
+	Shards   int                `json:"shards"`
+	Replicas int                `json:"replicas"`
+	Closure  []explainedService `json:"closure"`
+}
+
+type explainedService struct {
+	Name        string                 `json:"name"`
+	Index       string                 `json:"index"`
+	Slots       int                    `json:"slots"`
+	Connections int                    `json:"connections"`
+	Replicas    []catalog.ReplicaPlace `json:"replicas"`
+
+	source *catalog.Service
+}
+
 func checkCommand() *command {
 	parser := flaggy.NewSubcommand("check")
 	parser.Description = "validate an operators' text"
 	var path, explain string
+	var asJSON bool
 	parser.AddPositionalValue(&path, "file", 1, true, "the operators' text")
 	parser.String(&explain, "e", "explain", "print the closure of this service")
+	parser.Bool(&asJSON, "j", "json", "print the outcome as JSON")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier check examples/magnolia.yaml --explain plate-costing",
-		run:     func(out io.Writer) error { return check(path, explain, out) },
+		run:     func(out io.Writer) error { return check(path, explain, asJSON, out) },
 	}
 }
 
-func check(path, explain string, out io.Writer) error {
+func check(path, explain string, asJSON bool, out io.Writer) error {
 	text, err := readFile(path)
 	if err != nil {
 		return err
 	}
 	parsed, err := catalog.Parse(text)
 	if err != nil {
+		return refuse(path, err, asJSON, out)
+	}
+	report := checkReport{File: path, Valid: true, Services: len(parsed.Names), Bundles: len(parsed.Bundles), Customers: len(parsed.Customers)}
+	if explain != "" {
+		report.Explained, err = explainService(parsed, explain)
+		if err != nil {
+			return err
+		}
+	}
+	if asJSON {
+		return json.NewEncoder(out).Encode(report)
+	}
+	fmt.Fprintf(out, "%s is valid: %d services, %d bundles, %d customers\n", path, report.Services, report.Bundles, report.Customers)
+	if report.Explained != nil {
+		printExplanation(report.Explained, out)
+	}
+	return nil
+}
+
+// refuse reports an invalid text: as JSON on the output, or else as the error.
+func refuse(path string, err error, asJSON bool, out io.Writer) error {
+	var problems strictyaml.Problems
+	if !asJSON || !errors.As(err, &problems) {
 		return err
 	}
-	fmt.Fprintf(out, "%s is valid: %d services, %d bundles, %d customers\n", path, len(parsed.Names), len(parsed.Bundles), len(parsed.Customers))
-	if explain == "" {
-		return nil
+	if err := json.NewEncoder(out).Encode(checkReport{File: path, Problems: problems}); err != nil {
+		return err
 	}
-	return explainService(parsed, explain, out)
+	return errTrouble
 }
 
-func explainService(parsed *catalog.Catalog, name string, out io.Writer) error {
+func explainService(parsed *catalog.Catalog, name string) (*explanation, error) {
 	closure := parsed.Closure(name)
 	if len(closure) == 0 {
-		return fault.NotRun(fault.CodeUnknownService, "service "+name+" is not in the text", "see the names in the text")
+		return nil, fault.NotRun(fault.CodeUnknownService, "service "+name+" is not in the text", "see the names in the text")
 	}
-	shards, replicas := 0, 0
+	explained := &explanation{Service: name}
 	for _, service := range closure {
-		fmt.Fprintf(out, "%-28s index %s, %d slots, %d connections\n", service.Name, service.Index, service.Slots, service.Connections)
+		one := explainedService{Name: service.Name, Index: service.Index, Slots: service.Slots, Connections: service.Connections, source: service}
 		for _, shard := range service.Shards {
-			shards++
 			for _, replica := range shard.Replicas {
-				replicas++
+				one.Replicas = append(one.Replicas, catalog.ReplicaPlace{Shard: shard.Ref.String(), Address: replica.Address, DataCentre: replica.DataCentre})
+			}
+		}
+		explained.Shards += len(service.Shards)
+		explained.Replicas += len(one.Replicas)
+		explained.Closure = append(explained.Closure, one)
+	}
+	return explained, nil
+}
+
+func printExplanation(explained *explanation, out io.Writer) {
+	for _, service := range explained.Closure {
+		fmt.Fprintf(out, "%-28s index %s, %d slots, %d connections\n", service.Name, service.Index, service.Slots, service.Connections)
+		for _, shard := range service.source.Shards {
+			for _, replica := range shard.Replicas {
 				fmt.Fprintf(out, "  shard %d  %-22s %s\n", shard.Ref.Shard, replica.Address, replica.DataCentre)
 			}
 		}
 	}
-	fmt.Fprintf(out, "a question to %s asks %d shards of %d services, on %d replicas\n", name, shards, len(closure), replicas)
-	return nil
+	fmt.Fprintf(out, "a question to %s asks %d shards of %d services, on %d replicas\n", explained.Service, explained.Shards, len(explained.Closure), explained.Replicas)
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -62,6 +62,7 @@
 	return []*command{
 		serveCommand(),
 		checkCommand(),
+		diffCommand(),
 		queryCommand(),
 		demoCommand(),
 	}
--- /dev/null
+++ b/internal/command/diff.go
@@ -0,0 +1,100 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+func diffCommand() *command {
+	parser := flaggy.NewSubcommand("diff")
+	parser.Description = "say what a change of the operators' text would do"
+	var before, after string
+	var asJSON bool
+	parser.AddPositionalValue(&before, "old", 1, true, "the text in force")
+	parser.AddPositionalValue(&after, "new", 2, true, "the text to publish")
+	parser.Bool(&asJSON, "j", "json", "print the difference as JSON")
+	return &command{
+		parser:  parser,
+		example: "pistachiopier diff old.yaml new.yaml",
+		run:     func(out io.Writer) error { return diff(before, after, asJSON, out) },
+	}
+}
+
+func diff(before, after string, asJSON bool, out io.Writer) error {
+	old, err := readText(before)
+	if err != nil {
+		return err
+	}
+	changed, err := readText(after)
+	if err != nil {
+		return err
+	}
+	d := catalog.Diff(old, changed)
+	if asJSON {
+		return json.NewEncoder(out).Encode(d)
+	}
+	printDifference(d, out)
+	return nil
+}
+
+// readText reads and parses a file. The error names the file, since a command
+// may read two.
+func readText(path string) (*catalog.Catalog, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := catalog.Parse(text)
+	if err != nil {
+		return nil, &fault.Error{Code: fault.CodeTextInvalid, Message: path + " is not valid", Fix: "correct what follows", Cause: err}
+	}
+	return parsed, nil
+}
+
+func printDifference(d *catalog.Difference, out io.Writer) {
+	if d.Empty() {
+		fmt.Fprintln(out, "the texts mean the same")
+		return
+	}
+	printNames(out, "service added", d.ServicesAdded)
+	printNames(out, "service removed", d.ServicesRemoved)
+	for _, service := range d.ServicesChanged {
+		printSettings(out, "service "+service.Service, service.Settings)
+	}
+	printNames(out, "shard added", d.ShardsAdded)
+	printNames(out, "shard removed", d.ShardsRemoved)
+	printReplicas(out, "replica added", d.ReplicasAdded)
+	printReplicas(out, "replica removed", d.ReplicasRemoved)
+	printReplicas(out, "drain begun", d.DrainsBegun)
+	printReplicas(out, "drain ended", d.DrainsEnded)
+	printSettings(out, "customer", d.Customers)
+	printSettings(out, "policy", d.Policy)
+	for _, bundle := range d.BundlesMoved {
+		fmt.Fprintf(out, "bundle moved: %08x from %v to %v\n", uint32(bundle.Bundle), bundle.Before, bundle.After)
+	}
+	fmt.Fprintf(out, "%d of %d bundles move; their owners may change\n", len(d.BundlesMoved), len(d.BundlesMoved)+d.BundlesKept)
+}
+
+func printNames(out io.Writer, what string, names []string) {
+	for _, name := range names {
+		fmt.Fprintf(out, "%s: %s\n", what, name)
+	}
+}
+
+func printReplicas(out io.Writer, what string, places []catalog.ReplicaPlace) {
+	for _, place := range places {
+		fmt.Fprintf(out, "%s: %s of %s %s\n", what, place.Address, place.Shard, place.DataCentre)
+	}
+}
+
+func printSettings(out io.Writer, what string, changes []catalog.SettingChange) {
+	for _, change := range changes {
+		fmt.Fprintf(out, "%s: %s changes from %q to %q\n", what, change.Key, change.Before, change.After)
+	}
+}
--- /dev/null
+++ b/internal/command/text_test.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+)
+
+const magnolia = "../../examples/magnolia.yaml"
+
+func run(t *testing.T, arguments ...string) (code int, out, errors string) {
+	t.Helper()
+	var written, failed bytes.Buffer
+	code = Run(arguments, &written, &failed)
+	return code, written.String(), failed.String()
+}
+
+func TestCheckExplainsInWordsAndJSON(t *testing.T) {
+	code, out, _ := run(t, "check", magnolia, "--explain", "plate-costing")
+	assert.Equal(t, ExitOK, code)
+	assert.Contains(t, out, "is valid: 52 services, 52 bundles, 3 customers")
+	assert.Contains(t, out, "a question to plate-costing asks 20 shards of 20 services, on 40 replicas")
+	code, out, _ = run(t, "check", magnolia, "--explain", "plate-costing", "--json")
+	assert.Equal(t, ExitOK, code)
+	var report checkReport
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	assert.True(t, report.Valid)
+	assert.Equal(t, 40, report.Explained.Replicas)
+}
+
+func TestCheckReportsProblemsAsJSON(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bad.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("version: 1\nindexez: []\n"), 0o600))
+	code, out, _ := run(t, "check", path, "--json")
+	assert.Equal(t, ExitTrouble, code)
+	var report checkReport
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	assert.False(t, report.Valid)
+	assert.Equal(t, 2, report.Problems[0].Line)
+	assert.Contains(t, report.Problems[0].Fix, "indexes")
+}
+
+func TestDiffInWordsAndJSON(t *testing.T) {
+	text, err := os.ReadFile(magnolia)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "new.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(text), "services: 30", "services: 31", 1)), 0o600))
+	code, out, _ := run(t, "diff", magnolia, path)
+	assert.Equal(t, ExitOK, code)
+	assert.Contains(t, out, "service added: supplier-import-31\n")
+	assert.Contains(t, out, "1 of 53 bundles move")
+	code, out, _ = run(t, "diff", magnolia, path, "--json")
+	assert.Equal(t, ExitOK, code)
+	var d catalog.Difference
+	require.NoError(t, json.Unmarshal([]byte(out), &d))
+	assert.Len(t, d.ReplicasAdded, 2)
+	_, out, _ = run(t, "diff", magnolia, magnolia)
+	assert.Equal(t, "the texts mean the same\n", out)
+}
