The waits of a start count from the start of the duty

Cause: the time that a starting node waits for its peers was counted from the making of the watcher.

Change: Start makes the machine anew.

--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -98,6 +98,9 @@
 
 // Start begins the duty; Close ends it.
 func (w *Watcher) Start() {
+	// The waits of a start count from here, not from New.
+	w.machine = config.New(w.Now())
+	w.lastTick = w.Now()
 	w.Belief.OnChange(func() { w.events.TryPut(turn{}) })
 	w.done.Add(2)
 	go w.readService()
--- a/internal/confwatch/confwatch_test.go
+++ b/internal/confwatch/confwatch_test.go
@@ -55,7 +55,7 @@
 		assert.Less(t, reads, 60, "an older text is not read over and over")
 		w.start(late)
 		w.await("late start", everywhere(w.nodes, 10, text("a")))
-		assert.Equal(t, uint64(10), late.adopted[0], "it never served revision 3")
+		assert.Equal(t, uint64(10), late.first(), "it never served revision 3")
 		w.publish(11, text("b"))
 		assert.Less(t, w.await("next", everywhere(w.nodes, 11, text("b"))), inTime)
 		w.await("over", func() bool { return reporting(w.nodes, observe.KindConfigReverted) == 0 })
--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -109,6 +109,13 @@
 	n.adopted = append(n.adopted, inForce.Revision)
 }
 
+// first returns the revision that the node had in force first.
+func (n *node) first() uint64 {
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	return n.adopted[0]
+}
+
 // start starts nodes that see all nodes of the world.
 func (w *world) start(nodes ...*node) {
 	list := make([]route.Node, 0, len(w.nodes))
