--- /dev/null
+++ b/internal/confwatch/fleet_test.go
@@ -0,0 +1,50 @@
+package confwatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/fleet"
+)
+
+const fleetNodes = 16
+
+func fleetText(n int) string {
+	return fmt.Sprintf("version: 1\nindexes: [i]\nservices:\n  - name: s%d\n    index: i\n    shards: [{replicas: [{address: \"10.0.0.1:1\"}]}]\n", n)
+}
+
+// A fleet over real links follows a row of changes: in three data centres some
+// nodes are relays and the others learn from them.
+func TestFleetFollowsChanges(t *testing.T) {
+	running, err := fleet.Start(fleet.Options{Nodes: fleetNodes, LogTo: io.Discard})
+	require.NoError(t, err)
+	defer running.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for n := range 5 {
+		require.NoError(t, running.AwaitReady(ctx, running.Platform.Publish(fleetText(n))))
+	}
+}
+
+// BenchmarkPublishToInForce measures a change from its publication until it is
+// in force at all nodes, over loopback.
+func BenchmarkPublishToInForce(b *testing.B) {
+	running, err := fleet.Start(fleet.Options{Nodes: fleetNodes, LogTo: io.Discard})
+	require.NoError(b, err)
+	defer running.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	require.NoError(b, running.AwaitReady(ctx, running.Platform.Publish(fleetText(0))))
+	slowest := time.Duration(0)
+	for n := 1; b.Loop(); n++ {
+		published := time.Now()
+		require.NoError(b, running.AwaitReady(ctx, running.Platform.Publish(fleetText(n))))
+		slowest = max(slowest, time.Since(published))
+	}
+	b.ReportMetric(float64(slowest.Milliseconds()), "slowest-ms")
+}
