Query machine: a state chart, one rule for dependents, budgeted retries

Cause: the machine scanned every shard on every event, a straggler's late part could stand beside a dependent computed without it, replies cut short were waited for until the deadline, and retries had no bound but a count. Change: life cycle in charts/query.yaml. Once a dependent is asked at a version its dependencies' parts at that version are closed. Early answers ask dependents at the least coverage and name the stragglers; BelowLeast and Incomplete tell what an answer lacks. Switches only for strictly more shards, not in the reserve before the deadline. Retries of what may have run and fallbacks draw on the budget. A newer text's plan is taken over with the parts of services whose layout is unchanged. Counts are kept as events come. Knowledge is bounded and forgets.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,4 +83,10 @@
 	ReasonCrossedReply   Reason = "crossed_reply"
 	ReasonNotAsked       Reason = "not_asked"
 	ReasonDraining       Reason = "draining"
+	// ReasonStraggler is a shard that an early answer did not wait for.
+	ReasonStraggler Reason = "straggler"
+	// ReasonLayout is a shard whose service was repartitioned meanwhile.
+	ReasonLayout Reason = "layout_changed"
+	// ReasonCutReply is a reply that ended before it named the shard.
+	ReasonCutReply Reason = "cut_reply"
 )
--- a/internal/core/query/knowledge.go
+++ b/internal/core/query/knowledge.go
@@ -6,43 +6,66 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
+// Bounds of a Knowledge. A shard that lists more versions counts with its
+// newest; a new shard that finds the table full is not remembered.
+const (
+	maxKnownShards   = 1 << 16
+	maxKnownVersions = 8
+)
+
 // Knowledge remembers which versions each shard last said it serves. It only
 // chooses the version to try first; an answer is checked by its own parts.
 type Knowledge struct {
 	serves map[core.ShardRef][]core.Version
+	limit  int
 }
 
 // NewKnowledge makes an empty Knowledge.
 func NewKnowledge() *Knowledge {
-	return &Knowledge{serves: map[core.ShardRef][]core.Version{}}
+	return &Knowledge{serves: map[core.ShardRef][]core.Version{}, limit: maxKnownShards}
 }
 
 // Learn takes a shard's own word.
 func (k *Knowledge) Learn(ref core.ShardRef, serves []core.Version) {
-	if len(serves) > 0 {
-		k.serves[ref] = serves
+	known, ok := k.serves[ref]
+	if len(serves) == 0 || !ok && len(k.serves) >= k.limit || slices.Equal(known, serves) {
+		return
+	}
+	kept := slices.Clone(serves)
+	if len(kept) > maxKnownVersions {
+		slices.Sort(kept)
+		kept = kept[len(kept)-maxKnownVersions:]
 	}
+	k.serves[ref] = kept
 }
 
-// Preferred returns the newest version that no shard of the plan is known to
-// lack, or 0 when nothing is known.
-func (k *Knowledge) Preferred(plan *Plan) core.Version {
-	var candidates []core.Version
-	known := false
-	for _, need := range plan.Needs {
-		serves, ok := k.serves[need.Ref]
-		if !ok {
-			continue
+// Retain forgets the shards that the text no longer lists.
+func (k *Knowledge) Retain(listed func(core.ShardRef) bool) {
+	for ref := range k.serves {
+		if !listed(ref) {
+			delete(k.serves, ref)
 		}
-		if !known {
-			candidates = slices.Clone(serves)
-			known = true
-			continue
+	}
+}
+
+// Len is the number of shards remembered.
+func (k *Knowledge) Len() int { return len(k.serves) }
+
+// Preferred returns the version that the fewest shards of the plan are known to
+// lack, the newest of equals: the newest version of all shards where there is
+// one. It is 0 when nothing is known.
+func (k *Knowledge) Preferred(plan *Plan) core.Version {
+	var counts []versionCount
+	for i := range plan.Needs {
+		for _, version := range k.serves[plan.Needs[i].Ref] {
+			counts = count(counts, version)
 		}
-		candidates = slices.DeleteFunc(candidates, func(v core.Version) bool { return !slices.Contains(serves, v) })
 	}
-	if len(candidates) == 0 {
-		return 0
+	var best versionCount
+	for _, candidate := range counts {
+		if candidate.parts > best.parts || candidate.parts == best.parts && candidate.version > best.version {
+			best = candidate
+		}
 	}
-	return slices.Max(candidates)
+	return best.version
 }
--- /dev/null
+++ b/internal/core/query/lifecycle.go
@@ -0,0 +1,91 @@
+package query
+
+import (
+	"github.com/pistachiopier/pistachiopier/internal/chart"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// life is the question's state chart: it says in which state a version may be
+// chosen, shards may be asked and the answer is given.
+var life = chart.Must(chart.Source("query"), chart.Bindings[*Machine]{
+	Guards: map[string]func(*Machine) bool{
+		"may_replan":     (*Machine).mayReplan,
+		"version_known":  func(m *Machine) bool { return m.target != 0 || m.first != 0 },
+		"no_switch_left": (*Machine).noSwitchLeft,
+		"switch_pays":    (*Machine).switchPays,
+		"complete":       (*Machine).complete,
+	},
+	Actions: map[string]func(*Machine){
+		"take_plan":          (*Machine).takePlan,
+		"adopt_version":      (*Machine).adoptVersion,
+		"switch_version":     (*Machine).switchVersion,
+		"ask_fallbacks":      (*Machine).askFallbacks,
+		"ask_due":            (*Machine).askDue,
+		"set_wake":           (*Machine).setWake,
+		"answer":             func(m *Machine) { m.finish(core.ReasonNone) },
+		"answer_at_deadline": func(m *Machine) { m.finish(core.ReasonDeadline) },
+		"answer_cancelled":   func(m *Machine) { m.finish(core.ReasonCancelled) },
+	},
+})
+
+var (
+	stateFinished  = life.State("finished")
+	eventReplanned = life.Event("replanned")
+	eventDecide    = life.Event("decide")
+	eventAsk       = life.Event("ask")
+	eventCheck     = life.Event("check")
+	eventDeadline  = life.Event("deadline")
+	eventCancelled = life.Event("cancelled")
+)
+
+func (m *Machine) fire(event chart.Event) { m.state = life.Fire(m.state, event, m) }
+
+// Step takes one event at the given time and returns what to do. The slice is
+// valid until the next Step. After the Finish it returns nothing.
+func (m *Machine) Step(now core.Time, event Event) []Action {
+	m.actions = m.actions[:0]
+	if m.state == stateFinished {
+		return nil
+	}
+	m.now = now
+	m.record(event)
+	m.advance()
+	return m.actions
+}
+
+// record takes in what the event says.
+func (m *Machine) record(event Event) {
+	switch e := event.(type) {
+	case Started:
+		m.wakeBy(m.options.Deadline)
+	case PartArrived:
+		m.partArrived(e)
+	case PartFailed:
+		m.partFailed(e)
+	case SendFailed:
+		m.endSend(e.Send, e.Outcome, e.Reason)
+	case Woken:
+		m.rang()
+	case Replanned:
+		m.offered = e.Plan
+		m.fire(eventReplanned)
+		m.offered = nil
+	case Cancelled:
+		m.fire(eventCancelled)
+	}
+}
+
+// advance does all that the present state calls for.
+func (m *Machine) advance() {
+	if m.now >= m.options.Deadline {
+		m.fire(eventDeadline)
+		return
+	}
+	m.fire(eventDecide)
+	m.fire(eventAsk)
+	if m.replan {
+		m.replan = false
+		m.actions = append(m.actions, Replan{})
+	}
+	m.fire(eventCheck)
+}
--- a/internal/core/query/machine_test.go
+++ b/internal/core/query/machine_test.go
@@ -10,17 +10,17 @@
 )
 
 func twoServicePlan() *Plan {
-	return &Plan{
-		Services: []ServicePlan{
+	return NewPlan(
+		[]ServicePlan{
 			{Name: "base", Shards: []int{0, 1}},
 			{Name: "top", DependsOn: []int{0}, Shards: []int{2}},
 		},
-		Needs: []Need{
+		[]Need{
 			{Ref: core.ShardRef{Service: "base", Shard: 0}, Bundle: 1, Service: 0},
 			{Ref: core.ShardRef{Service: "base", Shard: 1}, Bundle: 1, Service: 0},
 			{Ref: core.ShardRef{Service: "top", Shard: 0}, Bundle: 2, Service: 1},
 		},
-	}
+	)
 }
 
 func testOptions() Options {
