--- /dev/null
+++ b/internal/core/once/permit.go
@@ -0,0 +1,57 @@
+package once
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Permit is an owner's right to send one submit upstream. It guards against a
+// process that was paused between taking the request and sending it, and against
+// a second send of a request whose first may have run: at each send the time
+// left is read anew on the owner's own clock, ownership is checked anew, and
+// only a send that is proven not to have run gives the right back.
+type Permit struct {
+	deadline core.Time
+	spent    bool
+}
+
+// NewPermit makes the permit of a request that must be sent before deadline, on
+// the owner's clock.
+func NewPermit(deadline core.Time) *Permit { return &Permit{deadline: deadline} }
+
+// Refusal says why a send may not happen, with the outcome of the request.
+type Refusal struct {
+	Outcome core.Outcome
+	Reason  core.Reason
+}
+
+// Take asks for the right to send now. It returns the time left, or a refusal.
+func (p *Permit) Take(now core.Time, owns bool) (time.Duration, *Refusal) {
+	switch {
+	case p.spent:
+		return 0, &Refusal{Outcome: core.Unknown, Reason: core.ReasonUpstreamFailed}
+	case p.deadline <= now:
+		return 0, &Refusal{Outcome: core.NotRun, Reason: core.ReasonDeadline}
+	case !owns:
+		return 0, &Refusal{Outcome: core.NotRun, Reason: core.ReasonNotOwner}
+	}
+	p.spent = true
+	return p.deadline - now, nil
+}
+
+// Ended gives the right back when the send is proven not to have run.
+func (p *Permit) Ended(outcome core.Outcome) {
+	if outcome == core.NotRun {
+		p.spent = false
+	}
+}
+
+// Cap is the outcome that may be told: "not run" only when no send is left that
+// may have run.
+func (p *Permit) Cap(outcome core.Outcome) core.Outcome {
+	if outcome == core.NotRun && p.spent {
+		return core.Unknown
+	}
+	return outcome
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -29,6 +29,8 @@
 type arrived struct {
 	inbound *peer.Inbound
 	at      core.Time
+	// submit is set for a must-not-repeat request.
+	submit *submitWork
 }
 
 // withdrawn says that the asker of an arrived request has gone.
@@ -131,6 +133,10 @@
 
 func (l *loop) arrived(e arrived) {
 	config := l.options.Belief.Config()
+	if e.submit != nil {
+		l.submitArrived(config.Catalog, e)
+		return
+	}
 	stopWatch := context.AfterFunc(e.inbound.Context, func() {
 		_ = l.events.Put(l.ctx, withdrawn{inbound: e.inbound})
 	})
@@ -255,13 +261,14 @@
 func (l *loop) dispatch(s *shard, a admit.Dispatch) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	s.tries[a.Try] = &running{cancel: cancel}
-	call := s.requests[a.Request].work.call()
+	w := s.requests[a.Request].work
+	call := w.call()
 	call.Address = a.Address
 	call.Ref = s.ref
 	call.TimeLeft = a.TimeLeft
 	go func() {
 		defer cancel()
-		result := l.options.Upstream.Do(ctx, call)
+		result := l.send(ctx, w, call)
 		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
 	}()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,6 +45,7 @@
 	loops   []*loop
 	stop    context.CancelFunc
 	done    sync.WaitGroup
+	submits submits
 }
 
 // New starts an owner; Close ends it.
--- /dev/null
+++ b/internal/owner/submit.go
@@ -0,0 +1,220 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+// submits counts the must-not-repeat requests that this owner holds, so that a
+// planned stop cuts none of them off.
+type submits struct {
+	mutex    sync.Mutex
+	held     int
+	draining bool
+	idle     chan struct{}
+}
+
+// enter takes in one request, unless the owner is stopping.
+func (s *submits) enter() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.draining {
+		return false
+	}
+	s.held++
+	return true
+}
+
+func (s *submits) leave() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.held--
+	s.signal()
+}
+
+func (s *submits) signal() {
+	if s.draining && s.held == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// drain refuses new requests; the channel closes when none is held.
+func (s *submits) drain() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = true
+	idle := make(chan struct{})
+	s.idle = idle
+	s.signal()
+	return idle
+}
+
+// DrainSubmits refuses new must-not-repeat requests and waits for the held ones
+// to end, or for the context's end.
+func (o *Owner) DrainSubmits(ctx context.Context) {
+	select {
+	case <-o.submits.drain():
+	case <-ctx.Done():
+	}
+}
+
+// HandleSubmit takes a SubmitRequest from the home of its key. A Refusal says
+// that it was not run and may be routed elsewhere.
+//
+// The request is not withdrawn when its home is lost: the home can no longer be
+// told, but what was begun ends in order rather than in a cut connection.
+func (o *Owner) HandleSubmit(inbound *peer.Inbound) {
+	message := inbound.Envelope.GetSubmitRequest()
+	at := o.options.Now()
+	ref := core.ShardRef{Service: message.GetService(), Shard: int(message.GetShard())}
+	bundle := o.bundleOf(ref)
+	if bundle == nil || !o.ownsNow(bundle.ID, message.GetRank()) {
+		refuse(inbound, core.ReasonNotOwner, o.options.Belief.View().ID())
+		return
+	}
+	if !o.submits.enter() {
+		refuse(inbound, core.ReasonDraining, 0)
+		return
+	}
+	w := &submitWork{
+		inbound: inbound,
+		ref:     ref,
+		owns:    func() bool { return o.ownsNow(bundle.ID, message.GetRank()) },
+		now:     o.options.Now,
+		permit:  once.NewPermit(at + timeLeft(message.GetTimeLeftUs())),
+		leave:   o.submits.leave,
+	}
+	l := o.loops[uint32(bundle.ID)%uint32(len(o.loops))]
+	if !l.events.TryPut(arrived{inbound: inbound, at: at, submit: w}) {
+		o.submits.leave()
+		refuse(inbound, core.ReasonOverloaded, 0)
+	}
+}
+
+func (o *Owner) bundleOf(ref core.ShardRef) *catalog.Bundle {
+	config := o.options.Belief.Config()
+	if config == nil {
+		return nil
+	}
+	shard := config.Catalog.Shard(ref)
+	if shard == nil || config.Catalog.Services[ref.Service].Idempotent {
+		return nil
+	}
+	return config.Catalog.Bundles[shard.Bundle]
+}
+
+// ownsNow checks ownership by what this node believes at the moment.
+func (o *Owner) ownsNow(id core.BundleID, rank uint32) bool {
+	config := o.options.Belief.Config()
+	if config == nil || config.Catalog.Bundles[id] == nil {
+		return false
+	}
+	return o.owns(config.Catalog, config.Catalog.Bundles[id], int(rank))
+}
+
+// submitWork is one must-not-repeat request at its owner.
+type submitWork struct {
+	inbound *peer.Inbound
+	ref     core.ShardRef
+	owns    func() bool
+	now     func() core.Time
+	leave   func()
+	// mutex guards the permit: sends end on goroutines of their own.
+	mutex  sync.Mutex
+	permit *once.Permit
+}
+
+func (l *loop) submitArrived(text *catalog.Catalog, e arrived) {
+	message := e.inbound.Envelope.GetSubmitRequest()
+	s := l.shard(text, e.submit.ref)
+	if s == nil {
+		e.submit.refuse(core.ReasonNotOwner, 0)
+		return
+	}
+	customer, _ := text.Customer(core.Customer(message.GetCustomer()))
+	l.offer(s, e.inbound, e.submit, admit.Offered{
+		Customer: customer.Name,
+		Weight:   customer.Weight,
+		Deadline: e.at + timeLeft(message.GetTimeLeftUs()),
+		Once:     true,
+	})
+}
+
+// send runs a request's call. A must-not-repeat one needs its permit, which
+// reads the clock and the ownership anew: between the machine's decision and
+// this line the process may have been paused.
+func (l *loop) send(ctx context.Context, w work, call upstream.Call) upstream.Result {
+	submit, ok := w.(*submitWork)
+	if !ok {
+		return l.options.Upstream.Do(ctx, call)
+	}
+	left, refusal := submit.take()
+	if refusal != nil {
+		return upstream.Result{Outcome: refusal.Outcome, Reason: refusal.Reason, Load: -1}
+	}
+	call.TimeLeft = left
+	result := l.options.Upstream.Do(ctx, call)
+	submit.ended(result.Outcome)
+	return result
+}
+
+func (w *submitWork) take() (time.Duration, *once.Refusal) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.permit.Take(w.now(), w.owns())
+}
+
+func (w *submitWork) ended(outcome core.Outcome) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.permit.Ended(outcome)
+}
+
+func (w *submitWork) capped(outcome core.Outcome) core.Outcome {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.permit.Cap(outcome)
+}
+
+func (w *submitWork) call() upstream.Call {
+	message := w.inbound.Envelope.GetSubmitRequest()
+	return upstream.Call{
+		RequestID: message.GetKey(),
+		Customer:  core.Customer(message.GetCustomer()),
+		Body:      upstream.Body{Question: message.GetPayload()},
+		SubmitKey: message.GetKey(),
+	}
+}
+
+func (w *submitWork) settle(result upstream.Result, _ int) {
+	w.reply(&peerpb.SubmitReply{
+		Outcome:      uint32(w.capped(result.Outcome)),
+		Code:         string(result.Reason),
+		Payload:      result.Payload,
+		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
+	})
+}
+
+func (w *submitWork) refuse(reason core.Reason, retryAfter time.Duration) {
+	w.reply(&peerpb.SubmitReply{
+		Outcome:      uint32(w.capped(core.NotRun)),
+		Code:         string(reason),
+		RetryAfterMs: uint64(retryAfter.Milliseconds()),
+	})
+}
+
+// reply answers the home. On this hop the code is a core.Reason.
+func (w *submitWork) reply(message *peerpb.SubmitReply) {
+	w.leave()
+	w.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_SubmitReply{SubmitReply: message}}, true)
+}
