Submits travel on connections used lately, and net/http never resends them

Cause: net/http resends replayable requests when a reused connection breaks; a long quiet connection may be lost to something between its ends.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,8 +24,12 @@
 	idleConnection = 30 * time.Second
 	dialTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
-	decimal        = 10
-	versionBits    = 64
+	// maxSubmitIdle is how long a connection may have been quiet and still carry a
+	// submit. Something between the two ends may have lost track of a quieter
+	// one; the submit would then wait for its deadline and end "unknown".
+	maxSubmitIdle = time.Second
+	decimal       = 10
+	versionBits   = 64
 )
 
 // Call is one request to one replica.
@@ -66,11 +70,12 @@
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
 	dropped    atomic.Int64
+	submitIdle time.Duration
 }
 
 // NewClient makes a client without connections.
 func NewClient() *Client {
-	return &Client{transports: map[string]*http.Transport{}}
+	return &Client{transports: map[string]*http.Transport{}, submitIdle: maxSubmitIdle}
 }
 
 // Limit sets how many connections the client may hold to an address.
@@ -137,18 +142,29 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
 	defer cancel()
-	wire := &wire{}
+	for {
+		result, stale := c.try(ctx, call)
+		if !stale {
+			result.Latency = time.Since(started)
+			return result
+		}
+	}
+}
+
+// try sends the call on one connection. It reports stale, with nothing sent,
+// when it met a connection too long quiet for a submit and closed it; each such
+// try uses up one idle connection, so a caller's loop ends.
+func (c *Client) try(ctx context.Context, call Call) (Result, bool) {
+	wire := &wire{submit: call.SubmitKey != "", maxIdle: c.submitIdle}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, wire.trace()), call)
 	if err != nil {
-		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}
+		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}, false
 	}
 	response, err := c.transport(call.Address).RoundTrip(request)
 	if err != nil {
-		return failure(ctx, wire, err, time.Since(started))
+		return failure(ctx, wire, err, 0), wire.refusedStale() && ctx.Err() == nil
 	}
-	result := c.read(ctx, call, response, wire)
-	result.Latency = time.Since(started)
-	return result
+	return c.read(ctx, call, response, wire), false
 }
 
 // wire remembers whether a connection was had for a request, and which.
@@ -156,6 +172,10 @@
 	mutex      sync.Mutex
 	connection net.Conn
 	wrote      bool
+	// submit asks for a connection that was used lately.
+	submit  bool
+	maxIdle time.Duration
+	stale   bool
 }
 
 func (w *wire) trace() *httptrace.ClientTrace {
@@ -164,6 +184,14 @@
 			w.mutex.Lock()
 			defer w.mutex.Unlock()
 			w.connection = info.Conn
+			if w.submit && info.WasIdle && info.IdleTime > w.maxIdle {
+				// net/http calls this before it writes. On the closed
+				// connection its write fails with nothing sent, and without
+				// GetBody it does not go on to another by itself.
+				w.stale = true
+				_ = info.Conn.Close()
+				return
+			}
 			w.wrote = true
 		},
 	}
@@ -176,6 +204,13 @@
 	return w.wrote
 }
 
+// refusedStale reports whether the connection was too long quiet and closed.
+func (w *wire) refusedStale() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.stale
+}
+
 // close ends the connection: what follows a crossed or cut reply on it cannot
 // be trusted.
 func (w *wire) close() {
