Home, submit interface, client and command; planned stop hands outcomes over

Cause: submits had no path. Change: internal/home (ledger's loop, entry's trip, hand-over), POST /v1/submit/{service}, key_prefix in /v1/entries, client.SubmitOnce and the submit command; the node's stop finishes runs and hands outcomes over. Tests: internal/fleet, three nodes, -race -count=5: pass.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/home"
 )
 
 // Entries is the answer to which addresses a caller may use, and for how long.
@@ -20,6 +21,8 @@
 	Entries []EntryAddress `json:"entries"`
 	// TTLMs is how long the caller may keep the answer, in milliseconds.
 	TTLMs int64 `json:"ttl_ms"`
+	// KeyPrefix starts the keys of the caller's must-not-repeat requests.
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // EntryAddress is one entry of the system.
@@ -83,11 +86,17 @@
 	Message      string     `json:"message"`
 	Fix          string     `json:"fix,omitempty"`
 	RetryAfterMs int64      `json:"retry_after_ms,omitempty"`
+	// The rest comes with must-not-repeat requests only. ThisTry is "not_run"
+	// when the outcome of the key is unknown but this try alone did not run.
+	ThisTry   string `json:"this_try,omitempty"`
+	Repeated  bool   `json:"repeated,omitempty"`
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // CallerParts is what the callers' interface needs of the node.
 type CallerParts struct {
 	Entry   *entry.Entry
+	Home    *home.Home
 	Entries func() Entries
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
@@ -100,6 +109,7 @@
 	router.Use(gin.Recovery())
 	router.GET("/v1/entries", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Entries()) })
 	router.POST("/v1/query/:service", parts.query)
+	router.POST("/v1/submit/:service", parts.submit)
 	return router
 }
 
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -16,9 +16,11 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/home"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -43,6 +45,7 @@
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
 	platform *platform.Client
@@ -121,6 +124,10 @@
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	if err != nil {
+		return fault.Step("start home", err)
+	}
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -145,7 +152,7 @@
 }
 
 func (n *Node) startHTTP() error {
-	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
+	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Home: n.home, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
 	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
 	var err error
 	n.caller, err = n.serve(n.settings.CallerAddress, caller)
@@ -173,6 +180,11 @@
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
 	}
+	if n.home != nil {
+		n.home.Stop(ctx)
+		n.owner.DrainSubmits(ctx)
+		defer n.home.Close()
+	}
 	if n.members != nil {
 		n.members.Close()
 	}
@@ -204,6 +216,14 @@
 	switch inbound.Envelope.GetBody().(type) {
 	case *peerpb.Envelope_BundleRequest:
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_SubmitRequest:
+		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
+			n.owner.HandleSubmit(inbound)
+			return
+		}
+		n.home.HandleSubmit(inbound)
+	case *peerpb.Envelope_HandoverRequest:
+		n.home.HandleHandover(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
@@ -211,7 +231,7 @@
 }
 
 func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds()}
+	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds(), KeyPrefix: n.home.Prefix()}
 	for _, node := range n.belief.View().Nodes() {
 		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
 	}
@@ -266,6 +286,7 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
 }
 
@@ -276,6 +297,7 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -63,6 +63,7 @@
 		serveCommand(),
 		checkCommand(),
 		queryCommand(),
+		submitCommand(),
 		demoCommand(),
 	}
 }
