--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -2,17 +2,20 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 )
 
 // Entries is the answer to which addresses a caller may use, and for how long.
@@ -78,35 +81,43 @@
 
 // ErrorReply is the body of every failed request.
 type ErrorReply struct {
-	Outcome      string     `json:"outcome"`
-	Code         fault.Code `json:"code"`
-	Message      string     `json:"message"`
-	Fix          string     `json:"fix,omitempty"`
-	RetryAfterMs int64      `json:"retry_after_ms,omitempty"`
+	Outcome string     `json:"outcome"`
+	Code    fault.Code `json:"code"`
+	Message string     `json:"message"`
+	Fix     string     `json:"fix,omitempty"`
+	// Detail is the cause, in words that may change.
+	Detail       string `json:"detail,omitempty"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+}
+
+// BodyLimits bound a request's body in bytes and in the time it may take to
+// arrive.
+type BodyLimits struct {
+	MaxBytes int64
+	Timeout  time.Duration
 }
 
 // CallerParts is what the callers' interface needs of the node.
 type CallerParts struct {
-	Entry   *entry.Entry
-	Entries func() Entries
-	// MaxBodyBytes bounds a request's body.
-	MaxBodyBytes int64
+	Log   logrus.FieldLogger
+	Entry *entry.Entry
+	// Entries answers a caller in the named data centre, or in none.
+	Entries func(dataCentre string) Entries
+	Body    BodyLimits
+	Metrics observe.Registry
 }
 
 // NewCaller makes the handler of the callers' interface.
 func NewCaller(parts CallerParts) http.Handler {
-	gin.SetMode(gin.ReleaseMode)
-	router := gin.New()
-	router.Use(gin.Recovery())
-	router.GET("/v1/entries", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Entries()) })
+	router := newRouter(parts.Log)
+	router.GET("/v1/entries", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Entries(c.Query("data_centre"))) })
 	router.POST("/v1/query/:service", parts.query)
 	return router
 }
 
 func (p CallerParts) query(c *gin.Context) {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, p.MaxBodyBytes)
 	var request QueryRequest
-	if err := decode(c, &request); err != nil {
+	if err := p.read(c, &request); err != nil {
 		fail(c, err)
 		return
 	}
@@ -123,20 +134,44 @@
 	c.JSON(http.StatusOK, toReply(c.Param("service"), result))
 }
 
-func decode(c *gin.Context, out any) error {
-	decoder := json.NewDecoder(c.Request.Body)
+func (p CallerParts) read(c *gin.Context, out any) error {
+	body, err := readBody(c, p.Body)
+	if err != nil {
+		p.count(err)
+		return err
+	}
+	return decode(body, out)
+}
+
+// count keeps the metrics of the body's limits.
+func (p CallerParts) count(err error) {
+	switch fault.As(err).Code {
+	case fault.CodeTooLarge:
+		observe.Counter(p.Metrics, "caller_bodies_too_large_total").Inc(1)
+	case fault.CodePastDeadline:
+		observe.Counter(p.Metrics, "caller_bodies_late_total").Inc(1)
+	}
+}
+
+// decode reads one JSON document with known fields only and nothing after it.
+func decode(body []byte, out any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(out)
+	if err == nil && decoder.More() {
+		err = errTrailing
+	}
 	if err == nil {
 		return nil
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &fault.Error{Code: fault.CodeTooLarge, Outcome: core.NotRun, Message: "the body is over the limit", Fix: "send less", Cause: err}
-	}
 	return &fault.Error{Code: fault.CodeBadRequest, Outcome: core.NotRun, Message: "the body is not the JSON expected", Fix: "see docs/INTERFACE.md", Cause: err}
 }
 
+var errTrailing = errors.New("something follows the document")
+
+// maxTimeoutMs keeps a caller's time from overflowing a duration.
+const maxTimeoutMs = int64(time.Hour / time.Millisecond)
+
 func toQuestion(service string, request QueryRequest) (entry.Question, error) {
 	question := entry.Question{
 		Service:       service,
@@ -155,6 +190,9 @@
 		question.Body = json.RawMessage("null")
 	}
 	if request.TimeoutMs != nil {
+		if *request.TimeoutMs > maxTimeoutMs {
+			return question, fault.NotRun(fault.CodeBadRequest, "timeout_ms is over an hour", "write milliseconds")
+		}
 		if *request.TimeoutMs <= 0 {
 			return question, fault.NotRun(fault.CodePastDeadline, "timeout_ms leaves no time", "give more time")
 		}
@@ -204,7 +242,12 @@
 // fail writes the typed error of a request.
 func fail(c *gin.Context, err error) {
 	typed := fault.As(err)
+	detail := ""
+	if typed.Cause != nil {
+		detail = typed.Cause.Error()
+	}
 	c.JSON(status(typed.Code), ErrorReply{
+		Detail:       detail,
 		Outcome:      typed.Outcome.String(),
 		Code:         typed.Code,
 		Message:      typed.Message,
@@ -217,7 +260,9 @@
 	switch code {
 	case fault.CodeBadRequest, fault.CodeUnknownCustomer, fault.CodeKeyMissing, fault.CodeKeyInvalid, fault.CodeWrongMethod:
 		return http.StatusBadRequest
-	case fault.CodeUnknownService:
+	case fault.CodeUnknownMethod:
+		return http.StatusMethodNotAllowed
+	case fault.CodeUnknownService, fault.CodeUnknownPath:
 		return http.StatusNotFound
 	case fault.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -3,14 +3,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
@@ -19,8 +19,10 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/gather"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/night"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -50,12 +52,18 @@
 	members  *membership.Watcher
 	caller   *httpServer
 	operator *httpServer
+	gatherer *gather.Gatherer
+	prober   *night.Prober
+	expiry   *expiryWatch
+	rotation api.Rotation
+	stopping atomic.Bool
 }
 
 // httpServer is a server with the address it got.
 type httpServer struct {
 	*http.Server
-	address string
+	address  string
+	listener *api.LimitedListener
 }
 
 // Addresses are where a started node listens.
@@ -73,12 +81,12 @@
 // New describes a node as an fx application; Run or Start it.
 func New(s *settings.Settings, log logrus.FieldLogger, options ...fx.Option) *fx.App {
 	base := []fx.Option{
-		fx.NopLogger,
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(log.WithField("node", s.Node)) }),
 		fx.Supply(s),
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		fx.Provide(newNode),
 		fx.Invoke(func(lifecycle fx.Lifecycle, node *Node) {
-			lifecycle.Append(fx.Hook{OnStart: node.start, OnStop: node.stop})
+			lifecycle.Append(fx.Hook{OnStart: node.startOrCleanUp, OnStop: node.stop})
 		}),
 		fx.StopTimeout(s.StopWait),
 	}
@@ -103,8 +111,18 @@
 
 func (n *Node) now() core.Time { return time.Since(n.started) }
 
+// startOrCleanUp starts the node. fx does not call the stop of a start that
+// failed, so that what did start is ended here.
+func (n *Node) startOrCleanUp(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.stop(ctx)
+	}
+	return err
+}
+
 func (n *Node) start(context.Context) error {
-	tlsConfig, err := loadTLS(n.settings.TLS)
+	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
 	if err != nil {
 		return fault.Step("load keys", err)
 	}
@@ -117,6 +135,7 @@
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
+	n.startOperating(tlsConfig, certificates)
 	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("open peer pool", err)
@@ -144,31 +163,10 @@
 	return nil
 }
 
-func (n *Node) startHTTP() error {
-	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
-	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
-	var err error
-	n.caller, err = n.serve(n.settings.CallerAddress, caller)
-	if err != nil {
-		return fault.Step("listen for callers", err)
-	}
-	n.operator, err = n.serve(n.settings.OperatorAddress, operator)
-	return fault.Step("listen for operators", err)
-}
-
-func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: n.settings.Limits.HeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return &httpServer{Server: server, address: listener.Addr().String()}, nil
-}
-
 // stop finishes what is in flight, then ends the duties. It also cleans up
 // after a start that failed half-way.
 func (n *Node) stop(ctx context.Context) error {
+	n.stopping.Store(true)
 	var problems []error
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
@@ -179,6 +177,7 @@
 	if n.config != nil {
 		n.config.Close()
 	}
+	n.stopOperating()
 	if n.entry != nil {
 		n.entry.Close()
 	}
@@ -204,30 +203,14 @@
 	switch inbound.Envelope.GetBody().(type) {
 	case *peerpb.Envelope_BundleRequest:
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_ProblemsRequest:
+		n.gatherer.Answer(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
 }
 
-func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds()}
-	for _, node := range n.belief.View().Nodes() {
-		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
-	}
-	return out
-}
-
-func (n *Node) health() api.Health {
-	if n.belief.Config() == nil {
-		return api.Health{State: "starting", Why: "no configuration is in force yet"}
-	}
-	if len(n.belief.View().Nodes()) == 0 {
-		return api.Health{State: "starting", Why: "the VM list is not read yet"}
-	}
-	return api.Health{State: "ready"}
-}
-
 // Status is a node's short state for operators.
 type Status struct {
 	Node        core.NodeID `json:"node"`
@@ -279,19 +262,3 @@
 		Dropped:    n.upstream.DroppedReplies(),
 	}
 }
-
-func loadTLS(paths settings.TLS) (*tls.Config, error) {
-	authority, err := settings.PEM(paths.Authority)
-	if err != nil {
-		return nil, err
-	}
-	certificate, err := settings.PEM(paths.Certificate)
-	if err != nil {
-		return nil, err
-	}
-	key, err := settings.PEM(paths.Key)
-	if err != nil {
-		return nil, err
-	}
-	return keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
-}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,8 +44,12 @@
 	if wantsHelp(arguments) {
 		return help(commands, arguments, out)
 	}
-	if err := parse(parser, arguments); err != nil {
-		fmt.Fprintln(errors, "usage:", err)
+	err := validate(commands, arguments)
+	if err == nil {
+		err = parse(parser, arguments)
+	}
+	if err != nil {
+		fmt.Fprintln(errors, err)
 		return ExitUsage
 	}
 	for _, one := range commands {
@@ -63,6 +67,12 @@
 		serveCommand(),
 		checkCommand(),
 		queryCommand(),
+		statusCommand(),
+		problemsCommand(),
+		dumpCommand(),
+		chartsCommand(),
+		settingsCommand(),
+		keysCommand(),
 		demoCommand(),
 	}
 }
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"strings"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -17,96 +19,125 @@
 
 const (
 	demoNodes     = 3
-	demoServices  = 20
-	demoReplicas  = 2
 	demoTimeLimit = 25 * time.Second
 	demoService   = "plate-costing"
+	demoCustomer  = "southern-table-group"
+	demoQuestion  = `"pork shoulder"`
 )
 
 func demoCommand() *command {
 	parser := flaggy.NewSubcommand("demo")
 	parser.Description = "run stand-ins and three nodes in this process and ask questions"
+	var keep bool
+	parser.Bool(&keep, "k", "keep", "leave all running and print the addresses until interrupted")
 	return &command{
 		parser:  parser,
-		example: "pistachiopier demo",
-		run:     demo,
+		example: "pistachiopier demo --keep",
+		run:     func(out io.Writer) error { return runDemo(keep, out) },
 	}
 }
 
-func demo(out io.Writer) error {
+// demo is a running demonstration.
+type demo struct {
+	out       io.Writer
+	upstreams *demoUpstreams
+	fleet     *fleet.Fleet
+	caller    *client.Client
+}
+
+func runDemo(keep bool, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeLimit)
 	defer cancel()
-	upstreams, err := demoUpstreams()
+	upstreams, err := startDemoUpstreams()
 	if err != nil {
 		return err
 	}
-	defer closeAll(upstreams)
+	defer upstreams.close()
 	running, err := fleet.Start(fleet.Options{Nodes: demoNodes, LogTo: io.Discard})
 	if err != nil {
 		return err
 	}
 	defer running.Close()
-	if err := running.AwaitReady(ctx, running.Platform.Publish(demoText(upstreams))); err != nil {
-		return err
+	d := &demo{out: out, upstreams: upstreams, fleet: running, caller: client.New()}
+	defer d.caller.Close()
+	for _, step := range []func(context.Context) error{d.begin, d.whole, d.thin, d.drain, d.change} {
+		if err := step(ctx); err != nil {
+			return err
+		}
 	}
-	fmt.Fprintf(out, "%d nodes serve %d services on %d replicas\n", demoNodes, demoServices, len(upstreams))
-	caller := client.New()
-	defer caller.Close()
-	address := running.Members()[0].Addresses.Caller
-	if err := demoAsk(ctx, caller, address, out); err != nil {
-		return err
+	if keep {
+		d.keep()
 	}
-	fmt.Fprintln(out, "both replicas of one service start to drain:")
-	for _, u := range upstreams[len(upstreams)-demoReplicas:] {
-		u.Change(func(b *standin.Behaviour) { b.Draining = true })
+	return nil
+}
+
+func (d *demo) say(format string, values ...any) { fmt.Fprintf(d.out, format+"\n", values...) }
+
+func (d *demo) begin(ctx context.Context) error {
+	revision := d.fleet.Platform.Publish(d.upstreams.text(demoWeight))
+	if err := d.fleet.AwaitReady(ctx, revision); err != nil {
+		return err
 	}
-	return demoAsk(ctx, caller, address, out)
+	d.say("Three nodes are ready. They serve %d services on %d stand-in replicas, by revision %d of the operators' text.",
+		len(d.upstreams.services), d.upstreams.count(), revision)
+	return nil
 }
 
-func demoAsk(ctx context.Context, caller *client.Client, address string, out io.Writer) error {
-	reply, err := caller.Query(ctx, address, demoService, api.QueryRequest{Customer: "southern-table"})
-	if err != nil {
+func (d *demo) whole(ctx context.Context) error {
+	d.say("\nA caller asks %s, which depends on 19 other services:", demoService)
+	return d.ask(ctx)
+}
+
+func (d *demo) thin(ctx context.Context) error {
+	stalled := d.upstreams.services[demoLast]
+	d.say("\nBoth replicas of %s take requests but never answer. The answer says what it lacks:", stalled.name)
+	stalled.change(func(b *standin.Behaviour) { b.Silent = true })
+	defer stalled.change(func(b *standin.Behaviour) { b.Silent = false })
+	return d.ask(ctx)
+}
+
+func (d *demo) drain(ctx context.Context) error {
+	draining := d.upstreams.services[demoLast-1]
+	d.say("\nOne of the two replicas of %s starts to drain. The other takes its work:", draining.name)
+	draining.replicas[0].Change(func(b *standin.Behaviour) { b.Draining = true })
+	before := draining.replicas[0].Queries()
+	if err := d.ask(ctx); err != nil {
 		return err
 	}
-	printReply(reply, out)
+	d.say("The draining replica ran %d further requests.", draining.replicas[0].Queries()-before)
 	return nil
 }
 
-func demoUpstreams() ([]*standin.Upstream, error) {
-	var list []*standin.Upstream
-	for range demoServices * demoReplicas {
-		u, err := standin.StartUpstream("127.0.0.1:0", standin.Behaviour{Slots: 2, Service: time.Millisecond, Versions: []uint64{41, 42}})
-		if err != nil {
-			closeAll(list)
-			return nil, err
-		}
-		list = append(list, u)
+func (d *demo) change(ctx context.Context) error {
+	d.say("\nThe operators publish a text with another weight for %s:", demoCustomer)
+	started := time.Now()
+	revision := d.fleet.Platform.Publish(d.upstreams.text(demoWeight + 1))
+	if err := d.fleet.AwaitReady(ctx, revision); err != nil {
+		return err
 	}
-	return list, nil
+	d.say("revision %d is in force on all %d nodes after %d ms.", revision, demoNodes, time.Since(started).Milliseconds())
+	return d.ask(ctx)
 }
 
-func closeAll(list []*standin.Upstream) {
-	for _, u := range list {
-		_ = u.Close()
+func (d *demo) ask(ctx context.Context) error {
+	request := api.QueryRequest{Customer: demoCustomer, Question: json.RawMessage(demoQuestion)}
+	reply, err := d.caller.Query(ctx, d.fleet.Members()[0].Addresses.Caller, demoService, request)
+	if err != nil {
+		return err
 	}
+	printReply(reply, d.out)
+	return nil
 }
 
-// demoText writes a service that depends on all the others.
-func demoText(upstreams []*standin.Upstream) string {
-	var b strings.Builder
-	b.WriteString("version: 1\nindexes: [prices]\nservices:\n")
-	var names []string
-	for i := range demoServices {
-		name := fmt.Sprintf("vendor-%02d", i)
-		if i == 0 {
-			name = demoService
-		} else {
-			names = append(names, name)
-		}
-		fmt.Fprintf(&b, "  - name: %s\n    index: prices\n    shards:\n      - replicas:\n", name)
-		for _, u := range upstreams[i*demoReplicas : (i+1)*demoReplicas] {
-			fmt.Fprintf(&b, "          - {address: %q, data_centre: dc1}\n", u.Address())
-		}
+func (d *demo) keep() {
+	d.say("\nAll is left running until it is interrupted. Platform: %s", d.fleet.Platform.URL())
+	for _, member := range d.fleet.Members() {
+		d.say("%s: callers %s, operators %s", member.ID, member.Addresses.Caller, member.Addresses.Operator)
 	}
-	return strings.Replace(b.String(), "    index: prices\n", "    index: prices\n    depends_on: ["+strings.Join(names, ", ")+"]\n", 1)
+	address := d.fleet.Members()[0].Addresses
+	d.say("Try: pistachiopier query %s --address %s", demoService, address.Caller)
+	d.say("     pistachiopier status --address %s --fleet", address.Operator)
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	<-signals.Done()
 }
--- /dev/null
+++ b/internal/command/dump.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/pistachiopier/pistachiopier/internal/client"
+)
+
+func dumpCommand() *command {
+	parser := flaggy.NewSubcommand("dump")
+	parser.Description = "print a node's whole state as JSON"
+	var address string
+	parser.String(&address, "a", "address", "the node's operators' address (required)")
+	return &command{
+		parser:  parser,
+		example: "pistachiopier dump --address 10.0.0.1:7003",
+		run:     func(out io.Writer) error { return dump(address, out) },
+	}
+}
+
+func dump(address string, out io.Writer) error {
+	if err := needAddress(address); err != nil {
+		return err
+	}
+	operator := client.New()
+	defer operator.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	var state json.RawMessage
+	if err := operator.Get(ctx, address, "/v1/dump", &state); err != nil {
+		return err
+	}
+	return printJSON(state, out)
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -26,6 +26,9 @@
 }
 
 func serve(path string, out io.Writer) error {
+	if path == "" {
+		return usage("serve needs --settings FILE", "see docs/SETTINGS.md for what it holds")
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,144 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/app"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+const (
+	// lookTimeout bounds a look at one node, fleetTimeout one at all of them.
+	lookTimeout  = 5 * time.Second
+	fleetTimeout = 2 * time.Minute
+	// lookAtOnce is how many nodes are looked at at a time.
+	lookAtOnce = 16
+)
+
+type statusOptions struct {
+	address string
+	fleet   bool
+	json    bool
+}
+
+func statusCommand() *command {
+	parser := flaggy.NewSubcommand("status")
+	parser.Description = "show a node's state, or that of all nodes"
+	var options statusOptions
+	parser.String(&options.address, "a", "address", "the operators' address of any node (required)")
+	parser.Bool(&options.fleet, "f", "fleet", "show every node that this one believes live")
+	parser.Bool(&options.json, "j", "json", "print JSON")
+	return &command{
+		parser:  parser,
+		example: "pistachiopier status --address 10.0.0.1:7003 --fleet",
+		run:     func(out io.Writer) error { return status(options, out) },
+	}
+}
+
+// nodeStatus is one node's status, or why it could not be had.
+type nodeStatus struct {
+	Node   core.NodeID `json:"node"`
+	Status *app.Status `json:"status,omitempty"`
+	Why    string      `json:"why,omitempty"`
+}
+
+func status(options statusOptions, out io.Writer) error {
+	if err := needAddress(options.address); err != nil {
+		return err
+	}
+	operator := client.New()
+	defer operator.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
+	defer cancel()
+	nodes := []api.NodeAddress{{OperatorAddress: options.address}}
+	if options.fleet {
+		if err := operator.Get(ctx, options.address, "/v1/nodes", &nodes); err != nil {
+			return err
+		}
+	}
+	list := lookAtAll(ctx, operator, nodes)
+	if err := printStatus(list, options.json, out); err != nil {
+		return err
+	}
+	for _, one := range list {
+		if one.Status == nil || one.Status.Health.State != api.HealthReady {
+			return errTrouble
+		}
+	}
+	return nil
+}
+
+func needAddress(address string) error {
+	if address == "" {
+		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT, the operators' address of any node")
+	}
+	return nil
+}
+
+func lookAtAll(ctx context.Context, operator *client.Client, nodes []api.NodeAddress) []nodeStatus {
+	list := make([]nodeStatus, len(nodes))
+	places := make(chan struct{}, lookAtOnce)
+	var looking sync.WaitGroup
+	for i, node := range nodes {
+		places <- struct{}{}
+		looking.Add(1)
+		go func() {
+			defer looking.Done()
+			list[i] = lookAt(ctx, operator, node)
+			<-places
+		}()
+	}
+	looking.Wait()
+	return list
+}
+
+func lookAt(ctx context.Context, operator *client.Client, node api.NodeAddress) nodeStatus {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	var got app.Status
+	if err := operator.Get(ctx, node.OperatorAddress, "/v1/status", &got); err != nil {
+		return nodeStatus{Node: node.Node, Why: err.Error()}
+	}
+	return nodeStatus{Node: got.Node, Status: &got}
+}
+
+func printStatus(list []nodeStatus, asJSON bool, out io.Writer) error {
+	if asJSON {
+		return printJSON(list, out)
+	}
+	table := newTable(out)
+	fmt.Fprintln(table, "NODE\tDATA CENTRE\tSTATE\tREVISION\tNODES\tIN FLIGHT\tUPTIME\tWHY")
+	for _, one := range list {
+		if one.Status == nil {
+			fmt.Fprintf(table, "%s\t\tno answer\t\t\t\t\t%s\n", one.Node, one.Why)
+			continue
+		}
+		s := one.Status
+		uptime := (time.Duration(s.UptimeMs) * time.Millisecond).Round(time.Second)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", s.Node, s.DataCentre, s.Health.State, s.Revision, s.Nodes, s.InFlight, uptime, s.Health.Why)
+	}
+	return table.Flush()
+}
+
+const tablePadding = 2
+
+func newTable(out io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
+}
+
+func printJSON(value any, out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/internal/core/night/night.go
@@ -0,0 +1,294 @@
+// Package night decides when a replica without traffic is probed, so that a
+// service that dies while nobody asks is seen before somebody does.
+//
+// Replicas that answer real requests are never probed. The others are probed
+// once a sweep, spread evenly; a failed probe is confirmed soon after before
+// anything is reported.
+package night
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// failuresToReport is how many probes in a row fail before a replica is
+// reported: one may be lost to a restart or a lost packet.
+const failuresToReport = 2
+
+// Target is one replica of one shard.
+type Target struct {
+	Ref     core.ShardRef
+	Address string
+}
+
+// Config paces the probes.
+type Config struct {
+	// Sweep is the time in which each idle replica is probed once.
+	Sweep time.Duration
+	// Confirm is the time from a failed probe to the next of the same replica.
+	Confirm time.Duration
+	// Spacing is the least time between two probes of this node.
+	Spacing time.Duration
+	// MaxInFlight is how many probes run at once.
+	MaxInFlight int
+}
+
+// Event is what happened.
+type Event interface{ isEvent() }
+
+// Owned lists the replicas that this node is to watch, in a stable order.
+type Owned struct{ Targets []Target }
+
+// Answered says that a replica answered real traffic at a time, instead of the
+// probe that was wanted.
+type Answered struct {
+	Target Target
+	At     core.Time
+}
+
+// Probed is the end of a probe.
+type Probed struct {
+	Target Target
+	Alive  bool
+}
+
+// Woken says that the time asked for by WakeAt has come.
+type Woken struct{}
+
+func (Owned) isEvent()    {}
+func (Answered) isEvent() {}
+func (Probed) isEvent()   {}
+func (Woken) isEvent()    {}
+
+// Action is what is to be done.
+type Action interface{ isAction() }
+
+// Probe asks for one probe, to be answered by Probed or Answered.
+type Probe struct{ Target Target }
+
+// ReplicaDown reports a replica, again with each further failed probe, once a
+// sweep.
+type ReplicaDown struct{ Target Target }
+
+// ReplicaUp takes the report back.
+type ReplicaUp struct{ Target Target }
+
+// ShardStalled reports a shard none of whose replicas answers.
+type ShardStalled struct{ Ref core.ShardRef }
+
+// ShardAnswers takes the report back.
+type ShardAnswers struct{ Ref core.ShardRef }
+
+// WakeAt asks for Woken at a time.
+type WakeAt struct{ At core.Time }
+
+func (Probe) isAction()        {}
+func (ReplicaDown) isAction()  {}
+func (ReplicaUp) isAction()    {}
+func (ShardStalled) isAction() {}
+func (ShardAnswers) isAction() {}
+func (WakeAt) isAction()       {}
+
+// replica is what is known of one target.
+type replica struct {
+	target   Target
+	due      core.Time
+	probing  bool
+	failures int
+}
+
+func (r *replica) down() bool { return r.failures >= failuresToReport }
+
+// Machine watches the replicas of one node.
+type Machine struct {
+	config   Config
+	replicas map[Target]*replica
+	order    []*replica
+	stalled  map[core.ShardRef]bool
+	nextAt   core.Time
+	inFlight int
+	actions  []Action
+}
+
+// New makes a machine that watches nothing yet.
+func New(config Config) *Machine {
+	return &Machine{config: config, replicas: map[Target]*replica{}, stalled: map[core.ShardRef]bool{}}
+}
+
+// Step takes one event.
+func (m *Machine) Step(now core.Time, e Event) []Action {
+	m.actions = nil
+	switch e := e.(type) {
+	case Owned:
+		m.owned(now, e.Targets)
+	case Answered:
+		m.ended(e.Target)
+		m.alive(e.Target, e.At)
+	case Probed:
+		m.ended(e.Target)
+		m.probed(now, e)
+	}
+	m.start(now)
+	m.wake(now)
+	return m.actions
+}
+
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
+
+// owned takes up new targets, their first probes spread over a sweep, and
+// forgets those that another node watches from now on.
+func (m *Machine) owned(now core.Time, targets []Target) {
+	kept := make(map[Target]*replica, len(targets))
+	m.order = m.order[:0]
+	for i, target := range targets {
+		known := m.replicas[target]
+		if known == nil {
+			known = &replica{target: target, due: now + m.config.Sweep*time.Duration(i)/time.Duration(len(targets))}
+		}
+		kept[target] = known
+		m.order = append(m.order, known)
+	}
+	old := m.replicas
+	m.replicas = kept
+	for target, known := range old {
+		if kept[target] != nil {
+			continue
+		}
+		if known.probing {
+			m.inFlight--
+		}
+		if known.down() {
+			m.act(ReplicaUp{Target: target})
+		}
+		m.judge(target.Ref)
+	}
+}
+
+// ended notes that a probe is over, whatever its result.
+func (m *Machine) ended(target Target) {
+	if known := m.replicas[target]; known != nil && known.probing {
+		known.probing = false
+		m.inFlight--
+	}
+}
+
+func (m *Machine) probed(now core.Time, e Probed) {
+	if e.Alive {
+		m.alive(e.Target, now)
+		return
+	}
+	known := m.replicas[e.Target]
+	if known == nil {
+		return
+	}
+	known.failures++
+	known.due = now + m.config.Confirm
+	if known.down() {
+		// Many dead replicas probed again at the pace of confirmations would
+		// crowd out the first probes of the others, which would then be
+		// reported late.
+		known.due = now + m.config.Sweep
+		m.act(ReplicaDown{Target: e.Target})
+		m.judge(e.Target.Ref)
+	}
+}
+
+func (m *Machine) alive(target Target, at core.Time) {
+	known := m.replicas[target]
+	if known == nil {
+		return
+	}
+	known.due = at + m.config.Sweep
+	wasDown := known.down()
+	known.failures = 0
+	if wasDown {
+		m.act(ReplicaUp{Target: target})
+		m.judge(target.Ref)
+	}
+}
+
+// judge compares what is reported of a shard with what its replicas show.
+func (m *Machine) judge(ref core.ShardRef) {
+	total, down := 0, 0
+	for _, known := range m.order {
+		if known.target.Ref != ref {
+			continue
+		}
+		total++
+		if known.down() {
+			down++
+		}
+	}
+	stalled := total > 0 && down == total
+	switch {
+	case stalled:
+		m.stalled[ref] = true
+		m.act(ShardStalled{Ref: ref})
+	case m.stalled[ref]:
+		delete(m.stalled, ref)
+		m.act(ShardAnswers{Ref: ref})
+	}
+}
+
+// start begins the probe that is due for longest, when the pace allows one.
+func (m *Machine) start(now core.Time) {
+	if now < m.nextAt || m.inFlight >= m.config.MaxInFlight {
+		return
+	}
+	next := m.earliest()
+	if next == nil || next.due > now {
+		return
+	}
+	next.probing = true
+	m.inFlight++
+	m.nextAt = now + m.config.Spacing
+	m.act(Probe{Target: next.target})
+}
+
+func (m *Machine) earliest() *replica {
+	waiting := slices.DeleteFunc(slices.Clone(m.order), func(r *replica) bool { return r.probing })
+	if len(waiting) == 0 {
+		return nil
+	}
+	return slices.MinFunc(waiting, func(a, b *replica) int { return int(a.due - b.due) })
+}
+
+// wake asks to be woken for the next probe. With all probes in flight, the end
+// of one of them does it.
+func (m *Machine) wake(now core.Time) {
+	next := m.earliest()
+	if next == nil || m.inFlight >= m.config.MaxInFlight {
+		return
+	}
+	m.act(WakeAt{At: max(next.due, m.nextAt, now)})
+}
+
+// Parts of the time within which a dead replica is reported: a sweep finds it,
+// one probe fails, and a second one confirms it.
+const (
+	sweepNumerator     = 7
+	sweepDenominator   = 12
+	confirmDenominator = 12
+	probeDenominator   = 12
+	spacingDenominator = 1200
+)
+
+// Paced derives the pace from the time within which a dead replica is to be
+// reported. The promise holds for up to 700 replicas a node; with more, the
+// spacing makes a sweep longer.
+func Paced(reportWithin time.Duration, inFlight int) Config {
+	return Config{
+		Sweep:       reportWithin * sweepNumerator / sweepDenominator,
+		Confirm:     reportWithin / confirmDenominator,
+		Spacing:     reportWithin / spacingDenominator,
+		MaxInFlight: inFlight,
+	}
+}
+
+// ProbeTimeout is the longest that one probe may take, of those that Paced
+// counts on.
+func ProbeTimeout(reportWithin time.Duration) time.Duration {
+	return reportWithin / probeDenominator
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -17,8 +17,9 @@
 	DataCentre string
 	// PeerAddress is the UDP address for other nodes, CallerAddress the TCP
 	// address for callers.
-	PeerAddress   string
-	CallerAddress string
+	PeerAddress     string
+	CallerAddress   string
+	OperatorAddress string
 }
 
 // View is an immutable set of live nodes. Two nodes with equal views agree on
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -20,6 +20,8 @@
 	CodeBadRequest      Code = "bad_request"
 	CodeUnknownService  Code = "unknown_service"
 	CodeUnknownCustomer Code = "unknown_customer"
+	CodeUnknownPath     Code = "unknown_path"
+	CodeUnknownMethod   Code = "unknown_method"
 	CodeWrongMethod     Code = "wrong_method_for_service"
 	CodeTooLarge        Code = "too_large"
 	CodePastDeadline    Code = "past_deadline"
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -121,15 +121,47 @@
 
 // Validity returns the validity of the first certificate of a PEM text.
 func Validity(certificate []byte) (from, until time.Time, err error) {
+	parsed, err := first(certificate)
+	if err != nil {
+		return from, until, err
+	}
+	return parsed.NotBefore, parsed.NotAfter, nil
+}
+
+func first(certificate []byte) (*x509.Certificate, error) {
 	block, _ := pem.Decode(certificate)
 	if block == nil || block.Type != certificateBlock {
-		return from, until, tlsFault("the PEM holds no certificate", nil)
+		return nil, tlsFault("the PEM holds no certificate", nil)
 	}
 	parsed, err := x509.ParseCertificate(block.Bytes)
 	if err != nil {
-		return from, until, tlsFault("the certificate cannot be read", err)
+		return nil, tlsFault("the certificate cannot be read", err)
 	}
-	return parsed.NotBefore, parsed.NotAfter, nil
+	return parsed, nil
+}
+
+// Name returns the common name of the first certificate of a PEM text.
+func Name(certificate []byte) (string, error) {
+	parsed, err := first(certificate)
+	if err != nil {
+		return "", err
+	}
+	return parsed.Subject.CommonName, nil
+}
+
+// CheckValid fails when a certificate is not valid at the given time.
+func CheckValid(certificate []byte, now time.Time) error {
+	from, until, err := Validity(certificate)
+	if err != nil {
+		return err
+	}
+	if now.After(until) {
+		return tlsFault("the certificate expired at "+until.UTC().Format(time.RFC3339), nil)
+	}
+	if now.Before(from) {
+		return tlsFault("the certificate is valid only from "+from.UTC().Format(time.RFC3339), nil)
+	}
+	return nil
 }
 
 func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -75,10 +75,11 @@
 			continue
 		}
 		nodes = append(nodes, route.Node{
-			ID:            vm.ID,
-			DataCentre:    vm.DataCentre,
-			PeerAddress:   vm.PeerAddress,
-			CallerAddress: vm.CallerAddress,
+			ID:              vm.ID,
+			DataCentre:      vm.DataCentre,
+			PeerAddress:     vm.PeerAddress,
+			CallerAddress:   vm.CallerAddress,
+			OperatorAddress: vm.OperatorAddress,
 		})
 	}
 	return nodes
--- /dev/null
+++ b/internal/night/night.go
@@ -0,0 +1,336 @@
+// Package night probes idle replicas of this node's bundles, so that one which
+// dies without traffic is a problem within a stated time.
+package night
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/night"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+// Customer is the customer that probes name towards upstreams. Their question
+// is null.
+const Customer core.Customer = "probe"
+
+const (
+	ringDepth = 256
+	decimal   = 10
+	// rebuilds is how often in the reporting time the list of owned replicas
+	// is worked out again at most: its cost grows with the size of the text.
+	rebuilds = 12
+)
+
+// Options are the parts and settings of a Prober.
+type Options struct {
+	Self     core.NodeID
+	Belief   *belief.Store
+	Upstream *upstream.Client
+	// Now reads the node's monotonic clock.
+	Now      func() core.Time
+	Log      logrus.FieldLogger
+	Problems *observe.Problems
+	Metrics  observe.Registry
+	// ReportWithin is the time within which a dead replica is reported.
+	ReportWithin time.Duration
+	// InFlight is how many probes run at once.
+	InFlight int
+}
+
+// Prober runs the duty.
+type Prober struct {
+	options  Options
+	machine  *night.Machine
+	events   *ring.Ring[ended]
+	changed  chan struct{}
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	probes   metrics.Counter
+	failed   metrics.Counter
+	inFlight metrics.Gauge
+	watched  metrics.Gauge
+	// details holds what the last failed probe of a replica showed.
+	details map[night.Target]string
+	wakeAt  core.Time
+	number  uint64
+	mutex   sync.Mutex
+	// answered is when a replica last answered a real request.
+	answered map[night.Target]core.Time
+}
+
+// ended is the end of a probe.
+type ended struct {
+	target night.Target
+	alive  bool
+	detail string
+}
+
+// Start begins the duty; Close ends it.
+func Start(options Options) *Prober {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Prober{
+		options:  options,
+		machine:  night.New(night.Paced(options.ReportWithin, options.InFlight)),
+		events:   ring.New[ended](ringDepth),
+		changed:  make(chan struct{}, 1),
+		stop:     stop,
+		probes:   observe.Counter(options.Metrics, "probes_total"),
+		failed:   observe.Counter(options.Metrics, "probes_failed_total"),
+		inFlight: observe.Gauge(options.Metrics, "probes_in_flight"),
+		watched:  observe.Gauge(options.Metrics, "probes_watched_replicas"),
+		details:  map[night.Target]string{},
+		answered: map[night.Target]core.Time{},
+	}
+	options.Belief.OnChange(p.note)
+	p.note()
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		p.run(ctx)
+	}()
+	return p
+}
+
+// Close ends the duty and its probes.
+func (p *Prober) Close() {
+	p.stop()
+	p.done.Wait()
+}
+
+// Observe takes the end of a call that the upstream client made.
+func (p *Prober) Observe(call upstream.Call, result upstream.Result) {
+	if call.Customer == Customer || result.Outcome != core.Done {
+		return
+	}
+	target := night.Target{Ref: call.Ref, Address: call.Address}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.answered[target] = p.options.Now()
+}
+
+func (p *Prober) note() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Prober) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	rebuild := time.NewTicker(p.options.ReportWithin / rebuilds)
+	defer rebuild.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-p.events.Items():
+			p.finish(ctx, e)
+		case <-rebuild.C:
+			p.rebuild(ctx)
+		case <-timer.C:
+			p.step(ctx, night.Woken{})
+		}
+		timer.Reset(p.wakeAt - p.options.Now())
+	}
+}
+
+// rebuild works out the owned replicas when the beliefs have changed.
+func (p *Prober) rebuild(ctx context.Context) {
+	select {
+	case <-p.changed:
+	default:
+		return
+	}
+	config := p.options.Belief.Config()
+	if config == nil {
+		return
+	}
+	targets := owned(config.Catalog, p.options.Belief.View(), p.options.Self)
+	p.watched.Update(int64(len(targets)))
+	p.forget(targets)
+	p.step(ctx, night.Owned{Targets: targets})
+}
+
+// owned lists the replicas of the bundles that the node owns in this view.
+func owned(text *catalog.Catalog, view *route.View, self core.NodeID) []night.Target {
+	var targets []night.Target
+	for _, name := range text.Names {
+		for _, shard := range text.Services[name].Shards {
+			bundle := text.Bundles[shard.Bundle]
+			owner, ok := view.Rank(bundle.ID, bundle.DataCentre, 0)
+			if !ok || owner.ID != self {
+				continue
+			}
+			for _, replica := range shard.Replicas {
+				if !replica.Draining {
+					targets = append(targets, night.Target{Ref: shard.Ref, Address: replica.Address})
+				}
+			}
+		}
+	}
+	return targets
+}
+
+// forget drops what is remembered of replicas that are no longer owned.
+func (p *Prober) forget(kept []night.Target) {
+	keep := make(map[night.Target]bool, len(kept))
+	for _, target := range kept {
+		keep[target] = true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for target := range p.answered {
+		if !keep[target] {
+			delete(p.answered, target)
+		}
+	}
+}
+
+func (p *Prober) finish(ctx context.Context, e ended) {
+	p.inFlight.Update(p.inFlight.Value() - 1)
+	if e.alive {
+		delete(p.details, e.target)
+	} else {
+		p.failed.Inc(1)
+		p.details[e.target] = e.detail
+	}
+	p.step(ctx, night.Probed{Target: e.target, Alive: e.alive})
+}
+
+func (p *Prober) step(ctx context.Context, event night.Event) {
+	pending := []night.Event{event}
+	for len(pending) > 0 {
+		actions := p.machine.Step(p.options.Now(), pending[0])
+		pending = pending[1:]
+		for _, action := range actions {
+			if follow := p.act(ctx, action); follow != nil {
+				pending = append(pending, follow)
+			}
+		}
+	}
+}
+
+// act carries an action out; some have an event as their immediate result.
+func (p *Prober) act(ctx context.Context, action night.Action) night.Event {
+	switch a := action.(type) {
+	case night.Probe:
+		return p.begin(ctx, a.Target)
+	case night.ReplicaDown:
+		p.options.Problems.Report(observe.KindReplicaDown, replicaSubject(a.Target), p.details[a.Target])
+		p.logReplica(a.Target, "replica_down")
+	case night.ReplicaUp:
+		p.options.Problems.Clear(observe.KindReplicaDown, replicaSubject(a.Target))
+		p.logReplica(a.Target, "replica_up")
+	case night.ShardStalled:
+		p.options.Problems.Report(observe.KindStalledService, a.Ref.String(), "no replica of this shard answers; each is listed as "+string(observe.KindReplicaDown))
+	case night.ShardAnswers:
+		p.options.Problems.Clear(observe.KindStalledService, a.Ref.String())
+	case night.WakeAt:
+		p.wakeAt = a.At
+	}
+	return nil
+}
+
+func replicaSubject(target night.Target) string { return target.Ref.String() + " at " + target.Address }
+
+func (p *Prober) logReplica(target night.Target, event string) {
+	p.options.Log.WithFields(logrus.Fields{"event": event, "shard": target.Ref.String(), "address": target.Address, "detail": p.details[target]}).Warn("idle replica")
+}
+
+// begin starts a probe, unless real traffic has answered in its place.
+func (p *Prober) begin(ctx context.Context, target night.Target) night.Event {
+	sweep := night.Paced(p.options.ReportWithin, p.options.InFlight).Sweep
+	p.mutex.Lock()
+	at, ok := p.answered[target]
+	p.mutex.Unlock()
+	if ok && at+sweep > p.options.Now() {
+		return night.Answered{Target: target, At: at}
+	}
+	service := p.service(target.Ref)
+	if service == nil {
+		return night.Answered{Target: target, At: p.options.Now()}
+	}
+	p.number++
+	id := string(p.options.Self) + "-probe-" + strconv.FormatUint(p.number, decimal)
+	p.probes.Inc(1)
+	p.inFlight.Update(p.inFlight.Value() + 1)
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		alive, detail := p.probe(ctx, target, service.Idempotent, id)
+		_ = p.events.Put(ctx, ended{target: target, alive: alive, detail: detail})
+	}()
+	return nil
+}
+
+func (p *Prober) service(ref core.ShardRef) *catalog.Service {
+	config := p.options.Belief.Config()
+	if config == nil {
+		return nil
+	}
+	return config.Catalog.Services[ref.Service]
+}
+
+// probe asks the health endpoint and, of an idempotent service, a real question.
+// A health endpoint can say that all is well while requests hang, so that the
+// real question decides. A service that must not be repeated has only its health
+// endpoint, and the report says so.
+func (p *Prober) probe(ctx context.Context, target night.Target, idempotent bool, id string) (bool, string) {
+	limit := night.ProbeTimeout(p.options.ReportWithin)
+	if !idempotent {
+		health, err := p.options.Upstream.Health(ctx, target.Address, limit)
+		return err == nil, "probed by its health endpoint only, as it must not be asked twice: " + said(health, err)
+	}
+	started := p.options.Now()
+	result := p.options.Upstream.Do(ctx, upstream.Call{
+		Address:   target.Address,
+		Ref:       target.Ref,
+		RequestID: id,
+		Customer:  Customer,
+		TimeLeft:  limit / 2,
+		Body:      upstream.Body{Question: json.RawMessage("null")},
+	})
+	if answers(result) {
+		return true, ""
+	}
+	took := p.options.Now() - started
+	health, err := p.options.Upstream.Health(ctx, target.Address, limit/2)
+	return false, fmt.Sprintf("a query with the question null failed after %d ms: %s: %s; its health endpoint says: %s",
+		took.Milliseconds(), result.Reason, said("", result.Cause), said(health, err))
+}
+
+// answers reports whether the replica gave any answer of its own: a result, or a
+// refusal that it made itself.
+func answers(result upstream.Result) bool {
+	switch result.Reason {
+	case core.ReasonVersionGone, core.ReasonOverloaded, core.ReasonDraining:
+		return true
+	default:
+		return result.Outcome == core.Done
+	}
+}
+
+func said(text string, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	if text == "" {
+		return "no cause given"
+	}
+	return text
+}
--- a/internal/observe/problems.go
+++ b/internal/observe/problems.go
@@ -115,3 +115,13 @@
 	defer p.mutex.Unlock()
 	return p.overflow
 }
+
+// Kinds lists every kind of problem.
+func Kinds() []Kind {
+	return []Kind{
+		KindThinService, KindStalledService, KindReplicaDown, KindSilentConnection,
+		KindConfigRefused, KindConfigConflict, KindConfigStale, KindConfigReverted,
+		KindSplitView, KindPeerUnreachable, KindVMListStale, KindPaused,
+		KindCrossedReply, KindOverloaded, KindOutcomeUnknown, KindCertificate,
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,9 +17,15 @@
 	DefaultEntriesTTL  = 10 * time.Second
 	DefaultMaxBody     = 1 << 20
 	DefaultHeaderWait  = 5 * time.Second
+	DefaultBodyWait    = 10 * time.Second
+	DefaultIdleWait    = time.Minute
 	DefaultStopWait    = 30 * time.Second
 	DefaultConnections = 4096
+	DefaultEntries     = 16
 	DefaultLogLevel    = "info"
+	DefaultWarnBefore  = 14 * 24 * time.Hour
+	DefaultReport      = time.Minute
+	DefaultProbes      = 16
 )
 
 // Settings are one node's settings. docs/SETTINGS.md lists them with defaults
@@ -31,10 +37,11 @@
 	PeerAddress     string `yaml:"peer_address"`
 	OperatorAddress string `yaml:"operator_address"`
 	// Platform is the base URL of the configuration service and VM list.
-	Platform string `yaml:"platform"`
-	LogLevel string `yaml:"log_level"`
-	TLS      TLS    `yaml:"tls"`
-	Limits   Limits `yaml:"limits"`
+	Platform string  `yaml:"platform"`
+	LogLevel string  `yaml:"log_level"`
+	TLS      TLS     `yaml:"tls"`
+	Limits   Limits  `yaml:"limits"`
+	Probing  Probing `yaml:"probing"`
 	// EntriesTTL is how long callers keep the address answer.
 	EntriesTTL time.Duration `yaml:"entries_ttl"`
 	// StopWait bounds a planned stop.
@@ -46,13 +53,27 @@
 	Authority   string `yaml:"authority"`
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
+	// WarnBefore is how long before its end a certificate is a problem.
+	WarnBefore time.Duration `yaml:"warn_before"`
 }
 
 // Limits bound what callers may take.
 type Limits struct {
 	MaxBodyBytes  int           `yaml:"max_body_bytes"`
 	HeaderTimeout time.Duration `yaml:"header_timeout"`
+	BodyTimeout   time.Duration `yaml:"body_timeout"`
+	IdleTimeout   time.Duration `yaml:"idle_timeout"`
 	Connections   int           `yaml:"connections"`
+	// Entries is how many addresses the address answer holds at most.
+	Entries int `yaml:"entries"`
+}
+
+// Probing sets how idle replicas are probed.
+type Probing struct {
+	// ReportWithin is the time within which a dead idle replica is reported.
+	ReportWithin time.Duration `yaml:"report_within"`
+	// InFlight is how many probes run at once.
+	InFlight int `yaml:"in_flight"`
 }
 
 // Parse reads settings and fills in defaults. The error is a
@@ -87,7 +108,13 @@
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBody)
 	setDefault(&s.Limits.HeaderTimeout, DefaultHeaderWait)
+	setDefault(&s.Limits.BodyTimeout, DefaultBodyWait)
+	setDefault(&s.Limits.IdleTimeout, DefaultIdleWait)
 	setDefault(&s.Limits.Connections, DefaultConnections)
+	setDefault(&s.Limits.Entries, DefaultEntries)
+	setDefault(&s.TLS.WarnBefore, DefaultWarnBefore)
+	setDefault(&s.Probing.ReportWithin, DefaultReport)
+	setDefault(&s.Probing.InFlight, DefaultProbes)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -121,11 +148,41 @@
 			doc.Report(one.key, fmt.Sprintf("%q is not IP:PORT", one.value), "write an address such as 10.0.0.1:7001")
 		}
 	}
-	if s.EntriesTTL < 0 {
-		doc.Report("entries_ttl", "the duration is negative", "write a duration above 0")
+	s.validateLimits(doc)
+}
+
+// validateLimits refuses durations and counts below 0; a 0 took its default.
+func (s *Settings) validateLimits(doc *strictyaml.Document) {
+	durations := []struct {
+		key   string
+		value time.Duration
+	}{
+		{"entries_ttl", s.EntriesTTL},
+		{"stop_wait", s.StopWait},
+		{"tls.warn_before", s.TLS.WarnBefore},
+		{"limits.header_timeout", s.Limits.HeaderTimeout},
+		{"limits.body_timeout", s.Limits.BodyTimeout},
+		{"limits.idle_timeout", s.Limits.IdleTimeout},
+		{"probing.report_within", s.Probing.ReportWithin},
+	}
+	for _, one := range durations {
+		if one.value < 0 {
+			doc.Report(one.key, "the duration is negative", "write a duration above 0")
+		}
+	}
+	counts := []struct {
+		key   string
+		value int
+	}{
+		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
+		{"limits.connections", s.Limits.Connections},
+		{"limits.entries", s.Limits.Entries},
+		{"probing.in_flight", s.Probing.InFlight},
 	}
-	if s.StopWait < 0 {
-		doc.Report("stop_wait", "the duration is negative", "write a duration above 0")
+	for _, one := range counts {
+		if one.value < 0 {
+			doc.Report(one.key, fmt.Sprintf("%d is negative", one.value), "write a number above 0")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// written collects each leaf key of a settings struct with its value.
+func written(value reflect.Value, prefix string, into map[string]string) {
+	for i := range value.NumField() {
+		key := prefix + value.Type().Field(i).Tag.Get("yaml")
+		if field := value.Field(i); field.Kind() == reflect.Struct {
+			written(field, key+".", into)
+		} else {
+			into[key] = fmt.Sprint(field.Interface())
+		}
+	}
+}
+
+func TestTheReferenceListsEverySettingWithItsDefault(t *testing.T) {
+	var filled Settings
+	Fill(&filled)
+	defaults := map[string]string{}
+	written(reflect.ValueOf(filled), "", defaults)
+	listed := map[string]string{}
+	for _, entry := range Reference() {
+		listed[entry.Key] = strings.Replace(entry.Default, required, "", 1)
+	}
+	require.Equal(t, defaults, listed)
+}
+
+func TestTheSettingsPageIsUpToDate(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	require.NoError(t, err)
+	require.Equal(t, Markdown(), string(page), "write it with: go run ./cmd/pistachiopier settings --markdown > docs/SETTINGS.md")
+}
+
+func TestBadSettingsNameTheKeyAndTheFix(t *testing.T) {
+	_, err := Parse([]byte("node: a\ncaller_address: here\nlimits: {connections: -1, body_timeout: -1s}\nnights: 1\n"))
+	require.Error(t, err)
+	for _, part := range []string{"nights", "line 4"} {
+		require.ErrorContains(t, err, part)
+	}
+	_, err = Parse([]byte("node: a\ncaller_address: here\nlimits: {connections: -1, body_timeout: -1s}\n"))
+	for _, part := range []string{"caller_address", "is not IP:PORT", "limits.connections", "limits.body_timeout", "data_centre"} {
+		require.ErrorContains(t, err, part)
+	}
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -41,6 +41,9 @@
 	u := &Upstream{behaviour: behaviour, submits: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
+	// The health endpoint misleads, as those of real upstreams do: it says that
+	// all is well as long as the process lives.
+	mux.HandleFunc("GET "+upstream.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	var err error
 	u.server, u.address, err = serve(address, mux)
 	return u, err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,6 +66,7 @@
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
 	dropped    atomic.Int64
+	observer   Observer
 }
 
 // NewClient makes a client without connections.
@@ -134,6 +135,14 @@
 // Do sends the call once and waits for its end. It never returns NotRun unless
 // no connection was had or the upstream refused the work itself.
 func (c *Client) Do(ctx context.Context, call Call) Result {
+	result := c.do(ctx, call)
+	if c.observer != nil {
+		c.observer(call, result)
+	}
+	return result
+}
+
+func (c *Client) do(ctx context.Context, call Call) Result {
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
 	defer cancel()
