--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -140,6 +140,7 @@
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.pool.OnBroken((&linkLog{log: n.log}).broken)
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,12 +21,11 @@
 )
 
 const (
-	anyPort       = "127.0.0.1:0"
-	validity      = 24 * time.Hour
-	startTimeout  = 20 * time.Second
-	pollPause     = 5 * time.Millisecond
-	dataCentres   = 3
-	defaultLogged = "info"
+	anyPort      = "127.0.0.1:0"
+	validity     = 30 * 24 * time.Hour
+	startTimeout = 20 * time.Second
+	pollPause    = 5 * time.Millisecond
+	dataCentres  = 3
 )
 
 // Member is one running node.
@@ -106,7 +105,7 @@
 }
 
 func (f *Fleet) start(id core.NodeID, s *settings.Settings) (*Member, error) {
-	log, err := logs.New(f.logTo, defaultLogged)
+	log, err := logs.New(f.logTo, s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/fleet/operate_test.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/settings"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+)
+
+const awaitPause = 5 * time.Millisecond
+
+// safeBuffer takes the log lines of several nodes.
+type safeBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *safeBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *safeBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
+func startWith(t *testing.T, options Options, text string) *Fleet {
+	t.Helper()
+	f, err := Start(options)
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	require.NoError(t, f.AwaitReady(ctx, f.Platform.Publish(text)))
+	return f
+}
+
+func get[T any](t *testing.T, address, path string) T {
+	t.Helper()
+	operator := client.New()
+	defer operator.Close()
+	var out T
+	require.NoError(t, operator.Get(context.Background(), address, path, &out))
+	return out
+}
+
+// kinds counts the problems of a report by kind.
+func kinds(report api.ProblemsReport) map[observe.Kind]int {
+	counts := map[observe.Kind]int{}
+	for _, node := range report.Nodes {
+		for _, problem := range node.Problems {
+			counts[observe.Kind(problem.Kind)]++
+		}
+	}
+	return counts
+}
+
+// Nobody works at night. Both replicas of a service stop answering while their
+// health endpoints go on saying that all is well. In the morning the supervisors
+// would ask and get a thin list. Any node must list the stalled service long
+// before, and drop it from its list after it recovers.
+func TestAServiceThatStallsWithoutTrafficIsAProblemOnAnyNode(t *testing.T) {
+	upstreams := startUpstreams(t, 4)
+	f := startWith(t, Options{Nodes: 3, LogTo: io.Discard, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }}, testText(upstreams))
+	report := func() api.ProblemsReport {
+		return get[api.ProblemsReport](t, f.Members()[2].Addresses.Operator, "/v1/problems?fleet=1")
+	}
+	for _, u := range upstreams[2:] {
+		u.Change(func(b *standin.Behaviour) { b.Silent = true })
+	}
+	require.Eventually(t, func() bool {
+		found := kinds(report())
+		return found[observe.KindStalledService] == 1 && found[observe.KindReplicaDown] == 2
+	}, awaitLimit, awaitPause)
+	detail := fmt.Sprint(report())
+	require.Contains(t, detail, "a query with the question null failed")
+	require.Contains(t, detail, "its health endpoint says: 200 OK")
+	for _, u := range upstreams[2:] {
+		u.Change(func(b *standin.Behaviour) { b.Silent = false })
+	}
+	require.Eventually(t, func() bool { return report().Count() == 0 }, awaitLimit, awaitPause)
+}
+
+// A node dies while it is still in the VM list. The report must say that its
+// problems are not known, rather than look complete.
+func TestANodeThatDoesNotAnswerIsNamed(t *testing.T) {
+	f := startWith(t, Options{Nodes: 3, LogTo: io.Discard}, testText(startUpstreams(t, 2)))
+	require.NoError(t, f.Stop(f.Members()[1]))
+	report := get[api.ProblemsReport](t, f.Members()[0].Addresses.Operator, "/v1/problems?fleet=1")
+	require.Len(t, report.Nodes, 2)
+	require.Len(t, report.NoAnswer, 1)
+	require.Equal(t, f.Members()[1].ID, report.NoAnswer[0].Node)
+}
+
+func TestOperatorsSeeHealthNodesAndMetrics(t *testing.T) {
+	f, err := Start(Options{Nodes: 2, LogTo: io.Discard})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	operator := f.Members()[0].Addresses.Operator
+	response, err := http.Get("http://" + operator + "/v1/health")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "no text is published yet")
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	require.NoError(t, f.AwaitReady(ctx, f.Platform.Publish(testText(startUpstreams(t, 2)))))
+	require.Equal(t, api.HealthReady, get[api.Health](t, operator, "/v1/health").State)
+	nodes := get[[]api.NodeAddress](t, operator, "/v1/nodes")
+	require.Len(t, nodes, 2)
+	require.Equal(t, f.Members()[1].Addresses.Operator, nodes[1].OperatorAddress)
+	response, err = http.Get("http://" + operator + "/metrics")
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	for _, name := range []string{"config_revision 1", "entry_ring_capacity", "owner_ring_depth", "caller_connections_limit 4096", "certificate_days_left", "problems 0"} {
+		require.Contains(t, string(text), "pistachiopier_"+name)
+	}
+	for _, entry := range settings.Reference() {
+		if entry.Metric == "" || strings.HasPrefix(entry.Metric, "caller_bodies") {
+			continue
+		}
+		require.Contains(t, string(text), "pistachiopier_"+entry.Metric+" ", "the metric of %s", entry.Key)
+	}
+}
+
+// A chef closes the app while a straggler holds the answer back. The question
+// must end with the caller, and not go on to use the upstreams' slots.
+func TestACallerThatLeavesCancelsItsQuestion(t *testing.T) {
+	upstreams := startUpstreams(t, 2)
+	f := startWith(t, Options{Nodes: 1, LogTo: io.Discard}, testText(upstreams))
+	for _, u := range upstreams {
+		u.Change(func(b *standin.Behaviour) { b.Silent = true })
+	}
+	caller := client.New()
+	defer caller.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	minute := time.Minute.Milliseconds()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := caller.Query(ctx, f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef", TimeoutMs: &minute})
+		ended <- err
+	}()
+	node := f.Members()[0].Node
+	require.Eventually(t, func() bool { return node.Status().InFlight == 1 }, awaitLimit, awaitPause)
+	cancel()
+	require.Error(t, <-ended)
+	require.Eventually(t, func() bool { return node.Status().InFlight == 0 }, awaitLimit, awaitPause)
+}
+
+func TestUnknownServicesAndCustomersAreRefusedAsNotRun(t *testing.T) {
+	f := startWith(t, Options{Nodes: 1, LogTo: io.Discard}, "unlisted_customers: refuse\ncustomers: [{name: chef}]\n"+testText(startUpstreams(t, 2)))
+	caller := client.New()
+	defer caller.Close()
+	ask := func(service string, customer core.Customer) *fault.Error {
+		_, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, service, api.QueryRequest{Customer: customer})
+		require.Error(t, err)
+		return fault.As(err)
+	}
+	require.Equal(t, fault.CodeUnknownService, ask("nothing", "chef").Code)
+	require.Equal(t, fault.CodeUnknownCustomer, ask("top", "stranger").Code)
+	require.Equal(t, core.NotRun, ask("top", "stranger").Outcome)
+	_, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef", Question: json.RawMessage(`"` + strings.Repeat("x", 10<<20) + `"`)})
+	require.Equal(t, fault.CodeTooLarge, fault.As(err).Code)
+	_, err = caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+	require.NoError(t, err, "refusals must leave the node as it was")
+}
+
+// One VM is given the certificates of another fleet. Its peers refuse it, and the
+// log of each says why and what to do.
+func TestAnotherFleetsCertificateIsNamedInTheLog(t *testing.T) {
+	stranger, err := keys.NewAuthority(time.Now(), validity)
+	require.NoError(t, err)
+	pair, err := stranger.Issue("vm-2", time.Now(), validity)
+	require.NoError(t, err)
+	var log safeBuffer
+	f := startWith(t, Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
+		if s.Node == "vm-2" {
+			s.TLS.Authority, s.TLS.Certificate, s.TLS.Key = string(stranger.Certificate), string(pair.Certificate), string(pair.Key)
+		}
+	}}, testText(startUpstreams(t, 8)))
+	caller := client.New()
+	defer caller.Close()
+	for _, member := range f.Members() {
+		_, err := caller.Query(context.Background(), member.Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"event":"peer_certificate_refused"`) }, awaitLimit, awaitPause)
+	require.Contains(t, log.String(), "unknown authority")
+}
+
+func TestLogLinesAreJSONWithStableFields(t *testing.T) {
+	var log safeBuffer
+	f := startWith(t, Options{Nodes: 1, LogTo: &log, Alter: func(s *settings.Settings) { s.LogLevel = "debug" }}, testText(startUpstreams(t, 2)))
+	caller := client.New()
+	defer caller.Close()
+	_, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+	require.NoError(t, err)
+	require.NoError(t, f.Stop(f.Members()[0]))
+	events := map[string]int{}
+	for line := range strings.Lines(log.String()) {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &fields), line)
+		for _, name := range []string{"event", "node", "level", "time", "msg"} {
+			require.NotEmpty(t, fields[name], "%s of %s", name, line)
+		}
+		events[fields["event"].(string)]++
+	}
+	for _, event := range []string{"node_started", "request_served", "fx"} {
+		require.Positive(t, events[event], event)
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -37,8 +37,14 @@
 	mutex  sync.Mutex
 	links  map[string]*link
 	done   sync.WaitGroup
+	// broken is told why a link ended, unless the pool was closed.
+	broken func(Target, error)
 }
 
+// OnBroken sets who is told why a link ended. It must be called before the
+// first request.
+func (p *Pool) OnBroken(listener func(target Target, cause error)) { p.broken = listener }
+
 // NewPool makes a pool that asks as self; local serves requests to self.
 func NewPool(tlsConfig *tls.Config, self Identity, local Handler) (*Pool, error) {
 	udp, err := net.ListenUDP("udp", &net.UDPAddr{})
@@ -182,6 +188,9 @@
 		err = errPoolClosed
 	}
 	l.pool.forget(l)
+	if l.pool.broken != nil && l.pool.ctx.Err() == nil {
+		l.pool.broken(l.target, err)
+	}
 	l.fail(err)
 }
 
