--- /dev/null
+++ b/internal/command/look_test.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/fleet"
+	"github.com/pistachiopier/pistachiopier/internal/settings"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+)
+
+const awaitLimit = 20 * time.Second
+
+const lookText = `
+version: 1
+indexes: [cues]
+services:
+  - {name: mood, index: cues, shards: [{replicas: [{address: "ADDRESS", data_centre: dc1}]}]}
+`
+
+func startLook(t *testing.T) (*fleet.Fleet, *standin.Upstream) {
+	t.Helper()
+	u, err := standin.StartUpstream("127.0.0.1:0", standin.Behaviour{Slots: 2, Versions: []uint64{7}})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = u.Close() })
+	f, err := fleet.Start(fleet.Options{Nodes: 2, LogTo: io.Discard, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	require.NoError(t, f.AwaitReady(ctx, f.Platform.Publish(strings.Replace(lookText, "ADDRESS", u.Address(), 1))))
+	return f, u
+}
+
+// An operator's script runs the commands every minute and acts on their exit
+// codes alone.
+func TestStatusProblemsAndDumpOfAFleet(t *testing.T) {
+	f, u := startLook(t)
+	address := f.Members()[0].Addresses.Operator
+	code, out, errors := run("status", "--address", address, "--fleet")
+	require.Equal(t, ExitOK, code, out+errors)
+	require.Equal(t, 2, strings.Count(out, "ready"))
+	code, out, _ = run("problems", "--address", address)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "no problems on 2 nodes")
+	code, out, _ = run("dump", "--address", address)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "entry_rings")
+
+	u.Change(func(b *standin.Behaviour) { b.Silent = true })
+	for _, member := range f.Members() {
+		require.Eventually(t, func() bool {
+			code, out, _ := run("problems", "--address", member.Addresses.Operator)
+			return code == ExitTrouble && strings.Contains(out, "stalled_service")
+		}, awaitLimit, 20*time.Millisecond)
+	}
+	code, out, _ = run("status", "--address", address, "--fleet", "--json")
+	require.Equal(t, ExitTrouble, code)
+	require.Contains(t, out, string(api.HealthDegraded))
+
+	require.NoError(t, f.Stop(f.Members()[1]))
+	code, out, _ = run("problems", "--address", address)
+	require.Equal(t, ExitTrouble, code)
+	require.Contains(t, out, "no answer from node vm-2")
+	code, out, _ = run("status", "--address", address, "--fleet")
+	require.Equal(t, ExitTrouble, code)
+	require.Contains(t, out, "no answer")
+}
+
+// The first address of the list belongs to a VM that is gone, the second to one
+// that is alive. The caller must get its answer from the second.
+func TestQueryTriesTheNextEntry(t *testing.T) {
+	f, _ := startLook(t)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	caller := client.New()
+	defer caller.Close()
+	entries := []api.EntryAddress{{Address: gone.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
+	options := queryOptions{service: "mood", customer: "agency", question: "null", timeout: awaitLimit}
+	reply, err := askInTurn(context.Background(), caller, entries, options)
+	require.NoError(t, err)
+	require.False(t, reply.Coverage.Thin)
+
+	options.service = "nothing"
+	_, err = askInTurn(context.Background(), caller, entries, options)
+	require.ErrorContains(t, err, "unknown_service")
+	code, out, errors := run("query", "mood", "--address", f.Members()[0].Addresses.Caller, "--json")
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, `"outcome":"done"`)
+}
