Pages for users, operators and contributors, compared with the code by tests

Newcomers had a README only. Each page is short; tests require every log event, problem kind, failure code, reason, key of the text and header on its page, and that links lead somewhere. What the code does not do yet is marked being built.

--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,80 @@
+// Package docs_test compares the pages with the code.
+package docs_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// requireListed finds what the pattern's group names in the source and requires
+// each name on the page, behind a backquote or a quotation mark.
+func requireListed(t *testing.T, source, pattern, page string) {
+	t.Helper()
+	found := regexp.MustCompile(pattern).FindAllStringSubmatch(source, -1)
+	require.NotEmpty(t, found, pattern)
+	text := read(t, page)
+	for _, match := range found {
+		named := regexp.MustCompile("[`\"][^`\n]*\\b" + regexp.QuoteMeta(match[1]) + "\\b")
+		require.True(t, named.MatchString(text), "%s does not list %s", page, match[1])
+	}
+}
+
+// sources joins the code that is not a test.
+func sources(t *testing.T) string {
+	t.Helper()
+	var all strings.Builder
+	err := filepath.WalkDir("../internal", func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			all.WriteString(read(t, path))
+		}
+		return err
+	})
+	require.NoError(t, err)
+	return all.String()
+}
+
+func TestOperationsListsEveryLogEventAndProblem(t *testing.T) {
+	requireListed(t, sources(t), `(?:"event"|FieldEvent)[,:]\s+"([a-z_]+)"[,:})]`, "OPERATIONS.md")
+	for _, kind := range observe.Kinds() {
+		require.Contains(t, read(t, "OPERATIONS.md"), "| `"+string(kind)+"` |")
+	}
+	declared := regexp.MustCompile(`\bKind\s+= "`).FindAllString(read(t, "../internal/observe/problems.go"), -1)
+	require.Len(t, observe.Kinds(), len(declared), "observe.Kinds lacks a kind")
+}
+
+func TestInterfaceListsEveryKeyCodeAndReason(t *testing.T) {
+	requireListed(t, read(t, "../internal/catalog/text.go"), `yaml:"([a-z_]+)"`, "INTERFACE.md")
+	requireListed(t, read(t, "../internal/core/core.go"), `Reason\w+ +Reason = "([a-z_]+)"`, "INTERFACE.md")
+	requireListed(t, read(t, "../internal/fault/fault.go"), `Code\w+ +Code = "([a-z_]+)"`, "INTERFACE.md")
+	requireListed(t, read(t, "../internal/upstream/protocol.go"), `Header\w+ += "([A-Za-z-]+)"`, "INTERFACE.md")
+	requireListed(t, read(t, "../internal/api/caller.go"), `json:"([a-z_]+),?`, "INTERFACE.md")
+}
+
+func TestLinksBetweenPagesLeadSomewhere(t *testing.T) {
+	pages, err := filepath.Glob("*.md")
+	require.NoError(t, err)
+	for _, page := range append(pages, "../README.md", "../CONTRIBUTING.md") {
+		for _, link := range regexp.MustCompile(`\]\(([^):#]+)\)`).FindAllStringSubmatch(read(t, page), -1) {
+			if strings.HasPrefix(link[1], "design/") {
+				continue // these pages are written with the mechanisms they describe
+			}
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), link[1]))
+			require.NoError(t, err, "%s links to %s", page, link[1])
+		}
+	}
+}
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -251,6 +251,7 @@
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+	Problems   any          `json:"problems"`
 }
 
 func (n *Node) dump() any {
@@ -261,5 +262,6 @@
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Problems:   n.gatherer.Own().Problems,
 	}
 }
