--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -36,9 +36,8 @@
 }
 
 func (p CallerParts) submit(c *gin.Context) {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, p.MaxBodyBytes)
 	var request SubmitRequest
-	if err := decode(c, &request); err != nil {
+	if err := p.read(c, &request); err != nil {
 		p.failSubmit(c, err)
 		return
 	}
@@ -66,7 +65,7 @@
 		submit.Payload = json.RawMessage("null")
 	}
 	if request.TimeoutMs != nil {
-		submit.Timeout = max(1, time.Duration(*request.TimeoutMs)) * time.Millisecond
+		submit.Timeout = time.Duration(min(max(1, *request.TimeoutMs), maxTimeoutMs)) * time.Millisecond
 	}
 	return submit, nil
 }
@@ -88,8 +87,9 @@
 func (p CallerParts) failSubmit(c *gin.Context, err error) {
 	typed := fault.As(err)
 	reply := once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter}
-	if typed.Code == fault.CodeTooLarge {
-		// Another entry's settings may have let an earlier try with this key in.
+	if typed.Code == fault.CodeTooLarge || typed.Code == fault.CodePastDeadline {
+		// Another entry's settings, or a faster line, may have let an earlier try
+		// with this key in.
 		reply.Outcome, reply.ThisTry = core.Unknown, core.NotRun
 	}
 	p.writeRefused(c, reply)
--- a/internal/core/once/world_test.go
+++ b/internal/core/once/world_test.go
@@ -33,7 +33,6 @@
 	// sender tells the home's incarnation that a send or reply belongs to.
 	sender   map[SendID]int
 	nextAsk  WaiterID
-	nextSend SendID
 	tries    int
 	maxTries int
 	advances int
