--- a/internal/core/query/sends.go
+++ b/internal/core/query/sends.go
@@ -74,6 +74,8 @@
 	}
 	need := &m.needs[e.Need]
 	m.learn(need, e.Serves)
+	// Whatever the send brought, the shard may still have none at the target.
+	m.dueChanged = m.dueChanged || e.Version != m.target
 	if _, ok := need.part(e.Version); ok || m.closed(m.plan.Needs[e.Need].Service, e.Version) {
 		m.dropped++
 		return
@@ -83,7 +85,6 @@
 		m.first = e.Version
 	}
 	if e.Version != m.target {
-		m.dueChanged = true
 		return
 	}
 	if need.settled {
@@ -242,12 +243,17 @@
 	return granted
 }
 
-// askDue sends every shard that is due, one message for each bundle.
+// askDue sends every shard that is due. Giving up on stragglers can make
+// further services ready, hence the loop; each round settles or sends something.
 func (m *Machine) askDue() {
-	if !m.dueChanged {
-		return
+	for m.dueChanged {
+		m.dueChanged = false
+		m.askReady()
 	}
-	m.dueChanged = false
+}
+
+// askReady sends one message for each bundle with due shards.
+func (m *Machine) askReady() {
 	m.due = m.due[:0]
 	for service := range m.plan.Services {
 		if m.ready(service) {
