--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -16,9 +16,11 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/home"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -43,6 +45,7 @@
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
 	platform *platform.Client
@@ -121,6 +124,11 @@
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.config = n.newConfigWatcher()
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	if err != nil {
+		return fault.Step("start home", err)
+	}
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -138,14 +146,29 @@
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
-	n.config = confwatch.Start(n.platform, n.belief, n.log)
+	n.config.Start()
 	n.members = membership.Start(n.platform, n.belief, n.log)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
 }
 
+func (n *Node) newConfigWatcher() *confwatch.Watcher {
+	return confwatch.New(confwatch.Options{
+		Self:       n.identity.Node,
+		DataCentre: n.settings.DataCentre,
+		Service:    n.platform,
+		Belief:     n.belief,
+		Peers:      n.pool,
+		Now:        n.now,
+		Log:        n.log,
+		Problems:   n.problems,
+		Metrics:    n.metrics,
+		Seed:       n.identity.Incarnation,
+	})
+}
+
 func (n *Node) startHTTP() error {
-	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
+	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Home: n.home, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
 	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
 	var err error
 	n.caller, err = n.serve(n.settings.CallerAddress, caller)
@@ -173,6 +196,11 @@
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
 	}
+	if n.home != nil {
+		n.home.Stop(ctx)
+		n.owner.DrainSubmits(ctx)
+		defer n.home.Close()
+	}
 	if n.members != nil {
 		n.members.Close()
 	}
@@ -201,9 +229,20 @@
 
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
-	switch inbound.Envelope.GetBody().(type) {
+	switch body := inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_ConfigRequest:
+		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
+		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_SubmitRequest:
+		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
+			n.owner.HandleSubmit(inbound)
+			return
+		}
+		n.home.HandleSubmit(inbound)
+	case *peerpb.Envelope_HandoverRequest:
+		n.home.HandleHandover(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
@@ -211,7 +250,7 @@
 }
 
 func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds()}
+	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds(), KeyPrefix: n.home.Prefix()}
 	for _, node := range n.belief.View().Nodes() {
 		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
 	}
@@ -266,7 +305,10 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+
+	Config confwatch.Dump `json:"config"`
 }
 
 func (n *Node) dump() any {
@@ -276,7 +318,9 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Config:     n.config.Dump(),
 	}
 }
 
