--- a/internal/command/diff.go
+++ b/internal/command/diff.go
@@ -65,7 +65,7 @@
 	printNames(out, "service added", d.ServicesAdded)
 	printNames(out, "service removed", d.ServicesRemoved)
 	for _, service := range d.ServicesChanged {
-		printSettings(out, "service "+service.Service, service.Settings)
+		printSettingChanges(out, "service "+service.Service, service.Settings)
 	}
 	printNames(out, "shard added", d.ShardsAdded)
 	printNames(out, "shard removed", d.ShardsRemoved)
@@ -73,8 +73,8 @@
 	printReplicas(out, "replica removed", d.ReplicasRemoved)
 	printReplicas(out, "drain begun", d.DrainsBegun)
 	printReplicas(out, "drain ended", d.DrainsEnded)
-	printSettings(out, "customer", d.Customers)
-	printSettings(out, "policy", d.Policy)
+	printSettingChanges(out, "customer", d.Customers)
+	printSettingChanges(out, "policy", d.Policy)
 	for _, bundle := range d.BundlesMoved {
 		fmt.Fprintf(out, "bundle moved: %08x from %v to %v\n", uint32(bundle.Bundle), bundle.Before, bundle.After)
 	}
@@ -93,7 +93,7 @@
 	}
 }
 
-func printSettings(out io.Writer, what string, changes []catalog.SettingChange) {
+func printSettingChanges(out io.Writer, what string, changes []catalog.SettingChange) {
 	for _, change := range changes {
 		fmt.Fprintf(out, "%s: %s changes from %q to %q\n", what, change.Key, change.Before, change.After)
 	}
--- a/internal/command/text_test.go
+++ b/internal/command/text_test.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -16,19 +15,12 @@
 
 const magnolia = "../../examples/magnolia.yaml"
 
-func run(t *testing.T, arguments ...string) (code int, out, errors string) {
-	t.Helper()
-	var written, failed bytes.Buffer
-	code = Run(arguments, &written, &failed)
-	return code, written.String(), failed.String()
-}
-
 func TestCheckExplainsInWordsAndJSON(t *testing.T) {
-	code, out, _ := run(t, "check", magnolia, "--explain", "plate-costing")
+	code, out, _ := run("check", magnolia, "--explain", "plate-costing")
 	assert.Equal(t, ExitOK, code)
 	assert.Contains(t, out, "is valid: 52 services, 52 bundles, 3 customers")
 	assert.Contains(t, out, "a question to plate-costing asks 20 shards of 20 services, on 40 replicas")
-	code, out, _ = run(t, "check", magnolia, "--explain", "plate-costing", "--json")
+	code, out, _ = run("check", magnolia, "--explain", "plate-costing", "--json")
 	assert.Equal(t, ExitOK, code)
 	var report checkReport
 	require.NoError(t, json.Unmarshal([]byte(out), &report))
@@ -39,7 +31,7 @@
 func TestCheckReportsProblemsAsJSON(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "bad.yaml")
 	require.NoError(t, os.WriteFile(path, []byte("version: 1\nindexez: []\n"), 0o600))
-	code, out, _ := run(t, "check", path, "--json")
+	code, out, _ := run("check", path, "--json")
 	assert.Equal(t, ExitTrouble, code)
 	var report checkReport
 	require.NoError(t, json.Unmarshal([]byte(out), &report))
@@ -53,15 +45,15 @@
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "new.yaml")
 	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(text), "services: 30", "services: 31", 1)), 0o600))
-	code, out, _ := run(t, "diff", magnolia, path)
+	code, out, _ := run("diff", magnolia, path)
 	assert.Equal(t, ExitOK, code)
 	assert.Contains(t, out, "service added: supplier-import-31\n")
 	assert.Contains(t, out, "1 of 53 bundles move")
-	code, out, _ = run(t, "diff", magnolia, path, "--json")
+	code, out, _ = run("diff", magnolia, path, "--json")
 	assert.Equal(t, ExitOK, code)
 	var d catalog.Difference
 	require.NoError(t, json.Unmarshal([]byte(out), &d))
 	assert.Len(t, d.ReplicasAdded, 2)
-	_, out, _ = run(t, "diff", magnolia, magnolia)
+	_, out, _ = run("diff", magnolia, magnolia)
 	assert.Equal(t, "the texts mean the same\n", out)
 }
