Strict YAML walks to a key instead of noting every key's place

Cause: decoding built the key of every value as text and kept all places, tens of thousands for a large text, to report few or none; a decoder was made for each text value.

Change: a key is made when there is a problem, and looked up by walking the tree. Text values are set directly. Field names are read once for each type.

--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -42,16 +45,16 @@
 // Position is a place in a text, counted from 1.
 type Position struct{ Line, Column int }
 
-// Document remembers where each key of a decoded text stands.
+// Document is a decoded text, to report further problems by key.
 type Document struct {
-	positions map[string]Position
-	problems  Problems
+	root     *yaml.Node
+	problems Problems
 }
 
 // Decode fills out, a pointer to a struct, from text. The document is
 // returned also when there are problems, to report further ones by key.
 func Decode(text []byte, out any) (*Document, error) {
-	doc := &Document{positions: map[string]Position{}}
+	doc := &Document{}
 	var root yaml.Node
 	if err := yaml.Unmarshal(text, &root); err != nil {
 		doc.Report("", "not valid YAML: "+err.Error(), "correct the syntax")
@@ -61,13 +64,21 @@
 		doc.Report("", "the text is empty", "write at least the required keys")
 		return doc, doc.Err()
 	}
-	doc.value("", root.Content[0], reflect.ValueOf(out).Elem())
+	doc.root = root.Content[0]
+	doc.value(nil, doc.root, reflect.ValueOf(out).Elem())
 	return doc, doc.Err()
 }
 
 // Report adds a problem at the key's place, or at the nearest known parent.
 func (d *Document) Report(key, message, fix string) {
-	at := d.position(key)
+	at := Position{Line: 1, Column: 1}
+	if node, _ := d.find(key); node != nil {
+		at = Position{Line: node.Line, Column: node.Column}
+	}
+	d.reportAt(at, key, message, fix)
+}
+
+func (d *Document) reportAt(at Position, key, message, fix string) {
 	d.problems = append(d.problems, Problem{Line: at.Line, Column: at.Column, Key: key, Message: message, Fix: fix})
 }
 
@@ -81,89 +92,150 @@
 
 // Has reports whether the text names the key.
 func (d *Document) Has(key string) bool {
-	_, ok := d.positions[key]
-	return ok
+	_, whole := d.find(key)
+	return whole
 }
 
-func (d *Document) position(key string) Position {
-	for {
-		if at, ok := d.positions[key]; ok {
-			return at
+// find walks from the root along a key such as services[0].slots. It returns
+// the last node on the way, and whether that is the key's. Walking when a key
+// is asked for is cheaper than noting each key's place: a large text has tens
+// of thousands and few are asked for.
+func (d *Document) find(key string) (node *yaml.Node, whole bool) {
+	node = d.root
+	for key != "" && node != nil {
+		var step string
+		step, key = cutKey(key)
+		next := child(node, step)
+		if next == nil {
+			return node, false
 		}
-		cut := strings.LastIndexAny(key, ".[")
-		if cut < 0 {
-			return Position{Line: 1, Column: 1}
+		node = next
+	}
+	return node, node != nil
+}
+
+// cutKey cuts the first step off a key: a name, or an index such as [3].
+func cutKey(key string) (step, rest string) {
+	key = strings.TrimPrefix(key, ".")
+	end := strings.IndexAny(key[1:], ".[")
+	if end < 0 {
+		return key, ""
+	}
+	return key[:end+1], key[end+1:]
+}
+
+func child(node *yaml.Node, step string) *yaml.Node {
+	switch node.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == step {
+				return node.Content[i+1]
+			}
+		}
+	case yaml.SequenceNode:
+		index, err := strconv.Atoi(strings.Trim(step, "[]"))
+		if err == nil && index >= 0 && index < len(node.Content) {
+			return node.Content[index]
 		}
-		key = key[:cut]
 	}
+	return nil
+}
+
+// path is the way to a value, made into a key only when there is a problem.
+type path struct {
+	parent *path
+	name   string
+	index  int
 }
 
-func (d *Document) value(key string, node *yaml.Node, out reflect.Value) {
-	d.positions[key] = Position{Line: node.Line, Column: node.Column}
+// String renders the path as a key such as services[0].slots.
+func (p *path) String() string {
+	switch {
+	case p == nil:
+		return ""
+	case p.name == "":
+		return p.parent.String() + "[" + strconv.Itoa(p.index) + "]"
+	case p.parent == nil:
+		return p.name
+	default:
+		return p.parent.String() + "." + p.name
+	}
+}
+
+func (d *Document) problem(at *path, node *yaml.Node, message, fix string) {
+	d.reportAt(Position{Line: node.Line, Column: node.Column}, at.String(), message, fix)
+}
+
+func (d *Document) value(at *path, node *yaml.Node, out reflect.Value) {
 	switch {
 	case node.Kind == yaml.AliasNode:
 		// A short text of aliases to aliases expands to billions of values, on
 		// every node at once.
-		d.Report(key, "an alias is not taken", "write the value itself")
+		d.problem(at, node, "an alias is not taken", "write the value itself")
 	case out.Kind() == reflect.Pointer && out.Type().Elem().Kind() == reflect.Struct:
 		out.Set(reflect.New(out.Type().Elem()))
-		d.value(key, node, out.Elem())
+		d.value(at, node, out.Elem())
 	case out.Kind() == reflect.Struct:
-		d.mapping(key, node, out)
+		d.mapping(at, node, out)
 	case out.Kind() == reflect.Slice:
-		d.sequence(key, node, out)
+		d.sequence(at, node, out)
 	default:
-		d.scalar(key, node, out)
+		d.scalar(at, node, out)
 	}
 }
 
-func (d *Document) mapping(key string, node *yaml.Node, out reflect.Value) {
+func (d *Document) mapping(at *path, node *yaml.Node, out reflect.Value) {
+	names := fieldNames(out.Type())
 	if node.Kind != yaml.MappingNode {
-		d.Report(key, "want a mapping of keys to values", "write one of: "+strings.Join(fieldNames(out.Type()), ", "))
+		d.problem(at, node, "want a mapping of keys to values", "write one of: "+strings.Join(known(names), ", "))
 		return
 	}
-	seen := map[string]bool{}
+	seen := make([]bool, len(names))
 	for i := 0; i+1 < len(node.Content); i += 2 {
-		name := node.Content[i].Value
-		path := join(key, name)
-		d.positions[path] = Position{Line: node.Content[i].Line, Column: node.Content[i].Column}
-		field, ok := fieldByName(out, name)
+		key := node.Content[i]
+		way := &path{parent: at, name: key.Value}
+		field := fieldIndex(names, key.Value)
 		switch {
-		case !ok:
-			d.Report(path, "unknown key", unknownFix(name, fieldNames(out.Type())))
-		case seen[name]:
-			d.Report(path, "the key stands twice", "keep one of the two")
+		case field < 0:
+			d.problem(way, key, "unknown key", unknownFix(key.Value, known(names)))
+		case seen[field]:
+			d.problem(way, key, "the key stands twice", "keep one of the two")
 		default:
-			d.value(path, node.Content[i+1], field)
+			seen[field] = true
+			d.value(way, node.Content[i+1], out.Field(field))
 		}
-		seen[name] = true
 	}
 }
 
-func (d *Document) sequence(key string, node *yaml.Node, out reflect.Value) {
+func (d *Document) sequence(at *path, node *yaml.Node, out reflect.Value) {
 	if node.Kind != yaml.SequenceNode {
-		d.Report(key, "want a list", "write the values as - items or [a, b]")
+		d.problem(at, node, "want a list", "write the values as - items or [a, b]")
 		return
 	}
 	list := reflect.MakeSlice(out.Type(), len(node.Content), len(node.Content))
 	for i, item := range node.Content {
-		d.value(fmt.Sprintf("%s[%d]", key, i), item, list.Index(i))
+		d.value(&path{parent: at, index: i}, item, list.Index(i))
 	}
 	out.Set(list)
 }
 
-func (d *Document) scalar(key string, node *yaml.Node, out reflect.Value) {
+func (d *Document) scalar(at *path, node *yaml.Node, out reflect.Value) {
 	if node.Kind != yaml.ScalarNode {
-		d.Report(key, "want one value, not a list or mapping", "write a single "+kindName(out))
+		d.problem(at, node, "want one value, not a list or mapping", "write a single "+kindName(out))
+		return
+	}
+	if out.Kind() == reflect.String && node.ShortTag() == "!!str" {
+		// Most values are texts, and a decoder for each is most of the cost.
+		out.SetString(node.Value)
 		return
 	}
 	if err := node.Decode(out.Addr().Interface()); err != nil {
 		var typeError *yaml.TypeError
 		if !errors.As(err, &typeError) {
-			d.Report(key, err.Error(), "write a "+kindName(out))
+			d.problem(at, node, err.Error(), "write a "+kindName(out))
 			return
 		}
-		d.Report(key, fmt.Sprintf("%q is not a %s", node.Value, kindName(out)), "write a "+kindName(out))
+		d.problem(at, node, fmt.Sprintf("%q is not a %s", node.Value, kindName(out)), "write a "+kindName(out))
 	}
 }
 
@@ -183,28 +255,35 @@
 	}
 }
 
-func fieldName(field reflect.StructField) string {
-	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-	return name
-}
+// names holds the keys of each struct type decoded so far.
+var names sync.Map
 
-func fieldByName(out reflect.Value, name string) (reflect.Value, bool) {
-	for i := range out.NumField() {
-		if fieldName(out.Type().Field(i)) == name && name != "" {
-			return out.Field(i), true
+// fieldNames lists the keys of a struct's fields; "" for a field without.
+func fieldNames(structType reflect.Type) []string {
+	if cached, ok := names.Load(structType); ok {
+		return cached.([]string)
+	}
+	list := make([]string, structType.NumField())
+	for i := range list {
+		list[i], _, _ = strings.Cut(structType.Field(i).Tag.Get("yaml"), ",")
+		if list[i] == "-" {
+			list[i] = ""
 		}
 	}
-	return reflect.Value{}, false
+	names.Store(structType, list)
+	return list
 }
 
-func fieldNames(structType reflect.Type) []string {
-	var names []string
-	for i := range structType.NumField() {
-		if name := fieldName(structType.Field(i)); name != "" && name != "-" {
-			names = append(names, name)
-		}
+func fieldIndex(names []string, key string) int {
+	if key == "" {
+		return -1
 	}
-	return names
+	return slices.Index(names, key)
+}
+
+// known lists the keys that can be written.
+func known(names []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == "" })
 }
 
 // unknownFix suggests the known key that shares the longest prefix.
@@ -224,10 +303,3 @@
 	}
 	return "remove it or use one of: " + strings.Join(known, ", ")
 }
-
-func join(key, name string) string {
-	if key == "" {
-		return name
-	}
-	return key + "." + name
-}
