Entry: layouts refused, budgets, fair admission, thin services, metrics

Cause: a service repartitioned while a question runs could be answered by two layouts at once; retries and fallbacks of the entry had no budget; a cut reply was waited for until the deadline; nothing told operators of thin answers. Change: each ask states the service's number of shards; an owner with another number refuses it as not run, also what still waits in its queue when the text changes, and an ask that was already sent is answered as unknown. The entry then plans anew by the text in force, at most twice. An owner takes asks for any rank up to its own, so that views that differ by a lost node still meet. Budgets per service and customer, entrylimit in place of the plain count, counters, the thin_service problem, below_least and incomplete in the reply. Plans are kept for each text and service.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -58,11 +58,15 @@
 
 // Coverage tells callers what an answer covers.
 type Coverage struct {
-	Asked    int       `json:"asked"`
-	Answered int       `json:"answered"`
-	Share    float64   `json:"share"`
-	Thin     bool      `json:"thin"`
-	Missing  []Missing `json:"missing,omitempty"`
+	Asked    int     `json:"asked"`
+	Answered int     `json:"answered"`
+	Share    float64 `json:"share"`
+	Thin     bool    `json:"thin"`
+	// BelowLeast is set when less than least_coverage is answered.
+	BelowLeast bool `json:"below_least,omitempty"`
+	// Incomplete counts answered shards computed without some dependency's part.
+	Incomplete int       `json:"incomplete,omitempty"`
+	Missing    []Missing `json:"missing,omitempty"`
 }
 
 // Missing is a shard without a part.
@@ -189,7 +193,7 @@
 		Index:     result.Index,
 		Version:   result.Version,
 		Revision:  result.Revision,
-		Coverage:  toCoverage(result.Coverage),
+		Coverage:  toCoverage(result.Answer),
 		ElapsedMs: float64(result.Elapsed) / float64(time.Millisecond),
 	}
 	for _, part := range result.Parts {
@@ -198,8 +202,10 @@
 	return reply
 }
 
-func toCoverage(coverage query.Coverage) Coverage {
+func toCoverage(answer query.Answer) Coverage {
+	coverage := answer.Coverage
 	out := Coverage{
+		BelowLeast: answer.BelowLeast, Incomplete: coverage.Incomplete,
 		Asked:    coverage.Asked,
 		Answered: coverage.Answered,
 		Share:    coverage.Share(),
--- a/internal/core/query/bench_test.go
+++ b/internal/core/query/bench_test.go
@@ -15,7 +15,8 @@
 	needs := make([]Need, shards)
 	for i := range shards {
 		name := fmt.Sprintf("plate-%03d", i)
-		services[i] = ServicePlan{Name: name, Shards: []int{i}}
+		services[i].Name = name
+		services[i].Shards = []int{i}
 		needs[i] = Need{Ref: core.ShardRef{Service: name}, Bundle: core.BundleID(i/bundle + 1), Service: i}
 		if i < shards-1 {
 			services[shards-1].DependsOn = append(services[shards-1].DependsOn, i)
--- a/internal/core/query/event.go
+++ b/internal/core/query/event.go
@@ -41,9 +41,10 @@
 
 // SendFailed says that a send ended without answering its remaining shards.
 type SendFailed struct {
-	Send    SendID
-	Outcome core.Outcome
-	Reason  core.Reason
+	Send       SendID
+	Outcome    core.Outcome
+	Reason     core.Reason
+	RetryAfter time.Duration
 }
 
 // Woken is the alarm that a WakeAt asked for.
--- a/internal/core/query/lifecycle.go
+++ b/internal/core/query/lifecycle.go
@@ -63,7 +63,7 @@
 	case PartFailed:
 		m.partFailed(e)
 	case SendFailed:
-		m.endSend(e.Send, e.Outcome, e.Reason)
+		m.endSend(e.Send, failedTry{e.Outcome, e.Reason, e.RetryAfter})
 	case Woken:
 		m.rang()
 	case Replanned:
--- a/internal/core/query/machine_test.go
+++ b/internal/core/query/machine_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 )
 
 func twoServicePlan() *Plan {
@@ -109,3 +110,174 @@
 	require.Equal(t, 3, answer.Coverage.Answered)
 	require.Equal(t, 1, answer.Dropped)
 }
+
+// lagPlan is one service of three shards, each in its own bundle.
+func lagPlan() *Plan {
+	service := ServicePlan{Name: "base", Shards: []int{0, 1, 2}}
+	var needs []Need
+	for i := range 3 {
+		needs = append(needs, Need{Ref: core.ShardRef{Service: "base", Shard: i}, Bundle: core.BundleID(i + 1)})
+	}
+	return NewPlan([]ServicePlan{service}, needs)
+}
+
+// A new index is out and one shard lags. The chef must not get a list without
+// that shard while version 7 would give a whole one: the question goes back to
+// it, and shards that answered at 8 are asked again at 7.
+func TestALaggingShardMovesTheQuestionToTheVersionOfAll(t *testing.T) {
+	options := testOptions()
+	options.Preferred = 8
+	w := newWorld(t, lagPlan(), options, 7, 8)
+	w.serves[core.ShardRef{Service: "base", Shard: 2}] = []core.Version{7}
+	w.step(Started{})
+	for len(w.pending) > 0 {
+		w.step(w.part(w.take(0), true))
+	}
+	require.NotNil(t, w.finished)
+	require.Equal(t, core.Version(7), w.finished.Version)
+	require.Equal(t, 3, w.finished.Coverage.Answered)
+	require.Equal(t, 1, w.finished.Switches)
+}
+
+// Versions come and go faster than shards answer: each reply names another one.
+// A question that followed each would never end; it must settle on what covers
+// most, before its deadline, and name the version as gone where it is.
+func TestVersionsInFluxEndTheQuestionInTime(t *testing.T) {
+	w := newWorld(t, lagPlan(), testOptions(), 7)
+	w.step(Started{})
+	version := core.Version(7)
+	for replies := 0; w.finished == nil && replies < 100; replies++ {
+		if len(w.pending) == 0 {
+			w.now = w.wake
+			w.step(Woken{})
+			continue
+		}
+		version++
+		a := w.take(0)
+		w.serves[a.plan.Needs[a.need].Ref] = []core.Version{version}
+		w.step(w.part(a, true))
+	}
+	require.NotNil(t, w.finished)
+	require.Less(t, w.now, w.options.Deadline)
+	require.LessOrEqual(t, w.finished.Switches, w.options.MaxSwitches)
+	require.Equal(t, 1, w.finished.Coverage.Answered)
+	for _, missing := range w.finished.Coverage.Missing {
+		require.Equal(t, core.ReasonVersionGone, missing.Reason)
+	}
+}
+
+// A chef asks for an early answer and one of twenty shards hangs. Its dependent
+// must be asked without it, the answer must name it, and its part, should it
+// come after all, must not stand beside a part computed without it.
+func TestAnEarlyAnswerLeavesOutTheStraggler(t *testing.T) {
+	options := testOptions()
+	options.Preference = PreferEarly
+	w := newWorld(t, leadPlan(21, 1), options, 7)
+	w.step(Started{})
+	for range 19 {
+		w.step(w.part(w.take(0), true))
+	}
+	require.Len(t, w.pending, 2, "the hanging shard and the lead")
+	w.step(w.part(w.take(0), true))
+	require.Equal(t, 1, w.m.dropped)
+	w.step(w.part(w.take(0), true))
+	require.Equal(t, 20, w.finished.Coverage.Answered)
+	require.Equal(t, core.ReasonStraggler, w.finished.Coverage.Missing[0].Reason)
+	require.Equal(t, 1, w.finished.Coverage.Incomplete, "the lead lacked a dependency")
+	require.False(t, w.finished.BelowLeast)
+}
+
+// A caller wants nine tenths and only two shards of three can be had. What is
+// there is worth more than nothing: it is returned, marked, without waiting.
+func TestAnAnswerBelowTheLeastCoverageIsMarked(t *testing.T) {
+	options := testOptions()
+	options.LeastCoverage = 0.9
+	options.MaxTries = 1
+	w := newWorld(t, lagPlan(), options, 7)
+	w.step(Started{})
+	w.step(w.part(w.take(0), true))
+	w.step(w.part(w.take(0), true))
+	a := w.take(0)
+	w.step(PartFailed{Send: a.send.ID, Need: a.need, Outcome: core.Unknown, Reason: core.ReasonUpstreamFailed, Last: true})
+	require.True(t, w.finished.BelowLeast)
+	require.Equal(t, 2, w.finished.Coverage.Answered)
+	require.Empty(t, w.finished.Reason)
+}
+
+// All that a service depends on is lost. It would compute from nothing, so it
+// is not asked, and the answer says that its dependency is missing.
+func TestAServiceWithoutAnyDependencyIsNotAsked(t *testing.T) {
+	options := testOptions()
+	options.MaxTries = 1
+	w := newWorld(t, twoServicePlan(), options, 7)
+	w.step(Started{})
+	w.step(SendFailed{Send: 1, Reason: core.ReasonPeerLost})
+	require.Equal(t, 1, w.finished.Sends)
+	require.Zero(t, w.finished.Version)
+	require.Equal(t, core.ReasonPeerLost, w.finished.Coverage.Missing[0].Reason)
+	require.Equal(t, core.ReasonDependency, w.finished.Coverage.Missing[2].Reason)
+}
+
+// The question moves from 7 to 8 and back to 7, where the dependent has already
+// answered without a shard that lacked 7 then. Should that shard now answer at
+// 7, the dependent's part would stand beside a part that it was not given.
+func TestAReturnToAVersionAddsNothingToAnsweredDependents(t *testing.T) {
+	options := testOptions()
+	options.MaxTries = 1
+	w := newWorld(t, twoServicePlan(), options, 7)
+	second := core.ShardRef{Service: "base", Shard: 1}
+	w.step(Started{})
+	w.step(w.part(w.take(0), false))
+	a := w.take(0)
+	w.step(PartFailed{Send: a.send.ID, Need: a.need, Outcome: core.Unknown, Reason: core.ReasonUpstreamFailed, Last: true})
+	w.serves[core.ShardRef{Service: "top"}] = []core.Version{8}
+	top := w.take(0)
+	w.m.needs[2].parts = append(w.m.needs[2].parts, versionPart{version: 7, payload: w.partAt(top, 7, false).(PartArrived).Payload})
+	w.m.better = 8
+	w.m.switchVersion()
+	w.m.better = 7
+	w.m.switchVersion()
+	w.step(Woken{})
+	require.NotNil(t, w.finished)
+	require.Equal(t, core.Version(7), w.finished.Version)
+	require.Equal(t, 2, w.finished.Coverage.Answered)
+	require.Equal(t, second, w.finished.Coverage.Missing[0].Ref)
+	require.Equal(t, core.ReasonUpstreamFailed, w.finished.Coverage.Missing[0].Reason)
+}
+
+// Shards fail and the fleet is sick. Once the budget of extra tries is spent,
+// what may have run is not sent again, while "not owner" still is.
+func TestASpentBudgetEndsRetriesOfWhatMayHaveRun(t *testing.T) {
+	options := testOptions()
+	options.MaxReroutes = 2
+	options.Budget = &countedBudget{bucket: spentBudget()}
+	w := newWorld(t, lagPlan(), options, 7)
+	w.step(Started{})
+	w.step(SendFailed{Send: 1, Outcome: core.Unknown, Reason: core.ReasonPeerLost})
+	w.step(SendFailed{Send: 2, Outcome: core.NotRun, Reason: core.ReasonOverloaded})
+	w.step(SendFailed{Send: 3, Outcome: core.NotRun, Reason: core.ReasonNotOwner})
+	w.now = w.wake
+	w.step(Woken{})
+	require.Equal(t, 4, w.sent)
+	require.Equal(t, 2, w.pending[len(w.pending)-1].need)
+}
+
+func spentBudget() *budget.Budget {
+	b := budget.New(budget.Config{Floor: 1, Ratio: 0.001})
+	b.TryExtra()
+	return b
+}
+
+func TestKnowledgeIsBoundedAndForgets(t *testing.T) {
+	k := NewKnowledge()
+	k.limit = 2
+	for i := range 5 {
+		k.Learn(core.ShardRef{Service: "base", Shard: i}, []core.Version{7, 8})
+	}
+	require.Equal(t, 2, k.Len())
+	require.Equal(t, core.Version(8), k.Preferred(lagPlan()))
+	k.Learn(core.ShardRef{Service: "base"}, []core.Version{7})
+	require.Equal(t, core.Version(7), k.Preferred(lagPlan()), "the newest that all serve")
+	k.Retain(func(ref core.ShardRef) bool { return ref.Shard == 1 })
+	require.Equal(t, 1, k.Len())
+}
--- a/internal/core/query/sends.go
+++ b/internal/core/query/sends.go
@@ -54,7 +54,7 @@
 func (m *Machine) partArrived(e PartArrived) {
 	m.merged(e)
 	if e.Last {
-		m.endSend(e.Send, core.Unknown, core.ReasonCutReply)
+		m.endSend(e.Send, failedTry{reason: core.ReasonCutReply})
 	}
 }
 
@@ -69,7 +69,7 @@
 	// it would mix snapshots.
 	if e.Version == 0 || send.version != 0 && send.version != e.Version {
 		m.dropped++
-		m.failed(e.Need, core.Unknown, core.ReasonCrossedReply, 0)
+		m.failed(e.Need, failedTry{reason: core.ReasonCrossedReply})
 		return
 	}
 	need := &m.needs[e.Need]
@@ -100,15 +100,15 @@
 		m.dropped++
 	} else {
 		m.learn(&m.needs[e.Need], e.Serves)
-		m.failed(e.Need, e.Outcome, e.Reason, e.RetryAfter)
+		m.failed(e.Need, failedTry{e.Outcome, e.Reason, e.RetryAfter})
 	}
 	if e.Last {
-		m.endSend(e.Send, core.Unknown, core.ReasonCutReply)
+		m.endSend(e.Send, failedTry{reason: core.ReasonCutReply})
 	}
 }
 
 // endSend fails the shards that a send leaves unanswered.
-func (m *Machine) endSend(id SendID, outcome core.Outcome, reason core.Reason) {
+func (m *Machine) endSend(id SendID, try failedTry) {
 	send := m.find(id)
 	if send == nil {
 		return
@@ -117,7 +117,7 @@
 	send.left = nil
 	for _, index := range left {
 		m.needs[index].open--
-		m.failed(index, outcome, reason, 0)
+		m.failed(index, try)
 	}
 }
 
@@ -134,18 +134,25 @@
 	m.actions = append(m.actions, CancelSend{ID: m.id(place)})
 }
 
+// failedTry says how a try of a shard ended without a part.
+type failedTry struct {
+	outcome    core.Outcome
+	reason     core.Reason
+	retryAfter time.Duration
+}
+
 // failed records a failed try and plans the next one, or settles the shard.
-func (m *Machine) failed(index int, outcome core.Outcome, reason core.Reason, retryAfter time.Duration) {
+func (m *Machine) failed(index int, try failedTry) {
 	need := &m.needs[index]
-	need.failure = failure{reason, m.target}
-	if reason == core.ReasonLayout || reason == core.ReasonNotOwner {
+	need.failure = failure{try.reason, m.target}
+	if try.reason == core.ReasonLayout || try.reason == core.ReasonNotOwner {
 		m.replan = m.replan || m.replans < m.options.MaxReplans
 	}
 	if need.open > 0 || need.settled || m.hasTarget(index) {
 		return
 	}
-	pause := max(retryAfter, m.options.RetryPause<<need.reroutes)
-	if m.now+pause >= m.options.Deadline || !m.mayRetry(index, outcome, reason) {
+	pause := max(try.retryAfter, m.options.RetryPause<<need.reroutes)
+	if m.now+pause >= m.options.Deadline || !m.mayRetry(index, try) {
 		need.settled = true
 		m.countSettled(index)
 		return
@@ -162,15 +169,16 @@
 // put no load on an upstream and is repeated freely, up to its bound. Anything
 // that may have run, and a refusal for load, is repeated only from the budget:
 // otherwise a sick fleet would be asked several times over.
-func (m *Machine) mayRetry(index int, outcome core.Outcome, reason core.Reason) bool {
+func (m *Machine) mayRetry(index int, try failedTry) bool {
 	need := &m.needs[index]
+	reason, notRun := try.reason, try.outcome == core.NotRun
 	switch {
 	case reason == core.ReasonDeadline:
 		return false
-	case reason == core.ReasonVersionGone && outcome == core.NotRun:
+	case reason == core.ReasonVersionGone && notRun:
 		need.gone++
 		return need.gone < maxGone
-	case outcome == core.NotRun && unrouted(reason):
+	case notRun && unrouted(reason):
 		need.reroutes++
 		need.rank = nextRank(need.rank, reason, need.reroutes)
 		return need.reroutes <= m.options.MaxReroutes
@@ -182,7 +190,7 @@
 	if need.failures >= m.options.MaxTries {
 		return false
 	}
-	return outcome == core.NotRun && reason != core.ReasonOverloaded || m.extra(index)
+	return notRun && reason != core.ReasonOverloaded || m.extra(index)
 }
 
 // unrouted reports whether the reason says that no owner took the request.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,12 +22,19 @@
 )
 
 const (
-	defaultLoops  = 4
-	ringDepth     = 8192
-	retryPause    = 10 * time.Millisecond
-	maxTries      = 3
-	maxSwitches   = 3
+	defaultLoops = 4
+	ringDepth    = 8192
+	retryPause   = 10 * time.Millisecond
+	maxTries     = 3
+	// maxReroutes lets a shard be asked again for about 0.3 s while views or
+	// texts of two nodes differ: 10 ms, doubled each time.
+	maxReroutes = 5
+	maxSwitches = 3
+	maxReplans  = 2
+	// fallbackShare and reserveShare are the parts of a question's time after
+	// which an owner counts as silent, and in which no version is changed.
 	fallbackShare = 4
+	reserveShare  = 8
 	decimal       = 10
 )
 
@@ -74,14 +81,15 @@
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 	limiter *limiter
+	metrics *meters
 }
 
 // New starts an entry; Close ends it.
 func New(options Options) *Entry {
 	ctx, stop := context.WithCancel(context.Background())
-	entry := &Entry{options: options, stop: stop, limiter: newLimiter()}
+	entry := &Entry{options: options, stop: stop, limiter: newLimiter(), metrics: newMeters(options.Metrics)}
 	for range defaultLoops {
-		l := newLoop(ctx, options)
+		l := newLoop(ctx, options, entry.metrics)
 		entry.loops = append(entry.loops, l)
 		entry.done.Add(1)
 		go func() {
@@ -134,86 +142,41 @@
 	if question.Timeout == 0 {
 		question.Timeout = service.Timeout
 	}
-	if !e.limiter.enter(customer.Name, customer.InFlight) {
-		return nil, overloaded(customer.InFlight)
+	if err := e.limiter.enter(customer); err != nil {
+		e.metrics.refused.Inc(1)
+		return nil, err
 	}
-	defer e.limiter.leave(customer.Name)
+	started := e.options.Now()
+	defer func() { e.limiter.leave(customer.Name, e.options.Now()-started) }()
+	e.metrics.questions.Inc(1)
 	return e.run(ctx, config, service.Index, question)
 }
 
-func overloaded(limit int) error {
-	return &fault.Error{
-		Code:       fault.CodeOverloaded,
-		Outcome:    core.NotRun,
-		Message:    "the customer has " + strconv.Itoa(limit) + " requests in flight here, its limit",
-		Fix:        "come back later or raise in_flight in the text",
-		RetryAfter: refusalPause,
-	}
-}
-
-const refusalPause = 100 * time.Millisecond
-
 func (e *Entry) run(ctx context.Context, config *belief.Config, index string, question Question) (*Result, error) {
 	id := e.next.Add(1)
 	if question.RequestID == "" {
 		question.RequestID = string(e.options.Self) + "-" + strconv.FormatUint(e.options.Incarnation, 36) + "-" + strconv.FormatUint(id, decimal)
 	}
 	started := e.options.Now()
-	answers := make(chan query.Answer, 1)
+	answers := make(chan answered, 1)
 	l := e.loops[id%uint64(len(e.loops))]
 	begun := begun{
 		id:       id,
 		question: question,
 		config:   config,
-		plan:     makePlan(config.Catalog, question.Service),
 		deadline: started + question.Timeout,
 		answers:  answers,
 	}
 	if !l.events.TryPut(begun) {
-		return nil, fault.NotRun(fault.CodeOverloaded, "the entry's ring is full", "ask another entry")
+		e.metrics.refused.Inc(1)
+		return nil, e.limiter.ringFull()
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.events.Put(l.ctx, stepped{id: id, event: query.Cancelled{}}) })
 	defer stop()
 	select {
 	case answer := <-answers:
-		return &Result{Answer: answer, RequestID: question.RequestID, Index: index, Revision: config.Revision, Elapsed: e.options.Now() - started}, nil
+		return &Result{Answer: answer.Answer, RequestID: question.RequestID, Index: index, Revision: answer.revision, Elapsed: e.options.Now() - started}, nil
 	case <-l.ctx.Done():
 		return nil, &fault.Error{Code: fault.CodeLost, Outcome: core.Unknown, Message: "the entry was stopped", Fix: "ask another entry"}
 	}
 }
-
-// limiter counts the questions in flight for each customer.
-type limiter struct {
-	mutex  sync.Mutex
-	counts map[core.Customer]int
-	sum    int
-}
-
-func newLimiter() *limiter { return &limiter{counts: map[core.Customer]int{}} }
-
-func (l *limiter) enter(customer core.Customer, limit int) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.counts[customer] >= limit {
-		return false
-	}
-	l.counts[customer]++
-	l.sum++
-	return true
-}
-
-func (l *limiter) leave(customer core.Customer) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.sum--
-	l.counts[customer]--
-	if l.counts[customer] == 0 {
-		delete(l.counts, customer)
-	}
-}
-
-func (l *limiter) total() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.sum
-}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/query"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+// config is a text of one service, prices, with the given number of shards in
+// bundles of two or more; customer chef may have one request in flight.
+func config(t *testing.T, revision uint64, shards int) *belief.Config {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("version: 1\nindexes: [i]\npolicy: {bundle_size: 4}\ncustomers: [{name: chef, in_flight: 1}]\n")
+	b.WriteString("services:\n  - name: prices\n    index: i\n    timeout: 5s\n    shards:\n")
+	for i := range shards {
+		fmt.Fprintf(&b, "      - replicas: [{address: \"127.0.0.1:%d\"}]\n", 9000+i)
+	}
+	text, err := catalog.Parse([]byte(b.String()))
+	require.NoError(t, err)
+	return &belief.Config{Revision: revision, Catalog: text}
+}
+
+// owners answers the entry's messages by a function.
+type owners func(request *peerpb.BundleRequest, sink peer.Sink)
+
+type noTicket struct{}
+
+func (noTicket) Cancel() {}
+
+// Ask implements peer.Asker.
+func (o owners) Ask(_ peer.Target, request *peerpb.Envelope, sink peer.Sink) peer.Ticket {
+	o(request.GetBundleRequest(), sink)
+	return noTicket{}
+}
+
+func part(ask *peerpb.ShardAsk, last bool) *peerpb.Envelope {
+	return &peerpb.Envelope{Last: last, Body: &peerpb.Envelope_Part{Part: &peerpb.Part{
+		Service: ask.GetService(), Shard: ask.GetShard(), Version: 7, Serves: []uint64{7}, Outcome: uint32(core.Done),
+	}}}
+}
+
+func refusal(ask *peerpb.ShardAsk, reason core.Reason, last bool) *peerpb.Envelope {
+	return &peerpb.Envelope{Last: last, Body: &peerpb.Envelope_Part{Part: &peerpb.Part{
+		Service: ask.GetService(), Shard: ask.GetShard(), Outcome: uint32(core.NotRun), Reason: string(reason),
+	}}}
+}
+
+// answerAll answers each shard but those that the function refuses.
+func answerAll(refuse func(*peerpb.ShardAsk) core.Reason) owners {
+	return func(request *peerpb.BundleRequest, sink peer.Sink) {
+		for i, ask := range request.GetAsks() {
+			last := i+1 == len(request.GetAsks())
+			if reason := refuse(ask); reason != core.ReasonNone {
+				sink(refusal(ask, reason, last), nil)
+				continue
+			}
+			sink(part(ask, last), nil)
+		}
+	}
+}
+
+type fixture struct {
+	*Entry
+	belief   *belief.Store
+	problems *observe.Problems
+	metrics  observe.Registry
+}
+
+func start(t *testing.T, first *belief.Config, peers peer.Asker) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	began := time.Now()
+	now := func() core.Time { return time.Since(began) }
+	f := &fixture{belief: belief.NewStore(), problems: observe.NewProblems(now), metrics: observe.NewRegistry()}
+	f.belief.SetConfig(first)
+	f.belief.SetView(route.NewView([]route.Node{{ID: "vm-1"}}))
+	f.Entry = New(Options{Self: "vm-1", Belief: f.belief, Peers: peers, Now: now, Log: log, Problems: f.problems, Metrics: f.metrics})
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fixture) count(name string) int64 { return observe.Counter(f.metrics, name).Count() }
+
+func (f *fixture) ask(t *testing.T) *Result {
+	t.Helper()
+	result, err := f.Ask(context.Background(), Question{Service: "prices", Customer: "chef"})
+	require.NoError(t, err)
+	return result
+}
+
+// A supervisor's list would miss half a catalogue and call itself whole: the
+// service is split from two shards into four while the question is planned by
+// the old text, and shard 0 of two is not shard 0 of four. The owner, which has
+// the new text, refuses; the entry must plan anew and ask all four.
+func TestAServiceRepartitionedMidQuestionIsAskedAnew(t *testing.T) {
+	var f *fixture
+	after := config(t, 2, 4)
+	f = start(t, config(t, 1, 2), answerAll(func(ask *peerpb.ShardAsk) core.Reason {
+		if ask.GetShards() == 4 {
+			return core.ReasonNone
+		}
+		f.belief.SetConfig(after)
+		return core.ReasonLayout
+	}))
+	result := f.ask(t)
+	require.Equal(t, 4, result.Coverage.Asked)
+	require.Equal(t, 4, result.Coverage.Answered)
+	require.EqualValues(t, 2, result.Revision)
+	require.Equal(t, 1, result.Replans)
+	require.EqualValues(t, 1, f.count("entry_replans_total"))
+}
+
+// The owner has a newer text that this node never gets in time. The answer is
+// thin and says why, long before the deadline.
+func TestARepartitionNotYetSeenHereEndsThin(t *testing.T) {
+	f := start(t, config(t, 1, 2), answerAll(func(*peerpb.ShardAsk) core.Reason { return core.ReasonLayout }))
+	result := f.ask(t)
+	require.Zero(t, result.Coverage.Answered)
+	require.Equal(t, core.ReasonLayout, result.Coverage.Missing[0].Reason)
+	require.Empty(t, result.Reason, "the deadline was not waited for")
+}
+
+// A thin list went unnoticed overnight. The problem must stand while answers
+// lack the service's shard, and go once one is whole.
+func TestAThinServiceIsReportedUntilWhole(t *testing.T) {
+	var broken atomic.Bool
+	f := start(t, config(t, 1, 3), answerAll(func(ask *peerpb.ShardAsk) core.Reason {
+		if broken.Load() && ask.GetShard() == 2 {
+			return core.ReasonNoReplica
+		}
+		return core.ReasonNone
+	}))
+	broken.Store(true)
+	for range 2 * defaultLoops {
+		require.Equal(t, 2, f.ask(t).Coverage.Answered)
+	}
+	require.Len(t, f.problems.List(), 1)
+	require.Equal(t, observe.KindThinService, f.problems.List()[0].Kind)
+	require.Equal(t, "prices", f.problems.List()[0].Subject)
+	require.EqualValues(t, 2*defaultLoops, f.count("entry_answers_thin_total"))
+	broken.Store(false)
+	for range 2 * defaultLoops {
+		f.ask(t)
+	}
+	require.Empty(t, f.problems.List())
+}
+
+// An owner ends its reply after the first of two shards. Without a guard the
+// other shard is waited for until the deadline although nothing can come.
+func TestACutReplyIsAskedAgainAtOnce(t *testing.T) {
+	var messages atomic.Int64
+	f := start(t, config(t, 1, 2), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		if messages.Add(1) == 1 {
+			sink(part(request.GetAsks()[0], true), nil)
+			return
+		}
+		answerAll(func(*peerpb.ShardAsk) core.Reason { return core.ReasonNone })(request, sink)
+	}))
+	result := f.ask(t)
+	require.Equal(t, 2, result.Coverage.Answered)
+	require.Equal(t, 1, result.Retries)
+	require.Less(t, result.Elapsed, 5*time.Second)
+}
+
+// A customer over its limit is told so at once, with when to come back.
+func TestOverTheLimitIsRefusedWithAWayBack(t *testing.T) {
+	release := make(chan peer.Sink, 1)
+	asks := make(chan *peerpb.BundleRequest, 1)
+	f := start(t, config(t, 1, 1), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		asks <- request
+		release <- sink
+	}))
+	done := make(chan query.Coverage, 1)
+	go func() {
+		result, _ := f.Ask(context.Background(), Question{Service: "prices", Customer: "chef"})
+		done <- result.Coverage
+	}()
+	request := <-asks
+	_, err := f.Ask(context.Background(), Question{Service: "prices", Customer: "chef"})
+	typed := fault.As(err)
+	require.Equal(t, fault.CodeOverloaded, typed.Code)
+	require.Equal(t, core.NotRun, typed.Outcome)
+	require.Positive(t, typed.RetryAfter)
+	require.EqualValues(t, 1, f.count("entry_refused_total"))
+	(<-release)(part(request.GetAsks()[0], true), nil)
+	require.Equal(t, 1, (<-done).Answered)
+	require.Zero(t, f.InFlight())
+}
--- /dev/null
+++ b/internal/entry/limiter.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+// limiter shares the entry's places between the callers' goroutines.
+type limiter struct {
+	mutex sync.Mutex
+	core  *entrylimit.Limiter
+}
+
+func newLimiter() *limiter { return &limiter{core: entrylimit.New(entrylimit.Config{})} }
+
+// enter takes a place, or says what to do instead. leave must follow a nil.
+func (l *limiter) enter(customer catalog.Customer) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch l.core.Enter(customer.Name, customer.InFlight) {
+	case entrylimit.CustomerLimit:
+		return l.overloaded("the customer has "+strconv.Itoa(customer.InFlight)+" requests in flight here, its limit", "come back later or raise in_flight in the text")
+	case entrylimit.UnfairShare:
+		return l.overloaded("the customer holds its share of this entry", "come back later or spread the requests over all entries")
+	case entrylimit.Full:
+		return l.overloaded("the entry has "+strconv.Itoa(l.core.Total())+" requests in flight, its limit", "ask another entry")
+	default:
+		return nil
+	}
+}
+
+func (l *limiter) leave(customer core.Customer, took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.core.Leave(customer, took)
+}
+
+func (l *limiter) ringFull() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.overloaded("the entry's ring is full", "ask another entry")
+}
+
+func (l *limiter) overloaded(message, fix string) error {
+	return &fault.Error{
+		Code:       fault.CodeOverloaded,
+		Outcome:    core.NotRun,
+		Message:    message,
+		Fix:        fix,
+		RetryAfter: l.core.RetryAfter(),
+	}
+}
+
+func (l *limiter) total() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.core.Total()
+}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -8,6 +8,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -23,9 +24,14 @@
 	id       uint64
 	question Question
 	config   *belief.Config
-	plan     *query.Plan
 	deadline core.Time
-	answers  chan<- query.Answer
+	answers  chan<- answered
+}
+
+// answered is a question's answer and the text that it was drawn by.
+type answered struct {
+	query.Answer
+	revision uint64
 }
 
 // stepped is an event for one question's machine.
@@ -45,6 +51,10 @@
 	alarms    *alarm.Alarms[uint64]
 	open      map[uint64]*open
 	knowledge *query.Knowledge
+	plans     plans
+	budgets   *budget.Group
+	metrics   *meters
+	thin      thinWatch
 }
 
 // open is one question being answered.
@@ -54,7 +64,7 @@
 	tickets map[query.SendID]peer.Ticket
 }
 
-func newLoop(ctx context.Context, options Options) *loop {
+func newLoop(ctx context.Context, options Options, metrics *meters) *loop {
 	return &loop{
 		options:   options,
 		ctx:       ctx,
@@ -62,6 +72,9 @@
 		alarms:    alarm.New[uint64](),
 		open:      map[uint64]*open{},
 		knowledge: query.NewKnowledge(),
+		budgets:   budget.NewGroup(budget.GroupConfig{}),
+		metrics:   metrics,
+		thin:      thinWatch{problems: options.Problems, reported: map[string]bool{}},
 	}
 }
 
@@ -95,29 +108,71 @@
 }
 
 func (l *loop) begin(e begun) {
+	plan := l.plan(e.config, e.question.Service)
 	l.open[e.id] = &open{
 		begun: e,
-		machine: query.New(e.plan, query.Options{
+		machine: query.New(plan, query.Options{
 			Deadline:      e.deadline,
 			LeastCoverage: e.question.LeastCoverage,
 			Preference:    e.question.Preference,
-			Preferred:     l.knowledge.Preferred(e.plan),
+			Preferred:     l.knowledge.Preferred(plan),
 			RetryPause:    retryPause,
 			MaxTries:      maxTries,
+			MaxReroutes:   maxReroutes,
 			MaxSwitches:   maxSwitches,
+			SwitchReserve: e.question.Timeout / reserveShare,
+			MaxReplans:    maxReplans,
 			FallbackAfter: e.question.Timeout / fallbackShare,
+			Budget:        customerBudget{group: l.budgets, customer: e.question.Customer},
 		}),
 		tickets: map[query.SendID]peer.Ticket{},
 	}
 	l.step(e.id, query.Started{})
 }
 
+// customerBudget is one customer's view of the loop's budgets.
+type customerBudget struct {
+	group    *budget.Group
+	customer core.Customer
+}
+
+// FirstTry implements query.Budget.
+func (b customerBudget) FirstTry(service string, n int) { b.group.FirstTry(service, b.customer, n) }
+
+// TryExtra implements query.Budget.
+func (b customerBudget) TryExtra(service string) bool { return b.group.TryExtra(service, b.customer) }
+
+// plan returns a service's plan. With a new text it forgets what the former
+// one alone listed.
+func (l *loop) plan(config *belief.Config, service string) *query.Plan {
+	if l.plans.config != config {
+		l.knowledge.Retain(func(ref core.ShardRef) bool { return config.Catalog.Shard(ref) != nil })
+		l.thin.retain(func(name string) bool { return config.Catalog.Services[name] != nil })
+	}
+	return l.plans.get(config, service)
+}
+
+// replan offers the question the text in force, when that is not its own.
+func (l *loop) replan(q *open) {
+	config := l.options.Belief.Config()
+	if config == q.config {
+		return
+	}
+	plan := l.plan(config, q.question.Service)
+	if plan == nil {
+		return
+	}
+	q.config = config
+	l.step(q.id, query.Replanned{Plan: plan})
+}
+
 func (l *loop) step(id uint64, e query.Event) {
 	q := l.open[id]
 	if q == nil {
 		return
 	}
 	l.learn(q, e)
+	replan := false
 	for _, action := range q.machine.Step(l.options.Now(), e) {
 		switch a := action.(type) {
 		case query.Send:
@@ -128,21 +183,41 @@
 			}
 		case query.WakeAt:
 			l.alarms.Set(id, a.At)
+		case query.Replan:
+			replan = true
 		case query.Finish:
-			l.alarms.Clear(id)
-			delete(l.open, id)
-			q.answers <- a.Answer
+			l.finish(q, a.Answer)
 		}
 	}
+	if replan && l.open[id] != nil {
+		l.replan(q)
+	}
+}
+
+func (l *loop) finish(q *open, answer query.Answer) {
+	l.alarms.Clear(q.id)
+	delete(l.open, q.id)
+	l.metrics.answered(&answer)
+	service := q.config.Catalog.Services[q.question.Service]
+	l.thin.answered(q.machine.Plan(), &answer, service == nil || q.question.Timeout < service.Timeout)
+	q.answers <- answered{Answer: answer, revision: q.config.Revision}
 }
 
 // learn keeps what shards say of their versions, also from failed parts.
 func (l *loop) learn(q *open, e query.Event) {
 	switch e := e.(type) {
 	case query.PartArrived:
-		l.knowledge.Learn(q.plan.Needs[e.Need].Ref, e.Serves)
+		l.learnShard(q, e.Need, e.Serves)
 	case query.PartFailed:
-		l.knowledge.Learn(q.plan.Needs[e.Need].Ref, e.Serves)
+		l.learnShard(q, e.Need, e.Serves)
+	}
+}
+
+// learnShard skips replies for shards that the plan does not have: unknown
+// ones, and those sent by a former plan.
+func (l *loop) learnShard(q *open, need int, serves []core.Version) {
+	if need >= 0 && need < len(q.machine.Plan().Needs) {
+		l.knowledge.Learn(q.machine.Plan().Needs[need].Ref, serves)
 	}
 }
 
@@ -178,13 +253,18 @@
 		return route.Node{ID: l.options.Self}, true
 	}
 	bundle := text.Bundles[a.Bundle]
+	if bundle == nil {
+		return route.Node{}, false
+	}
 	return l.options.Belief.View().Rank(a.Bundle, bundle.DataCentre, a.Rank)
 }
 
 func (l *loop) ask(q *open, need int, version core.Version) *peerpb.ShardAsk {
-	written := q.plan.Needs[need]
-	ask := &peerpb.ShardAsk{Service: written.Ref.Service, Shard: uint32(written.Ref.Shard)}
-	for _, dependency := range q.plan.Services[written.Service].DependsOn {
+	plan := q.machine.Plan()
+	written := plan.Needs[need]
+	service := &plan.Services[written.Service]
+	ask := &peerpb.ShardAsk{Service: written.Ref.Service, Shard: uint32(written.Ref.Shard), Shards: uint32(len(service.Shards))}
+	for _, dependency := range service.DependsOn {
 		for _, part := range q.machine.Parts(dependency, version) {
 			ask.Dependencies = append(ask.Dependencies, &peerpb.DependencyPart{
 				Service: part.Ref.Service,
@@ -196,23 +276,6 @@
 	return ask
 }
 
-// sink turns the replies to a send into events. It is called from the peer's
-// reading goroutine, which waits when the ring is full.
-func (l *loop) sink(q *open, a query.Send) peer.Sink {
-	id := q.id
-	plan := q.plan
-	return func(reply *peerpb.Envelope, failure *peer.LinkError) {
-		switch {
-		case failure != nil:
-			l.put(id, query.SendFailed{Send: a.ID, Outcome: failure.Outcome, Reason: linkReason(failure)})
-		case reply.GetPart() != nil:
-			l.put(id, partEvent(plan, a, reply.GetPart()))
-		case reply.GetRefusal() != nil:
-			l.put(id, query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.Reason(reply.GetRefusal().GetReason())})
-		}
-	}
-}
-
 // put queues an event. The loop's own goroutine uses it too, and must not wait
 // for itself: a full ring is then emptied by another goroutine's wait.
 func (l *loop) put(id uint64, e query.Event) {
@@ -221,39 +284,3 @@
 	}
 	go func() { _ = l.events.Put(l.ctx, stepped{id: id, event: e}) }()
 }
-
-func linkReason(failure *peer.LinkError) core.Reason {
-	if failure.Outcome == core.NotRun {
-		return core.ReasonPeerUnreached
-	}
-	return core.ReasonPeerLost
-}
-
-// partEvent finds the shard that a part is for. A part that names none of the
-// send's shards becomes an event for no shard, which the machine counts.
-func partEvent(plan *query.Plan, a query.Send, part *peerpb.Part) query.Event {
-	index := -1
-	ref := core.ShardRef{Service: part.GetService(), Shard: int(part.GetShard())}
-	for _, need := range a.Needs {
-		if plan.Needs[need].Ref == ref {
-			index = need
-		}
-	}
-	var serves []core.Version
-	for _, version := range part.GetServes() {
-		serves = append(serves, core.Version(version))
-	}
-	if index < 0 {
-		return query.SendFailed{Send: a.ID, Outcome: core.Unknown, Reason: core.ReasonCrossedReply}
-	}
-	if core.Outcome(part.GetOutcome()) != core.Done {
-		return query.PartFailed{
-			Send: a.ID, Need: index,
-			Outcome:    core.Outcome(part.GetOutcome()),
-			Reason:     core.Reason(part.GetReason()),
-			Serves:     serves,
-			RetryAfter: time.Duration(part.GetRetryAfterMs()) * time.Millisecond,
-		}
-	}
-	return query.PartArrived{Send: a.ID, Need: index, Version: core.Version(part.GetVersion()), Serves: serves, Payload: part.GetPayload()}
-}
--- /dev/null
+++ b/internal/entry/reply.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/query"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+// noShard stands for a shard that the send did not ask for.
+const noShard = -1
+
+// sink turns the replies to a send into events. It is called from the peer's
+// reading goroutine, which waits when the ring is full.
+func (l *loop) sink(q *open, a query.Send) peer.Sink {
+	id := q.id
+	plan := q.machine.Plan()
+	return func(reply *peerpb.Envelope, failure *peer.LinkError) {
+		switch {
+		case failure != nil:
+			l.put(id, query.SendFailed{Send: a.ID, Outcome: failure.Outcome, Reason: linkReason(failure)})
+		case reply.GetPart() != nil:
+			l.put(id, partEvent(plan, a, reply.GetPart(), reply.GetLast()))
+		case reply.GetRefusal() != nil:
+			l.put(id, refusedEvent(a, reply.GetRefusal()))
+		}
+	}
+}
+
+func refusedEvent(a query.Send, refusal *peerpb.Refusal) query.Event {
+	return query.SendFailed{
+		Send:       a.ID,
+		Outcome:    core.NotRun,
+		Reason:     core.Reason(refusal.GetReason()),
+		RetryAfter: milliseconds(refusal.GetRetryAfterMs()),
+	}
+}
+
+func milliseconds(count uint64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func linkReason(failure *peer.LinkError) core.Reason {
+	if failure.Outcome == core.NotRun {
+		return core.ReasonPeerUnreached
+	}
+	return core.ReasonPeerLost
+}
+
+// partEvent makes the event of a part. One that names none of the send's shards
+// becomes an event for no shard, which the machine drops and counts.
+func partEvent(plan *query.Plan, a query.Send, part *peerpb.Part, last bool) query.Event {
+	need := findNeed(plan, a, part)
+	var serves []core.Version
+	for _, version := range part.GetServes() {
+		serves = append(serves, core.Version(version))
+	}
+	if core.Outcome(part.GetOutcome()) != core.Done {
+		return query.PartFailed{
+			Send: a.ID, Need: need,
+			Outcome:    core.Outcome(part.GetOutcome()),
+			Reason:     core.Reason(part.GetReason()),
+			Serves:     serves,
+			RetryAfter: milliseconds(part.GetRetryAfterMs()),
+			Last:       last,
+		}
+	}
+	return query.PartArrived{
+		Send: a.ID, Need: need,
+		Version: core.Version(part.GetVersion()),
+		Serves:  serves,
+		Payload: part.GetPayload(),
+		Last:    last,
+	}
+}
+
+func findNeed(plan *query.Plan, a query.Send, part *peerpb.Part) int {
+	ref := core.ShardRef{Service: part.GetService(), Shard: int(part.GetShard())}
+	for _, need := range a.Needs {
+		if plan.Needs[need].Ref == ref {
+			return need
+		}
+	}
+	return noShard
+}
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/query"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+// meters are the entry's counters.
+type meters struct {
+	questions, refused               metrics.Counter
+	thin, belowLeast                 metrics.Counter
+	sends, retries, fallbacks        metrics.Counter
+	dropped, switches, replans, lost metrics.Counter
+}
+
+func newMeters(registry observe.Registry) *meters {
+	counter := func(name string) metrics.Counter { return observe.Counter(registry, "entry_"+name+"_total") }
+	return &meters{
+		questions:  counter("questions"),
+		refused:    counter("refused"),
+		thin:       counter("answers_thin"),
+		belowLeast: counter("answers_below_least"),
+		sends:      counter("sends"),
+		retries:    counter("retries"),
+		fallbacks:  counter("fallbacks"),
+		dropped:    counter("dropped_replies"),
+		switches:   counter("version_switches"),
+		replans:    counter("replans"),
+		lost:       counter("questions_cancelled"),
+	}
+}
+
+func (m *meters) answered(answer *query.Answer) {
+	m.sends.Inc(int64(answer.Sends))
+	m.retries.Inc(int64(answer.Retries))
+	m.fallbacks.Inc(int64(answer.Fallbacks))
+	m.dropped.Inc(int64(answer.Dropped))
+	m.switches.Inc(int64(answer.Switches))
+	m.replans.Inc(int64(answer.Replans))
+	if answer.Reason == core.ReasonCancelled {
+		m.lost.Inc(1)
+		return
+	}
+	if answer.Coverage.Answered < answer.Coverage.Asked {
+		m.thin.Inc(1)
+	}
+	if answer.BelowLeast {
+		m.belowLeast.Inc(1)
+	}
+}
+
+// thinWatch reports services whose shards are missing from answers, and clears
+// the report once an answer has them all again.
+type thinWatch struct {
+	problems *observe.Problems
+	reported map[string]bool
+}
+
+// answered takes in one answer to a question by the plan. hasty says that the
+// caller gave less time than the service is written to take.
+func (w *thinWatch) answered(plan *query.Plan, answer *query.Answer, hasty bool) {
+	if answer.Reason == core.ReasonCancelled {
+		return
+	}
+	if len(answer.Coverage.Missing) == 0 && len(w.reported) == 0 {
+		return
+	}
+	missing := map[string]query.Missing{}
+	for _, one := range answer.Coverage.Missing {
+		missing[one.Ref.Service] = one
+	}
+	for i := range plan.Services {
+		w.service(plan.Services[i].Name, missing, hasty)
+	}
+}
+
+func (w *thinWatch) service(name string, missing map[string]query.Missing, hasty bool) {
+	one, thin := missing[name]
+	switch {
+	case !thin && w.reported[name]:
+		delete(w.reported, name)
+		w.problems.Clear(observe.KindThinService, name)
+	case thin && !chosen(one.Reason, hasty):
+		w.reported[name] = true
+		w.problems.Report(observe.KindThinService, name, fmt.Sprintf("shard %d is missing from answers: %s", one.Ref.Shard, one.Reason))
+	}
+}
+
+// chosen reports whether the caller's own choice left the shard out: no fault
+// of the service, and nothing that an operator should be woken for.
+func chosen(reason core.Reason, hasty bool) bool {
+	switch reason {
+	case core.ReasonStraggler, core.ReasonNotAsked:
+		return true
+	case core.ReasonDeadline, core.ReasonDependency:
+		return hasty
+	default:
+		return false
+	}
+}
+
+// retain clears the reports on services that the text no longer lists.
+func (w *thinWatch) retain(listed func(string) bool) {
+	for name := range w.reported {
+		if !listed(name) {
+			delete(w.reported, name)
+			w.problems.Clear(observe.KindThinService, name)
+		}
+	}
+}
--- a/internal/owner/bundle.go
+++ b/internal/owner/bundle.go
@@ -35,6 +35,10 @@
 	}
 	for _, ask := range message.GetAsks() {
 		w := &bundleWork{reply: reply, ask: ask}
+		if reason := refusedByText(text, core.BundleID(message.GetBundle()), ask); reason != core.ReasonNone {
+			w.refuse(reason, 0)
+			continue
+		}
 		s := l.shard(text, core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())})
 		if s == nil {
 			w.refuse(core.ReasonNotOwner, 0)
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/alarm"
+	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
@@ -56,6 +57,8 @@
 	changed chan struct{}
 	alarms  *alarm.Alarms[core.ShardRef]
 	shards  map[core.ShardRef]*shard
+	// applied is the text that the shards' machines follow.
+	applied *belief.Config
 	next    admit.RequestID
 }
 
@@ -78,6 +81,8 @@
 type request struct {
 	inbound *peer.Inbound
 	work    work
+	// sent is set once a try of it went upstream.
+	sent bool
 }
 
 type running struct {
@@ -133,6 +138,10 @@
 
 func (l *loop) arrived(e arrived) {
 	config := l.options.Belief.Config()
+	// An ask by the text in force must not meet machines of a former one.
+	if config != l.applied {
+		l.reload()
+	}
 	if e.submit != nil {
 		l.submitArrived(config.Catalog, e)
 		return
@@ -232,6 +241,10 @@
 	if config == nil {
 		return
 	}
+	if config != l.applied {
+		l.refuseRepartitioned(config.Catalog)
+		l.applied = config
+	}
 	for ref, s := range l.shards {
 		if config.Catalog.Shard(ref) == nil {
 			l.step(s, admit.Reconfigured{})
@@ -261,6 +274,7 @@
 func (l *loop) dispatch(s *shard, a admit.Dispatch) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	s.tries[a.Try] = &running{cancel: cancel}
+	s.requests[a.Request].sent = true
 	w := s.requests[a.Request].work
 	call := w.call()
 	call.Address = a.Address
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,8 +116,15 @@
 	if text.Policy.Routing == catalog.RoutingDirect {
 		return true
 	}
-	node, ok := o.options.Belief.View().Rank(bundle.ID, bundle.DataCentre, rank)
-	return ok && node.ID == o.options.Self
+	// An asker that still sees a lost node as the owner asks the next one by
+	// the rank it has there; here that node may already have moved up.
+	for place := 0; place <= rank; place++ {
+		node, ok := o.options.Belief.View().Rank(bundle.ID, bundle.DataCentre, place)
+		if ok && node.ID == o.options.Self {
+			return true
+		}
+	}
+	return false
 }
 
 func refuse(inbound *peer.Inbound, reason core.Reason, view uint64) {
