A fleet test of a service repartitioned under queries

Cause: the layout check was tested on fakes only. Change: three real nodes, two layouts on different replicas, four changes while questions run; no answer may hold parts of both.

--- /dev/null
+++ b/internal/fleet/repartition_test.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+)
+
+// layoutText writes one service with one shard for each upstream.
+func layoutText(upstreams []*standin.Upstream) string {
+	var b strings.Builder
+	b.WriteString("version: 1\nindexes: [i]\nservices:\n  - name: prices\n    index: i\n    timeout: 5s\n    shards:\n")
+	for _, u := range upstreams {
+		fmt.Fprintf(&b, "      - replicas: [{address: %q, data_centre: dc1}]\n", u.Address())
+	}
+	return b.String()
+}
+
+// Supervisors search while the catalogue is split from two shards into three on
+// other replicas, and merged back. A list drawn from replicas of both layouts
+// would show some tracks twice and lack others, and call itself whole.
+func TestNoAnswerMixesTwoLayouts(t *testing.T) {
+	upstreams := startUpstreams(t, 5)
+	layouts := [][]*standin.Upstream{upstreams[:2], upstreams[2:]}
+	layoutOf := map[string]int{}
+	for i, layout := range layouts {
+		for _, u := range layout {
+			layoutOf[u.Address()] = i
+		}
+	}
+	f := startFleet(t, 3, layoutText(layouts[0]))
+	caller := client.New()
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	for round := 1; round <= 4; round++ {
+		revision := f.Platform.Publish(layoutText(layouts[round%2]))
+		for question := 0; !f.ready(revision) || question < 20; question++ {
+			require.NoError(t, ctx.Err(), "the text did not come into force in time")
+			entry := f.Members()[question%len(f.Members())].Addresses.Caller
+			reply, err := caller.Query(ctx, entry, "prices", api.QueryRequest{Customer: "supervisor"})
+			require.NoError(t, err)
+			requireOneLayout(t, reply, layoutOf, layouts)
+		}
+	}
+}
+
+func requireOneLayout(t *testing.T, reply api.QueryReply, layoutOf map[string]int, layouts [][]*standin.Upstream) {
+	t.Helper()
+	seen := map[int]bool{}
+	for _, part := range reply.Parts {
+		var made struct {
+			Replica string `json:"replica"`
+		}
+		require.NoError(t, json.Unmarshal(part.Data, &made))
+		seen[layoutOf[made.Replica]] = true
+		require.Len(t, layouts[layoutOf[made.Replica]], reply.Coverage.Asked, "a replica of a layout that was not asked")
+	}
+	require.LessOrEqual(t, len(seen), 1, "parts of two layouts in one answer")
+	require.Equal(t, reply.Coverage.Asked, reply.Coverage.Answered+len(reply.Coverage.Missing))
+}
