Query machine: tests of the bounds that fault trials passed by

Change: the tests now check the alarm for silent owners, the switch bounds, a tie between versions, the reason of the last try, a retry past the deadline and that an early answer waits for the service asked.

--- a/internal/core/query/machine_test.go
+++ b/internal/core/query/machine_test.go
@@ -187,6 +187,73 @@
 	require.False(t, w.finished.BelowLeast)
 }
 
+// Least coverage is reached before the service that was asked has its turn. An
+// early answer without the very part that the chef asked for would be useless.
+func TestAnEarlyAnswerWaitsForTheServiceAsked(t *testing.T) {
+	services := []ServicePlan{
+		{Name: "base", Shards: []int{0, 1, 2, 3}},
+		{Name: "mid", DependsOn: []int{0}, Shards: []int{4}},
+		{Name: "top", DependsOn: []int{1}, Shards: []int{5}},
+	}
+	var needs []Need
+	for i, service := range []int{0, 0, 0, 0, 1, 2} {
+		needs = append(needs, Need{Ref: core.ShardRef{Service: services[service].Name, Shard: i}, Bundle: core.BundleID(i), Service: service})
+	}
+	options := testOptions()
+	options.Preference = PreferEarly
+	options.LeastCoverage = 0.5
+	w := newWorld(t, NewPlan(services, needs), options, 7)
+	w.step(Started{})
+	w.step(w.part(w.take(0), true))
+	w.step(w.part(w.take(0), true))
+	w.step(w.part(w.take(2), true))
+	require.Nil(t, w.finished, "half is there, the service asked is not")
+	w.step(w.part(w.take(2), true))
+	require.Equal(t, 4, w.finished.Coverage.Answered)
+	require.Equal(t, 2, w.finished.Coverage.Incomplete)
+}
+
+// As many shards have lost 7 as never got 8. To move would ask all again and
+// cover no more; the question stays.
+func TestAnEqualVersionIsNoReasonToSwitch(t *testing.T) {
+	options := testOptions()
+	options.Preferred = 7
+	w := newWorld(t, lagPlan(), options, 7)
+	w.serves[core.ShardRef{Service: "base"}] = []core.Version{8}
+	w.step(Started{})
+	w.step(w.part(w.take(1), true))
+	w.step(w.part(w.take(0), true))
+	require.Zero(t, w.m.switches)
+	require.Equal(t, core.Version(7), w.m.target)
+}
+
+// A shard's first try fails and its second one hangs. What keeps the part out
+// is the deadline, and an operator must not be sent after the first failure.
+func TestTheReasonIsThatOfTheLastTry(t *testing.T) {
+	w := newWorld(t, lagPlan(), testOptions(), 7)
+	w.step(Started{})
+	w.step(SendFailed{Send: 1, Reason: core.ReasonPeerLost})
+	w.now = w.wake
+	w.step(Woken{})
+	require.Equal(t, 4, w.sent)
+	w.now = w.options.Deadline
+	w.step(Woken{})
+	require.Equal(t, core.ReasonDeadline, w.finished.Coverage.Missing[0].Reason)
+}
+
+// An owner says to come back after the caller's deadline. Nothing more can
+// come, so the answer is given at once rather than at the deadline.
+func TestARetryPastTheDeadlineIsNotWaitedFor(t *testing.T) {
+	w := newWorld(t, lagPlan(), testOptions(), 7)
+	w.step(Started{})
+	for range 2 {
+		w.step(w.part(w.take(0), true))
+	}
+	w.step(SendFailed{Send: 3, Outcome: core.NotRun, Reason: core.ReasonOverloaded, RetryAfter: 2 * time.Second})
+	require.Equal(t, 2, w.finished.Coverage.Answered)
+	require.Equal(t, core.ReasonOverloaded, w.finished.Coverage.Missing[0].Reason)
+}
+
 // A caller wants nine tenths and only two shards of three can be had. What is
 // there is worth more than nothing: it is returned, marked, without waiting.
 func TestAnAnswerBelowTheLeastCoverageIsMarked(t *testing.T) {
--- a/internal/core/query/property_test.go
+++ b/internal/core/query/property_test.go
@@ -67,7 +67,7 @@
 		MaxTries:      rapid.IntRange(1, 3).Draw(t, "tries"),
 		MaxReroutes:   2,
 		MaxSwitches:   rapid.IntRange(0, 3).Draw(t, "switches"),
-		SwitchReserve: 10 * time.Millisecond,
+		SwitchReserve: rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 97 * time.Millisecond}).Draw(t, "reserve"),
 		MaxReplans:    rapid.IntRange(0, 2).Draw(t, "replans"),
 		FallbackAfter: rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond}).Draw(t, "fallback"),
 		Budget:        b,
--- a/internal/core/query/world_test.go
+++ b/internal/core/query/world_test.go
@@ -82,7 +82,12 @@
 	case SendFailed:
 		w.ended[e.Send] = true
 	}
+	switches := w.m.switches
 	actions := w.m.Step(w.now, event)
+	if w.m.switches > switches {
+		require.LessOrEqual(w.t, w.m.switches, w.options.MaxSwitches, "too many switches")
+		require.Greater(w.t, w.options.Deadline-w.now, w.options.SwitchReserve, "a switch in the reserve")
+	}
 	if over {
 		require.Empty(w.t, actions, "nothing follows the Finish")
 		return
@@ -191,6 +196,7 @@
 		}
 	}
 	for _, send := range w.m.sends {
+		require.True(w.t, !send.open() || send.silentAt == 0 || w.wake <= send.silentAt, "no alarm for a silent owner")
 		require.True(w.t, !send.open() || send.version == 0 || send.version == w.m.target, "a send of a former version is open")
 	}
 	for index := range w.m.needs {
