--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -8,7 +8,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"sync"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -41,7 +40,6 @@
 	options Options
 	issuer  *once.Issuer
 	loop    *loop
-	next    atomic.Uint64
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 }
