--- a/internal/core/query/machine_test.go
+++ b/internal/core/query/machine_test.go
@@ -329,6 +329,36 @@
 	require.Equal(t, 2, w.pending[len(w.pending)-1].need)
 }
 
+// Every shard fails every time. Retried freely, the sick fleet gets three times
+// its load and does not recover; by the budget it gets a tenth more.
+func TestASickFleetIsNotAskedThreeTimes(t *testing.T) {
+	const questions, shards = 200, 20
+	load := func(b Budget) float64 {
+		asked := 0
+		for range questions {
+			options := testOptions()
+			options.Budget = b
+			w := newWorld(t, leadPlan(shards+1, 1), options, 7)
+			w.step(Started{})
+			for w.finished == nil {
+				for len(w.pending) > 0 {
+					asked++
+					w.step(SendFailed{Send: w.take(0).send.ID, Reason: core.ReasonUpstreamFailed})
+				}
+				if w.finished == nil {
+					w.now = w.wake
+					w.step(Woken{})
+				}
+			}
+		}
+		return float64(asked) / (questions * shards)
+	}
+	free, bounded := load(nil), load(&countedBudget{bucket: budget.New(budget.Config{})})
+	t.Logf("load over first tries: %.3f without a budget, %.3f with one", free, bounded)
+	require.Equal(t, 3.0, free)
+	require.LessOrEqual(t, bounded, 1+budget.DefaultRatio+budget.DefaultFloor/float64(questions*shards))
+}
+
 func spentBudget() *budget.Budget {
 	b := budget.New(budget.Config{Floor: 1, Ratio: 0.001})
 	b.TryExtra()
