--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,9 +38,17 @@
 	return &belief.Config{Revision: revision, Catalog: text}
 }
 
-// owners answers the entry's messages by a function.
+// owners answers the entry's messages by a function, whichever node is asked.
 type owners func(request *peerpb.BundleRequest, sink peer.Sink)
 
+// nodes answers by the node that is asked.
+type nodes map[core.NodeID]owners
+
+// Ask implements peer.Asker.
+func (n nodes) Ask(target peer.Target, request *peerpb.Envelope, sink peer.Sink) peer.Ticket {
+	return n[target.Node].Ask(target, request, sink)
+}
+
 type noTicket struct{}
 
 func (noTicket) Cancel() {}
@@ -205,3 +213,22 @@
 	require.Equal(t, 1, (<-done).Answered)
 	require.Zero(t, f.InFlight())
 }
+
+// The owner of a shard has just handed it over. The question must follow to the
+// new owner by the view in force now, not by the one it was planned with.
+func TestNotOwnerIsAskedAgainByTheNewestView(t *testing.T) {
+	var f *fixture
+	whole := answerAll(func(*peerpb.ShardAsk) core.Reason { return core.ReasonNone })
+	f = start(t, config(t, 1, 2), nodes{
+		"vm-1": func(_ *peerpb.BundleRequest, sink peer.Sink) {
+			f.belief.SetView(route.NewView([]route.Node{{ID: "vm-2"}}))
+			refused := peer.Refused(core.ReasonNotOwner)
+			refused.Last = true
+			sink(refused, nil)
+		},
+		"vm-2": whole,
+	})
+	result := f.ask(t)
+	require.Equal(t, 2, result.Coverage.Answered)
+	require.Equal(t, 2, result.Sends)
+}
