--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -125,16 +126,13 @@
 	if config == nil {
 		return nil, fault.NotRun(fault.CodeNotReady, "no configuration is in force yet", "ask another entry")
 	}
-	service := config.Catalog.Services[question.Service]
-	if service == nil {
-		return nil, fault.NotRun(fault.CodeUnknownService, "service "+strconv.Quote(question.Service)+" is not in the text", "see pistachiopier check --explain")
-	}
-	if !service.Idempotent {
-		return nil, fault.NotRun(fault.CodeWrongMethod, "service "+question.Service+" must not be repeated", "use /v1/submit/"+question.Service)
+	service, err := resolveService(config.Catalog, question)
+	if err != nil {
+		return nil, err
 	}
-	customer, known := config.Catalog.Customer(question.Customer)
-	if !known {
-		return nil, fault.NotRun(fault.CodeUnknownCustomer, "customer "+strconv.Quote(string(question.Customer))+" is not in the text", "add the customer to the text")
+	customer, err := resolveCustomer(config.Catalog, question)
+	if err != nil {
+		return nil, err
 	}
 	if question.Timeout < 0 {
 		return nil, fault.NotRun(fault.CodePastDeadline, "the deadline has passed", "give more time")
@@ -152,6 +150,27 @@
 	return e.run(ctx, config, service.Index, question)
 }
 
+// resolveService finds the service asked; only one that may be repeated can be
+// queried, as a query is retried.
+func resolveService(text *catalog.Catalog, question Question) (*catalog.Service, error) {
+	service := text.Services[question.Service]
+	if service == nil {
+		return nil, fault.NotRun(fault.CodeUnknownService, "service "+strconv.Quote(question.Service)+" is not in the text", "see pistachiopier check --explain")
+	}
+	if !service.Idempotent {
+		return nil, fault.NotRun(fault.CodeWrongMethod, "service "+question.Service+" must not be repeated", "use /v1/submit/"+question.Service)
+	}
+	return service, nil
+}
+
+func resolveCustomer(text *catalog.Catalog, question Question) (catalog.Customer, error) {
+	customer, known := text.Customer(question.Customer)
+	if !known {
+		return customer, fault.NotRun(fault.CodeUnknownCustomer, "customer "+strconv.Quote(string(question.Customer))+" is not in the text", "add the customer to the text")
+	}
+	return customer, nil
+}
+
 func (e *Entry) run(ctx context.Context, config *belief.Config, index string, question Question) (*Result, error) {
 	id := e.next.Add(1)
 	if question.RequestID == "" {
