Entry: versions are learnt only from replies to the present plan

Cause: a late reply to a former plan's send counted its shards by that plan and could be learnt as another shard's word. It was only a hint, but a wrong one. Change: events carry the plan that they count by.

--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -38,6 +38,8 @@
 type stepped struct {
 	id    uint64
 	event query.Event
+	// plan is the one that the event's shards are counted by; nil is none.
+	plan *query.Plan
 }
 
 func (begun) isEvent()   {}
@@ -103,6 +105,7 @@
 	case begun:
 		l.begin(e)
 	case stepped:
+		l.learn(e)
 		l.step(e.id, e.event)
 	}
 }
@@ -171,7 +174,6 @@
 	if q == nil {
 		return
 	}
-	l.learn(q, e)
 	replan := false
 	for _, action := range q.machine.Step(l.options.Now(), e) {
 		switch a := action.(type) {
@@ -203,28 +205,31 @@
 	q.answers <- answered{Answer: answer, revision: q.config.Revision}
 }
 
-// learn keeps what shards say of their versions, also from failed parts.
-func (l *loop) learn(q *open, e query.Event) {
-	switch e := e.(type) {
+// learn keeps what shards say of their versions, also from failed parts. A
+// reply to a former plan's send counts its shards in another order.
+func (l *loop) learn(e stepped) {
+	q := l.open[e.id]
+	if q == nil || q.machine.Plan() != e.plan {
+		return
+	}
+	switch event := e.event.(type) {
 	case query.PartArrived:
-		l.learnShard(q, e.Need, e.Serves)
+		l.learnShard(e.plan, event.Need, event.Serves)
 	case query.PartFailed:
-		l.learnShard(q, e.Need, e.Serves)
+		l.learnShard(e.plan, event.Need, event.Serves)
 	}
 }
 
-// learnShard skips replies for shards that the plan does not have: unknown
-// ones, and those sent by a former plan.
-func (l *loop) learnShard(q *open, need int, serves []core.Version) {
-	if need >= 0 && need < len(q.machine.Plan().Needs) {
-		l.knowledge.Learn(q.machine.Plan().Needs[need].Ref, serves)
+func (l *loop) learnShard(plan *query.Plan, need int, serves []core.Version) {
+	if need != noShard {
+		l.knowledge.Learn(plan.Needs[need].Ref, serves)
 	}
 }
 
 func (l *loop) send(q *open, a query.Send) {
 	node, ok := l.node(q.config.Catalog, a)
 	if !ok {
-		l.put(q.id, query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached})
+		l.put(stepped{id: q.id, event: query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached}})
 		return
 	}
 	message := &peerpb.BundleRequest{
@@ -278,9 +283,9 @@
 
 // put queues an event. The loop's own goroutine uses it too, and must not wait
 // for itself: a full ring is then emptied by another goroutine's wait.
-func (l *loop) put(id uint64, e query.Event) {
-	if l.events.TryPut(stepped{id: id, event: e}) {
+func (l *loop) put(e stepped) {
+	if l.events.TryPut(e) {
 		return
 	}
-	go func() { _ = l.events.Put(l.ctx, stepped{id: id, event: e}) }()
+	go func() { _ = l.events.Put(l.ctx, e) }()
 }
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -15,20 +15,29 @@
 // sink turns the replies to a send into events. It is called from the peer's
 // reading goroutine, which waits when the ring is full.
 func (l *loop) sink(q *open, a query.Send) peer.Sink {
-	id := q.id
-	plan := q.machine.Plan()
+	id, plan := q.id, q.machine.Plan()
 	return func(reply *peerpb.Envelope, failure *peer.LinkError) {
-		switch {
-		case failure != nil:
-			l.put(id, query.SendFailed{Send: a.ID, Outcome: failure.Outcome, Reason: linkReason(failure)})
-		case reply.GetPart() != nil:
-			l.put(id, partEvent(plan, a, reply.GetPart(), reply.GetLast()))
-		case reply.GetRefusal() != nil:
-			l.put(id, refusedEvent(a, reply.GetRefusal()))
+		if event := replyEvent(plan, a, reply, failure); event != nil {
+			l.put(stepped{id: id, event: event, plan: plan})
 		}
 	}
 }
 
+// replyEvent makes the event of a reply or of a link's end; nil for a body that
+// a newer peer may send.
+func replyEvent(plan *query.Plan, a query.Send, reply *peerpb.Envelope, failure *peer.LinkError) query.Event {
+	switch {
+	case failure != nil:
+		return query.SendFailed{Send: a.ID, Outcome: failure.Outcome, Reason: linkReason(failure)}
+	case reply.GetPart() != nil:
+		return partEvent(plan, a, reply.GetPart(), reply.GetLast())
+	case reply.GetRefusal() != nil:
+		return refusedEvent(a, reply.GetRefusal())
+	default:
+		return nil
+	}
+}
+
 func refusedEvent(a query.Send, refusal *peerpb.Refusal) query.Event {
 	return query.SendFailed{
 		Send:       a.ID,
