--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -66,6 +66,7 @@
 	return []*command{
 		serveCommand(),
 		checkCommand(),
+		diffCommand(),
 		queryCommand(),
 		submitCommand(),
 		statusCommand(),
--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -41,9 +41,11 @@
 	reads   int
 	down    bool
 	// cut reports whether a node cannot reach another; "" is the service.
-	cut   func(from, to core.NodeID) bool
-	bytes map[core.NodeID]int
-	nodes []*node
+	cut func(from, to core.NodeID) bool
+	// tamper, when set, changes the replies on their way.
+	tamper func(*peerpb.Envelope)
+	bytes  map[core.NodeID]int
+	nodes  []*node
 }
 
 type node struct {
@@ -52,6 +54,8 @@
 	belief   *belief.Store
 	problems *observe.Problems
 	watcher  *Watcher
+	// adopted lists the revisions that were in force, in order.
+	adopted []uint64
 }
 
 // inWorld runs a test with nodes spread over data centres. The nodes are not
@@ -83,6 +87,7 @@
 		belief:   belief.NewStore(),
 		problems: observe.NewProblems(now),
 	}
+	one.belief.OnChange(one.noteRevision)
 	one.watcher = New(Options{
 		Self: id, DataCentre: one.DataCentre, Service: one, Belief: one.belief, Peers: one,
 		Now: now, Log: log, Problems: one.problems, Metrics: observe.NewRegistry(), Seed: uint64(n),
@@ -90,6 +95,27 @@
 	return one
 }
 
+// noteRevision checks in every test that the revision never goes down.
+func (n *node) noteRevision() {
+	inForce := n.belief.Config()
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	if inForce == nil {
+		return
+	}
+	if len(n.adopted) > 0 && inForce.Revision < n.adopted[len(n.adopted)-1] {
+		n.world.t.Errorf("%s: revision %d after %v", n.ID, inForce.Revision, n.adopted)
+	}
+	n.adopted = append(n.adopted, inForce.Revision)
+}
+
+// first returns the revision that the node had in force first.
+func (n *node) first() uint64 {
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	return n.adopted[0]
+}
+
 // start starts nodes that see all nodes of the world.
 func (w *world) start(nodes ...*node) {
 	list := make([]route.Node, 0, len(w.nodes))
@@ -165,7 +191,8 @@
 // ReadConfig implements Reader in the manner of the platform's stand-in.
 func (n *node) ReadConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Config, bool, error) {
 	w := n.world
-	over := time.After(wait)
+	over := time.NewTimer(wait)
+	defer over.Stop()
 	w.mutex.Lock()
 	w.reads++
 	w.mutex.Unlock()
@@ -181,7 +208,7 @@
 		}
 		select {
 		case <-changed:
-		case <-over:
+		case <-over.C:
 			return platform.Config{}, false, nil
 		case <-ctx.Done():
 			return platform.Config{}, false, ctx.Err()
@@ -189,6 +216,14 @@
 	}
 }
 
+// later runs a function after a while.
+func later(wait time.Duration, run func()) {
+	go func() {
+		time.Sleep(wait)
+		run()
+	}()
+}
+
 type ticket struct{ cancel context.CancelFunc }
 
 func (t ticket) Cancel() { t.cancel() }
@@ -200,14 +235,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.count(n.ID, request)
 	if w.isCut(n.ID, target.Node) {
-		time.AfterFunc(dialTimeout, func() {
+		later(dialTimeout, func() {
 			if ctx.Err() == nil {
 				sink(nil, &peer.LinkError{Peer: target, Outcome: core.NotRun, Cause: errUnreached})
 			}
 		})
 		return ticket{cancel}
 	}
-	time.AfterFunc(hop, func() { w.deliver(ctx, n, target.Node, request, sink) })
+	later(hop, func() { w.deliver(ctx, n, target.Node, request, sink) })
 	return ticket{cancel}
 }
 
@@ -215,7 +250,11 @@
 	w.count(to, request)
 	reply := func(reply *peerpb.Envelope) {
 		w.count(to, reply)
-		time.AfterFunc(hop, func() {
+		if w.tamper != nil {
+			reply = proto.Clone(reply).(*peerpb.Envelope)
+			w.tamper(reply)
+		}
+		later(hop, func() {
 			if ctx.Err() == nil && !w.isCut(from.ID, to) {
 				w.count(from.ID, reply)
 				sink(reply, nil)
@@ -236,9 +275,22 @@
 	w.bytes[id] += size
 }
 
+// resetCounts starts counting anew.
 func (w *world) resetCounts() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.reads = 0
 	clear(w.bytes)
 }
+
+// counts returns the service reads, and the bytes of peer messages in all and
+// of the node that had the most.
+func (w *world) counts() (reads, total, most int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, bytes := range w.bytes {
+		total += bytes
+		most = max(most, bytes)
+	}
+	return w.reads, total, most
+}
