--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -3,14 +3,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
@@ -20,9 +20,11 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/gather"
 	"github.com/pistachiopier/pistachiopier/internal/home"
-	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/night"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -53,12 +55,18 @@
 	members  *membership.Watcher
 	caller   *httpServer
 	operator *httpServer
+	gatherer *gather.Gatherer
+	prober   *night.Prober
+	expiry   *expiryWatch
+	rotation api.Rotation
+	stopping atomic.Bool
 }
 
 // httpServer is a server with the address it got.
 type httpServer struct {
 	*http.Server
-	address string
+	address  string
+	listener *api.LimitedListener
 }
 
 // Addresses are where a started node listens.
@@ -76,12 +84,12 @@
 // New describes a node as an fx application; Run or Start it.
 func New(s *settings.Settings, log logrus.FieldLogger, options ...fx.Option) *fx.App {
 	base := []fx.Option{
-		fx.NopLogger,
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(log.WithField("node", s.Node)) }),
 		fx.Supply(s),
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		fx.Provide(newNode),
 		fx.Invoke(func(lifecycle fx.Lifecycle, node *Node) {
-			lifecycle.Append(fx.Hook{OnStart: node.start, OnStop: node.stop})
+			lifecycle.Append(fx.Hook{OnStart: node.startOrCleanUp, OnStop: node.stop})
 		}),
 		fx.StopTimeout(s.StopWait),
 	}
@@ -106,8 +114,18 @@
 
 func (n *Node) now() core.Time { return time.Since(n.started) }
 
+// startOrCleanUp starts the node. fx does not call the stop of a start that
+// failed, so that what did start is ended here.
+func (n *Node) startOrCleanUp(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.stop(ctx)
+	}
+	return err
+}
+
 func (n *Node) start(context.Context) error {
-	tlsConfig, err := loadTLS(n.settings.TLS)
+	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
 	if err != nil {
 		return fault.Step("load keys", err)
 	}
@@ -120,14 +138,17 @@
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
+	n.startOperating(tlsConfig, certificates)
 	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.config = n.newConfigWatcher()
 	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
 	if err != nil {
 		return fault.Step("start home", err)
 	}
+	n.pool.OnBroken((&linkLog{log: n.log}).broken)
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -145,37 +166,16 @@
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
-	n.config = confwatch.Start(n.platform, n.belief, n.log)
+	n.config.Start()
 	n.members = membership.Start(n.platform, n.belief, n.log)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
 }
 
-func (n *Node) startHTTP() error {
-	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Home: n.home, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
-	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
-	var err error
-	n.caller, err = n.serve(n.settings.CallerAddress, caller)
-	if err != nil {
-		return fault.Step("listen for callers", err)
-	}
-	n.operator, err = n.serve(n.settings.OperatorAddress, operator)
-	return fault.Step("listen for operators", err)
-}
-
-func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: n.settings.Limits.HeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return &httpServer{Server: server, address: listener.Addr().String()}, nil
-}
-
 // stop finishes what is in flight, then ends the duties. It also cleans up
 // after a start that failed half-way.
 func (n *Node) stop(ctx context.Context) error {
+	n.stopping.Store(true)
 	var problems []error
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
@@ -191,6 +191,7 @@
 	if n.config != nil {
 		n.config.Close()
 	}
+	n.stopOperating()
 	if n.entry != nil {
 		n.entry.Close()
 	}
@@ -213,8 +214,11 @@
 
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
-	switch inbound.Envelope.GetBody().(type) {
+	switch body := inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_ConfigRequest:
+		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
+		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
 	case *peerpb.Envelope_SubmitRequest:
 		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
@@ -224,30 +228,14 @@
 		n.home.HandleSubmit(inbound)
 	case *peerpb.Envelope_HandoverRequest:
 		n.home.HandleHandover(inbound)
+	case *peerpb.Envelope_ProblemsRequest:
+		n.gatherer.Answer(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
 }
 
-func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds(), KeyPrefix: n.home.Prefix()}
-	for _, node := range n.belief.View().Nodes() {
-		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
-	}
-	return out
-}
-
-func (n *Node) health() api.Health {
-	if n.belief.Config() == nil {
-		return api.Health{State: "starting", Why: "no configuration is in force yet"}
-	}
-	if len(n.belief.View().Nodes()) == 0 {
-		return api.Health{State: "starting", Why: "the VM list is not read yet"}
-	}
-	return api.Health{State: "ready"}
-}
-
 // Status is a node's short state for operators.
 type Status struct {
 	Node        core.NodeID `json:"node"`
@@ -288,6 +276,9 @@
 	OwnerRings []ring.Stats `json:"owner_rings"`
 	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+
+	Config   confwatch.Dump `json:"config"`
+	Problems any            `json:"problems"`
 }
 
 func (n *Node) dump() any {
@@ -299,21 +290,7 @@
 		OwnerRings: n.owner.Rings(),
 		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Config:     n.config.Dump(),
+		Problems:   n.gatherer.Own().Problems,
 	}
 }
-
-func loadTLS(paths settings.TLS) (*tls.Config, error) {
-	authority, err := settings.PEM(paths.Authority)
-	if err != nil {
-		return nil, err
-	}
-	certificate, err := settings.PEM(paths.Certificate)
-	if err != nil {
-		return nil, err
-	}
-	key, err := settings.PEM(paths.Key)
-	if err != nil {
-		return nil, err
-	}
-	return keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
-}
