--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -30,7 +30,7 @@
 	Key     string          `json:"key"`
 	Payload json.RawMessage `json:"payload,omitempty"`
 	// Repeated marks an outcome kept from an earlier try.
-	Repeated bool `json:"repeated,omitempty"`
+	Repeated bool `json:"repeated"`
 	// Message says why a payload is missing.
 	Message string `json:"message,omitempty"`
 }
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -144,7 +144,16 @@
 		return fault.Step("open peer pool", err)
 	}
 	n.config = n.newConfigWatcher()
-	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	n.home, err = home.New(home.Options{
+		Self:     n.identity.Node,
+		Belief:   n.belief,
+		Peers:    n.pool,
+		Now:      n.now,
+		Log:      n.log,
+		Limits:   once.DefaultLimits(),
+		Problems: n.problems,
+		Metrics:  n.metrics,
+	})
 	if err != nil {
 		return fault.Step("start home", err)
 	}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
@@ -30,9 +31,11 @@
 	Belief *belief.Store
 	Peers  peer.Asker
 	// Now reads the node's monotonic clock.
-	Now    func() core.Time
-	Log    logrus.FieldLogger
-	Limits once.Limits
+	Now      func() core.Time
+	Log      logrus.FieldLogger
+	Limits   once.Limits
+	Problems *observe.Problems
+	Metrics  observe.Registry
 }
 
 // Home runs the home's duty on one goroutine, which owns the ledger.
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
@@ -73,7 +74,11 @@
 	log.SetOutput(io.Discard)
 	peers := &fakePeers{owner: make(chan ownerAsk, 8)}
 	started := time.Now()
-	h, err := New(Options{Self: "vm-1", Belief: store, Peers: peers, Now: func() core.Time { return time.Since(started) }, Log: log, Limits: once.DefaultLimits()})
+	now := func() core.Time { return time.Since(started) }
+	h, err := New(Options{
+		Self: "vm-1", Belief: store, Peers: peers, Now: now, Log: log, Limits: once.DefaultLimits(),
+		Problems: observe.NewProblems(now), Metrics: observe.NewRegistry(),
+	})
 	require.NoError(t, err)
 	t.Cleanup(h.Close)
 	peers.home = h
@@ -100,6 +105,7 @@
 		require.Equal(t, fault.CodeLost, reply.Code)
 	}
 	require.Equal(t, 1, peers.ownerAsks())
+	require.Equal(t, observe.KindOutcomeUnknown, h.options.Problems.List()[0].Kind)
 }
 
 // A caller goes away while its invoice is being recorded, and comes back through
--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -162,9 +163,23 @@
 	}
 	delete(l.waiters, a.Waiter)
 	waiting.stopWatch()
+	l.note(waiting.inbound.Envelope.GetSubmitRequest(), a.Reply)
 	waiting.inbound.Reply(replyEnvelope(a.Reply), true)
 }
 
+// note counts an outcome told here and reports one that an operator may have to
+// look up.
+func (l *loop) note(message *peerpb.SubmitRequest, reply once.Reply) {
+	switch {
+	case reply.Repeated:
+		observe.Counter(l.options.Metrics, "submits_repeated_total").Inc(1)
+		return
+	case reply.Outcome == core.Unknown:
+		l.options.Problems.Report(observe.KindOutcomeUnknown, message.GetService(), string(reply.Code)+" for key "+message.GetKey())
+	}
+	observe.Counter(l.options.Metrics, "submits_"+reply.Outcome.String()+"_total").Inc(1)
+}
+
 // giveUp withdraws a send: a request that waits for its link to open is past
 // its time and is then never written.
 func (l *loop) giveUp(a once.GiveUp) {
