Probes: a chart, a silent timer, owners carried along, and a correction

The duty's timer fired again and again while all probes were in flight; it now waits for the end of one. The life of a watched replica is a state chart. Callers' connections to a lost VM end after 1 s, so that the next address is tried.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,21 +7,28 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
-const maxReplyBytes = 64 << 20
+const (
+	maxReplyBytes = 64 << 20
+	// dialTimeout bounds a connection to a VM that is gone without a word, so
+	// that time is left for the next address.
+	dialTimeout = time.Second
+)
 
 // Client holds connections to entries.
 type Client struct{ http *http.Client }
 
 // New makes a client.
 func New() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}}
 }
 
 // Close closes idle connections.
--- a/internal/core/night/night.go
+++ b/internal/core/night/night.go
@@ -7,15 +7,26 @@
 package night
 
 import (
-	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/chart"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
-// failuresToReport is how many probes in a row fail before a replica is
-// reported: one may be lost to a restart or a lost packet.
-const failuresToReport = 2
+// The life of a watched replica, in internal/chart/charts/idle_replica.yaml.
+var (
+	life = chart.Must(chart.Source("idle_replica"), chart.Bindings[*turn]{
+		Actions: map[string]func(*turn){
+			"wait_sweep":   (*turn).waitSweep,
+			"confirm_soon": (*turn).confirmSoon,
+			"report":       (*turn).report,
+			"take_back":    (*turn).takeBack,
+		},
+	})
+	stateDown     = life.State("down")
+	eventAnswered = life.Event("answered")
+	eventFailed   = life.Event("failed")
+)
 
 // Target is one replica of one shard.
 type Target struct {
@@ -81,7 +92,7 @@
 // ShardAnswers takes the report back.
 type ShardAnswers struct{ Ref core.ShardRef }
 
-// WakeAt asks for Woken at a time.
+// WakeAt asks for Woken at a time. A step without it asks for none.
 type WakeAt struct{ At core.Time }
 
 func (Probe) isAction()        {}
@@ -93,13 +104,32 @@
 
 // replica is what is known of one target.
 type replica struct {
-	target   Target
-	due      core.Time
-	probing  bool
-	failures int
+	target  Target
+	due     core.Time
+	probing bool
+	state   chart.State
+}
+
+func (r *replica) down() bool { return r.state == stateDown }
+
+// turn is one event of one replica, the subject of its chart. at is when the
+// replica was asked or answered.
+type turn struct {
+	machine *Machine
+	replica *replica
+	at      core.Time
 }
 
-func (r *replica) down() bool { return r.failures >= failuresToReport }
+// waitSweep sets the next probe. It holds for replicas that are down too: many
+// of them probed again at the pace of confirmations would crowd out the first
+// probes of the others, which would then be reported late.
+func (t *turn) waitSweep() { t.replica.due = t.at + t.machine.config.Sweep }
+
+func (t *turn) confirmSoon() { t.replica.due = t.at + t.machine.config.Confirm }
+
+func (t *turn) report() { t.machine.act(ReplicaDown{Target: t.replica.target}) }
+
+func (t *turn) takeBack() { t.machine.act(ReplicaUp{Target: t.replica.target}) }
 
 // Machine watches the replicas of one node.
 type Machine struct {
@@ -125,7 +155,7 @@
 		m.owned(now, e.Targets)
 	case Answered:
 		m.ended(e.Target)
-		m.alive(e.Target, e.At)
+		m.fire(e.Target, eventAnswered, e.At)
 	case Probed:
 		m.ended(e.Target)
 		m.probed(now, e)
@@ -176,35 +206,21 @@
 
 func (m *Machine) probed(now core.Time, e Probed) {
 	if e.Alive {
-		m.alive(e.Target, now)
-		return
-	}
-	known := m.replicas[e.Target]
-	if known == nil {
-		return
-	}
-	known.failures++
-	known.due = now + m.config.Confirm
-	if known.down() {
-		// Many dead replicas probed again at the pace of confirmations would
-		// crowd out the first probes of the others, which would then be
-		// reported late.
-		known.due = now + m.config.Sweep
-		m.act(ReplicaDown{Target: e.Target})
-		m.judge(e.Target.Ref)
+		m.fire(e.Target, eventAnswered, now)
+	} else {
+		m.fire(e.Target, eventFailed, now)
 	}
 }
 
-func (m *Machine) alive(target Target, at core.Time) {
+// fire moves a replica's chart and, when its report changed, its shard's.
+func (m *Machine) fire(target Target, event chart.Event, at core.Time) {
 	known := m.replicas[target]
 	if known == nil {
 		return
 	}
-	known.due = at + m.config.Sweep
 	wasDown := known.down()
-	known.failures = 0
-	if wasDown {
-		m.act(ReplicaUp{Target: target})
+	known.state = life.Fire(known.state, event, &turn{machine: m, replica: known, at: at})
+	if wasDown || known.down() {
 		m.judge(target.Ref)
 	}
 }
@@ -247,12 +263,15 @@
 	m.act(Probe{Target: next.target})
 }
 
+// earliest is the replica due for longest, or next.
 func (m *Machine) earliest() *replica {
-	waiting := slices.DeleteFunc(slices.Clone(m.order), func(r *replica) bool { return r.probing })
-	if len(waiting) == 0 {
-		return nil
+	var best *replica
+	for _, r := range m.order {
+		if !r.probing && (best == nil || r.due < best.due) {
+			best = r
+		}
 	}
-	return slices.MinFunc(waiting, func(a, b *replica) int { return int(a.due - b.due) })
+	return best
 }
 
 // wake asks to be woken for the next probe. With all probes in flight, the end
@@ -271,13 +290,14 @@
 	sweepNumerator     = 7
 	sweepDenominator   = 12
 	confirmDenominator = 12
-	probeDenominator   = 12
+	probeDenominator   = 20
 	spacingDenominator = 1200
 )
 
 // Paced derives the pace from the time within which a dead replica is to be
-// reported. The promise holds for up to 700 replicas a node; with more, the
-// spacing makes a sweep longer.
+// reported. With 16 probes in flight the promise holds for up to 700 replicas a
+// node, of which up to 130 fall silent at once. With more, the spacing makes a
+// sweep longer, or all probes in flight wait for silent replicas.
 func Paced(reportWithin time.Duration, inFlight int) Config {
 	return Config{
 		Sweep:       reportWithin * sweepNumerator / sweepDenominator,
--- a/internal/core/night/night_test.go
+++ b/internal/core/night/night_test.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	probeTime  = 2 * time.Second
-	reportGoal = time.Minute
+	reportGoal     = time.Minute
+	never          = core.Time(1<<63 - 1)
+	silentReplicas = 130
 )
 
 func defaults() Config { return Paced(reportGoal, 16) }
@@ -40,6 +41,7 @@
 }
 
 func (b *bench) step(e Event) {
+	b.wake = never
 	for _, action := range b.machine.Step(b.now, e) {
 		switch a := action.(type) {
 		case Probe:
@@ -64,7 +66,7 @@
 	b.probes[target]++
 	b.ends[target] = b.now + time.Millisecond
 	if b.dead[target.Address] {
-		b.ends[target] = b.now + probeTime
+		b.ends[target] = b.now + ProbeTimeout(reportGoal)
 	}
 	b.peak = max(b.peak, len(b.ends))
 }
@@ -72,27 +74,32 @@
 // run lets virtual time pass until the given time.
 func (b *bench) run(until core.Time) {
 	for {
-		at, target := b.wake, (*Target)(nil)
+		at, target := b.wake, Target{}
 		for ending, end := range b.ends {
-			if end <= at || b.wake <= b.now {
-				at, target = end, &ending
+			if end < at || (end == at && ending.Address < target.Address) {
+				at, target = end, ending
 			}
 		}
-		if at > until || (target == nil && at <= b.now) {
+		if at > until {
 			b.now = until
 			return
 		}
 		b.now = at
-		if target == nil {
-			b.step(Woken{})
-			continue
-		}
-		delete(b.ends, *target)
-		if b.busy[target.Address] {
-			b.step(Answered{Target: *target, At: b.now})
-			continue
-		}
-		b.step(Probed{Target: *target, Alive: !b.dead[target.Address]})
+		b.pass(target)
+	}
+}
+
+// pass lets one thing happen: the end of the target's probe, or the wake-up when
+// there is no target.
+func (b *bench) pass(target Target) {
+	delete(b.ends, target)
+	switch {
+	case target.Address == "":
+		b.step(Woken{})
+	case b.busy[target.Address]:
+		b.step(Answered{Target: target, At: b.now})
+	default:
+		b.step(Probed{Target: target, Alive: !b.dead[target.Address]})
 	}
 }
 
@@ -110,7 +117,7 @@
 // supervisors would find out in the morning. Cause: a service without traffic
 // fails no request, so nothing showed that it was dead.
 func TestADeadShardIsReportedWithinAMinuteAndClearedAfterItRecovers(t *testing.T) {
-	b := newBench(t, defaults(), targets(50, 2))
+	b := newBench(t, defaults(), targets(350, 2))
 	b.run(time.Hour)
 	require.Empty(t, b.downAt)
 	b.dead["10.0.7.0:80"], b.dead["10.0.7.1:80"] = true, true
@@ -126,7 +133,7 @@
 // Every upstream falls silent at once. Each probe now takes its whole time-out,
 // so the probes in flight reach their bound; all must still be found in time.
 func TestASilentFleetIsReportedInTimeAndInFlightProbesStayBounded(t *testing.T) {
-	list := targets(50, 2)
+	list := targets(silentReplicas/2, 2)
 	b := newBench(t, defaults(), list)
 	b.run(time.Hour)
 	for _, target := range list {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -95,6 +95,14 @@
 	return ordered
 }
 
+// First returns the one of two nodes that comes first in a bundle's order.
+func First(a, b Node, bundle core.BundleID, dataCentre string) Node {
+	if before(b, weight(b.ID, bundle), a, weight(a.ID, bundle), dataCentre) {
+		return b
+	}
+	return a
+}
+
 // before reports whether a precedes b in a bundle's order.
 func before(a Node, weightA uint64, b Node, weightB uint64, dataCentre string) bool {
 	localA := a.DataCentre == dataCentre
--- a/internal/fleet/operate_test.go
+++ b/internal/fleet/operate_test.go
@@ -101,6 +101,25 @@
 	require.Eventually(t, func() bool { return report().Count() == 0 }, awaitLimit, awaitPause)
 }
 
+// The replicas of a service that must not be repeated die at night. No query may
+// be sent to them as a probe: it would be recorded as an invoice. Their health
+// endpoint is all there is, and the problem says so.
+func TestAServiceThatMustNotBeRepeatedIsProbedByItsHealthOnly(t *testing.T) {
+	upstreams := startUpstreams(t, 2)
+	text := strings.Replace(testText(upstreams), "timeout: 5s", "timeout: 5s\n    idempotent: false", 1)
+	f := startWith(t, Options{Nodes: 1, LogTo: io.Discard, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }}, text)
+	require.NoError(t, upstreams[0].Close())
+	var report api.ProblemsReport
+	require.Eventually(t, func() bool {
+		report = get[api.ProblemsReport](t, f.Members()[0].Addresses.Operator, "/v1/problems")
+		return kinds(report)[observe.KindReplicaDown] == 1
+	}, awaitLimit, awaitPause)
+	require.Contains(t, fmt.Sprint(report), "by its health endpoint only")
+	require.Zero(t, kinds(report)[observe.KindStalledService], "the other replica answers")
+	require.Zero(t, upstreams[1].Queries())
+	require.Empty(t, upstreams[1].Submits())
+}
+
 // A node dies while it is still in the VM list. The report must say that its
 // problems are not known, rather than look complete.
 func TestANodeThatDoesNotAnswerIsNamed(t *testing.T) {
--- a/internal/night/night.go
+++ b/internal/night/night.go
@@ -17,7 +17,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/night"
-	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -55,6 +54,7 @@
 type Prober struct {
 	options  Options
 	machine  *night.Machine
+	owners   *owners
 	events   *ring.Ring[ended]
 	changed  chan struct{}
 	stop     context.CancelFunc
@@ -85,6 +85,7 @@
 	p := &Prober{
 		options:  options,
 		machine:  night.New(night.Paced(options.ReportWithin, options.InFlight)),
+		owners:   newOwners(),
 		events:   ring.New[ended](ringDepth),
 		changed:  make(chan struct{}, 1),
 		stop:     stop,
@@ -145,10 +146,19 @@
 		case <-timer.C:
 			p.step(ctx, night.Woken{})
 		}
-		timer.Reset(p.wakeAt - p.options.Now())
+		timer.Reset(p.untilWake())
 	}
 }
 
+// untilWake is the time to the next wake-up. With all probes in flight none is
+// asked for: a timer left at its last time would fire again and again.
+func (p *Prober) untilWake() time.Duration {
+	if p.wakeAt == 0 {
+		return time.Hour
+	}
+	return p.wakeAt - p.options.Now()
+}
+
 // rebuild works out the owned replicas when the beliefs have changed.
 func (p *Prober) rebuild(ctx context.Context) {
 	select {
@@ -160,32 +170,13 @@
 	if config == nil {
 		return
 	}
-	targets := owned(config.Catalog, p.options.Belief.View(), p.options.Self)
+	p.owners.update(config.Catalog, p.options.Belief.View())
+	targets := p.owners.targets(config.Catalog, p.options.Self)
 	p.watched.Update(int64(len(targets)))
 	p.forget(targets)
 	p.step(ctx, night.Owned{Targets: targets})
 }
 
-// owned lists the replicas of the bundles that the node owns in this view.
-func owned(text *catalog.Catalog, view *route.View, self core.NodeID) []night.Target {
-	var targets []night.Target
-	for _, name := range text.Names {
-		for _, shard := range text.Services[name].Shards {
-			bundle := text.Bundles[shard.Bundle]
-			owner, ok := view.Rank(bundle.ID, bundle.DataCentre, 0)
-			if !ok || owner.ID != self {
-				continue
-			}
-			for _, replica := range shard.Replicas {
-				if !replica.Draining {
-					targets = append(targets, night.Target{Ref: shard.Ref, Address: replica.Address})
-				}
-			}
-		}
-	}
-	return targets
-}
-
 // forget drops what is remembered of replicas that are no longer owned.
 func (p *Prober) forget(kept []night.Target) {
 	keep := make(map[night.Target]bool, len(kept))
@@ -215,6 +206,7 @@
 func (p *Prober) step(ctx context.Context, event night.Event) {
 	pending := []night.Event{event}
 	for len(pending) > 0 {
+		p.wakeAt = 0
 		actions := p.machine.Step(p.options.Now(), pending[0])
 		pending = pending[1:]
 		for _, action := range actions {
@@ -302,18 +294,22 @@
 		Ref:       target.Ref,
 		RequestID: id,
 		Customer:  Customer,
-		TimeLeft:  limit / 2,
+		TimeLeft:  limit - healthShare(limit),
 		Body:      upstream.Body{Question: json.RawMessage("null")},
 	})
 	if answers(result) {
 		return true, ""
 	}
 	took := p.options.Now() - started
-	health, err := p.options.Upstream.Health(ctx, target.Address, limit/2)
+	health, err := p.options.Upstream.Health(ctx, target.Address, healthShare(limit))
 	return false, fmt.Sprintf("a query with the question null failed after %d ms: %s: %s; its health endpoint says: %s",
 		took.Milliseconds(), result.Reason, said("", result.Cause), said(health, err))
 }
 
+// healthShare is the part of a probe's time that is left for the health endpoint
+// after the query.
+func healthShare(limit time.Duration) time.Duration { return limit / 3 }
+
 // answers reports whether the replica gave any answer of its own: a result, or a
 // refusal that it made itself.
 func answers(result upstream.Result) bool {
