--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/home"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 )
 
@@ -23,6 +24,8 @@
 	Entries []EntryAddress `json:"entries"`
 	// TTLMs is how long the caller may keep the answer, in milliseconds.
 	TTLMs int64 `json:"ttl_ms"`
+	// KeyPrefix starts the keys of the caller's must-not-repeat requests.
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // EntryAddress is one entry of the system.
@@ -88,6 +91,11 @@
 	// Detail is the cause, in words that may change.
 	Detail       string `json:"detail,omitempty"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	// The rest comes with must-not-repeat requests only. ThisTry is "not_run"
+	// when the outcome of the key is unknown but this try alone did not run.
+	ThisTry   string `json:"this_try,omitempty"`
+	Repeated  bool   `json:"repeated,omitempty"`
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // BodyLimits bound a request's body in bytes and in the time it may take to
@@ -101,6 +109,7 @@
 type CallerParts struct {
 	Log   logrus.FieldLogger
 	Entry *entry.Entry
+	Home  *home.Home
 	// Entries answers a caller in the named data centre, or in none.
 	Entries func(dataCentre string) Entries
 	Body    BodyLimits
@@ -112,6 +121,7 @@
 	router := newRouter(parts.Log)
 	router.GET("/v1/entries", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Entries(c.Query("data_centre"))) })
 	router.POST("/v1/query/:service", parts.query)
+	router.POST("/v1/submit/:service", parts.submit)
 	return router
 }
 
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -16,10 +16,12 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/gather"
+	"github.com/pistachiopier/pistachiopier/internal/home"
 	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
 	"github.com/pistachiopier/pistachiopier/internal/night"
@@ -45,6 +47,7 @@
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
 	platform *platform.Client
@@ -140,6 +143,11 @@
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.config = n.newConfigWatcher()
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	if err != nil {
+		return fault.Step("start home", err)
+	}
 	n.pool.OnBroken((&linkLog{log: n.log}).broken)
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
@@ -158,7 +166,7 @@
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
-	n.config = confwatch.Start(n.platform, n.belief, n.log)
+	n.config.Start()
 	n.members = membership.Start(n.platform, n.belief, n.log)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
@@ -172,6 +180,11 @@
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
 	}
+	if n.home != nil {
+		n.home.Stop(ctx)
+		n.owner.DrainSubmits(ctx)
+		defer n.home.Close()
+	}
 	if n.members != nil {
 		n.members.Close()
 	}
@@ -201,9 +214,20 @@
 
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
-	switch inbound.Envelope.GetBody().(type) {
+	switch body := inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_ConfigRequest:
+		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
+		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_SubmitRequest:
+		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
+			n.owner.HandleSubmit(inbound)
+			return
+		}
+		n.home.HandleSubmit(inbound)
+	case *peerpb.Envelope_HandoverRequest:
+		n.home.HandleHandover(inbound)
 	case *peerpb.Envelope_ProblemsRequest:
 		n.gatherer.Answer(inbound)
 	default:
@@ -250,8 +274,11 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
-	Problems   any          `json:"problems"`
+
+	Config   confwatch.Dump `json:"config"`
+	Problems any            `json:"problems"`
 }
 
 func (n *Node) dump() any {
@@ -261,7 +288,9 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Config:     n.config.Dump(),
 		Problems:   n.gatherer.Own().Problems,
 	}
 }
--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -60,6 +60,7 @@
 	caller := api.NewCaller(api.CallerParts{
 		Log:     n.log,
 		Entry:   n.entry,
+		Home:    n.home,
 		Entries: n.entries,
 		Body:    api.BodyLimits{MaxBytes: int64(n.settings.Limits.MaxBodyBytes), Timeout: n.settings.Limits.BodyTimeout},
 		Metrics: n.metrics,
@@ -110,6 +111,8 @@
 	return api.Entries{
 		Entries: n.rotation.Order(list, dataCentre, n.settings.Limits.Entries),
 		TTLMs:   n.settings.EntriesTTL.Milliseconds(),
+		// The key prefix names this node as the home of the caller's keys.
+		KeyPrefix: n.home.Prefix(),
 	}
 }
 
@@ -143,7 +146,6 @@
 	observe.Watch(n.metrics, "problems", func() int64 { return int64(len(n.problems.List())) })
 	observe.Watch(n.metrics, "problems_not_listed_total", func() int64 { return int64(n.problems.Overflow()) })
 	observe.Watch(n.metrics, "view_nodes", func() int64 { return int64(len(n.belief.View().Nodes())) })
-	observe.Watch(n.metrics, "config_revision", n.revision)
 	observe.Watch(n.metrics, "queries_in_flight", func() int64 { return int64(n.entry.InFlight()) })
 	observe.Watch(n.metrics, "peer_links", func() int64 { return int64(n.pool.Links()) })
 	observe.Watch(n.metrics, "upstream_replies_dropped_total", n.upstream.DroppedReplies)
@@ -151,13 +153,6 @@
 	n.watchRings("owner", func() []ring.Stats { return n.owner.Rings() })
 }
 
-func (n *Node) revision() int64 {
-	if config := n.belief.Config(); config != nil {
-		return int64(config.Revision)
-	}
-	return 0
-}
-
 // watchRings adds the sums over a duty's rings.
 func (n *Node) watchRings(duty string, read func() []ring.Stats) {
 	sum := func(pick func(ring.Stats) int64) func() int64 {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,6 +67,7 @@
 		serveCommand(),
 		checkCommand(),
 		queryCommand(),
+		submitCommand(),
 		statusCommand(),
 		problemsCommand(),
 		dumpCommand(),
