A cut retry of a must-not-repeat request is unknown, not 'not run'

A body that was cut was called not run although an earlier try with the same key may have run. Too large, late and cut bodies are one case now. The home's rings have their metrics.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -127,6 +127,23 @@
 	require.EqualValues(t, 1, observe.Counter(registry, "caller_bodies_late_total").Count())
 }
 
+// A kitchen manager's invoice was recorded, but the answer was lost. The retry with
+// the same key is cut on its way: half of its body arrives. Calling that "not run"
+// would have the invoice entered again under a new key.
+func TestACutRetryOfAnInvoiceIsNotCalledNotRun(t *testing.T) {
+	server, _ := startCaller(t)
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, err = io.WriteString(connection, "POST /v1/submit/invoices HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n{\"cust")
+	require.NoError(t, err)
+	require.NoError(t, connection.(*net.TCPConn).CloseWrite())
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(awaitLimit)))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	requireError(t, response, http.StatusBadRequest, fault.CodeBadRequest, "unknown")
+}
+
 // A question takes longer to answer than its body may take to arrive. The read
 // deadline must not outlive the body: net/http reads on in the background to
 // notice a caller that leaves, and took the deadline for a lost caller, which
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -36,8 +36,14 @@
 }
 
 func (p CallerParts) submit(c *gin.Context) {
+	body, err := readBody(c, p.Body)
+	if err != nil {
+		p.count(err)
+		p.failUnread(c, err)
+		return
+	}
 	var request SubmitRequest
-	if err := p.read(c, &request); err != nil {
+	if err := decode(body, &request); err != nil {
 		p.failSubmit(c, err)
 		return
 	}
@@ -86,13 +92,15 @@
 // failSubmit writes a typed error with a fresh prefix.
 func (p CallerParts) failSubmit(c *gin.Context, err error) {
 	typed := fault.As(err)
-	reply := once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter}
-	if typed.Code == fault.CodeTooLarge || typed.Code == fault.CodePastDeadline {
-		// Another entry's settings, or a faster line, may have let an earlier try
-		// with this key in.
-		reply.Outcome, reply.ThisTry = core.Unknown, core.NotRun
-	}
-	p.writeRefused(c, reply)
+	p.writeRefused(c, once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter})
+}
+
+// failUnread writes the failure of a body that is too large, late or cut. This
+// try did not run, but an earlier one with the same key may have: its body may
+// have arrived whole, or another entry's settings may have let it in.
+func (p CallerParts) failUnread(c *gin.Context, err error) {
+	typed := fault.As(err)
+	p.writeRefused(c, once.Reply{Outcome: core.Unknown, ThisTry: core.NotRun, Code: typed.Code, Message: typed.Message})
 }
 
 // writeRefused writes an outcome other than done. A caller whose key is not run
--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -151,6 +151,7 @@
 	observe.Watch(n.metrics, "upstream_replies_dropped_total", n.upstream.DroppedReplies)
 	n.watchRings("entry", func() []ring.Stats { return n.entry.Rings() })
 	n.watchRings("owner", func() []ring.Stats { return n.owner.Rings() })
+	n.watchRings("home", func() []ring.Stats { return n.home.Rings() })
 }
 
 // watchRings adds the sums over a duty's rings.
