--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -16,7 +16,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
-	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -144,7 +143,7 @@
 		return fault.Step("open peer pool", err)
 	}
 	n.config = n.newConfigWatcher()
-	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: n.settings.Once.Limits(), Metrics: n.metrics})
 	if err != nil {
 		return fault.Step("start home", err)
 	}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
@@ -33,6 +34,8 @@
 	Now    func() core.Time
 	Log    logrus.FieldLogger
 	Limits once.Limits
+	// Metrics takes the ledger's size; nil takes none.
+	Metrics observe.Registry
 }
 
 // Home runs the home's duty on one goroutine, which owns the ledger.
--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -62,6 +62,7 @@
 	next    once.WaiterID
 	wakeAt  core.Time
 	idle    chan<- struct{}
+	gauges  ledgerGauges
 }
 
 func newLoop(ctx context.Context, options Options, issuer *once.Issuer) *loop {
@@ -72,6 +73,7 @@
 		ledger:  once.NewLedger(issuer, options.Limits),
 		waiters: map[once.WaiterID]waiter{},
 		tickets: map[once.SendID]peer.Ticket{},
+		gauges:  newLedgerGauges(options.Metrics),
 	}
 }
 
@@ -91,6 +93,7 @@
 			l.wakeAt = 0
 			l.step(once.Woken{})
 		}
+		l.gauges.update(l.ledger)
 		if l.idle != nil && l.ledger.Running() == 0 {
 			close(l.idle)
 			l.idle = nil
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 )
 
 // Entry describes one setting. Default is "required" when there is none.
@@ -19,6 +21,7 @@
 
 // Reference lists every setting. docs/SETTINGS.md is written from it.
 func Reference() []Entry {
+	limits := once.DefaultLimits()
 	return []Entry{
 		{"node", required, "name", "this node's id, as the VM list and its certificate name it", ""},
 		{"data_centre", required, "name", "the data centre that this VM is in", ""},
@@ -41,6 +44,11 @@
 		{"limits.entries", fmt.Sprint(DefaultEntries), "count", "the most addresses in the address answer", ""},
 		{"probing.report_within", DefaultReport.String(), "duration", "a dead replica without traffic is reported within this time", "probes_total"},
 		{"probing.in_flight", fmt.Sprint(DefaultProbes), "count", "probes of idle replicas at once", "probes_in_flight"},
+		{"once.accept", limits.Accept.String(), "duration", "how long after its issue a key prefix starts new must-not-repeat requests", ""},
+		{"once.retain", limits.Retain.String(), "duration", "how long after its prefix's issue an outcome is kept; above accept and max_run together", ""},
+		{"once.max_run", limits.MaxRun.String(), "duration", "the longest that one must-not-repeat request may take", "once_running"},
+		{"once.entries", fmt.Sprint(limits.Entries), "count", "must-not-repeat requests remembered; one customer has half of them", "once_entries"},
+		{"once.bytes", fmt.Sprint(limits.Bytes), "bytes", "memory for them; one customer has half of it", "once_bytes"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
 )
@@ -42,6 +43,7 @@
 	TLS      TLS     `yaml:"tls"`
 	Limits   Limits  `yaml:"limits"`
 	Probing  Probing `yaml:"probing"`
+	Once     Once    `yaml:"once"`
 	// EntriesTTL is how long callers keep the address answer.
 	EntriesTTL time.Duration `yaml:"entries_ttl"`
 	// StopWait bounds a planned stop.
@@ -76,6 +78,29 @@
 	InFlight int `yaml:"in_flight"`
 }
 
+// Once bounds what this node remembers of must-not-repeat requests.
+type Once struct {
+	// Accept is how long after its issue a key prefix starts new requests.
+	Accept time.Duration `yaml:"accept"`
+	// Retain is how long after its prefix's issue an outcome is kept.
+	Retain time.Duration `yaml:"retain"`
+	// MaxRun is the longest that one request may take.
+	MaxRun  time.Duration `yaml:"max_run"`
+	Entries int           `yaml:"entries"`
+	Bytes   int           `yaml:"bytes"`
+}
+
+// Limits are the bounds of the node's ledger. A customer has half of its places.
+func (o Once) Limits() once.Limits {
+	limits := once.DefaultLimits()
+	limits.Accept, limits.Retain, limits.MaxRun = o.Accept, o.Retain, o.MaxRun
+	limits.Entries, limits.Bytes = o.Entries, o.Bytes
+	limits.CustomerEntries, limits.CustomerBytes = o.Entries/customerShare, o.Bytes/customerShare
+	return limits
+}
+
+const customerShare = 2
+
 // Parse reads settings and fills in defaults. The error is a
 // strictyaml.Problems.
 func Parse(text []byte) (*Settings, error) {
@@ -115,6 +140,12 @@
 	setDefault(&s.TLS.WarnBefore, DefaultWarnBefore)
 	setDefault(&s.Probing.ReportWithin, DefaultReport)
 	setDefault(&s.Probing.InFlight, DefaultProbes)
+	limits := once.DefaultLimits()
+	setDefault(&s.Once.Accept, limits.Accept)
+	setDefault(&s.Once.Retain, limits.Retain)
+	setDefault(&s.Once.MaxRun, limits.MaxRun)
+	setDefault(&s.Once.Entries, limits.Entries)
+	setDefault(&s.Once.Bytes, limits.Bytes)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -164,12 +195,20 @@
 		{"limits.body_timeout", s.Limits.BodyTimeout},
 		{"limits.idle_timeout", s.Limits.IdleTimeout},
 		{"probing.report_within", s.Probing.ReportWithin},
+		{"once.accept", s.Once.Accept},
+		{"once.retain", s.Once.Retain},
+		{"once.max_run", s.Once.MaxRun},
 	}
 	for _, one := range durations {
 		if one.value < 0 {
 			doc.Report(one.key, "the duration is negative", "write a duration above 0")
 		}
 	}
+	// A key that is not remembered between the two ages has provably never run;
+	// with less to remember by, a late retry would run a second time.
+	if limits := s.Once.Limits(); limits.Retain <= limits.Accept+limits.MaxRun+limits.Grace {
+		doc.Report("once.retain", limits.Retain.String()+" is too short for once.accept and once.max_run", "write more than their sum and "+limits.Grace.String())
+	}
 	counts := []struct {
 		key   string
 		value int
@@ -178,6 +217,8 @@
 		{"limits.connections", s.Limits.Connections},
 		{"limits.entries", s.Limits.Entries},
 		{"probing.in_flight", s.Probing.InFlight},
+		{"once.entries", s.Once.Entries},
+		{"once.bytes", s.Once.Bytes},
 	}
 	for _, one := range counts {
 		if one.value < 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,3 +51,12 @@
 		require.ErrorContains(t, err, part)
 	}
 }
+
+// An operator keeps outcomes for a shorter time than keys may run. A late retry
+// would find nothing remembered and run an invoice a second time.
+func TestOutcomesAreKeptLongerThanKeysMayRun(t *testing.T) {
+	_, err := Parse([]byte("once: {accept: 5m, max_run: 1m, retain: 6m}\n"))
+	require.ErrorContains(t, err, "once.retain")
+	_, err = Parse([]byte("once: {accept: 5m, max_run: 1m, retain: 7m}\n"))
+	require.NotContains(t, err.Error(), "once.retain")
+}
