--- a/internal/app/expiry.go
+++ b/internal/app/expiry.go
@@ -11,25 +11,43 @@
 
 const day = 24 * time.Hour
 
+// expiry is the end of one certificate.
+type expiry struct {
+	subject string
+	until   time.Time
+}
+
+// readExpiries reads the ends of the authority's and the node's certificate, and
+// fails when one is not valid now.
+func readExpiries(authority, certificate []byte, now time.Time) ([]expiry, error) {
+	authorityFrom, authorityUntil, err := keys.AuthorityValidity(authority)
+	if err != nil {
+		return nil, err
+	}
+	if err := keys.CheckValid(authorityFrom, authorityUntil, now); err != nil {
+		return nil, err
+	}
+	from, until, err := keys.Validity(certificate)
+	if err != nil {
+		return nil, err
+	}
+	return []expiry{{"authority", authorityUntil}, {"node", until}}, keys.CheckValid(from, until, now)
+}
+
 // checkExpiry reports each certificate whose end is near and clears the others.
 // Certificates that have passed their end fail every new connection between
 // nodes at once, so that the report must come long before.
-func checkExpiry(problems *observe.Problems, daysLeft metrics.Gauge, certificates [][]byte, now time.Time, warnBefore time.Duration) {
-	subjects := []string{"authority", "node"}
-	least := time.Duration(1<<63 - 1)
-	for i, certificate := range certificates {
-		_, until, err := keys.Validity(certificate)
-		if err != nil {
-			problems.Report(observe.KindCertificate, subjects[i], err.Error())
-			continue
+func checkExpiry(problems *observe.Problems, daysLeft metrics.Gauge, certificates []expiry, now time.Time, warnBefore time.Duration) {
+	least := certificates[0].until
+	for _, one := range certificates {
+		if one.until.Before(least) {
+			least = one.until
 		}
-		left := until.Sub(now)
-		least = min(least, left)
-		if left < warnBefore {
-			problems.Report(observe.KindCertificate, subjects[i], "the certificate expires at "+until.UTC().Format(time.RFC3339))
+		if one.until.Sub(now) < warnBefore {
+			problems.Report(observe.KindCertificate, one.subject, "the certificate expires at "+one.until.UTC().Format(time.RFC3339))
 		} else {
-			problems.Clear(observe.KindCertificate, subjects[i])
+			problems.Clear(observe.KindCertificate, one.subject)
 		}
 	}
-	daysLeft.Update(int64(least / day))
+	daysLeft.Update(int64(least.Sub(now) / day))
 }
--- a/internal/app/expiry_test.go
+++ b/internal/app/expiry_test.go
@@ -22,7 +22,8 @@
 	problems := observe.NewProblems(func() core.Time { return 0 })
 	registry := observe.NewRegistry()
 	daysLeft := observe.Gauge(registry, "certificate_days_left")
-	certificates := [][]byte{authority.Certificate, pair.Certificate}
+	certificates, err := readExpiries(authority.Certificate, pair.Certificate, issued)
+	require.NoError(t, err)
 	checkExpiry(problems, daysLeft, certificates, issued.Add(5*day), 14*day)
 	require.Empty(t, problems.List())
 	checkExpiry(problems, daysLeft, certificates, issued.Add(7*day), 14*day)
@@ -31,6 +32,28 @@
 	require.EqualValues(t, 13, daysLeft.Value())
 	longer, err := authority.Issue("vm-1", issued, 90*day)
 	require.NoError(t, err)
-	checkExpiry(problems, daysLeft, [][]byte{authority.Certificate, longer.Certificate}, issued.Add(7*day), 14*day)
+	certificates, err = readExpiries(authority.Certificate, longer.Certificate, issued)
+	require.NoError(t, err)
+	checkExpiry(problems, daysLeft, certificates, issued.Add(7*day), 14*day)
 	require.Empty(t, problems.List())
 }
+
+// The authority itself is replaced: for a while the file holds the old one, which
+// has expired, and the new one. Nodes with the new one's certificates must start.
+func TestAnAuthorityCanBeReplaced(t *testing.T) {
+	issued := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	former, err := keys.NewAuthority(issued, 10*day)
+	require.NoError(t, err)
+	present, err := keys.NewAuthority(issued, 100*day)
+	require.NoError(t, err)
+	pair, err := present.Issue("vm-1", issued, 50*day)
+	require.NoError(t, err)
+	both := append(append([]byte(nil), former.Certificate...), present.Certificate...)
+	certificates, err := readExpiries(both, pair.Certificate, issued.Add(20*day))
+	require.NoError(t, err)
+	require.Equal(t, issued.Add(100*day), certificates[0].until)
+	_, err = readExpiries(former.Certificate, pair.Certificate, issued.Add(20*day))
+	require.ErrorContains(t, err, "expired")
+	_, err = readExpiries([]byte("nothing"), pair.Certificate, issued)
+	require.ErrorContains(t, err, "holds no certificate")
+}
--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/metrics"
 	"strconv"
 	"time"
 
@@ -23,7 +25,7 @@
 
 // startOperating starts what operators need of the node: probes of idle
 // replicas, the watch on certificates, gathering and metrics.
-func (n *Node) startOperating(tlsConfig *tls.Config, certificates [][]byte) {
+func (n *Node) startOperating(tlsConfig *tls.Config, certificates []expiry) {
 	n.gatherer = &gather.Gatherer{
 		Self:     n.identity,
 		TLS:      tlsConfig,
@@ -143,6 +145,8 @@
 // watchMetrics adds the gauges that are read from the node's parts.
 func (n *Node) watchMetrics() {
 	observe.Watch(n.metrics, "uptime_seconds", func() int64 { return int64(n.now() / time.Second) })
+	observe.Watch(n.metrics, "process_goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	observe.Watch(n.metrics, "process_memory_bytes", processMemory)
 	observe.Watch(n.metrics, "problems", func() int64 { return int64(len(n.problems.List())) })
 	observe.Watch(n.metrics, "problems_not_listed_total", func() int64 { return int64(n.problems.Overflow()) })
 	observe.Watch(n.metrics, "view_nodes", func() int64 { return int64(len(n.belief.View().Nodes())) })
@@ -154,6 +158,15 @@
 	n.watchRings("home", func() []ring.Stats { return n.home.Rings() })
 }
 
+const memoryMetric = "/memory/classes/total:bytes"
+
+// processMemory is the memory that the Go runtime holds, in bytes.
+func processMemory() int64 {
+	sample := []metrics.Sample{{Name: memoryMetric}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 // watchRings adds the sums over a duty's rings.
 func (n *Node) watchRings(duty string, read func() []ring.Stats) {
 	sum := func(pick func(ring.Stats) int64) func() int64 {
@@ -178,8 +191,8 @@
 }
 
 // loadTLS reads the node's keys and refuses certificates that are not valid now.
-// It returns the certificates too, to be watched.
-func loadTLS(paths settings.TLS, now time.Time) (*tls.Config, [][]byte, error) {
+// It returns their ends too, to be watched.
+func loadTLS(paths settings.TLS, now time.Time) (*tls.Config, []expiry, error) {
 	authority, err := settings.PEM(paths.Authority)
 	if err != nil {
 		return nil, nil, err
@@ -192,14 +205,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	certificates := [][]byte{authority, certificate}
-	for _, one := range certificates {
-		if err := keys.CheckValid(one, now); err != nil {
-			return nil, nil, err
-		}
+	expiries, err := readExpiries(authority, certificate, now)
+	if err != nil {
+		return nil, nil, err
 	}
 	config, err := keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
-	return config, certificates, err
+	return config, expiries, err
 }
 
 // expiryWatch reports certificates that are about to expire.
@@ -210,7 +221,7 @@
 
 const expiryCheck = time.Hour
 
-func watchExpiry(problems *observe.Problems, registry observe.Registry, certificates [][]byte, warnBefore time.Duration) *expiryWatch {
+func watchExpiry(problems *observe.Problems, registry observe.Registry, certificates []expiry, warnBefore time.Duration) *expiryWatch {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &expiryWatch{stop: stop, done: make(chan struct{})}
 	daysLeft := observe.Gauge(registry, "certificate_days_left")
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -71,12 +71,21 @@
 	if err := printStatus(list, options.json, out); err != nil {
 		return err
 	}
+	if !allReady(list) {
+		return errTrouble
+	}
+	return nil
+}
+
+// allReady reports whether every node answered, is ready and has the same
+// revision in force as the others.
+func allReady(list []nodeStatus) bool {
 	for _, one := range list {
-		if one.Status == nil || one.Status.Health.State != api.HealthReady {
-			return errTrouble
+		if one.Status == nil || one.Status.Health.State != api.HealthReady || one.Status.Revision != list[0].Status.Revision {
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
 func needAddress(address string) error {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -140,6 +140,29 @@
 	return parsed, nil
 }
 
+// AuthorityValidity returns the validity of the certificate of an authority PEM
+// that ends last. While an authority is replaced, the PEM holds the old one and
+// the new one, in any order.
+func AuthorityValidity(authority []byte) (from, until time.Time, err error) {
+	for rest := authority; ; {
+		var block *pem.Block
+		if block, rest = pem.Decode(rest); block == nil {
+			break
+		}
+		parsed, err := first(pem.EncodeToMemory(block))
+		if err != nil {
+			return from, until, err
+		}
+		if parsed.NotAfter.After(until) {
+			from, until = parsed.NotBefore, parsed.NotAfter
+		}
+	}
+	if until.IsZero() {
+		err = tlsFault("the authority PEM holds no certificate", nil)
+	}
+	return from, until, err
+}
+
 // Name returns the common name of the first certificate of a PEM text.
 func Name(certificate []byte) (string, error) {
 	parsed, err := first(certificate)
@@ -149,12 +172,8 @@
 	return parsed.Subject.CommonName, nil
 }
 
-// CheckValid fails when a certificate is not valid at the given time.
-func CheckValid(certificate []byte, now time.Time) error {
-	from, until, err := Validity(certificate)
-	if err != nil {
-		return err
-	}
+// CheckValid fails when a validity does not include the given time.
+func CheckValid(from, until, now time.Time) error {
 	if now.After(until) {
 		return tlsFault("the certificate expired at "+until.UTC().Format(time.RFC3339), nil)
 	}
