--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -16,7 +16,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
-	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -150,7 +149,7 @@
 		Peers:    n.pool,
 		Now:      n.now,
 		Log:      n.log,
-		Limits:   once.DefaultLimits(),
+		Limits:   n.settings.Once.Limits(),
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
