Membership: a pure machine of one node's belief about the others

The VM list was taken for the truth: a dead node that it still shows stayed an owner, and a node that it lacks was never used. Drains spread as versioned marks; a late tick closes the gate.

--- /dev/null
+++ b/internal/core/member/harness_test.go
@@ -0,0 +1,185 @@
+package member_test
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	. "github.com/pistachiopier/pistachiopier/internal/core/member"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/membership"
+)
+
+// overhead is what a QUIC packet adds to a heartbeat on IPv4, in bytes: IP 20,
+// UDP 8, QUIC and TLS 30, frame and envelope 10, and the bare acknowledgement
+// of every other packet.
+const overhead = 20 + 8 + 30 + 10 + 35
+
+// mesh passes messages between machines in virtual time.
+type mesh struct {
+	random  *rand.Rand
+	now     core.Time
+	queue   deliveries
+	order   uint64
+	nodes   []*node
+	byID    map[core.NodeID]*node
+	blocked func(from, to *node) bool
+	loss    float64
+	// messages and bytes count what was sent, over all nodes.
+	messages, bytes int
+	replies         map[Ticket]func(*Message)
+}
+
+type node struct {
+	route.Node
+	machine   *Machine
+	stopped   bool
+	paused    bool
+	closed    bool
+	split     bool
+	published int
+	view      *route.View
+	drains    []string
+	revision  uint64
+}
+
+type delivery struct {
+	at    core.Time
+	order uint64
+	run   func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+func newMesh(seed uint64, count int) *mesh {
+	w := &mesh{random: rand.New(rand.NewPCG(seed, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+	for i := range count {
+		w.add(i, 1)
+	}
+	w.list(w.nodes)
+	return w
+}
+
+func place(i int) route.Node {
+	return route.Node{ID: core.NodeID(fmt.Sprintf("vm-%03d", i)), DataCentre: fmt.Sprintf("dc%d", i%4+1), PeerAddress: fmt.Sprintf("10.1.%d.%d:7002", i/250, i%250), CallerAddress: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250)}
+}
+
+func (w *mesh) add(i int, incarnation uint64) *node {
+	n := &node{Node: place(i)}
+	n.machine = New(Config{Self: n.Node, Incarnation: 1_790_000_000_000_000_000 + incarnation})
+	n.view = n.machine.View()
+	w.nodes = append(w.nodes, n)
+	w.byID[n.ID] = n
+	w.after(core.Time(w.random.Int64N(int64(TickEvery))), func() { w.tick(n) })
+	return n
+}
+
+func (w *mesh) list(nodes []*node) {
+	var listed []ListedNode
+	for _, n := range nodes {
+		listed = append(listed, ListedNode{Node: n.Node})
+	}
+	for _, n := range w.nodes {
+		w.step(n, Listed{Nodes: listed})
+	}
+}
+
+func (w *mesh) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, delivery{w.now + d, w.order, run})
+}
+
+func (w *mesh) tick(n *node) {
+	if n.stopped {
+		return
+	}
+	if !n.paused {
+		w.step(n, Tick{Revision: n.revision})
+	}
+	w.after(TickEvery, func() { w.tick(n) })
+}
+
+func (w *mesh) run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(delivery)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *mesh) step(n *node, event Event) {
+	if n.stopped || n.paused {
+		return
+	}
+	actions := append([]Action(nil), n.machine.Step(w.now, event)...)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Send:
+			w.send(n, a)
+		case Reply:
+			w.replies[a.Ticket](a.Message)
+			delete(w.replies, a.Ticket)
+		case Publish:
+			n.published++
+			n.view = a.View
+		case PublishDrains:
+			n.drains = a.Addresses
+		case Gate:
+			n.closed = a.Closed
+		case Split:
+			n.split = a.Present
+		}
+	}
+}
+
+// send carries a heartbeat and its reply through the codec; each is lost alone.
+func (w *mesh) send(from *node, a Send) {
+	to := w.byID[a.To.ID]
+	w.carry(from, to, a.Message, func(message *Message) {
+		w.handOver(from, to, a.Probe, message)
+	})
+}
+
+func (w *mesh) carry(from, to *node, message *Message, arrive func(*Message)) {
+	encoded, _ := proto.Marshal(membership.Encode(message))
+	w.messages++
+	w.bytes += len(encoded) + overhead
+	if to == nil || w.blocked != nil && w.blocked(from, to) || w.random.Float64() < w.loss {
+		return
+	}
+	w.after(time.Millisecond+time.Duration(w.random.Int64N(int64(2*time.Millisecond))), func() { arrive(message) })
+}
+
+// handOver hands a heartbeat over and carries its reply back, also a late one.
+func (w *mesh) handOver(from, to *node, probe ProbeID, message *Message) {
+	if to.stopped || to.paused {
+		return
+	}
+	w.order++
+	ticket := Ticket(w.order)
+	w.replies[ticket] = func(reply *Message) {
+		w.carry(to, from, reply, func(reply *Message) { w.step(from, Replied{Probe: probe, Message: reply}) })
+	}
+	w.step(to, Received{Ticket: ticket, Message: message})
+}
+
+var figures = flag.Bool("figures", false, "measure large fleets as well")
--- /dev/null
+++ b/internal/core/member/life.go
@@ -0,0 +1,66 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/pistachiopier/pistachiopier/internal/chart"
+)
+
+// subject is what the chart's actions work on.
+type subject struct {
+	machine *Machine
+	peer    *peer
+}
+
+// life is the life cycle of a node as another one believes it.
+var life = chart.Must(chart.Source("node"), chart.Bindings[subject]{
+	Actions: map[string]func(subject){
+		"spread":     func(s subject) { s.machine.tell(s.peer) },
+		"note_death": func(s subject) { s.peer.deadAt = s.machine.now },
+	},
+})
+
+var (
+	unknown = life.State("unknown")
+	live    = life.State("live")
+	suspect = life.State("suspect")
+	dead    = life.State("dead")
+	leaving = life.State("leaving")
+	gone    = life.State("gone")
+
+	eventAnswered  = life.Event("answered")
+	eventDoubted   = life.Event("doubted")
+	eventConfirmed = life.Event("confirmed_dead")
+	eventLeft      = life.Event("left")
+	eventRenewed   = life.Event("renewed")
+)
+
+func (p *peer) is(states ...chart.State) bool { return slices.Contains(states, p.state) }
+
+func (m *Machine) fire(p *peer, event chart.Event) {
+	before := p.state
+	p.state = life.Fire(before, event, subject{m, p})
+	if p.state != before {
+		m.changed = true
+	}
+}
+
+// renew takes up a new incarnation under a known id: what was believed of the
+// former process says nothing of this one.
+func (m *Machine) renew(p *peer, incarnation uint64, version uint32) {
+	p.incarnation = incarnation
+	p.version = version
+	p.witnesses = [witnessesNeeded]Witness{}
+	delete(m.doubts, p.node.ID)
+	m.fire(p, eventRenewed)
+}
+
+// State names the believed state of a node, or "" for one not known.
+func (m *Machine) State(id string) string {
+	for known, p := range m.peers {
+		if string(known) == id {
+			return life.Name(p.state)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/member/view.go
@@ -0,0 +1,140 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+)
+
+// split remembers since when other views are seen.
+type split struct {
+	// differsSince is when heartbeats began to show another view, or 0.
+	differsSince core.Time
+	lastDiffer   core.Time
+	raised       bool
+	unreached    int
+	lostSince    core.Time
+}
+
+// refresh brings the order, the neighbours and the wanted view up to date.
+func (m *Machine) refresh() {
+	if !m.changed {
+		return
+	}
+	m.order = m.order[:0]
+	for _, p := range m.peers {
+		m.order = append(m.order, p)
+	}
+	slices.SortFunc(m.order, func(a, b *peer) int { return strings.Compare(string(a.node.ID), string(b.node.ID)) })
+	m.neighbours = m.neighbours[:0]
+	for ring := range m.config.Neighbours {
+		if next := m.successor(uint64(ring)); next != nil {
+			m.neighbours = append(m.neighbours, next)
+		}
+	}
+}
+
+// successor is the next node after this one in a ring that it is not yet the
+// neighbour of. Each node then has as many watchers as there are rings.
+func (m *Machine) successor(ring uint64) *peer {
+	self := pairHash(m.config.Self.ID, ring)
+	var best *peer
+	var bestDistance uint64
+	for _, p := range m.order {
+		if p.is(dead, gone, leaving) || slices.Contains(m.neighbours, p) {
+			continue
+		}
+		distance := pairHash(p.node.ID, ring) - self
+		if best == nil || distance < bestDistance {
+			best, bestDistance = p, distance
+		}
+	}
+	return best
+}
+
+// publish makes the routing view when something changed and the set of nodes
+// is another.
+func (m *Machine) publish() {
+	if !m.changed {
+		return
+	}
+	m.refresh()
+	m.changed = false
+	var nodes []route.Node
+	if !m.leaving {
+		nodes = append(nodes, m.config.Self)
+	}
+	for _, p := range m.order {
+		if p.routed() {
+			nodes = append(nodes, p.node)
+		}
+	}
+	if len(nodes) == 0 {
+		nodes = append(nodes, m.config.Self)
+	}
+	next := route.NewView(nodes)
+	if m.started && !sameNodes(next.Nodes(), m.view.Nodes()) {
+		m.act(Publish{View: next})
+	}
+	m.view = next
+}
+
+// sameNodes also tells a node that came back at another address.
+func sameNodes(a, b []route.Node) bool { return slices.Equal(a, b) }
+
+// routed reports whether work is routed to the node.
+func (p *peer) routed() bool {
+	if p.listedLeaving {
+		return false
+	}
+	return p.is(live, suspect) || p.is(unknown) && p.presumed
+}
+
+// compareView notes whether the sender routes by another view.
+func (m *Machine) compareView(message *Message) {
+	if message.View == m.view.ID() {
+		return
+	}
+	m.split.lastDiffer = m.now
+	if m.split.differsSince == 0 {
+		m.split.differsSince = m.now
+	}
+}
+
+// checkSplit raises a problem when other views are seen for long, or when the
+// VM list shows several nodes live that do not answer: beyond a partition no
+// heartbeat comes that could show another view.
+func (m *Machine) checkSplit() {
+	if m.split.differsSince > 0 && m.now-m.split.lastDiffer > 2*m.config.Period {
+		m.split.differsSince = 0
+	}
+	unreached := m.countUnreached()
+	switch {
+	case unreached < 2:
+		m.split.lostSince = 0
+	case m.split.lostSince == 0:
+		m.split.lostSince = m.now
+	}
+	present := m.longSince(m.split.differsSince) || m.longSince(m.split.lostSince)
+	if present != m.split.raised || present && unreached != m.split.unreached {
+		m.act(Split{Present: present, Unreached: unreached})
+	}
+	m.split.raised = present
+	m.split.unreached = unreached
+}
+
+func (m *Machine) longSince(at core.Time) bool {
+	return at > 0 && m.now-at >= m.config.SplitWait
+}
+
+func (m *Machine) countUnreached() int {
+	count := 0
+	for _, p := range m.order {
+		if p.is(dead) && p.listed && !p.listedLeaving {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/member"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+// maxListed bounds what is taken from one heartbeat, whatever its sender is.
+const maxListed = 256
+
+// witnessBits is the size of each half of a packed witness.
+const witnessBits = 32
+
+// Encode turns a heartbeat into its peer message.
+func Encode(message *member.Message) *peerpb.Heartbeat {
+	out := &peerpb.Heartbeat{
+		Node:           string(message.From.ID),
+		Incarnation:    message.Incarnation,
+		Version:        message.Version,
+		ConfigRevision: message.Revision,
+		ConfigDigest:   message.Digest,
+		View:           message.View,
+		Leaving:        message.Leaving,
+		Probe:          string(message.Probe),
+		ProbeReached:   message.Reached,
+		DataCentre:     message.From.DataCentre,
+		PeerAddress:    message.From.PeerAddress,
+		CallerAddress:  message.From.CallerAddress,
+	}
+	for _, update := range message.Updates {
+		out.Suspects = append(out.Suspects, encodeUpdate(update))
+	}
+	for _, mark := range message.Drains {
+		out.DrainMarks = append(out.DrainMarks, &peerpb.DrainMark{Address: mark.Address, Version: mark.Version, Draining: mark.Draining})
+	}
+	return out
+}
+
+func encodeUpdate(update member.Update) *peerpb.Suspicion {
+	out := &peerpb.Suspicion{
+		Node:          string(update.Node.ID),
+		Incarnation:   update.Incarnation,
+		Refuted:       update.Standing == member.StandingLive,
+		Version:       update.Version,
+		Standing:      uint32(update.Standing),
+		DataCentre:    update.Node.DataCentre,
+		PeerAddress:   update.Node.PeerAddress,
+		CallerAddress: update.Node.CallerAddress,
+	}
+	for _, witness := range update.Witnesses {
+		if witness.Node != 0 {
+			out.Witnesses = append(out.Witnesses, uint64(witness.Node)<<witnessBits|uint64(witness.Term))
+		}
+	}
+	return out
+}
+
+// Decode turns a peer message into a heartbeat.
+func Decode(in *peerpb.Heartbeat) *member.Message {
+	message := &member.Message{
+		From: route.Node{
+			ID:            core.NodeID(in.GetNode()),
+			DataCentre:    in.GetDataCentre(),
+			PeerAddress:   in.GetPeerAddress(),
+			CallerAddress: in.GetCallerAddress(),
+		},
+		Incarnation: in.GetIncarnation(),
+		Version:     in.GetVersion(),
+		Revision:    in.GetConfigRevision(),
+		Digest:      in.GetConfigDigest(),
+		View:        in.GetView(),
+		Leaving:     in.GetLeaving(),
+		Probe:       core.NodeID(in.GetProbe()),
+		Reached:     in.GetProbeReached(),
+	}
+	suspects := in.GetSuspects()
+	for _, one := range suspects[:min(len(suspects), maxListed)] {
+		message.Updates = append(message.Updates, decodeUpdate(one))
+	}
+	marks := in.GetDrainMarks()
+	for _, mark := range marks[:min(len(marks), maxListed)] {
+		message.Drains = append(message.Drains, member.Drain{Address: mark.GetAddress(), Version: mark.GetVersion(), Draining: mark.GetDraining()})
+	}
+	return message
+}
+
+func decodeUpdate(in *peerpb.Suspicion) member.Update {
+	update := member.Update{
+		Node: route.Node{
+			ID:            core.NodeID(in.GetNode()),
+			DataCentre:    in.GetDataCentre(),
+			PeerAddress:   in.GetPeerAddress(),
+			CallerAddress: in.GetCallerAddress(),
+		},
+		Incarnation: in.GetIncarnation(),
+		Version:     in.GetVersion(),
+		Standing:    min(member.Standing(in.GetStanding()), member.StandingLeaving),
+	}
+	witnesses := in.GetWitnesses()
+	for i, packed := range witnesses[:min(len(witnesses), len(update.Witnesses))] {
+		update.Witnesses[i] = member.Witness{Node: uint32(packed >> witnessBits), Term: uint32(packed)}
+	}
+	return update
+}
