--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,7 +47,9 @@
 	authority *keys.Authority
 	logTo     io.Writer
 	members   []*Member
-	alter     func(*settings.Settings)
+	// added counts the nodes started so far: an id is never used twice.
+	added int
+	alter func(*settings.Settings)
 }
 
 // Options choose a fleet.
@@ -80,7 +82,8 @@
 
 // Add starts one more node and lists its VM as live.
 func (f *Fleet) Add() (*Member, error) {
-	number := len(f.members)
+	number := f.added
+	f.added++
 	id := core.NodeID(fmt.Sprintf("vm-%d", number+1))
 	pair, err := f.authority.Issue(string(id), time.Now(), validity)
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/stop_test.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+)
+
+// addressBook is a caller that keeps the address answer for its time to live, as
+// real callers do, and then asks again.
+type addressBook struct {
+	caller  *client.Client
+	entries []api.EntryAddress
+	until   time.Time
+	next    int
+}
+
+func (b *addressBook) address(t *testing.T, known []string) string {
+	if time.Now().After(b.until) {
+		b.refresh(t, known)
+	}
+	b.next++
+	return b.entries[b.next%len(b.entries)].Address
+}
+
+// refresh asks an entry of the old answer, or of the first one.
+func (b *addressBook) refresh(t *testing.T, known []string) {
+	for _, one := range b.entries {
+		known = append(known, one.Address)
+	}
+	for i := range known {
+		asked := time.Now()
+		entries, err := b.caller.Entries(context.Background(), known[len(known)-1-i])
+		if err == nil && len(entries.Entries) > 0 {
+			b.entries = entries.Entries
+			b.until = asked.Add(time.Duration(entries.TTLMs) * time.Millisecond)
+			return
+		}
+	}
+	assert.Fail(t, "no entry tells addresses")
+}
+
+// Operators replace every VM in turn while chefs ask. A stop that cut off a
+// request, or an owner that vanished under one, would show as a failed request
+// or as a thin answer. Callers keep their addresses as long as they were told.
+func TestRollingReplacementCutsNothingOff(t *testing.T) {
+	const nodes, callers = 4, 6
+	upstreams := startUpstreams(t, 8)
+	for _, u := range upstreams {
+		u.Change(func(b *standin.Behaviour) { b.Service = 10 * time.Millisecond })
+	}
+	f := startFleet(t, nodes, testText(upstreams))
+	first := f.Members()[0].Addresses.Caller
+	var asked, thin atomic.Int64
+	var failures sync.Map
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			book := &addressBook{caller: client.New()}
+			defer book.caller.Close()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				address := book.address(t, []string{first})
+				reply, err := book.caller.Query(context.Background(), address, "top", api.QueryRequest{Customer: "chef", Question: json.RawMessage(`"pork"`)})
+				asked.Add(1)
+				if err != nil {
+					failures.Store(err.Error(), errors.Unwrap(err))
+				} else if reply.Coverage.Thin {
+					thin.Add(1)
+					failures.Store("thin", reply.Coverage.Missing)
+				}
+			}
+		})
+	}
+	for range nodes {
+		replaceOldest(t, f)
+	}
+	close(done)
+	running.Wait()
+	failures.Range(func(what, why any) bool {
+		assert.Fail(t, "a request was cut off", "%v: %v", what, why)
+		return true
+	})
+	require.Zero(t, thin.Load())
+	require.Greater(t, asked.Load(), int64(nodes*callers))
+	t.Logf("%d questions while %d nodes were replaced", asked.Load(), nodes)
+}
+
+// replaceOldest starts a node, stops the oldest and takes it off the list only
+// after it has gone: the list lags.
+func replaceOldest(t *testing.T, f *Fleet) {
+	oldest := f.Members()[0]
+	fresh, err := f.Add()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return seenByAll(f, fresh) }, awaitLimit, pollPause)
+	require.NoError(t, f.Stop(oldest))
+	f.Unlist(oldest)
+}
+
+func seenByAll(f *Fleet, member *Member) bool {
+	for _, one := range f.Members() {
+		status := one.Node.Status()
+		if status.Revision == 0 || status.Nodes != len(f.Members()) {
+			return false
+		}
+	}
+	return true
+}
