--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -162,6 +162,7 @@
 	})
 	n.ready.Store(true)
 	n.pool.OnLink(n.linkNews)
+	n.upstream.OnSilent(n.silentUpstream)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
 }
@@ -264,7 +265,9 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	Membership ring.Stats   `json:"membership_ring"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+	Silent     int64        `json:"silent_upstream_connections"`
 }
 
 func (n *Node) dump() any {
@@ -274,7 +277,9 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		Membership: n.members.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
+		Silent:     n.upstream.SilentConnections(),
 	}
 }
 
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"github.com/pistachiopier/pistachiopier/internal/observe"
-	"github.com/pistachiopier/pistachiopier/internal/peer"
 )
 
 const (
@@ -106,19 +103,6 @@
 	})
 }
 
-// linkNews takes the evidence of data traffic about the node behind a link.
-func (n *Node) linkNews(news peer.LinkNews) {
-	switch news.State {
-	case peer.LinkAnswers:
-		n.members.Answered(news.Peer.Node)
-	case peer.LinkSilent:
-		n.problems.Report(observe.KindSilentConnection, "peer "+string(news.Peer.Node), "the link to "+news.Peer.Address+" answered nothing and was replaced")
-		n.members.Lost(news.Peer.Node)
-	default:
-		n.members.Lost(news.Peer.Node)
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,7 +20,9 @@
 
 // Limits and times of the connections to upstreams.
 const (
-	maxReplyBytes  = 8 << 20
+	maxReplyBytes = 8 << 20
+	// idleConnection bounds the age of an idle connection: the longer one is
+	// idle, the likelier something between the ends has forgotten its flow.
 	idleConnection = 30 * time.Second
 	dialTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
@@ -66,6 +68,7 @@
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
 	dropped    atomic.Int64
+	suspects   suspects
 }
 
 // NewClient makes a client without connections.
@@ -94,6 +97,7 @@
 	if transport := c.transports[address]; transport != nil {
 		transport.CloseIdleConnections()
 		delete(c.transports, address)
+		c.suspects.forget(address)
 	}
 }
 
@@ -142,8 +146,10 @@
 	if err != nil {
 		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}
 	}
-	response, err := c.transport(call.Address).RoundTrip(request)
+	transport := c.transport(call.Address)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
+		c.checkSilence(ctx, call.Address, transport, wire)
 		return failure(ctx, wire, err, time.Since(started))
 	}
 	result := c.read(ctx, call, response, wire)
--- /dev/null
+++ b/internal/upstream/silent_test.go
@@ -0,0 +1,122 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+// forwarder passes TCP connections on. Those open at a call of silence go
+// silent for good: they stay open, and what is written to them vanishes.
+type forwarder struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	era      int
+	opened   int
+}
+
+func startForwarder(t *testing.T, target string) *forwarder {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &forwarder{listener: listener, target: target}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			era := f.open()
+			go f.pass(era, client, server)
+			go f.pass(era, server, client)
+		}
+	}()
+	return f
+}
+
+func (f *forwarder) open() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.opened++
+	return f.era
+}
+
+func (f *forwarder) silence() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.era++
+}
+
+func (f *forwarder) silenced(era int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return era < f.era
+}
+
+func (f *forwarder) pass(era int, from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if !f.silenced(era) {
+				_ = to.Close()
+			}
+			return
+		}
+		if f.silenced(era) {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		_, _ = to.Write(buffer[:n])
+	}
+}
+
+// Overnight a firewall forgets its flows: every open connection to a replica
+// goes silent while new ones work. The first lookup of the morning times out.
+// It must be the only one: the connection it ran on and the idle ones beside it
+// are closed, and the next lookup opens a new one.
+func TestOneTimeoutEndsAllSilentConnections(t *testing.T) {
+	const connections = 4
+	replica, err := standin.StartUpstream("127.0.0.1:0", standin.Behaviour{Versions: []uint64{1}, Service: 50 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = replica.Close() })
+	f := startForwarder(t, replica.Address())
+	client := upstream.NewClient()
+	t.Cleanup(client.Close)
+	client.Limit(f.listener.Addr().String(), connections)
+	told := make(chan string, connections)
+	client.OnSilent(func(address string) { told <- address })
+	call := upstream.Call{Address: f.listener.Addr().String(), Ref: core.ShardRef{Service: "stems"}, RequestID: "r", TimeLeft: 10 * time.Second}
+
+	var running sync.WaitGroup
+	for range connections {
+		running.Go(func() { client.Do(context.Background(), call) })
+	}
+	running.Wait()
+	require.Greater(t, f.opened, 1, "several connections are idle now")
+
+	f.silence()
+	short := call
+	short.TimeLeft = 200 * time.Millisecond
+	first := client.Do(context.Background(), short)
+	require.Equal(t, core.Unknown, first.Outcome, "it was sent, and nobody knows whether it ran")
+	require.Equal(t, core.ReasonDeadline, first.Reason)
+	require.Equal(t, call.Address, <-told)
+	require.Equal(t, core.Done, client.Do(context.Background(), call).Outcome)
+	require.Equal(t, int64(1), client.SilentConnections())
+}
