--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -237,7 +237,11 @@
 	View        uint64      `json:"view"`
 	Nodes       int         `json:"nodes"`
 	InFlight    int         `json:"in_flight"`
-	UptimeMs    int64       `json:"uptime_ms"`
+	// Paused is set while the node confirms its beliefs after it stood still.
+	Paused bool `json:"paused"`
+	// Drained counts the upstreams that were seen draining by any node.
+	Drained  int   `json:"drained_upstreams"`
+	UptimeMs int64 `json:"uptime_ms"`
 }
 
 // Status reports the node's short state.
@@ -250,6 +254,8 @@
 		View:        n.belief.View().ID(),
 		Nodes:       len(n.belief.View().Nodes()),
 		InFlight:    n.entry.InFlight(),
+		Paused:      n.belief.Paused(),
+		Drained:     n.belief.DrainedUpstreams(),
 		UptimeMs:    n.now().Milliseconds(),
 	}
 	if config := n.belief.Config(); config != nil {
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -111,3 +111,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// Kill ends the node's connections at once, without a planned stop. Tests of lost
+// nodes use it; the application's own stop must follow.
+func (n *Node) Kill() {
+	n.members.Close()
+	_ = n.server.Close()
+	_ = n.pool.Close()
+	_ = n.caller.Close()
+	n.ready.Store(false)
+}
--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -83,6 +83,15 @@
 	return drains != nil && (*drains)[address]
 }
 
+// DrainedUpstreams is the number of upstreams seen draining.
+func (s *Store) DrainedUpstreams() int {
+	drains := s.drains.Load()
+	if drains == nil {
+		return 0
+	}
+	return len(*drains)
+}
+
 // SetDrained replaces the set of upstreams seen draining.
 func (s *Store) SetDrained(addresses []string) {
 	drains := make(map[string]bool, len(addresses))
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -122,3 +122,45 @@
 	}
 	return true
 }
+
+// An upstream tells one owner that it drains. Every node must know within
+// seconds, so that no owner gives it new work.
+func TestADrainSeenByOneOwnerIsKnownToAll(t *testing.T) {
+	upstreams := startUpstreams(t, 2)
+	f := startFleet(t, 3, testText(upstreams))
+	upstreams[0].Change(func(b *standin.Behaviour) { b.Draining = true })
+	caller := client.New()
+	defer caller.Close()
+	known := func() bool {
+		_, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+		require.NoError(t, err)
+		for _, member := range f.Members() {
+			if member.Node.Status().Drained != 1 {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, known, awaitLimit, pollPause)
+	before := upstreams[0].Queries()
+	for range 20 {
+		_, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+		require.NoError(t, err)
+	}
+	require.Equal(t, before, upstreams[0].Queries())
+}
+
+// A node dies without a planned stop and its VM stays in the list. Questions must soon
+// be whole again, with its bundles at other owners.
+func TestADeadOwnerIsReplacedThoughItIsListed(t *testing.T) {
+	upstreams := startUpstreams(t, 8)
+	f := startFleet(t, 4, testText(upstreams))
+	lost := f.Members()[3]
+	lost.Node.Kill()
+	caller := client.New()
+	defer caller.Close()
+	require.Eventually(t, func() bool { return f.Members()[0].Node.Status().Nodes == 3 }, awaitLimit, pollPause)
+	reply, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+	require.NoError(t, err)
+	require.False(t, reply.Coverage.Thin, "missing: %v", reply.Coverage.Missing)
+}
