--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -3,24 +3,27 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/gather"
+	"github.com/pistachiopier/pistachiopier/internal/home"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/night"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -43,24 +46,29 @@
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
 	platform *platform.Client
 	config   *confwatch.Watcher
 	members  *membership.Duty
-	leaving  atomic.Bool
+	caller   *httpServer
+	operator *httpServer
+	gatherer *gather.Gatherer
+	prober   *night.Prober
+	expiry   *expiryWatch
+	rotation api.Rotation
+	// stopping is set when a planned stop begins.
+	stopping atomic.Bool
 	// ready is set once every duty runs: a peer may ask before that.
 	ready atomic.Bool
-	// beforeExit runs at a planned stop, when nothing is in flight any longer.
-	beforeExit []func(context.Context)
-	caller     *httpServer
-	operator   *httpServer
 }
 
 // httpServer is a server with the address it got.
 type httpServer struct {
 	*http.Server
-	address string
+	address  string
+	listener *api.LimitedListener
 }
 
 // Addresses are where a started node listens.
@@ -78,12 +86,12 @@
 // New describes a node as an fx application; Run or Start it.
 func New(s *settings.Settings, log logrus.FieldLogger, options ...fx.Option) *fx.App {
 	base := []fx.Option{
-		fx.NopLogger,
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(log.WithField("node", s.Node)) }),
 		fx.Supply(s),
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		fx.Provide(newNode),
 		fx.Invoke(func(lifecycle fx.Lifecycle, node *Node) {
-			lifecycle.Append(fx.Hook{OnStart: node.start, OnStop: node.stop})
+			lifecycle.Append(fx.Hook{OnStart: node.startOrCleanUp, OnStop: node.stop})
 		}),
 		fx.StopTimeout(s.StopWait),
 	}
@@ -108,8 +116,18 @@
 
 func (n *Node) now() core.Time { return time.Since(n.started) }
 
+// startOrCleanUp starts the node. fx does not call the stop of a start that
+// failed, so that what did start is ended here.
+func (n *Node) startOrCleanUp(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.stop(ctx)
+	}
+	return err
+}
+
 func (n *Node) start(context.Context) error {
-	tlsConfig, err := loadTLS(n.settings.TLS)
+	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
 	if err != nil {
 		return fault.Step("load keys", err)
 	}
@@ -122,10 +140,17 @@
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
+	n.startOperating(tlsConfig, certificates)
 	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
+	n.config = n.newConfigWatcher()
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	if err != nil {
+		return fault.Step("start home", err)
+	}
+	n.pool.OnBroken((&linkLog{log: n.log}).broken)
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -144,12 +169,13 @@
 		return err
 	}
 	n.belief.SetSelf(route.Node{
-		ID:            n.identity.Node,
-		DataCentre:    n.settings.DataCentre,
-		PeerAddress:   n.server.Address(),
-		CallerAddress: n.caller.address,
+		ID:              n.identity.Node,
+		DataCentre:      n.settings.DataCentre,
+		PeerAddress:     n.server.Address(),
+		CallerAddress:   n.caller.address,
+		OperatorAddress: n.operator.address,
 	})
-	n.config = confwatch.Start(n.platform, n.belief, n.log)
+	n.config.Start()
 	n.members = membership.Start(membership.Options{
 		Self:        n.belief.Self(),
 		Incarnation: n.identity.Incarnation,
@@ -159,6 +185,7 @@
 		Now:         n.now,
 		Log:         n.log,
 		Problems:    n.problems,
+		Heard:       n.config.Hint,
 	})
 	n.ready.Store(true)
 	n.pool.OnLink(n.linkNews)
@@ -167,66 +194,36 @@
 	return nil
 }
 
-func (n *Node) startHTTP() error {
-	caller := n.closeWhenLeaving(api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)}))
-	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
-	var err error
-	n.caller, err = n.serve(n.settings.CallerAddress, caller)
-	if err != nil {
-		return fault.Step("listen for callers", err)
-	}
-	n.operator, err = n.serve(n.settings.OperatorAddress, operator)
-	return fault.Step("listen for operators", err)
-}
-
-func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: n.settings.Limits.HeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return &httpServer{Server: server, address: listener.Addr().String()}, nil
-}
-
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
 	if !n.ready.Load() {
 		inbound.Reply(peer.Refused(core.ReasonPeerUnreached), true)
 		return
 	}
-	switch inbound.Envelope.GetBody().(type) {
+	switch body := inbound.Envelope.GetBody().(type) {
 	case *peerpb.Envelope_Heartbeat:
 		n.members.HandleHeartbeat(inbound)
+	case *peerpb.Envelope_ConfigRequest:
+		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
+		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_SubmitRequest:
+		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
+			n.owner.HandleSubmit(inbound)
+			return
+		}
+		n.home.HandleSubmit(inbound)
+	case *peerpb.Envelope_HandoverRequest:
+		n.home.HandleHandover(inbound)
+	case *peerpb.Envelope_ProblemsRequest:
+		n.gatherer.Answer(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
 }
 
-func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds()}
-	for _, node := range n.belief.View().Nodes() {
-		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
-	}
-	return out
-}
-
-func (n *Node) health() api.Health {
-	if n.leaving.Load() {
-		return api.Health{State: "draining", Why: "the node is being stopped"}
-	}
-	if n.belief.Config() == nil {
-		return api.Health{State: "starting", Why: "no configuration is in force yet"}
-	}
-	if len(n.belief.View().Nodes()) == 0 {
-		return api.Health{State: "starting", Why: "the VM list is not read yet"}
-	}
-	return api.Health{State: "ready"}
-}
-
 // Status is a node's short state for operators.
 type Status struct {
 	Node        core.NodeID `json:"node"`
@@ -272,8 +269,12 @@
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
 	Membership ring.Stats   `json:"membership_ring"`
-	Dropped    int64        `json:"dropped_upstream_replies"`
 	Silent     int64        `json:"silent_upstream_connections"`
+	HomeRings  []ring.Stats `json:"home_rings"`
+	Dropped    int64        `json:"dropped_upstream_replies"`
+
+	Config   confwatch.Dump `json:"config"`
+	Problems any            `json:"problems"`
 }
 
 func (n *Node) dump() any {
@@ -284,23 +285,10 @@
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
 		Membership: n.members.Rings(),
-		Dropped:    n.upstream.DroppedReplies(),
 		Silent:     n.upstream.SilentConnections(),
+		HomeRings:  n.home.Rings(),
+		Dropped:    n.upstream.DroppedReplies(),
+		Config:     n.config.Dump(),
+		Problems:   n.gatherer.Own().Problems,
 	}
 }
-
-func loadTLS(paths settings.TLS) (*tls.Config, error) {
-	authority, err := settings.PEM(paths.Authority)
-	if err != nil {
-		return nil, err
-	}
-	certificate, err := settings.PEM(paths.Certificate)
-	if err != nil {
-		return nil, err
-	}
-	key, err := settings.PEM(paths.Key)
-	if err != nil {
-		return nil, err
-	}
-	return keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
-}
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -22,6 +22,7 @@
 // long; then it takes no new callers, finishes what callers and peers wait for,
 // hands over and only then ends the duties. The context bounds it all.
 func (n *Node) stop(ctx context.Context) error {
+	n.stopping.Store(true)
 	if n.ready.Load() {
 		n.drain(ctx)
 	}
@@ -29,22 +30,20 @@
 }
 
 func (n *Node) drain(ctx context.Context) {
-	n.leaving.Store(true)
 	n.members.Leave()
 	n.log.WithField("event", "node_leaving").Info("planned stop: no longer an owner, still serving")
 	sleep(ctx, n.keepAccepting(ctx))
 	if err := n.caller.Shutdown(ctx); err != nil {
 		n.log.WithError(err).WithField("event", "stop_cut_short").Error("callers' requests were cut off: stop_wait is over")
 	}
+	n.home.Stop(ctx)
+	n.owner.DrainSubmits(ctx)
 	for ctx.Err() == nil && n.inFlight() > 0 {
 		sleep(ctx, idlePoll)
 	}
 	if left := n.inFlight(); left > 0 {
 		n.log.WithFields(logrus.Fields{"event": "stop_cut_short", "in_flight": left}).Error("peers' requests were cut off: stop_wait is over")
 	}
-	for _, handOver := range n.beforeExit {
-		handOver(ctx)
-	}
 }
 
 // keepAccepting is how long callers with old addresses are still served.
@@ -65,12 +64,16 @@
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
 	}
+	if n.home != nil {
+		defer n.home.Close()
+	}
 	if n.members != nil {
 		n.members.Close()
 	}
 	if n.config != nil {
 		n.config.Close()
 	}
+	n.stopOperating()
 	if n.entry != nil {
 		n.entry.Close()
 	}
@@ -96,7 +99,7 @@
 // next request, which would then fail although it could have gone elsewhere.
 func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.leaving.Load() {
+		if n.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -192,8 +192,10 @@
 	lastTick core.Time
 	version  uint32
 	leaving  bool
-	started  bool
-	sequence uint64
+	// started is set by the first VM list, published by the first view.
+	started   bool
+	published bool
+	sequence  uint64
 
 	peers  map[core.NodeID]*peer
 	byHash map[uint32]*peer
@@ -319,6 +321,9 @@
 	trusted := leavingTrusted(e.Nodes)
 	for _, written := range e.Nodes {
 		if written.ID == m.config.Self.ID {
+			// Others reach this node by the listed addresses, which its own
+			// listeners may not know.
+			m.config.Self = written.Node
 			continue
 		}
 		p := m.peer(written.Node)
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -75,7 +75,8 @@
 		nodes = append(nodes, m.config.Self)
 	}
 	next := route.NewView(nodes)
-	if m.started && !sameNodes(next.Nodes(), m.view.Nodes()) {
+	if m.started && (!m.published || !sameNodes(next.Nodes(), m.view.Nodes())) {
+		m.published = true
 		m.act(Publish{View: next})
 	}
 	m.view = next
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -26,6 +26,7 @@
 			require.True(t, ok)
 			require.Equal(t, rank < 4, node.DataCentre == "dc2")
 			seen[node.ID] = true
+			require.Equal(t, node, view.Order(bundle, "dc2")[rank])
 			require.Equal(t, rank, view.Place(bundle, "dc2", node))
 		}
 		require.Len(t, seen, 16)
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -16,18 +16,19 @@
 // Encode turns a heartbeat into its peer message.
 func Encode(message *member.Message) *peerpb.Heartbeat {
 	out := &peerpb.Heartbeat{
-		Node:           string(message.From.ID),
-		Incarnation:    message.Incarnation,
-		Version:        message.Version,
-		ConfigRevision: message.Revision,
-		ConfigDigest:   message.Digest,
-		View:           message.View,
-		Leaving:        message.Leaving,
-		Probe:          string(message.Probe),
-		ProbeReached:   message.Reached,
-		DataCentre:     message.From.DataCentre,
-		PeerAddress:    message.From.PeerAddress,
-		CallerAddress:  message.From.CallerAddress,
+		Node:            string(message.From.ID),
+		Incarnation:     message.Incarnation,
+		Version:         message.Version,
+		ConfigRevision:  message.Revision,
+		ConfigDigest:    message.Digest,
+		View:            message.View,
+		Leaving:         message.Leaving,
+		Probe:           string(message.Probe),
+		ProbeReached:    message.Reached,
+		DataCentre:      message.From.DataCentre,
+		PeerAddress:     message.From.PeerAddress,
+		CallerAddress:   message.From.CallerAddress,
+		OperatorAddress: message.From.OperatorAddress,
 	}
 	for _, update := range message.Updates {
 		out.Suspects = append(out.Suspects, encodeUpdate(update))
@@ -40,14 +41,15 @@
 
 func encodeUpdate(update member.Update) *peerpb.Suspicion {
 	out := &peerpb.Suspicion{
-		Node:          string(update.Node.ID),
-		Incarnation:   update.Incarnation,
-		Refuted:       update.Standing == member.StandingLive,
-		Version:       update.Version,
-		Standing:      uint32(update.Standing),
-		DataCentre:    update.Node.DataCentre,
-		PeerAddress:   update.Node.PeerAddress,
-		CallerAddress: update.Node.CallerAddress,
+		Node:            string(update.Node.ID),
+		Incarnation:     update.Incarnation,
+		Refuted:         update.Standing == member.StandingLive,
+		Version:         update.Version,
+		Standing:        uint32(update.Standing),
+		DataCentre:      update.Node.DataCentre,
+		PeerAddress:     update.Node.PeerAddress,
+		CallerAddress:   update.Node.CallerAddress,
+		OperatorAddress: update.Node.OperatorAddress,
 	}
 	for _, witness := range update.Witnesses {
 		if witness.Node != 0 {
@@ -61,10 +63,11 @@
 func Decode(in *peerpb.Heartbeat) *member.Message {
 	message := &member.Message{
 		From: route.Node{
-			ID:            core.NodeID(in.GetNode()),
-			DataCentre:    in.GetDataCentre(),
-			PeerAddress:   in.GetPeerAddress(),
-			CallerAddress: in.GetCallerAddress(),
+			ID:              core.NodeID(in.GetNode()),
+			DataCentre:      in.GetDataCentre(),
+			PeerAddress:     in.GetPeerAddress(),
+			CallerAddress:   in.GetCallerAddress(),
+			OperatorAddress: in.GetOperatorAddress(),
 		},
 		Incarnation: in.GetIncarnation(),
 		Version:     in.GetVersion(),
@@ -89,10 +92,11 @@
 func decodeUpdate(in *peerpb.Suspicion) member.Update {
 	update := member.Update{
 		Node: route.Node{
-			ID:            core.NodeID(in.GetNode()),
-			DataCentre:    in.GetDataCentre(),
-			PeerAddress:   in.GetPeerAddress(),
-			CallerAddress: in.GetCallerAddress(),
+			ID:              core.NodeID(in.GetNode()),
+			DataCentre:      in.GetDataCentre(),
+			PeerAddress:     in.GetPeerAddress(),
+			CallerAddress:   in.GetCallerAddress(),
+			OperatorAddress: in.GetOperatorAddress(),
 		},
 		Incarnation: in.GetIncarnation(),
 		Version:     in.GetVersion(),
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,7 @@
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 	seen    uint64
+	listed  atomic.Pointer[[]route.Node]
 
 	mutex   sync.Mutex
 	inbound map[member.Ticket]*peer.Inbound
@@ -111,6 +113,15 @@
 // Rings reports the depth of the duty's ring.
 func (d *Duty) Rings() ring.Stats { return d.events.Stats() }
 
+// Listed returns the nodes of the last VM list that was read.
+func (d *Duty) Listed() []route.Node {
+	listed := d.listed.Load()
+	if listed == nil {
+		return nil
+	}
+	return *listed
+}
+
 // Leave tells the other nodes that this one will stop.
 func (d *Duty) Leave() { _ = d.events.Put(d.ctx, member.Leave{}) }
 
--- a/internal/membership/vmlist.go
+++ b/internal/membership/vmlist.go
@@ -53,7 +53,13 @@
 }
 
 func (d *Duty) adopt(list platform.VMList) {
-	_ = d.events.Put(d.ctx, listedNodes(list))
+	listed := listedNodes(list)
+	nodes := make([]route.Node, 0, len(listed.Nodes))
+	for _, one := range listed.Nodes {
+		nodes = append(nodes, one.Node)
+	}
+	d.listed.Store(&nodes)
+	_ = d.events.Put(d.ctx, listed)
 	config := d.options.Belief.Config()
 	if config == nil {
 		return
@@ -72,10 +78,11 @@
 		}
 		listed.Nodes = append(listed.Nodes, member.ListedNode{
 			Node: route.Node{
-				ID:            vm.ID,
-				DataCentre:    vm.DataCentre,
-				PeerAddress:   vm.PeerAddress,
-				CallerAddress: vm.CallerAddress,
+				ID:              vm.ID,
+				DataCentre:      vm.DataCentre,
+				PeerAddress:     vm.PeerAddress,
+				CallerAddress:   vm.CallerAddress,
+				OperatorAddress: vm.OperatorAddress,
 			},
 			Leaving: vm.State == platform.VMLeaving,
 		})
--- a/internal/owner/pause_test.go
+++ b/internal/owner/pause_test.go
@@ -33,7 +33,7 @@
 	require.NotNil(t, refusal)
 	require.Positive(t, refusal.GetRetryAfterMs())
 
-	result := owner.loops[0].send(context.Background(), upstream.Call{Address: "127.0.0.1:9"})
+	result := owner.loops[0].sendUnlessPaused(context.Background(), &bundleWork{}, upstream.Call{Address: "127.0.0.1:9"})
 	require.Equal(t, core.NotRun, result.Outcome)
 	require.Nil(t, result.Cause, "no connection was tried")
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -43,8 +43,14 @@
 	moved  map[string]bool
 	onLink func(LinkNews)
 	done   sync.WaitGroup
+	// broken is told why a link ended, unless the pool was closed.
+	broken func(Target, error)
 }
 
+// OnBroken sets who is told why a link ended. It must be called before the
+// first request.
+func (p *Pool) OnBroken(listener func(target Target, cause error)) { p.broken = listener }
+
 // NewPool makes a pool that asks as self; local serves requests to self.
 func NewPool(tlsConfig *tls.Config, self Identity, local Handler) (*Pool, error) {
 	udp, err := net.ListenUDP("udp", &net.UDPAddr{})
@@ -214,7 +220,11 @@
 	if l.pool.ctx.Err() != nil || err == nil {
 		err = errPoolClosed
 	}
+	l.pool.remember(l.target.Address, err)
 	l.pool.forget(l)
+	if l.pool.broken != nil && err != errIdle && l.pool.ctx.Err() == nil {
+		l.pool.broken(l.target, err)
+	}
 	l.fail(err)
 	l.pool.ended(l, err)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -55,7 +55,8 @@
 // Address is the UDP address in use, with the port chosen for port 0.
 func (s *Server) Address() string { return s.udp.LocalAddr().String() }
 
-// Open is the number of peers' requests that are not yet answered.
+// Open is the number of peers' questions and must-not-repeat requests that are
+// not yet answered.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
 // Close ends all connections and frees the address.
@@ -142,7 +143,18 @@
 	from   Identity
 	out    *ring.Ring[*peerpb.Envelope]
 	mutex  sync.Mutex
-	open   map[uint64]context.CancelFunc
+	open   map[uint64]openRequest
+}
+
+// openRequest is a request that is not yet answered; work tells questions and
+// must-not-repeat requests from heartbeats and watches.
+type openRequest struct {
+	cancel context.CancelFunc
+	work   bool
+}
+
+func isWork(envelope *peerpb.Envelope) bool {
+	return envelope.GetBundleRequest() != nil || envelope.GetSubmitRequest() != nil || envelope.GetHandoverRequest() != nil
 }
 
 func newSession(ctx context.Context, server *Server, from Identity) *session {
@@ -151,7 +163,7 @@
 		server: server,
 		from:   from,
 		out:    ring.New[*peerpb.Envelope](writeRingDepth),
-		open:   map[uint64]context.CancelFunc{},
+		open:   map[uint64]openRequest{},
 	}
 	_ = s.out.Put(ctx, helloEnvelope(server.self))
 	return s
@@ -178,10 +190,15 @@
 
 func (s *session) begin(envelope *peerpb.Envelope) {
 	ctx, cancel := context.WithCancel(s.ctx)
+	// A peer that uses an id twice ends the former request.
+	s.end(envelope.GetId())
+	work := isWork(envelope)
 	s.mutex.Lock()
-	s.open[envelope.GetId()] = cancel
+	s.open[envelope.GetId()] = openRequest{cancel: cancel, work: work}
 	s.mutex.Unlock()
-	s.server.open.Add(1)
+	if work {
+		s.server.open.Add(1)
+	}
 	s.server.handler.Handle(NewInbound(ctx, s.from, envelope, s.send))
 }
 
@@ -194,13 +211,16 @@
 
 func (s *session) end(id uint64) {
 	s.mutex.Lock()
-	cancel := s.open[id]
+	request, known := s.open[id]
 	delete(s.open, id)
 	s.mutex.Unlock()
-	if cancel != nil {
+	if !known {
+		return
+	}
+	if request.work {
 		s.server.open.Add(-1)
-		cancel()
 	}
+	request.cancel()
 }
 
 // abandon ends the requests of a stream that has ended.
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -132,6 +132,7 @@
 	case verdictCheck:
 		l.out.TryPut(helloEnvelope(p.self))
 	case verdictSilent:
+		p.remember(l.target.Address, errSilent)
 		p.forget(l)
 		l.cancel(errSilent)
 	case verdictIdle:
@@ -178,18 +179,23 @@
 	return true
 }
 
-// ended notes how a link ended and tells of it.
+// remember notes how a link ended before the next one to the address is opened:
+// after a failure that one is to use another port.
+func (p *Pool) remember(address string, cause error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if cause == errIdle || cause == errPoolClosed {
+		delete(p.moved, address)
+		return
+	}
+	p.moved[address] = true
+}
+
+// ended tells how a link ended.
 func (p *Pool) ended(l *link, cause error) {
 	if cause == errPoolClosed {
 		return
 	}
-	p.mutex.Lock()
-	if cause == errIdle {
-		delete(p.moved, l.target.Address)
-	} else {
-		p.moved[l.target.Address] = true
-	}
-	p.mutex.Unlock()
 	switch cause {
 	case errIdle:
 	case errSilent:
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -23,12 +23,13 @@
 	mutex    sync.Mutex
 	last     map[string]time.Time
 	count    int64
-	listener func(address string)
+	silent   map[string]bool
+	listener func(address string, silent bool)
 }
 
-// OnSilent sets who is told of each connection that is taken for silent. It must
-// not block.
-func (c *Client) OnSilent(listener func(address string)) {
+// OnSilent sets who is told of each connection that is taken for silent, and of
+// the first reply from the address after that. It must not block.
+func (c *Client) OnSilent(listener func(address string, silent bool)) {
 	c.suspects.mutex.Lock()
 	defer c.suspects.mutex.Unlock()
 	c.suspects.listener = listener
@@ -52,14 +53,30 @@
 		transport.CloseIdleConnections()
 	}
 	if listener != nil {
-		listener(address)
+		listener(address, true)
 	}
 }
 
-func (s *suspects) note(address string, now time.Time) (listener func(string), closeIdle bool) {
+// replied looks at a request that was answered.
+func (c *Client) replied(address string) {
+	c.suspects.mutex.Lock()
+	was := c.suspects.silent[address]
+	delete(c.suspects.silent, address)
+	listener := c.suspects.listener
+	c.suspects.mutex.Unlock()
+	if was && listener != nil {
+		listener(address, false)
+	}
+}
+
+func (s *suspects) note(address string, now time.Time) (listener func(string, bool), closeIdle bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.count++
+	if s.silent == nil {
+		s.silent = map[string]bool{}
+	}
+	s.silent[address] = true
 	last, known := s.last[address]
 	closeIdle = !known || now.Sub(last) >= suspectEvery
 	if closeIdle {
@@ -76,4 +93,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.last, address)
+	delete(s.silent, address)
 }
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -99,8 +99,8 @@
 	client := upstream.NewClient()
 	t.Cleanup(client.Close)
 	client.Limit(f.listener.Addr().String(), connections)
-	told := make(chan string, connections)
-	client.OnSilent(func(address string) { told <- address })
+	told := make(chan bool, connections)
+	client.OnSilent(func(_ string, silent bool) { told <- silent })
 	call := upstream.Call{Address: f.listener.Addr().String(), Ref: core.ShardRef{Service: "stems"}, RequestID: "r", TimeLeft: 10 * time.Second}
 
 	var running sync.WaitGroup
@@ -116,7 +116,8 @@
 	first := client.Do(context.Background(), short)
 	require.Equal(t, core.Unknown, first.Outcome, "it was sent, and nobody knows whether it ran")
 	require.Equal(t, core.ReasonDeadline, first.Reason)
-	require.Equal(t, call.Address, <-told)
+	require.True(t, <-told)
 	require.Equal(t, core.Done, client.Do(context.Background(), call).Outcome)
+	require.False(t, <-told, "it is over")
 	require.Equal(t, int64(1), client.SilentConnections())
 }
