--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,6 +126,9 @@
 	if config == nil {
 		return nil, fault.NotRun(fault.CodeNotReady, "no configuration is in force yet", "ask another entry")
 	}
+	if e.options.Belief.Paused() {
+		return nil, pausedRefusal()
+	}
 	service, err := resolveService(config.Catalog, question)
 	if err != nil {
 		return nil, err
@@ -150,6 +153,20 @@
 	return e.run(ctx, config, service.Index, question)
 }
 
+// pausedRetryAfter is when a node that confirms its beliefs is likely done.
+const pausedRetryAfter = 100 * time.Millisecond
+
+// pausedRefusal turns a question away while this node confirms what it believes.
+func pausedRefusal() error {
+	return &fault.Error{
+		Code:       fault.CodeNotReady,
+		Outcome:    core.NotRun,
+		Message:    "the process stood still and confirms its beliefs",
+		Fix:        "ask another entry, or come back",
+		RetryAfter: pausedRetryAfter,
+	}
+}
+
 // resolveService finds the service asked; only one that may be repeated can be
 // queried, as a query is retried.
 func resolveService(text *catalog.Catalog, question Question) (*catalog.Service, error) {
--- a/internal/fleet/operate_test.go
+++ b/internal/fleet/operate_test.go
@@ -213,16 +213,24 @@
 	pair, err := stranger.Issue("vm-2", time.Now(), validity)
 	require.NoError(t, err)
 	var log safeBuffer
-	f := startWith(t, Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
+	f, err := Start(Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
 		if s.Node == "vm-2" {
 			s.TLS.Authority, s.TLS.Certificate, s.TLS.Key = string(stranger.Certificate), string(pair.Certificate), string(pair.Key)
 		}
-	}}, testText(startUpstreams(t, 8)))
+	}})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	revision := f.Platform.Publish(testText(startUpstreams(t, 8)))
+	for _, member := range f.Members() {
+		ready := func() bool { return member.Node.Status().Revision == revision && member.Node.Status().Nodes == 1 }
+		require.Eventually(t, ready, awaitLimit, awaitPause, "it must not route to a node that cannot be reached")
+	}
 	caller := client.New()
 	defer caller.Close()
 	for _, member := range f.Members() {
-		_, err := caller.Query(context.Background(), member.Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+		reply, err := caller.Query(context.Background(), member.Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
 		require.NoError(t, err)
+		require.False(t, reply.Coverage.Thin)
 	}
 	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"event":"peer_certificate_refused"`) }, awaitLimit, awaitPause)
 	require.Contains(t, log.String(), "unknown authority")
