A client takes a new key only on the home's word

Cause: an entry with too many connections answers not_run without having read the request; a client that took it for the key's outcome went on with a new key although an earlier try may have run. A body that was cut was called not run too. Change: only a not_run with key_prefix speaks of the key; an unread body is unknown with this_try not_run; payloads over 2 MiB are not passed back to a home. Trial: without the check on key_prefix TestANewKeyOnlyWhenTheOldNeverRuns fails.

--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -36,8 +36,14 @@
 }
 
 func (p CallerParts) submit(c *gin.Context) {
+	body, err := readBody(c, p.Body)
+	if err != nil {
+		p.count(err)
+		p.failUnread(c, err)
+		return
+	}
 	var request SubmitRequest
-	if err := p.read(c, &request); err != nil {
+	if err := decode(body, &request); err != nil {
 		p.failSubmit(c, err)
 		return
 	}
@@ -85,16 +91,23 @@
 
 // failSubmit writes a typed error with a fresh prefix.
 func (p CallerParts) failSubmit(c *gin.Context, err error) {
-	typed := fault.As(err)
-	reply := once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter}
-	if typed.Code == fault.CodeTooLarge || typed.Code == fault.CodePastDeadline {
-		// Another entry's settings, or a faster line, may have let an earlier try
-		// with this key in.
-		reply.Outcome, reply.ThisTry = core.Unknown, core.NotRun
-	}
+	p.writeRefused(c, refusalOf(err))
+}
+
+// failUnread writes the failure of a body that was not read whole. It is not run,
+// but another entry's settings, or a better line, may have let an earlier try
+// with its key in: of the key nothing is known.
+func (p CallerParts) failUnread(c *gin.Context, err error) {
+	reply := refusalOf(err)
+	reply.Outcome, reply.ThisTry = core.Unknown, core.NotRun
 	p.writeRefused(c, reply)
 }
 
+func refusalOf(err error) once.Reply {
+	typed := fault.As(err)
+	return once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter}
+}
+
 // writeRefused writes an outcome other than done. A caller whose key is not run
 // gets a fresh prefix: its next try needs a new key, since what was called "not
 // run" never runs.
--- a/internal/client/submit.go
+++ b/internal/client/submit.go
@@ -190,12 +190,12 @@
 	case reply.Outcome == core.Done.String():
 		r.end.Outcome = core.Done
 		return false
-	case refusal.Outcome == core.NotRun.String():
+	case keyNotRun(refusal):
 		r.end.Outcome = core.NotRun
 		return false
 	}
 	r.end.Outcome = core.Unknown
-	r.clean = r.clean && refusal.ThisTry == core.NotRun.String()
+	r.clean = r.clean && tryNotRun(refusal)
 	if r.clean && refusal.Code == fault.CodeTooLarge {
 		r.end.Outcome = core.NotRun
 		return false
@@ -204,6 +204,19 @@
 	return refusal.Code != fault.CodeKeyExpired && !refusal.Repeated
 }
 
+// keyNotRun reports whether the refusal speaks of the key. Only the submit path
+// does, and it then gives a fresh prefix; a "not run" without one, such as that
+// of an entry with too many connections, speaks of the refused try alone, and an
+// earlier try through another entry may have run.
+func keyNotRun(refusal api.ErrorReply) bool {
+	return refusal.Outcome == core.NotRun.String() && refusal.KeyPrefix != ""
+}
+
+// tryNotRun reports whether the refused try is proven not to have run.
+func tryNotRun(refusal api.ErrorReply) bool {
+	return refusal.Outcome == core.NotRun.String() || refusal.ThisTry == core.NotRun.String()
+}
+
 func (r *submitRun) request(ctx context.Context) api.SubmitRequest {
 	request := api.SubmitRequest{Customer: r.submission.Customer, Key: r.end.Key, Payload: r.submission.Payload}
 	if deadline, ok := ctx.Deadline(); ok {
--- /dev/null
+++ b/internal/client/submit_test.go
@@ -0,0 +1,95 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+const awaitLimit = 10 * time.Second
+
+// scripted is an entry that answers the tries of submits in order.
+type scripted struct {
+	*httptest.Server
+	mutex   sync.Mutex
+	answers []any
+	keys    []string
+}
+
+func startScripted(t *testing.T, answers ...any) *scripted {
+	t.Helper()
+	s := &scripted{answers: answers}
+	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *scripted) address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+func (s *scripted) serve(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if r.URL.Path == "/v1/entries" {
+		_ = json.NewEncoder(w).Encode(api.Entries{Entries: []api.EntryAddress{{Address: s.address()}}, KeyPrefix: "p"})
+		return
+	}
+	var request api.SubmitRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	s.keys = append(s.keys, request.Key)
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	if _, refused := next.(api.ErrorReply); refused {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(next)
+}
+
+var (
+	done        = api.SubmitReply{Outcome: "done"}
+	lost        = api.ErrorReply{Outcome: "unknown", Code: fault.CodeLost}
+	fullEntry   = api.ErrorReply{Outcome: "not_run", Code: fault.CodeOverloaded}
+	keyRefused  = api.ErrorReply{Outcome: "not_run", Code: fault.CodeDraining, KeyPrefix: "q"}
+	unreachable = api.ErrorReply{Outcome: "unknown", Code: fault.CodeHomeGone, ThisTry: "not_run"}
+)
+
+// A fee is quoted twice. The first try may have run, the second meets an entry
+// that refuses the connection as "not run", and a client that takes this for the
+// key's outcome goes on with a new key. Only the home's word, or that no try at
+// all arrived, allows a new key.
+func TestANewKeyOnlyWhenTheOldNeverRuns(t *testing.T) {
+	cases := map[string]struct {
+		answers []any
+		sameKey bool
+	}{
+		"after lost":                   {[]any{lost, done}, true},
+		"refused after lost":           {[]any{lost, fullEntry, done}, true},
+		"home unreachable after lost":  {[]any{lost, unreachable, done}, true},
+		"refused by the home":          {[]any{lost, keyRefused, done}, false},
+		"home unreachable, only tries": {[]any{fullEntry, unreachable, done}, false},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			entry := startScripted(t, one.answers...)
+			caller := New()
+			defer caller.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+			defer cancel()
+			submitted, err := caller.SubmitOnce(ctx, []string{entry.address()}, Submission{Service: "fees"})
+			require.NoError(t, err)
+			require.Equal(t, core.Done, submitted.Outcome)
+			require.Len(t, entry.keys, len(one.answers))
+			require.Equal(t, one.sameKey, entry.keys[0] == entry.keys[len(entry.keys)-1])
+		})
+	}
+}
--- a/internal/core/once/entry.go
+++ b/internal/core/once/entry.go
@@ -224,7 +224,7 @@
 // endedReply words the end of a send for callers.
 func endedReply(e *Ended) Reply {
 	if e.Outcome == core.Done {
-		return Reply{Outcome: core.Done, Payload: e.Payload}
+		return Reply{Outcome: core.Done, Payload: e.Payload, Message: e.Message}
 	}
 	reply := Reply{Outcome: e.Outcome, Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
 	if reply.Code == "" {
--- a/internal/fleet/submit_test.go
+++ b/internal/fleet/submit_test.go
@@ -184,6 +184,7 @@
 	done.Wait()
 	runs := ran(upstreams)
 	require.NotEmpty(t, runs)
+	logOutcomes(t, told)
 	for i, key := range keys {
 		require.LessOrEqual(t, runs[key], 1, key)
 		requireTrue(t, key, told[i], runs[key])
@@ -207,6 +208,17 @@
 	return told
 }
 
+func logOutcomes(t *testing.T, told [][]string) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, replies := range told {
+		for _, outcome := range replies {
+			counts[outcome]++
+		}
+	}
+	t.Logf("replies by outcome: %v", counts)
+}
+
 func requireTrue(t *testing.T, key string, told []string, runs int) {
 	t.Helper()
 	for _, outcome := range told {
--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -289,6 +289,7 @@
 		case reply.GetSubmitReply() != nil:
 			message := reply.GetSubmitReply()
 			ended.Outcome, ended.Reason = core.Outcome(message.GetOutcome()), core.Reason(message.GetCode())
+			ended.Message = message.GetMessage()
 			ended.Payload, ended.RetryAfter = message.GetPayload(), milliseconds(message.GetRetryAfterMs())
 		default:
 			ended.Reason = core.ReasonCrossedReply
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -14,6 +14,11 @@
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
+// maxSubmitReplyBytes bounds the payload passed back to a home. A message over
+// the peers' limit would end the stream, and with it the outcomes of all that is
+// open there; the outcome without its payload is worth more.
+const maxSubmitReplyBytes = 2 << 20
+
 // submits counts the must-not-repeat requests that this owner holds, so that a
 // planned stop cuts none of them off.
 type submits struct {
@@ -197,12 +202,17 @@
 }
 
 func (w *submitWork) settle(result upstream.Result, _ int) {
-	w.reply(&peerpb.SubmitReply{
+	message := &peerpb.SubmitReply{
 		Outcome:      uint32(w.capped(result.Outcome)),
 		Code:         string(result.Reason),
 		Payload:      result.Payload,
 		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
-	})
+	}
+	if len(message.Payload) > maxSubmitReplyBytes {
+		message.Payload = nil
+		message.Message = "the payload was too large to pass on"
+	}
+	w.reply(message)
 }
 
 func (w *submitWork) refuse(reason core.Reason, retryAfter time.Duration) {
