--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -91,21 +91,16 @@
 
 // failSubmit writes a typed error with a fresh prefix.
 func (p CallerParts) failSubmit(c *gin.Context, err error) {
-	p.writeRefused(c, refusalOf(err))
+	typed := fault.As(err)
+	p.writeRefused(c, once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter})
 }
 
-// failUnread writes the failure of a body that was not read whole. It is not run,
-// but another entry's settings, or a better line, may have let an earlier try
-// with its key in: of the key nothing is known.
+// failUnread writes the failure of a body that is too large, late or cut. This
+// try did not run, but an earlier one with the same key may have: its body may
+// have arrived whole, or another entry's settings may have let it in.
 func (p CallerParts) failUnread(c *gin.Context, err error) {
-	reply := refusalOf(err)
-	reply.Outcome, reply.ThisTry = core.Unknown, core.NotRun
-	p.writeRefused(c, reply)
-}
-
-func refusalOf(err error) once.Reply {
 	typed := fault.As(err)
-	return once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter}
+	p.writeRefused(c, once.Reply{Outcome: core.Unknown, ThisTry: core.NotRun, Code: typed.Code, Message: typed.Message})
 }
 
 // writeRefused writes an outcome other than done. A caller whose key is not run
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -35,7 +35,8 @@
 	Log      logrus.FieldLogger
 	Limits   once.Limits
 	Problems *observe.Problems
-	Metrics  observe.Registry
+	// Metrics takes the ledger's size; nil takes none.
+	Metrics observe.Registry
 }
 
 // Home runs the home's duty on one goroutine, which owns the ledger.
--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -63,6 +63,7 @@
 	next    once.WaiterID
 	wakeAt  core.Time
 	idle    chan<- struct{}
+	gauges  ledgerGauges
 }
 
 func newLoop(ctx context.Context, options Options, issuer *once.Issuer) *loop {
@@ -73,6 +74,7 @@
 		ledger:  once.NewLedger(issuer, options.Limits),
 		waiters: map[once.WaiterID]waiter{},
 		tickets: map[once.SendID]peer.Ticket{},
+		gauges:  newLedgerGauges(options.Metrics),
 	}
 }
 
@@ -92,6 +94,7 @@
 			l.wakeAt = 0
 			l.step(once.Woken{})
 		}
+		l.gauges.update(l.ledger)
 		if l.idle != nil && l.ledger.Running() == 0 {
 			close(l.idle)
 			l.idle = nil
