--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -177,6 +177,11 @@
 	Unreached int
 }
 
+// Unreached replaces the set of nodes that are lost though the VM list shows them
+// live.
+type Unreached struct{ Nodes []core.NodeID }
+
+func (Unreached) isAction()     {}
 func (Send) isAction()          {}
 func (Reply) isAction()         {}
 func (Publish) isAction()       {}
@@ -221,6 +226,8 @@
 	drainQueue  []string
 	drainsDirty bool
 
+	unreached []core.NodeID
+
 	pause   pause
 	split   split
 	actions []Action
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -9,9 +9,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	. "github.com/pistachiopier/pistachiopier/internal/core/member"
+	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
 
 const settle = 5 * time.Second
@@ -319,9 +322,19 @@
 			w.run(settle)
 			machine := w.nodes[0].machine
 			now := w.now
+			var answers []Event
 			for b.Loop() {
 				now += TickEvery
-				machine.Step(now, Tick{})
+				answers = answers[:0]
+				for _, action := range machine.Step(now, Tick{}) {
+					if send, ok := action.(Send); ok {
+						reply := &Message{From: send.To, Incarnation: 1_790_000_000_000_000_001, View: machine.View().ID()}
+						answers = append(answers, Replied{Probe: send.Probe, Message: reply})
+					}
+				}
+				for _, answer := range answers {
+					machine.Step(now, answer)
+				}
 			}
 		})
 	}
@@ -355,3 +368,21 @@
 		require.Less(t, perMachine, float64(1<<20))
 	}
 }
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, size := range []int{8, 64, 256, 780} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			w := newMesh(1, size)
+			w.run(settle)
+			machine, other := w.nodes[0].machine, w.nodes[1]
+			message := &Message{From: other.Node, Incarnation: 1_790_000_000_000_000_001, View: machine.View().ID()}
+			b.ReportAllocs()
+			for b.Loop() {
+				encoded, _ := proto.Marshal(membership.Encode(message))
+				var in peerpb.Heartbeat
+				_ = proto.Unmarshal(encoded, &in)
+				machine.Step(w.now, Received{Ticket: 1, Message: membership.Decode(&in)})
+			}
+		})
+	}
+}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -111,7 +111,8 @@
 	if m.split.differsSince > 0 && m.now-m.split.lastDiffer > 2*m.config.Period {
 		m.split.differsSince = 0
 	}
-	unreached := m.countUnreached()
+	m.tellUnreached()
+	unreached := len(m.unreached)
 	switch {
 	case unreached < 2:
 		m.split.lostSince = 0
@@ -130,12 +131,18 @@
 	return at > 0 && m.now-at >= m.config.SplitWait
 }
 
-func (m *Machine) countUnreached() int {
-	count := 0
+// tellUnreached tells which nodes are lost though the VM list shows them live,
+// when that has changed.
+func (m *Machine) tellUnreached() {
+	var lost []core.NodeID
 	for _, p := range m.order {
 		if p.is(dead) && p.listed && !p.listedLeaving {
-			count++
+			lost = append(lost, p.node.ID)
 		}
 	}
-	return count
+	if slices.Equal(lost, m.unreached) {
+		return
+	}
+	m.unreached = lost
+	m.act(Unreached{Nodes: lost})
 }
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -163,4 +164,6 @@
 	reply, err := caller.Query(context.Background(), f.Members()[0].Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
 	require.NoError(t, err)
 	require.False(t, reply.Coverage.Thin, "missing: %v", reply.Coverage.Missing)
+	report := get[api.ProblemsReport](t, f.Members()[0].Addresses.Operator, "/v1/problems")
+	require.Equal(t, 1, kinds(report)[observe.KindPeerUnreachable], "operators see that it is lost")
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,7 @@
 	// asked is used by the duty's goroutine alone.
 	asked    map[member.ProbeID]asked
 	pausedAt core.Time
+	lost     []core.NodeID
 }
 
 // asked is a heartbeat that was handed to the peers' pool.
@@ -217,6 +219,8 @@
 			d.gate(a)
 		case member.Split:
 			d.split(a)
+		case member.Unreached:
+			d.unreached(a)
 		}
 	}
 }
@@ -281,3 +285,17 @@
 	}
 	d.options.Problems.Report(observe.KindSplitView, subject, splitDetail(a.Unreached))
 }
+
+func (d *Duty) unreached(a member.Unreached) {
+	for _, node := range d.lost {
+		if !slices.Contains(a.Nodes, node) {
+			d.options.Problems.Clear(observe.KindPeerUnreachable, string(node))
+		}
+	}
+	for _, node := range a.Nodes {
+		if !slices.Contains(d.lost, node) {
+			d.options.Problems.Report(observe.KindPeerUnreachable, string(node), "the VM list shows it live, and neither this node nor others reach it")
+		}
+	}
+	d.lost = a.Nodes
+}
