--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -108,6 +108,23 @@
 	return place
 }
 
+// First returns the one of two nodes that comes first in a bundle's order.
+func First(a, b Node, bundle core.BundleID, dataCentre string) Node {
+	localA, localB := a.DataCentre == dataCentre, b.DataCentre == dataCentre
+	if localA != localB {
+		if localA {
+			return a
+		}
+		return b
+	}
+	seed := mix(uint64(bundle))
+	weightA, weightB := mix(xxhash.Sum64String(string(a.ID))^seed), mix(xxhash.Sum64String(string(b.ID))^seed)
+	if weightB > weightA || weightB == weightA && b.ID < a.ID {
+		return b
+	}
+	return a
+}
+
 // nth returns the node at a place among some nodes, by falling weight. Places
 // asked for are low, so that a pass for each costs less than a sort, and nothing
 // is allocated.
