--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -270,6 +271,12 @@
 		w := newMesh(uint64(size), size)
 		w.run(20 * time.Second)
 		quiet := w.rates(20 * time.Second)
+		w.step(w.nodes[1], DrainSeen{Address: "10.9.0.1:80", Draining: true})
+		drained := w.runUntil(10*time.Second, func() bool {
+			return !slices.ContainsFunc(w.nodes, func(n *node) bool { return len(n.drains) == 0 })
+		})
+		require.Less(t, drained, 3*time.Second)
+		t.Logf("%d nodes: a drain is known to all after %v", size, drained)
 		w.nodes[size/2].stopped = true
 		rest := append(append([]*node(nil), w.nodes[:size/2]...), w.nodes[size/2+1:]...)
 		first := w.runUntil(60*time.Second, func() bool { return w.views(size-1, rest...) > 0 })
