--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -117,6 +117,8 @@
 	}
 }
 
+// nodes lists every node that the view or the VM list names: one that no longer
+// answers is what operators look for.
 func (n *Node) nodes() []api.NodeAddress {
 	list := []api.NodeAddress{}
 	for _, node := range n.known() {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -89,7 +89,7 @@
 // whether it is the owner by the views of those that have not heard of it.
 func (v *View) Place(bundle core.BundleID, dataCentre string, node Node) int {
 	seed := mix(uint64(bundle))
-	own := mix(xxhash.Sum64String(string(node.ID)) ^ seed)
+	own := nodeWeight(node, bundle)
 	local := node.DataCentre == dataCentre
 	place := 0
 	for i := range v.nodes {
@@ -110,19 +110,29 @@
 
 // First returns the one of two nodes that comes first in a bundle's order.
 func First(a, b Node, bundle core.BundleID, dataCentre string) Node {
-	localA, localB := a.DataCentre == dataCentre, b.DataCentre == dataCentre
-	if localA != localB {
-		if localA {
-			return a
-		}
-		return b
+	localA := a.DataCentre == dataCentre
+	localB := b.DataCentre == dataCentre
+	weightA := nodeWeight(a, bundle)
+	weightB := nodeWeight(b, bundle)
+	switch {
+	case localA != localB:
+		return choose(localA, a, b)
+	case weightA != weightB:
+		return choose(weightA > weightB, a, b)
+	default:
+		return choose(a.ID < b.ID, a, b)
 	}
-	seed := mix(uint64(bundle))
-	weightA, weightB := mix(xxhash.Sum64String(string(a.ID))^seed), mix(xxhash.Sum64String(string(b.ID))^seed)
-	if weightB > weightA || weightB == weightA && b.ID < a.ID {
-		return b
+}
+
+func choose(first bool, a, b Node) Node {
+	if first {
+		return a
 	}
-	return a
+	return b
+}
+
+func nodeWeight(node Node, bundle core.BundleID) uint64 {
+	return mix(xxhash.Sum64String(string(node.ID)) ^ mix(uint64(bundle)))
 }
 
 // nth returns the node at a place among some nodes, by falling weight. Places
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -153,6 +153,9 @@
 	return e.run(ctx, config, service.Index, question)
 }
 
+// pausedRetryAfter is when a node that confirms its beliefs is likely done.
+const pausedRetryAfter = 100 * time.Millisecond
+
 // pausedRefusal turns a question away while this node confirms what it believes.
 func pausedRefusal() error {
 	return &fault.Error{
@@ -164,8 +167,6 @@
 	}
 }
 
-const pausedRetryAfter = 500 * time.Millisecond
-
 // resolveService finds the service asked; only one that may be repeated can be
 // queried, as a query is retried.
 func resolveService(text *catalog.Catalog, question Question) (*catalog.Service, error) {
