A half-sent body ends on every path

On paths that read no body (an unknown path, GET /v1/entries) a caller that sent half a body held its connection for good: net/http reads the rest before it answers, without a limit. The time limit of bodies is set for each request that has one, and lifted once the body was read. Operators' paths have it too.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -127,6 +127,22 @@
 	require.EqualValues(t, 1, observe.Counter(registry, "caller_bodies_late_total").Count())
 }
 
+// The same on a path that reads no body. net/http reads what is left of a body
+// before it answers, without a limit of its own.
+func TestAHalfSentBodyThatNobodyReadsEndsToo(t *testing.T) {
+	server, _ := startCaller(t)
+	for _, line := range []string{"POST /v1/nothing", "GET /v1/entries"} {
+		connection, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(connection, line+" HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n{\"cust")
+		require.NoError(t, err)
+		require.NoError(t, connection.SetReadDeadline(time.Now().Add(awaitLimit)))
+		_, err = io.ReadAll(connection)
+		require.NoError(t, err, "the node must end the connection")
+		require.NoError(t, connection.Close())
+	}
+}
+
 // A kitchen manager's invoice was recorded, but the answer was lost. The retry with
 // the same key is cut on its way: half of its body arrives. Calling that "not run"
 // would have the invoice entered again under a new key.
@@ -149,9 +165,9 @@
 // notice a caller that leaves, and took the deadline for a lost caller, which
 // cancelled the question.
 func TestTheBodysTimeLimitDoesNotCancelALongAnswer(t *testing.T) {
-	router := newRouter(quietLog(io.Discard))
+	router := newRouter(quietLog(io.Discard), bodyTimeout)
 	router.POST("/long", func(c *gin.Context) {
-		_, err := readBody(c, BodyLimits{MaxBytes: maxBody, Timeout: bodyTimeout})
+		_, err := readBody(c, maxBody)
 		if err != nil {
 			fail(c, err)
 			return
@@ -173,7 +189,7 @@
 
 func TestAPanicIsATypedErrorAndALogLine(t *testing.T) {
 	var log bytes.Buffer
-	router := newRouter(quietLog(&log))
+	router := newRouter(quietLog(&log), bodyTimeout)
 	router.GET("/panic", func(*gin.Context) { panic("broken") })
 	recorder := httptest.NewRecorder()
 	router.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/panic", nil))
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -118,7 +118,7 @@
 
 // NewCaller makes the handler of the callers' interface.
 func NewCaller(parts CallerParts) http.Handler {
-	router := newRouter(parts.Log)
+	router := newRouter(parts.Log, parts.Body.Timeout)
 	router.GET("/v1/entries", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Entries(c.Query("data_centre"))) })
 	router.POST("/v1/query/:service", parts.query)
 	router.POST("/v1/submit/:service", parts.submit)
@@ -145,7 +145,7 @@
 }
 
 func (p CallerParts) read(c *gin.Context, out any) error {
-	body, err := readBody(c, p.Body)
+	body, err := readBody(c, p.Body.MaxBytes)
 	if err != nil {
 		p.count(err)
 		return err
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
@@ -76,10 +77,12 @@
 
 // OperatorParts is what the operators' interface needs of the node.
 type OperatorParts struct {
-	Log    logrus.FieldLogger
-	Health func() Health
-	Status func() any
-	Dump   func() any
+	Log logrus.FieldLogger
+	// BodyTimeout bounds the time in which a body arrives, though none is read.
+	BodyTimeout time.Duration
+	Health      func() Health
+	Status      func() any
+	Dump        func() any
 	// Nodes lists the nodes that this one believes live.
 	Nodes func() []NodeAddress
 	// Problems lists this node's problems, FleetProblems those of all nodes.
@@ -93,7 +96,7 @@
 
 // NewOperator makes the handler of the operators' interface.
 func NewOperator(parts OperatorParts) http.Handler {
-	router := newRouter(parts.Log)
+	router := newRouter(parts.Log, parts.BodyTimeout)
 	router.GET("/v1/health", parts.health)
 	router.GET("/v1/status", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Status()) })
 	router.GET("/v1/dump", func(c *gin.Context) { c.JSON(http.StatusOK, parts.Dump()) })
--- a/internal/api/router.go
+++ b/internal/api/router.go
@@ -22,11 +22,11 @@
 
 // newRouter makes a router whose every failure is typed JSON: unknown paths,
 // wrong methods and panics too.
-func newRouter(log logrus.FieldLogger) *gin.Engine {
+func newRouter(log logrus.FieldLogger, bodyTimeout time.Duration) *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.HandleMethodNotAllowed = true
-	router.Use(accessLog(log), recovery(log))
+	router.Use(accessLog(log), recovery(log), boundBody(bodyTimeout))
 	router.NoRoute(func(c *gin.Context) {
 		fail(c, fault.NotRun(fault.CodeUnknownPath, "there is no "+c.Request.URL.Path, "see docs/INTERFACE.md"))
 	})
@@ -67,19 +67,25 @@
 	})
 }
 
-// readBody reads a request's body within its limits of size and time.
-//
-// A caller that sends its body slowly, or stops half-way, would hold a
-// connection for good; the read deadline ends it. The deadline is lifted once
-// the body is in: net/http goes on reading in the background to notice a caller
+// boundBody bounds the time in which a body arrives, on every path: net/http reads
+// what a handler left of a body before it answers, without a limit of its own, so
+// that a caller which stops half-way would hold its connection for good.
+func boundBody(timeout time.Duration) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		if c.Request.ContentLength != 0 {
+			_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now().Add(timeout))
+		}
+	}
+}
+
+// readBody reads a request's body within its limit of size and the time that
+// boundBody gave it. The deadline is lifted once the body is in: net/http goes on reading in the background to notice a caller
 // that disconnects, and a deadline that expires there would cancel a question
 // that is still being answered.
-func readBody(c *gin.Context, limits BodyLimits) ([]byte, error) {
-	control := http.NewResponseController(c.Writer)
-	_ = control.SetReadDeadline(time.Now().Add(limits.Timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(nil, c.Request.Body, limits.MaxBytes))
+func readBody(c *gin.Context, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, c.Request.Body, maxBytes))
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	c.Header("Connection", "close")
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -36,7 +36,7 @@
 }
 
 func (p CallerParts) submit(c *gin.Context) {
-	body, err := readBody(c, p.Body)
+	body, err := readBody(c, p.Body.MaxBytes)
 	if err != nil {
 		p.count(err)
 		p.failUnread(c, err)
--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -69,6 +69,7 @@
 	})
 	operator := api.NewOperator(api.OperatorParts{
 		Log:           n.log,
+		BodyTimeout:   n.settings.Limits.BodyTimeout,
 		Health:        n.health,
 		Status:        func() any { return n.Status() },
 		Dump:          n.dump,
