--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
-	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/gather"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
@@ -29,7 +28,7 @@
 	n.gatherer = &gather.Gatherer{
 		Self:     n.identity,
 		TLS:      tlsConfig,
-		Nodes:    func() []route.Node { return n.belief.View().Nodes() },
+		Nodes:    n.known,
 		Problems: n.problems,
 		Now:      n.now,
 	}
@@ -79,7 +78,7 @@
 		Metrics:       func(out io.Writer) { observe.WriteText(out, n.metrics) },
 	})
 	var err error
-	n.caller, err = n.serve(n.settings.CallerAddress, caller)
+	n.caller, err = n.serve(n.settings.CallerAddress, n.closeWhenLeaving(caller))
 	if err != nil {
 		return fault.Step("listen for callers", err)
 	}
@@ -119,9 +118,11 @@
 	}
 }
 
+// nodes lists every node that the view or the VM list names: one that no longer
+// answers is what operators look for.
 func (n *Node) nodes() []api.NodeAddress {
 	list := []api.NodeAddress{}
-	for _, node := range n.belief.View().Nodes() {
+	for _, node := range n.known() {
 		list = append(list, api.NodeAddress{Node: node.ID, DataCentre: node.DataCentre, OperatorAddress: node.OperatorAddress})
 	}
 	return list
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -31,9 +31,10 @@
 	Belief *belief.Store
 	Peers  peer.Asker
 	// Now reads the node's monotonic clock.
-	Now    func() core.Time
-	Log    logrus.FieldLogger
-	Limits once.Limits
+	Now      func() core.Time
+	Log      logrus.FieldLogger
+	Limits   once.Limits
+	Problems *observe.Problems
 	// Metrics takes the ledger's size; nil takes none.
 	Metrics observe.Registry
 }
