Owner: shares by role, metrics, problems, drains from other nodes, dump, forgetting

Cause: the owner gave a replica's connections out with max(1, limit/n), which exceeds a small limit, kept every shard it ever served, and showed operators nothing. Change: connection shares by the node's role in its own view, counters and queue depth, overloaded and replica_down reported and cleared, DrainSeen and OnDrain, Dump, and shards and replicas that leave the text or the node are forgotten with their connections once idle.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -27,7 +27,8 @@
 	// Service names the service whose budget extra tries are taken from.
 	Service string
 	// Slots is the concurrency a replica starts with, Share the most requests
-	// that this node may have in flight at one; 0 Share is Slots.
+	// that this node may have in flight at one. With a Share of 0 no replica is
+	// used.
 	Slots    int
 	Share    int
 	Replicas []ReplicaConfig
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -147,9 +147,6 @@
 // configure takes over the text's replicas. One that is running work keeps its
 // state, so that what it runs stays counted.
 func (s *Shard) configure(now core.Time, config Config) {
-	if config.Share == 0 {
-		config.Share = config.Slots
-	}
 	s.config = config
 	if config.Latency != nil {
 		s.service = config.Latency
--- a/internal/core/admit/share.go
+++ b/internal/core/admit/share.go
@@ -26,6 +26,18 @@
 	RoleDirect
 )
 
+// String names the role for operators.
+func (r Role) String() string {
+	switch r {
+	case RoleOwner:
+		return "owner"
+	case RoleFallback:
+		return "fallback"
+	default:
+		return "direct"
+	}
+}
+
 // ConnectionShare is how many connections one node may hold to a replica that
 // accepts limit of them, where nodes is the size of its view (used by
 // RoleDirect only). What is usable is the limit less a fixed reserve of an
--- /dev/null
+++ b/internal/owner/actions.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+// calmAfter is how long a shard must refuse nothing for load until it no longer
+// counts as overloaded.
+const calmAfter = 10 * time.Second
+
+// step gives the machine an event and does what it asks for.
+func (l *loop) step(s *shard, e admit.Event) {
+	for _, action := range s.machine.Step(l.options.Now(), e) {
+		switch a := action.(type) {
+		case admit.Dispatch:
+			l.dispatch(s, a)
+		case admit.Abort:
+			s.tries[a.Try].cancel()
+		case admit.Settle:
+			l.settle(s, a)
+		case admit.Refuse:
+			l.refuse(s, a)
+		case admit.HealthChanged:
+			l.healthChanged(s, a)
+		case admit.Forgotten:
+			l.forgetReplica(s, a.Address)
+		case admit.WakeAt:
+			l.alarms.Set(s.ref, a.At)
+		}
+	}
+	l.meters.queued(s.machine.Waiting() - s.waiting)
+	s.waiting = s.machine.Waiting()
+	l.forgetIdle(s)
+}
+
+// dispatch runs a try on its own goroutine. There are never more of them than
+// connections that this node may open: the machine keeps each replica's requests
+// within its connection share.
+func (l *loop) dispatch(s *shard, a admit.Dispatch) {
+	l.meters.dispatched[a.Kind].Inc(1)
+	ctx, cancel := context.WithCancel(l.ctx)
+	waiting := s.requests[a.Request]
+	waiting.tries = append(waiting.tries, a.Try)
+	s.tries[a.Try] = &running{cancel: cancel, request: a.Request, address: a.Address}
+	call := waiting.work.call()
+	call.Address = a.Address
+	call.Ref = s.ref
+	call.TimeLeft = a.TimeLeft
+	l.tries.Add(1)
+	go func() {
+		defer l.tries.Done()
+		defer cancel()
+		result := l.options.Upstream.Do(ctx, call)
+		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
+	}()
+}
+
+func (l *loop) ended(e ended) {
+	s := l.shards[e.ref]
+	if s == nil || s.tries[e.try] == nil {
+		return
+	}
+	t := s.tries[e.try]
+	t.result, t.ended = e.result, true
+	if e.result.Refused {
+		l.meters.refused.Inc(1)
+	}
+	if e.result.Draining && l.options.OnDrain != nil {
+		l.options.OnDrain(t.address)
+	}
+	l.step(s, admit.TryEnded{
+		Try:        e.try,
+		Outcome:    e.result.Outcome,
+		Reason:     e.result.Reason,
+		Draining:   e.result.Draining,
+		Refused:    e.result.Refused,
+		RetryAfter: e.result.RetryAfter,
+		Load:       e.result.Load,
+	})
+	if s.requests[t.request] == nil {
+		delete(s.tries, e.try)
+	}
+}
+
+// take removes a request and the tries of it that have ended; the others are
+// removed at their end.
+func (s *shard) take(id admit.RequestID) *request {
+	taken := s.requests[id]
+	if taken == nil {
+		return nil
+	}
+	delete(s.requests, id)
+	for _, try := range taken.tries {
+		if s.tries[try].ended {
+			delete(s.tries, try)
+		}
+	}
+	return taken
+}
+
+func (l *loop) settle(s *shard, a admit.Settle) {
+	result := s.tries[a.Try].result
+	if settled := s.take(a.Request); settled != nil {
+		settled.work.settle(result, a.Tries)
+	}
+}
+
+func (l *loop) refuse(s *shard, a admit.Refuse) {
+	l.meters.shed(a.Reason)
+	if a.Reason == core.ReasonOverloaded {
+		s.overloaded = true
+		l.options.Problems.Report(observe.KindOverloaded, s.ref.String(), "the shard's replicas take less than customers ask")
+		l.calms.Set(s.ref, l.options.Now()+calmAfter)
+	}
+	if refused := s.take(a.Request); refused != nil {
+		refused.work.refuse(a.Reason, a.RetryAfter)
+	}
+}
+
+// calm clears the shard's overload.
+func (l *loop) calm(s *shard) {
+	if s.overloaded {
+		s.overloaded = false
+		l.options.Problems.Clear(observe.KindOverloaded, s.ref.String())
+	}
+}
+
+// The names of the states of the replica chart that operators are told of.
+const stateDown = "down"
+
+func (l *loop) healthChanged(s *shard, a admit.HealthChanged) {
+	l.options.Log.WithFields(logrus.Fields{
+		"event":   "replica_state",
+		"shard":   s.ref.String(),
+		"replica": a.Address,
+		"from":    a.From,
+		"to":      a.To,
+	}).Info("replica changed state")
+	switch {
+	case a.To == stateDown:
+		l.options.Problems.Report(observe.KindReplicaDown, a.Address, "replica of "+s.ref.String()+" does not answer")
+	case a.From == stateDown:
+		l.options.Problems.Clear(observe.KindReplicaDown, a.Address)
+	}
+}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pistachiopier/pistachiopier/internal/alarm"
-	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/core/budget"
+	"github.com/pistachiopier/pistachiopier/internal/core/latency"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -15,11 +21,12 @@
 )
 
 const (
+	// maxQueue bounds the requests that wait for one shard.
 	maxQueue = 512
-	// connectionShareDivisor keeps half of a replica's connections for a second
-	// owner: during a partition, a pause or a hand-over two nodes may each take
-	// themselves for the owner, and together they must stay under the limit.
-	connectionShareDivisor = 2
+	// maxDrains bounds the drains remembered for shards not yet served here.
+	maxDrains = 1024
+	// drainMemory is how long they are remembered.
+	drainMemory = 30 * time.Second
 )
 
 // event is what a loop's ring carries.
@@ -41,9 +48,13 @@
 	result upstream.Result
 }
 
+// drainSeen says that another node has seen a replica drain.
+type drainSeen struct{ address string }
+
 func (arrived) isEvent()   {}
 func (withdrawn) isEvent() {}
 func (ended) isEvent()     {}
+func (drainSeen) isEvent() {}
 
 // loop is one goroutine's share of the shards.
 type loop struct {
@@ -53,16 +64,19 @@
 	// changed holds one token while a change of beliefs is not yet taken up.
 	changed chan struct{}
 	alarms  *alarm.Alarms[core.ShardRef]
-	shards  map[core.ShardRef]*shard
-	next    admit.RequestID
-}
-
-// shard is one shard's machine with the messages behind its requests.
-type shard struct {
-	ref      core.ShardRef
-	machine  *admit.Shard
-	requests map[admit.RequestID]*request
-	tries    map[admit.TryID]*running
+	// calms are when a shard no longer counts as overloaded.
+	calms  *alarm.Alarms[core.ShardRef]
+	shards map[core.ShardRef]*shard
+	next   admit.RequestID
+	// tries counts the goroutines of running upstream requests.
+	tries  sync.WaitGroup
+	meters *meters
+	jitter admit.Jitter
+	budget *budget.Group
+	// latencies are learnt for each service.
+	latencies map[string]*latency.Histogram
+	// drains are the addresses that other nodes saw draining, and when.
+	drains map[string]core.Time
 }
 
 // work is a queued request: what to send upstream and where its end goes.
@@ -76,29 +90,41 @@
 type request struct {
 	inbound *peer.Inbound
 	work    work
+	tries   []admit.TryID
 }
 
+// running is an upstream request; its result is kept until its request ends.
 type running struct {
-	cancel context.CancelFunc
-	result upstream.Result
+	cancel  context.CancelFunc
+	request admit.RequestID
+	address string
+	result  upstream.Result
+	ended   bool
 }
 
-func newLoop(ctx context.Context, options Options) *loop {
+func newLoop(ctx context.Context, options Options, meters *meters, number int) *loop {
 	return &loop{
-		options: options,
-		ctx:     ctx,
-		events:  ring.New[event](ringDepth),
-		changed: make(chan struct{}, 1),
-		alarms:  alarm.New[core.ShardRef](),
-		shards:  map[core.ShardRef]*shard{},
+		options:   options,
+		ctx:       ctx,
+		events:    ring.New[event](ringDepth),
+		changed:   make(chan struct{}, 1),
+		alarms:    alarm.New[core.ShardRef](),
+		calms:     alarm.New[core.ShardRef](),
+		shards:    map[core.ShardRef]*shard{},
+		meters:    meters,
+		jitter:    rand.New(rand.NewPCG(xxhash.Sum64String(string(options.Self)), uint64(number))),
+		budget:    budget.NewGroup(budget.GroupConfig{}),
+		latencies: map[string]*latency.Histogram{},
+		drains:    map[string]core.Time{},
 	}
 }
 
 func (l *loop) run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	defer l.tries.Wait()
 	for {
-		if at, ok := l.alarms.Next(); ok {
+		if at, ok := l.nextAlarm(); ok {
 			timer.Reset(at - l.options.Now())
 		}
 		select {
@@ -110,10 +136,29 @@
 			l.reload()
 		case <-timer.C:
 		}
-		for _, ref := range l.alarms.Pop(l.options.Now()) {
-			if s := l.shards[ref]; s != nil {
-				l.step(s, admit.Woken{})
-			}
+		l.wake()
+	}
+}
+
+func (l *loop) nextAlarm() (core.Time, bool) {
+	at, ok := l.alarms.Next()
+	calm, calming := l.calms.Next()
+	if calming && (!ok || calm < at) {
+		return calm, true
+	}
+	return at, ok
+}
+
+// wake does what is due.
+func (l *loop) wake() {
+	for _, ref := range l.alarms.Pop(l.options.Now()) {
+		if s := l.shards[ref]; s != nil {
+			l.step(s, admit.Woken{})
+		}
+	}
+	for _, ref := range l.calms.Pop(l.options.Now()) {
+		if s := l.shards[ref]; s != nil {
+			l.calm(s)
 		}
 	}
 }
@@ -126,6 +171,10 @@
 		l.withdrawn(e)
 	case ended:
 		l.ended(e)
+	case drainSeen:
+		l.drainSeen(e)
+	case inspected:
+		l.inspect(e)
 	}
 }
 
@@ -145,44 +194,17 @@
 	l.step(s, offered)
 }
 
-// shard returns the shard's machine, made on first use, or nil when the text
-// does not know the shard.
-func (l *loop) shard(text *catalog.Catalog, ref core.ShardRef) *shard {
-	if existing := l.shards[ref]; existing != nil {
-		return existing
+// drainSeen stops new work to a replica, also for shards that this node starts
+// to serve soon after.
+func (l *loop) drainSeen(e drainSeen) {
+	now := l.options.Now()
+	maps.DeleteFunc(l.drains, func(_ string, at core.Time) bool { return now-at > drainMemory })
+	if len(l.drains) < maxDrains {
+		l.drains[e.address] = now
 	}
-	if text.Shard(ref) == nil {
-		return nil
+	for _, s := range l.shards {
+		l.step(s, admit.DrainSeen{Address: e.address})
 	}
-	created := &shard{
-		ref:      ref,
-		machine:  admit.NewShard(l.configure(text, ref)),
-		requests: map[admit.RequestID]*request{},
-		tries:    map[admit.TryID]*running{},
-	}
-	l.shards[ref] = created
-	return created
-}
-
-// configure gives each replica its share of connections and returns the
-// machine's configuration.
-func (l *loop) configure(text *catalog.Catalog, ref core.ShardRef) admit.Config {
-	service := text.Services[ref.Service]
-	share := connectionShare(text, service, len(l.options.Belief.View().Nodes()))
-	config := admit.Config{Slots: min(service.Slots, share), MaxQueue: maxQueue}
-	for _, replica := range text.Shard(ref).Replicas {
-		l.options.Upstream.Limit(replica.Address, share)
-		config.Replicas = append(config.Replicas, admit.ReplicaConfig{Address: replica.Address, Draining: replica.Draining})
-	}
-	return config
-}
-
-// connectionShare is how many connections this node may hold to a replica.
-func connectionShare(text *catalog.Catalog, service *catalog.Service, nodes int) int {
-	if text.Policy.Routing == catalog.RoutingDirect {
-		return max(1, service.Connections/max(1, nodes))
-	}
-	return max(1, service.Connections/connectionShareDivisor)
 }
 
 func (l *loop) withdrawn(e withdrawn) {
@@ -193,7 +215,7 @@
 		}
 		for id, waiting := range s.requests {
 			if waiting.inbound == e.inbound {
-				delete(s.requests, id)
+				s.take(id)
 				l.step(s, admit.Withdrawn{ID: id})
 			}
 		}
@@ -208,78 +230,3 @@
 	}
 	return refs
 }
-
-func (l *loop) ended(e ended) {
-	s := l.shards[e.ref]
-	if s == nil || s.tries[e.try] == nil {
-		return
-	}
-	s.tries[e.try].result = e.result
-	l.step(s, admit.TryEnded{Try: e.try, Outcome: e.result.Outcome, Reason: e.result.Reason, Draining: e.result.Draining})
-	delete(s.tries, e.try)
-}
-
-// reload brings every machine up to the present text. Shards that the text no
-// longer lists finish what they run.
-func (l *loop) reload() {
-	config := l.options.Belief.Config()
-	if config == nil {
-		return
-	}
-	for ref, s := range l.shards {
-		if config.Catalog.Shard(ref) == nil {
-			l.step(s, admit.Reconfigured{})
-			continue
-		}
-		l.step(s, admit.Reconfigured{Config: l.configure(config.Catalog, ref)})
-	}
-}
-
-func (l *loop) step(s *shard, e admit.Event) {
-	for _, action := range s.machine.Step(l.options.Now(), e) {
-		switch a := action.(type) {
-		case admit.Dispatch:
-			l.dispatch(s, a)
-		case admit.Abort:
-			s.tries[a.Try].cancel()
-		case admit.Settle:
-			l.settle(s, a)
-		case admit.Refuse:
-			l.refuse(s, a)
-		case admit.WakeAt:
-			l.alarms.Set(s.ref, a.At)
-		}
-	}
-}
-
-func (l *loop) dispatch(s *shard, a admit.Dispatch) {
-	ctx, cancel := context.WithCancel(l.ctx)
-	s.tries[a.Try] = &running{cancel: cancel}
-	call := s.requests[a.Request].work.call()
-	call.Address = a.Address
-	call.Ref = s.ref
-	call.TimeLeft = a.TimeLeft
-	go func() {
-		defer cancel()
-		result := l.options.Upstream.Do(ctx, call)
-		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
-	}()
-}
-
-func (l *loop) settle(s *shard, a admit.Settle) {
-	waiting := s.requests[a.Request]
-	if waiting == nil {
-		return
-	}
-	delete(s.requests, a.Request)
-	waiting.work.settle(s.tries[a.Try].result, a.Tries)
-}
-
-func (l *loop) refuse(s *shard, a admit.Refuse) {
-	waiting := s.requests[a.Request]
-	if waiting == nil {
-		return
-	}
-	delete(s.requests, a.Request)
-	waiting.work.refuse(a.Reason, a.RetryAfter)
-}
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,44 @@
+package owner
+
+import (
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+// meters are the owner's metrics, shared by its loops.
+type meters struct {
+	registry observe.Registry
+	// dispatched counts upstream requests by admit.Kind.
+	dispatched [admit.KindHedge + 1]metrics.Counter
+	refused    metrics.Counter
+	depth      metrics.Gauge
+	waiting    atomic.Int64
+}
+
+func newMeters(registry observe.Registry) *meters {
+	m := &meters{registry: registry}
+	m.dispatched[admit.KindFirst] = observe.Counter(registry, "owner_first_tries_total")
+	m.dispatched[admit.KindRedispatch] = observe.Counter(registry, "owner_redispatches_total")
+	m.dispatched[admit.KindRetry] = observe.Counter(registry, "owner_retries_total")
+	m.dispatched[admit.KindHedge] = observe.Counter(registry, "owner_hedges_total")
+	m.refused = observe.Counter(registry, "owner_refused_connections_total")
+	m.depth = observe.Gauge(registry, "owner_queue_depth")
+	return m
+}
+
+// shed counts a request that was refused, by its reason.
+func (m *meters) shed(reason core.Reason) {
+	observe.Counter(m.registry, "owner_shed_"+string(reason)+"_total").Inc(1)
+}
+
+// queued adds a change of the number of waiting requests.
+func (m *meters) queued(change int) {
+	if change != 0 {
+		m.depth.Update(m.waiting.Add(int64(change)))
+	}
+}
