--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -162,7 +162,7 @@
 		return verdictShed
 	case e.Outcome == core.NotRun && e.Reason == core.ReasonVersionGone:
 		return verdictAlive
-	case e.Reason == core.ReasonDraining:
+	case e.Reason == core.ReasonDraining || e.Reason == core.ReasonNotOwner:
 		return verdictNothing
 	case t.aborted || e.Reason == core.ReasonCancelled:
 		// The elapsed time is a lower bound. Leaving the losers of hedges out
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -421,7 +421,11 @@
 // again decides whether the request is tried on another replica.
 func (s *Shard) again(now core.Time, t *try, e TryEnded) bool {
 	r := t.request
-	if r.tries >= maxTries || now >= r.Deadline || e.Reason == core.ReasonDeadline || e.Reason == core.ReasonCancelled {
+	if r.tries >= maxTries || now >= r.Deadline {
+		return false
+	}
+	switch e.Reason {
+	case core.ReasonDeadline, core.ReasonCancelled, core.ReasonNotOwner:
 		return false
 	}
 	if e.Reason != core.ReasonOverloaded {
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -49,7 +49,8 @@
 	waiting := s.requests[a.Request]
 	waiting.tries = append(waiting.tries, a.Try)
 	s.tries[a.Try] = &running{cancel: cancel, request: a.Request, address: a.Address}
-	call := waiting.work.call()
+	work := waiting.work
+	call := work.call()
 	call.Address = a.Address
 	call.Ref = s.ref
 	call.TimeLeft = a.TimeLeft
@@ -57,7 +58,7 @@
 	go func() {
 		defer l.tries.Done()
 		defer cancel()
-		result := l.options.Upstream.Do(ctx, call)
+		result := l.send(ctx, work, call)
 		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
 	}()
 }
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -36,6 +36,8 @@
 type arrived struct {
 	inbound *peer.Inbound
 	at      core.Time
+	// submit is set for a must-not-repeat request.
+	submit *submitWork
 }
 
 // withdrawn says that the asker of an arrived request has gone.
@@ -180,6 +182,10 @@
 
 func (l *loop) arrived(e arrived) {
 	config := l.options.Belief.Config()
+	if e.submit != nil {
+		l.submitArrived(config.Catalog, e)
+		return
+	}
 	stopWatch := context.AfterFunc(e.inbound.Context, func() {
 		_ = l.events.Put(l.ctx, withdrawn{inbound: e.inbound})
 	})
