--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -305,8 +305,11 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
-	HomeRings  []ring.Stats `json:"home_rings"`
-	Dropped    int64        `json:"dropped_upstream_replies"`
+
+	OwnerShards []owner.ShardDump `json:"owner_shards"`
+
+	HomeRings []ring.Stats `json:"home_rings"`
+	Dropped   int64        `json:"dropped_upstream_replies"`
 
 	Config confwatch.Dump `json:"config"`
 }
@@ -318,9 +321,12 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
-		HomeRings:  n.home.Rings(),
-		Dropped:    n.upstream.DroppedReplies(),
-		Config:     n.config.Dump(),
+
+		OwnerShards: n.owner.Dump(),
+
+		HomeRings: n.home.Rings(),
+		Dropped:   n.upstream.DroppedReplies(),
+		Config:    n.config.Dump(),
 	}
 }
 
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	waiting := s.requests[a.Request]
 	waiting.tries = append(waiting.tries, a.Try)
-	s.tries[a.Try] = &running{cancel: cancel, request: a.Request, address: a.Address}
+	s.tries[a.Try] = &running{cancel: cancel, request: a.Request}
 	work := waiting.work
 	call := work.call()
 	call.Address = a.Address
@@ -73,9 +73,6 @@
 	if e.result.Refused {
 		l.meters.refused.Inc(1)
 	}
-	if e.result.Draining && l.options.OnDrain != nil {
-		l.options.OnDrain(t.address)
-	}
 	l.step(s, admit.TryEnded{
 		Try:        e.try,
 		Outcome:    e.result.Outcome,
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,14 +19,8 @@
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
-const (
-	// maxQueue bounds the requests that wait for one shard.
-	maxQueue = 512
-	// maxDrains bounds the drains remembered for shards not yet served here.
-	maxDrains = 1024
-	// drainMemory is how long they are remembered.
-	drainMemory = 30 * time.Second
-)
+// maxQueue bounds the requests that wait for one shard.
+const maxQueue = 512
 
 // event is what a loop's ring carries.
 type event interface{ isEvent() }
@@ -50,13 +43,9 @@
 	result upstream.Result
 }
 
-// drainSeen says that another node has seen a replica drain.
-type drainSeen struct{ address string }
-
 func (arrived) isEvent()   {}
 func (withdrawn) isEvent() {}
 func (ended) isEvent()     {}
-func (drainSeen) isEvent() {}
 
 // loop is one goroutine's share of the shards.
 type loop struct {
@@ -77,8 +66,6 @@
 	budget *budget.Group
 	// latencies are learnt for each service.
 	latencies map[string]*latency.Histogram
-	// drains are the addresses that other nodes saw draining, and when.
-	drains map[string]core.Time
 }
 
 // work is a queued request: what to send upstream and where its end goes.
@@ -99,7 +86,6 @@
 type running struct {
 	cancel  context.CancelFunc
 	request admit.RequestID
-	address string
 	result  upstream.Result
 	ended   bool
 }
@@ -117,7 +103,6 @@
 		jitter:    rand.New(rand.NewPCG(xxhash.Sum64String(string(options.Self)), uint64(number))),
 		budget:    budget.NewGroup(budget.GroupConfig{}),
 		latencies: map[string]*latency.Histogram{},
-		drains:    map[string]core.Time{},
 	}
 }
 
@@ -173,8 +158,6 @@
 		l.withdrawn(e)
 	case ended:
 		l.ended(e)
-	case drainSeen:
-		l.drainSeen(e)
 	case inspected:
 		l.inspect(e)
 	}
@@ -200,19 +183,6 @@
 	l.step(s, offered)
 }
 
-// drainSeen stops new work to a replica, also for shards that this node starts
-// to serve soon after.
-func (l *loop) drainSeen(e drainSeen) {
-	now := l.options.Now()
-	maps.DeleteFunc(l.drains, func(_ string, at core.Time) bool { return now-at > drainMemory })
-	if len(l.drains) < maxDrains {
-		l.drains[e.address] = now
-	}
-	for _, s := range l.shards {
-		l.step(s, admit.DrainSeen{Address: e.address})
-	}
-}
-
 func (l *loop) withdrawn(e withdrawn) {
 	for _, ref := range asked(e.inbound.Envelope) {
 		s := l.shards[ref]
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,9 +34,6 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
-	// OnDrain, when set, is told of each reply that says its replica drains. It
-	// is called from the loops and must not block.
-	OnDrain func(address string)
 	// Loops is the number of goroutines; 0 takes the default.
 	Loops int
 }
@@ -87,15 +84,6 @@
 	return stats
 }
 
-// DrainSeen says that another node has seen the replica at the address drain: it
-// gets no new work from now on. It does not block; when a ring is full the drain
-// is not taken up, and the sender's next heartbeat repeats it.
-func (o *Owner) DrainSeen(address string) {
-	for _, l := range o.loops {
-		l.events.TryPut(drainSeen{address: address})
-	}
-}
-
 func (o *Owner) reload() {
 	for _, l := range o.loops {
 		select {
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+const (
+	awaitLimit = 10 * time.Second
+	awaitPause = 2 * time.Millisecond
+)
+
+// bench is an owner with one service of one shard.
+type bench struct {
+	t        *testing.T
+	owner    *Owner
+	belief   *belief.Store
+	problems *observe.Problems
+	metrics  observe.Registry
+	parts    chan *peerpb.Part
+}
+
+func startBench(t *testing.T, addresses ...string) *bench {
+	started := time.Now()
+	now := func() core.Time { return time.Since(started) }
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &bench{t: t, belief: belief.NewStore(), problems: observe.NewProblems(now), metrics: observe.NewRegistry(), parts: make(chan *peerpb.Part, 2*maxQueue)}
+	client := upstream.NewClient()
+	t.Cleanup(func() { goleak.VerifyNone(t, goleak.IgnoreCurrent()) })
+	t.Cleanup(client.Close)
+	b.belief.SetView(route.NewView([]route.Node{{ID: "vm-1", DataCentre: "dc1"}}))
+	b.publish(addresses...)
+	b.owner = New(Options{Self: "vm-1", Belief: b.belief, Upstream: client, Now: now, Log: log, Problems: b.problems, Metrics: b.metrics})
+	t.Cleanup(b.owner.Close)
+	return b
+}
+
+func (b *bench) publish(addresses ...string) {
+	text := "version: 1\nindexes: [i]\nservices:\n  - name: other\n    index: i\n    shards: [{replicas: [{address: \"127.0.0.9:9\"}]}]\n"
+	if len(addresses) > 0 {
+		text += "  - name: prices\n    index: i\n    shards:\n      - replicas:\n"
+	}
+	for _, address := range addresses {
+		text += fmt.Sprintf("          - {address: %q}\n", address)
+	}
+	parsed, err := catalog.Parse([]byte(text))
+	require.NoError(b.t, err)
+	b.belief.SetConfig(&belief.Config{Revision: 1, Catalog: parsed})
+}
+
+// ask sends one request to the shard; its part comes on b.parts.
+func (b *bench) ask(customer string) {
+	message := &peerpb.BundleRequest{
+		Customer:   customer,
+		RequestId:  customer,
+		Bundle:     uint32(b.belief.Config().Catalog.Shard(core.ShardRef{Service: "prices"}).Bundle),
+		TimeLeftUs: uint64(time.Minute.Microseconds()),
+		Question:   []byte("{}"),
+		Asks:       []*peerpb.ShardAsk{{Service: "prices"}},
+	}
+	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_BundleRequest{BundleRequest: message}}
+	b.owner.HandleBundle(peer.NewInbound(context.Background(), peer.Identity{}, envelope, func(reply *peerpb.Envelope) { b.parts <- reply.GetPart() }))
+}
+
+func (b *bench) part() *peerpb.Part {
+	select {
+	case part := <-b.parts:
+		return part
+	case <-time.After(awaitLimit):
+		require.Fail(b.t, "no part in time")
+		return nil
+	}
+}
+
+func (b *bench) await(what string, holds func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, holds, awaitLimit, awaitPause, what)
+}
+
+func (b *bench) has(kind observe.Kind) bool {
+	for _, problem := range b.problems.List() {
+		if problem.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bench) counter(name string) int64 { return observe.Counter(b.metrics, name).Count() }
+
+func startReplica(t *testing.T, behaviour standin.Behaviour) *standin.Upstream {
+	u, err := standin.StartUpstream("127.0.0.1:0", behaviour)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = u.Close() })
+	return u
+}
+
+// A chef's query meets a replica whose process is gone: the connection is
+// refused, the work is proven not run and goes to the other replica, and the
+// operators are told until the text drops the dead one.
+func TestRefusedConnectionGoesToTheOtherReplica(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	good := startReplica(t, standin.Behaviour{Versions: []uint64{7}})
+	b := startBench(t, dead, good.Address())
+	for range 5 {
+		b.ask("chef")
+		require.EqualValues(t, core.Done, b.part().GetOutcome())
+	}
+	require.Positive(t, b.counter("owner_refused_connections_total"))
+	require.Positive(t, b.counter("owner_redispatches_total"))
+	require.True(t, b.has(observe.KindReplicaDown))
+	require.Equal(t, "down", b.owner.Dump()[0].Replicas[0].State)
+
+	b.publish(good.Address())
+	b.await("the dead replica is forgotten", func() bool {
+		return !b.has(observe.KindReplicaDown) && len(b.owner.Dump()[0].Replicas) == 1
+	})
+}
+
+// An import of the large customer fills the queue of a shard whose replica is
+// silent. A chef's query comes then: it takes the place of the import's newest
+// request, which is refused at once with the time to come back.
+func TestFullQueueCostsTheLargeCustomer(t *testing.T) {
+	silent := startReplica(t, standin.Behaviour{Silent: true, Versions: []uint64{7}})
+	b := startBench(t, silent.Address())
+	for range maxQueue + 1 {
+		b.ask("large")
+	}
+	b.await("the queue is full", func() bool { return len(b.owner.Dump()) == 1 && b.owner.Dump()[0].Waiting == maxQueue })
+	b.ask("chef")
+	part := b.part()
+	require.EqualValues(t, core.NotRun, part.GetOutcome())
+	require.Equal(t, string(core.ReasonOverloaded), part.GetReason())
+	require.Positive(t, part.GetRetryAfterMs())
+	require.True(t, b.has(observe.KindOverloaded))
+	customers := b.owner.Dump()[0].Customers
+	require.Len(t, customers, 2)
+	require.Equal(t, 1, customers[0].Waiting, "the chef's query waits")
+	require.Equal(t, maxQueue-1, customers[1].Waiting)
+	require.EqualValues(t, maxQueue, observe.Gauge(b.metrics, "owner_queue_depth").Value())
+}
+
+// A service leaves the text while its queue is full: what waits is refused, and
+// nothing of it stays in memory or among the problems.
+func TestServiceThatLeavesIsForgotten(t *testing.T) {
+	good := startReplica(t, standin.Behaviour{Versions: []uint64{7}})
+	b := startBench(t, good.Address())
+	b.ask("chef")
+	b.part()
+	require.Len(t, b.owner.Dump(), 1)
+	b.publish()
+	b.await("the shard is forgotten", func() bool { return len(b.owner.Dump()) == 0 })
+	require.Empty(t, b.problems.List())
+}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -37,9 +37,6 @@
 	created := &shard{ref: ref, requests: map[admit.RequestID]*request{}, tries: map[admit.TryID]*running{}}
 	created.machine = admit.NewShard(l.configure(text, created))
 	l.shards[ref] = created
-	for address := range l.drains {
-		l.step(created, admit.DrainSeen{Address: address})
-	}
 	return created
 }
 
