A shard keeps half of its replicas although their requests fail

Change: errors take a replica out only while half of the shard's replicas stay usable; a refused connection still does.

--- a/internal/core/admit/experiment_test.go
+++ b/internal/core/admit/experiment_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// All replicas answer half of the requests with an error. Without the bound each
+// failure would be tried on all of them; and were each replica taken out after a
+// few errors in a row, none would be left for the half that succeeds.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	var queries tally
+	w := newWorld(5)
+	w.service(false, 1, 10, 10*time.Millisecond)
+	w.failures = 0.5
+	w.poisson(500, modelRun, func() { w.ask(0, "chef", 500*time.Millisecond, &queries) })
+	w.run(2 * modelRun)
+	t.Logf("extra load %.2f%% of %d, answered %.2f%%", 100*float64(w.extra)/float64(queries.offered), queries.offered, 100*float64(queries.done)/float64(queries.offered))
+	require.LessOrEqual(t, w.extra, queries.offered/10+budget.DefaultFloor)
+	require.Greater(t, queries.done, queries.offered/2)
+}
+
 // All replicas refuse all work. Trying each request on each replica would send
 // them several times their load just then.
 func TestSheddingServiceIsLeftAlone(t *testing.T) {
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -15,12 +15,14 @@
 	// limit once for each.
 	inFlight int
 	result   TryEnded
+	// spare says that enough other replicas are usable to do without this one.
+	spare bool
 }
 
 var healthChart = chart.Must(chart.Source("replica"), chart.Bindings[*incident]{
 	Guards: map[string]func(*incident) bool{
 		"ramped":        func(i *incident) bool { return i.replica.ramped() },
-		"many_failures": func(i *incident) bool { return i.replica.failures+1 >= failuresToDown },
+		"many_failures": func(i *incident) bool { return i.spare && i.replica.failures+1 >= failuresToDown },
 		"unconnected":   func(i *incident) bool { return i.replica.inFlight <= 1 },
 	},
 	Actions: map[string]func(*incident){
@@ -88,13 +90,26 @@
 // fire moves a replica's life cycle on and tells of a new state.
 func (s *Shard) fire(r *replica, event chart.Event, i incident) {
 	from := r.state
-	i.replica, i.jitter = r, s.config.Jitter
+	i.replica, i.jitter, i.spare = r, s.config.Jitter, s.canSpare()
 	r.state = healthChart.Fire(from, event, &i)
 	if r.state != from {
 		s.actions = append(s.actions, HealthChanged{Address: r.Address, From: healthChart.Name(from), To: healthChart.Name(r.state)})
 	}
 }
 
+// canSpare reports whether half of the replicas stay usable without one more.
+// When a shard's requests fail everywhere, the cause is not one replica: taking
+// them all out would turn a share of errors into no answers at all.
+func (s *Shard) canSpare() bool {
+	usable := 0
+	for _, r := range s.replicas {
+		if r.usable() {
+			usable++
+		}
+	}
+	return 2*(usable-1) >= len(s.replicas)
+}
+
 // observe learns from the end of a request. What requests did outweighs what
 // the upstream says of its own load.
 func (s *Shard) observe(now core.Time, t *try, e TryEnded) {
--- a/internal/core/admit/model_test.go
+++ b/internal/core/admit/model_test.go
@@ -30,6 +30,8 @@
 	sent     int
 	extra    int
 	lastDone bool
+	// failures is the share of all requests that end in an error.
+	failures float64
 }
 
 // modelReplica sheds above its slots, or always, or fails.
@@ -129,7 +131,7 @@
 	switch {
 	case r.running >= r.slots:
 		reply.Outcome, reply.Reason = core.NotRun, core.ReasonOverloaded
-	case r.failing:
+	case r.failing || w.failures > 0 && w.rand.Float64() < w.failures:
 		reply.Outcome, reply.Reason = core.Unknown, core.ReasonUpstreamFailed
 	default:
 		t.started = true
--- a/internal/core/admit/property_test.go
+++ b/internal/core/admit/property_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
+	"github.com/pistachiopier/pistachiopier/internal/core/latency"
 )
 
 // checked drives a Shard with arbitrary events and checks every action.
@@ -40,7 +41,11 @@
 }
 
 func (c *checked) text(replicas, draining int) Config {
-	config := Config{Service: "s", Slots: 2, Share: 3, MaxQueue: 6, Budget: budget.NewGroup(budget.GroupConfig{})}
+	config := Config{Service: "s", Slots: 2, Share: 3, MaxQueue: 6, Budget: budget.NewGroup(budget.GroupConfig{}), Latency: &latency.Histogram{}}
+	for range 40 {
+		// Known latencies make hedges due after 5 ms.
+		config.Latency.Record(5 * time.Millisecond)
+	}
 	c.inText = map[string]bool{}
 	for i := range replicas {
 		address := fmt.Sprint("r", i)
