--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,8 +44,12 @@
 	if wantsHelp(arguments) {
 		return help(commands, arguments, out)
 	}
-	if err := parse(parser, arguments); err != nil {
-		fmt.Fprintln(errors, "usage:", err)
+	err := validate(commands, arguments)
+	if err == nil {
+		err = parse(parser, arguments)
+	}
+	if err != nil {
+		fmt.Fprintln(errors, err)
 		return ExitUsage
 	}
 	for _, one := range commands {
@@ -62,8 +66,15 @@
 	return []*command{
 		serveCommand(),
 		checkCommand(),
+		diffCommand(),
 		queryCommand(),
 		submitCommand(),
+		statusCommand(),
+		problemsCommand(),
+		dumpCommand(),
+		chartsCommand(),
+		settingsCommand(),
+		keysCommand(),
 		demoCommand(),
 	}
 }
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -177,7 +177,7 @@
 		return verdictShed
 	case e.Outcome == core.NotRun && e.Reason == core.ReasonVersionGone:
 		return verdictAlive
-	case e.Reason == core.ReasonDraining || e.Reason == core.ReasonNotOwner:
+	case e.Reason == core.ReasonDraining:
 		return verdictNothing
 	case t.aborted || e.Reason == core.ReasonCancelled:
 		// The elapsed time is a lower bound. Leaving the losers of hedges out
@@ -188,8 +188,10 @@
 		return verdictCut
 	case e.Reason == core.ReasonDeadline:
 		return verdictTimedOut
-	default:
+	case byReplica(e):
 		return verdictFailed
+	default:
+		return verdictNothing
 	}
 }
 
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -424,8 +424,7 @@
 	if r.tries >= maxTries || now >= r.Deadline {
 		return false
 	}
-	switch e.Reason {
-	case core.ReasonDeadline, core.ReasonCancelled, core.ReasonNotOwner:
+	if !byReplica(e) {
 		return false
 	}
 	if e.Reason != core.ReasonOverloaded {
@@ -445,6 +444,16 @@
 	return !r.Once && s.extra(r)
 }
 
+// byReplica reports whether another replica may do better. Other reasons are the
+// request's own or this node's: no time left, nobody waiting, not the owner.
+func byReplica(e TryEnded) bool {
+	switch e.Reason {
+	case core.ReasonOverloaded, core.ReasonDraining, core.ReasonVersionGone, core.ReasonUpstreamFailed, core.ReasonCrossedReply:
+		return true
+	}
+	return false
+}
+
 // hasOther reports whether a usable replica is left for the request.
 func (s *Shard) hasOther(r *request) bool {
 	return slices.ContainsFunc(s.replicas, func(other *replica) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -21,12 +22,13 @@
 )
 
 const (
-	anyPort       = "127.0.0.1:0"
-	validity      = 24 * time.Hour
-	startTimeout  = 20 * time.Second
-	pollPause     = 5 * time.Millisecond
-	dataCentres   = 3
-	defaultLogged = "info"
+	anyPort      = "127.0.0.1:0"
+	validity     = 30 * 24 * time.Hour
+	startTimeout = 20 * time.Second
+	pollPause    = 5 * time.Millisecond
+	dataCentres  = 3
+	// entriesTTL is short, so that planned stops are.
+	entriesTTL = 300 * time.Millisecond
 )
 
 // Member is one running node.
@@ -44,7 +46,9 @@
 	authority *keys.Authority
 	logTo     io.Writer
 	members   []*Member
-	alter     func(*settings.Settings)
+	// added counts the nodes started so far: an id is never used twice.
+	added int
+	alter func(*settings.Settings)
 }
 
 // Options choose a fleet.
@@ -77,7 +81,8 @@
 
 // Add starts one more node and lists its VM as live.
 func (f *Fleet) Add() (*Member, error) {
-	number := len(f.members)
+	number := f.added
+	f.added++
 	id := core.NodeID(fmt.Sprintf("vm-%d", number+1))
 	pair, err := f.authority.Issue(string(id), time.Now(), validity)
 	if err != nil {
@@ -90,6 +95,7 @@
 		PeerAddress:     anyPort,
 		OperatorAddress: anyPort,
 		Platform:        f.Platform.URL(),
+		EntriesTTL:      entriesTTL,
 		TLS:             settings.TLS{Authority: string(f.authority.Certificate), Certificate: string(pair.Certificate), Key: string(pair.Key)},
 	}
 	settings.Fill(s)
@@ -106,7 +112,7 @@
 }
 
 func (f *Fleet) start(id core.NodeID, s *settings.Settings) (*Member, error) {
-	log, err := logs.New(f.logTo, defaultLogged)
+	log, err := logs.New(f.logTo, s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
@@ -185,8 +191,10 @@
 
 // Close stops all that is left.
 func (f *Fleet) Close() {
+	var stopped sync.WaitGroup
 	for _, member := range f.members {
-		_ = f.Stop(member)
+		stopped.Go(func() { _ = f.Stop(member) })
 	}
+	stopped.Wait()
 	_ = f.Platform.Close()
 }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -121,15 +121,66 @@
 
 // Validity returns the validity of the first certificate of a PEM text.
 func Validity(certificate []byte) (from, until time.Time, err error) {
+	parsed, err := first(certificate)
+	if err != nil {
+		return from, until, err
+	}
+	return parsed.NotBefore, parsed.NotAfter, nil
+}
+
+func first(certificate []byte) (*x509.Certificate, error) {
 	block, _ := pem.Decode(certificate)
 	if block == nil || block.Type != certificateBlock {
-		return from, until, tlsFault("the PEM holds no certificate", nil)
+		return nil, tlsFault("the PEM holds no certificate", nil)
 	}
 	parsed, err := x509.ParseCertificate(block.Bytes)
 	if err != nil {
-		return from, until, tlsFault("the certificate cannot be read", err)
+		return nil, tlsFault("the certificate cannot be read", err)
 	}
-	return parsed.NotBefore, parsed.NotAfter, nil
+	return parsed, nil
+}
+
+// AuthorityValidity returns the validity of the certificate of an authority PEM
+// that ends last. While an authority is replaced, the PEM holds the old one and
+// the new one, in any order.
+func AuthorityValidity(authority []byte) (from, until time.Time, err error) {
+	for rest := authority; ; {
+		var block *pem.Block
+		if block, rest = pem.Decode(rest); block == nil {
+			break
+		}
+		parsed, err := first(pem.EncodeToMemory(block))
+		if err != nil {
+			return from, until, err
+		}
+		if parsed.NotAfter.After(until) {
+			from, until = parsed.NotBefore, parsed.NotAfter
+		}
+	}
+	if until.IsZero() {
+		err = tlsFault("the authority PEM holds no certificate", nil)
+	}
+	return from, until, err
+}
+
+// Name returns the common name of the first certificate of a PEM text.
+func Name(certificate []byte) (string, error) {
+	parsed, err := first(certificate)
+	if err != nil {
+		return "", err
+	}
+	return parsed.Subject.CommonName, nil
+}
+
+// CheckValid fails when a validity does not include the given time.
+func CheckValid(from, until, now time.Time) error {
+	if now.After(until) {
+		return tlsFault("the certificate expired at "+until.UTC().Format(time.RFC3339), nil)
+	}
+	if now.Before(from) {
+		return tlsFault("the certificate is valid only from "+from.UTC().Format(time.RFC3339), nil)
+	}
+	return nil
 }
 
 func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -9,6 +9,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
 // calmAfter is how long a shard must refuse nothing for load until it no longer
@@ -58,11 +59,24 @@
 	go func() {
 		defer l.tries.Done()
 		defer cancel()
-		result := l.send(ctx, work, call)
+		result := l.sendUnlessPaused(ctx, work, call)
 		_ = l.events.Put(l.ctx, ended{ref: s.ref, try: a.Try, result: result})
 	}()
 }
 
+// sendUnlessPaused runs a request's call. What was queued before this process
+// stood still is not sent: another node may own the replica by now.
+func (l *loop) sendUnlessPaused(ctx context.Context, w work, call upstream.Call) upstream.Result {
+	if l.options.Belief.Paused() {
+		return upstream.Result{Outcome: core.NotRun, Reason: core.ReasonPeerUnreached, RetryAfter: pausedRetryAfter, Load: -1}
+	}
+	result := l.send(ctx, w, call)
+	if result.Draining {
+		l.options.Belief.SeeDrain(call.Address)
+	}
+	return result
+}
+
 func (l *loop) ended(e ended) {
 	s := l.shards[e.ref]
 	if s == nil || s.tries[e.try] == nil {
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pistachiopier/pistachiopier/internal/alarm"
+	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
@@ -58,7 +59,9 @@
 	// calms are when a shard no longer counts as overloaded.
 	calms  *alarm.Alarms[core.ShardRef]
 	shards map[core.ShardRef]*shard
-	next   admit.RequestID
+	// applied is the text that the shards' machines follow.
+	applied *belief.Config
+	next    admit.RequestID
 	// tries counts the goroutines of running upstream requests.
 	tries  sync.WaitGroup
 	meters *meters
@@ -90,7 +93,10 @@
 	ended   bool
 }
 
-func newLoop(ctx context.Context, options Options, meters *meters, number int) *loop {
+func newLoop(ctx context.Context, options Options) *loop {
+	if options.meters == nil {
+		options.meters = newMeters(options.Metrics)
+	}
 	return &loop{
 		options:   options,
 		ctx:       ctx,
@@ -99,8 +105,8 @@
 		alarms:    alarm.New[core.ShardRef](),
 		calms:     alarm.New[core.ShardRef](),
 		shards:    map[core.ShardRef]*shard{},
-		meters:    meters,
-		jitter:    rand.New(rand.NewPCG(xxhash.Sum64String(string(options.Self)), uint64(number))),
+		meters:    options.meters,
+		jitter:    rand.New(rand.NewPCG(xxhash.Sum64String(string(options.Self)), uint64(options.number))),
 		budget:    budget.NewGroup(budget.GroupConfig{}),
 		latencies: map[string]*latency.Histogram{},
 	}
@@ -165,6 +171,10 @@
 
 func (l *loop) arrived(e arrived) {
 	config := l.options.Belief.Config()
+	// An ask by the text in force must not meet machines of a former one.
+	if config != l.applied {
+		l.reload()
+	}
 	if e.submit != nil {
 		l.submitArrived(config.Catalog, e)
 		return
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -47,6 +47,7 @@
 	client := upstream.NewClient()
 	t.Cleanup(func() { goleak.VerifyNone(t, goleak.IgnoreCurrent()) })
 	t.Cleanup(client.Close)
+	b.belief.SetSelf(route.Node{ID: "vm-1", DataCentre: "dc1"})
 	b.belief.SetView(route.NewView([]route.Node{{ID: "vm-1", DataCentre: "dc1"}}))
 	b.publish(addresses...)
 	b.owner = New(Options{Self: "vm-1", Belief: b.belief, Upstream: client, Now: now, Log: log, Problems: b.problems, Metrics: b.metrics})
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -59,7 +59,7 @@
 	}
 	for _, replica := range written.Replicas {
 		l.limit(replica.Address, share)
-		config.Replicas = append(config.Replicas, admit.ReplicaConfig{Address: replica.Address, DataCentre: replica.DataCentre, Draining: replica.Draining})
+		config.Replicas = append(config.Replicas, admit.ReplicaConfig{Address: replica.Address, DataCentre: replica.DataCentre, Draining: replica.Draining || l.options.Belief.Drained(replica.Address)})
 	}
 	return config
 }
@@ -109,6 +109,10 @@
 	if config == nil {
 		return
 	}
+	if config != l.applied {
+		l.refuseRepartitioned(config.Catalog)
+		l.applied = config
+	}
 	for _, s := range l.shards {
 		s.retired = config.Catalog.Shard(s.ref) == nil
 		if s.retired {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
 )
@@ -17,9 +18,15 @@
 	DefaultEntriesTTL  = 10 * time.Second
 	DefaultMaxBody     = 1 << 20
 	DefaultHeaderWait  = 5 * time.Second
+	DefaultBodyWait    = 10 * time.Second
+	DefaultIdleWait    = time.Minute
 	DefaultStopWait    = 30 * time.Second
 	DefaultConnections = 4096
+	DefaultEntries     = 16
 	DefaultLogLevel    = "info"
+	DefaultWarnBefore  = 14 * 24 * time.Hour
+	DefaultReport      = time.Minute
+	DefaultProbes      = 16
 )
 
 // Settings are one node's settings. docs/SETTINGS.md lists them with defaults
@@ -31,10 +38,12 @@
 	PeerAddress     string `yaml:"peer_address"`
 	OperatorAddress string `yaml:"operator_address"`
 	// Platform is the base URL of the configuration service and VM list.
-	Platform string `yaml:"platform"`
-	LogLevel string `yaml:"log_level"`
-	TLS      TLS    `yaml:"tls"`
-	Limits   Limits `yaml:"limits"`
+	Platform string  `yaml:"platform"`
+	LogLevel string  `yaml:"log_level"`
+	TLS      TLS     `yaml:"tls"`
+	Limits   Limits  `yaml:"limits"`
+	Probing  Probing `yaml:"probing"`
+	Once     Once    `yaml:"once"`
 	// EntriesTTL is how long callers keep the address answer.
 	EntriesTTL time.Duration `yaml:"entries_ttl"`
 	// StopWait bounds a planned stop.
@@ -46,15 +55,52 @@
 	Authority   string `yaml:"authority"`
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
+	// WarnBefore is how long before its end a certificate is a problem.
+	WarnBefore time.Duration `yaml:"warn_before"`
 }
 
 // Limits bound what callers may take.
 type Limits struct {
 	MaxBodyBytes  int           `yaml:"max_body_bytes"`
 	HeaderTimeout time.Duration `yaml:"header_timeout"`
+	BodyTimeout   time.Duration `yaml:"body_timeout"`
+	IdleTimeout   time.Duration `yaml:"idle_timeout"`
 	Connections   int           `yaml:"connections"`
+	// Entries is how many addresses the address answer holds at most.
+	Entries int `yaml:"entries"`
 }
 
+// Probing sets how idle replicas are probed.
+type Probing struct {
+	// ReportWithin is the time within which a dead idle replica is reported.
+	ReportWithin time.Duration `yaml:"report_within"`
+	// InFlight is how many probes run at once.
+	InFlight int `yaml:"in_flight"`
+}
+
+// Once bounds what this node remembers of must-not-repeat requests.
+type Once struct {
+	// Accept is how long after its issue a key prefix starts new requests.
+	Accept time.Duration `yaml:"accept"`
+	// Retain is how long after its prefix's issue an outcome is kept.
+	Retain time.Duration `yaml:"retain"`
+	// MaxRun is the longest that one request may take.
+	MaxRun  time.Duration `yaml:"max_run"`
+	Entries int           `yaml:"entries"`
+	Bytes   int           `yaml:"bytes"`
+}
+
+// Limits are the bounds of the node's ledger. A customer has half of its places.
+func (o Once) Limits() once.Limits {
+	limits := once.DefaultLimits()
+	limits.Accept, limits.Retain, limits.MaxRun = o.Accept, o.Retain, o.MaxRun
+	limits.Entries, limits.Bytes = o.Entries, o.Bytes
+	limits.CustomerEntries, limits.CustomerBytes = o.Entries/customerShare, o.Bytes/customerShare
+	return limits
+}
+
+const customerShare = 2
+
 // Parse reads settings and fills in defaults. The error is a
 // strictyaml.Problems.
 func Parse(text []byte) (*Settings, error) {
@@ -87,7 +133,19 @@
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBody)
 	setDefault(&s.Limits.HeaderTimeout, DefaultHeaderWait)
+	setDefault(&s.Limits.BodyTimeout, DefaultBodyWait)
+	setDefault(&s.Limits.IdleTimeout, DefaultIdleWait)
 	setDefault(&s.Limits.Connections, DefaultConnections)
+	setDefault(&s.Limits.Entries, DefaultEntries)
+	setDefault(&s.TLS.WarnBefore, DefaultWarnBefore)
+	setDefault(&s.Probing.ReportWithin, DefaultReport)
+	setDefault(&s.Probing.InFlight, DefaultProbes)
+	limits := once.DefaultLimits()
+	setDefault(&s.Once.Accept, limits.Accept)
+	setDefault(&s.Once.Retain, limits.Retain)
+	setDefault(&s.Once.MaxRun, limits.MaxRun)
+	setDefault(&s.Once.Entries, limits.Entries)
+	setDefault(&s.Once.Bytes, limits.Bytes)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -121,11 +179,51 @@
 			doc.Report(one.key, fmt.Sprintf("%q is not IP:PORT", one.value), "write an address such as 10.0.0.1:7001")
 		}
 	}
-	if s.EntriesTTL < 0 {
-		doc.Report("entries_ttl", "the duration is negative", "write a duration above 0")
+	s.validateLimits(doc)
+}
+
+// validateLimits refuses durations and counts below 0; a 0 took its default.
+func (s *Settings) validateLimits(doc *strictyaml.Document) {
+	durations := []struct {
+		key   string
+		value time.Duration
+	}{
+		{"entries_ttl", s.EntriesTTL},
+		{"stop_wait", s.StopWait},
+		{"tls.warn_before", s.TLS.WarnBefore},
+		{"limits.header_timeout", s.Limits.HeaderTimeout},
+		{"limits.body_timeout", s.Limits.BodyTimeout},
+		{"limits.idle_timeout", s.Limits.IdleTimeout},
+		{"probing.report_within", s.Probing.ReportWithin},
+		{"once.accept", s.Once.Accept},
+		{"once.retain", s.Once.Retain},
+		{"once.max_run", s.Once.MaxRun},
+	}
+	for _, one := range durations {
+		if one.value < 0 {
+			doc.Report(one.key, "the duration is negative", "write a duration above 0")
+		}
 	}
-	if s.StopWait < 0 {
-		doc.Report("stop_wait", "the duration is negative", "write a duration above 0")
+	// A key that is not remembered between the two ages has provably never run;
+	// with less to remember by, a late retry would run a second time.
+	if limits := s.Once.Limits(); limits.Retain <= limits.Accept+limits.MaxRun+limits.Grace {
+		doc.Report("once.retain", limits.Retain.String()+" is too short for once.accept and once.max_run", "write more than their sum and "+limits.Grace.String())
+	}
+	counts := []struct {
+		key   string
+		value int
+	}{
+		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
+		{"limits.connections", s.Limits.Connections},
+		{"limits.entries", s.Limits.Entries},
+		{"probing.in_flight", s.Probing.InFlight},
+		{"once.entries", s.Once.Entries},
+		{"once.bytes", s.Once.Bytes},
+	}
+	for _, one := range counts {
+		if one.value < 0 {
+			doc.Report(one.key, fmt.Sprintf("%d is negative", one.value), "write a number above 0")
+		}
 	}
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,7 +20,9 @@
 
 // Limits and times of the connections to upstreams.
 const (
-	maxReplyBytes  = 8 << 20
+	maxReplyBytes = 8 << 20
+	// idleConnection bounds the age of an idle connection: the longer one is
+	// idle, the likelier something between the ends has forgotten its flow.
 	idleConnection = 30 * time.Second
 	dialTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
@@ -70,7 +72,9 @@
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
 	dropped    atomic.Int64
+	suspects   suspects
 	submitIdle time.Duration
+	observer   Observer
 }
 
 // NewClient makes a client without connections.
@@ -99,6 +103,7 @@
 	if transport := c.transports[address]; transport != nil {
 		transport.CloseIdleConnections()
 		delete(c.transports, address)
+		c.suspects.forget(address)
 	}
 }
 
@@ -139,6 +144,14 @@
 // Do sends the call once and waits for its end. It never returns NotRun unless
 // no connection was had or the upstream refused the work itself.
 func (c *Client) Do(ctx context.Context, call Call) Result {
+	result := c.do(ctx, call)
+	if c.observer != nil {
+		c.observer(call, result)
+	}
+	return result
+}
+
+func (c *Client) do(ctx context.Context, call Call) Result {
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
 	defer cancel()
@@ -160,10 +173,13 @@
 	if err != nil {
 		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}, false
 	}
-	response, err := c.transport(call.Address).RoundTrip(request)
+	transport := c.transport(call.Address)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
+		c.checkSilence(ctx, call.Address, transport, wire)
 		return failure(ctx, wire, err, 0), wire.refusedStale() && ctx.Err() == nil
 	}
+	c.replied(call.Address)
 	return c.read(ctx, call, response, wire), false
 }
 
