--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// A query and an invoice hang on their replicas, long past the usual time. The
+// query is asked of another replica; a second invoice would be a doubled one.
+func TestOnceIsNeverHedged(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		shard := pair("a", "b")
+		for range 40 {
+			shard.learn(5 * time.Millisecond)
+		}
+		asked := offer(1, 0)
+		asked.Once = once
+		only[Dispatch](t, shard.Step(0, asked))
+		actions := shard.Step(100*time.Millisecond, Woken{})
+		if once {
+			require.Empty(t, actions)
+			continue
+		}
+		require.Equal(t, KindHedge, only[Dispatch](t, actions).Kind)
+	}
+}
+
 // An invoice is sent once. Its replica sheds it, which proves that it did not
 // run: another replica gets it. That one fails in the middle: nobody knows
 // whether the invoice was recorded, and it must not be sent a third time.
