--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/admit"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -175,3 +176,27 @@
 	b.await("the shard is forgotten", func() bool { return len(b.owner.Dump()) == 0 })
 	require.Empty(t, b.problems.List())
 }
+
+// A shard was overloaded at noon. The register must say so while it refuses work
+// and stop saying so some time after, also when no request comes any more.
+func TestOverloadIsClearedAfterACalmTime(t *testing.T) {
+	now := core.Time(0)
+	clock := func() core.Time { return now }
+	b := &bench{t: t, belief: belief.NewStore(), problems: observe.NewProblems(clock)}
+	b.publish("127.0.0.1:9")
+	client := upstream.NewClient()
+	defer client.Close()
+	l := newLoop(context.Background(), Options{Belief: b.belief, Upstream: client, Now: clock, Problems: b.problems, Metrics: observe.NewRegistry()})
+	s := l.shard(b.belief.Config().Catalog, core.ShardRef{Service: "prices"})
+	l.refuse(s, admit.Refuse{Reason: core.ReasonOverloaded})
+	now = calmAfter - 1
+	l.wake()
+	require.True(t, b.has(observe.KindOverloaded))
+	l.refuse(s, admit.Refuse{Reason: core.ReasonOverloaded})
+	now = calmAfter + 1
+	l.wake()
+	require.True(t, b.has(observe.KindOverloaded), "it refused work meanwhile")
+	now = 2 * calmAfter
+	l.wake()
+	require.Empty(t, b.problems.List())
+}
