Honest advice when no replica is left

Cause: with all replicas draining the advice was to come back after 20 ms, which costs a question two more messages and its time for nothing. Change: the advice is the time until a replica may get work again, or 5 s where only another text or the end of a drain can bring one.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -66,6 +66,7 @@
 	shard.Step(1, TryEnded{Try: first.Try, Outcome: core.Done, Draining: true, Load: -1})
 	refusal := only[Refuse](t, shard.Step(2, offer(2, 2)))
 	require.Equal(t, core.ReasonNoReplica, refusal.Reason)
+	require.Equal(t, drainHold-1, refusal.RetryAfter, "nothing will change before")
 	only[Refuse](t, shard.Step(drainHold-1, offer(3, drainHold-1)))
 	probe := only[Dispatch](t, shard.Step(drainHold+1, offer(4, drainHold+1)))
 	only[Refuse](t, shard.Step(drainHold+2, offer(5, drainHold+2)))
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -25,8 +25,10 @@
 	// meanGain is the weight of a new sample in the mean service time.
 	meanGain  = 0.05
 	leastWait = time.Millisecond
-	// refusalPause is the advice while nothing better is known.
-	refusalPause = 20 * time.Millisecond
+	// textPause is the advice while only another text or the end of a drain can
+	// bring a replica. It is longer than most questions last, so that they answer
+	// without the shard at once rather than ask for it in vain.
+	textPause = 5 * time.Second
 )
 
 // Shard is the state of one shard's queue. It is not safe for concurrent use.
@@ -259,20 +261,26 @@
 	return false
 }
 
-// untilProbe is the time until a down replica is probed, for the advice when to
-// come back.
+// untilProbe is the time until some replica may get work again, for the advice
+// when to come back.
 func (s *Shard) untilProbe(now core.Time) time.Duration {
 	least := time.Duration(0)
 	for _, r := range s.replicas {
-		if r.state != stateDown {
+		at := core.Time(0)
+		switch {
+		case r.state == stateDown:
+			at = r.probeAt
+		case r.state == stateDraining && !r.Draining:
+			at = r.drainedAt + drainHold
+		default:
 			continue
 		}
-		if wait := max(leastWait, r.probeAt-now); least == 0 || wait < least {
+		if wait := max(leastWait, at-now); least == 0 || wait < least {
 			least = wait
 		}
 	}
 	if least == 0 {
-		return refusalPause
+		return textPause
 	}
 	return least
 }
