--- a/internal/core/admit/property_test.go
+++ b/internal/core/admit/property_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
+	"github.com/pistachiopier/pistachiopier/internal/core/latency"
 )
 
 // checked drives a Shard with arbitrary events and checks every action.
@@ -29,6 +30,8 @@
 	ended  bool
 	mayRun int
 	tries  int
+	// outcomes are those of the tries that have ended.
+	outcomes map[TryID]core.Outcome
 }
 
 func newChecked(t *rapid.T) *checked {
@@ -38,7 +41,11 @@
 }
 
 func (c *checked) text(replicas, draining int) Config {
-	config := Config{Service: "s", Slots: 2, Share: 3, MaxQueue: 6, Budget: budget.NewGroup(budget.GroupConfig{})}
+	config := Config{Service: "s", Slots: 2, Share: 3, MaxQueue: 6, Budget: budget.NewGroup(budget.GroupConfig{}), Latency: &latency.Histogram{}}
+	for range 40 {
+		// Known latencies make hedges due after 5 ms.
+		config.Latency.Record(5 * time.Millisecond)
+	}
 	c.inText = map[string]bool{}
 	for i := range replicas {
 		address := fmt.Sprint("r", i)
@@ -58,8 +65,7 @@
 		case Dispatch:
 			c.dispatched(a)
 		case Settle:
-			require.Positive(c, c.offered[a.Request].tries)
-			c.end(a.Request)
+			c.settled(a)
 		case Refuse:
 			require.Zero(c, c.offered[a.Request].tries, "refused as not run after it was sent")
 			c.end(a.Request)
@@ -85,6 +91,18 @@
 	c.tries[a.Try] = a
 }
 
+// settled checks that the best result is reported: a request of which one try
+// may have run is not reported as not run.
+func (c *checked) settled(a Settle) {
+	r := c.offered[a.Request]
+	require.Equal(c, r.tries, a.Tries)
+	require.Contains(c, r.outcomes, a.Try)
+	for _, outcome := range r.outcomes {
+		require.GreaterOrEqual(c, strength(r.outcomes[a.Try]), strength(outcome))
+	}
+	c.end(a.Request)
+}
+
 func (c *checked) end(id RequestID) {
 	require.False(c, c.offered[id].ended, "a request ended twice")
 	c.offered[id].ended = true
@@ -118,7 +136,7 @@
 		Deadline: c.now + time.Duration(rapid.IntRange(-1, 200).Draw(c.T, "ms left"))*time.Millisecond,
 		Once:     rapid.IntRange(0, 3).Draw(c.T, "once") == 0,
 	}
-	c.offered[e.ID] = &offeredState{Offered: e}
+	c.offered[e.ID] = &offeredState{Offered: e, outcomes: map[TryID]core.Outcome{}}
 	c.step(e)
 }
 
@@ -135,6 +153,7 @@
 	id := rapid.SampledFrom(ids).Draw(c.T, "try")
 	ended := c.tries[id]
 	delete(c.tries, id)
+	c.offered[ended.Request].outcomes[id] = outcome
 	if outcome == core.NotRun {
 		c.offered[ended.Request].mayRun--
 	}
