--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -41,13 +41,26 @@
 
 // serve listens on the address and serves in the background.
 func serve(address string, handler http.Handler) (*http.Server, string, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, "", err
+	}
+	server, used := serveOn(listener, handler)
+	return server, used, nil
+}
+
+func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, "", &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address", Cause: err}
+		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address", Cause: err}
 	}
+	return listener, nil
+}
+
+func serveOn(listener net.Listener, handler http.Handler) (*http.Server, string) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
-	return server, listener.Addr().String(), nil
+	return server, listener.Addr().String()
 }
 
 // Address is the address in use.
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,6 +19,8 @@
 	Slots int
 	// Service is the time one request takes.
 	Service time.Duration
+	// Draw, when set, gives each request's time in place of Service.
+	Draw func() time.Duration
 	// Versions are the index versions it has; the last is the newest.
 	Versions []uint64
 	Draining bool
@@ -31,6 +34,7 @@
 	behaviour Behaviour
 	running   int
 	queries   int
+	received  int
 	submits   map[string]int
 	server    *http.Server
 	address   string
@@ -38,12 +42,20 @@
 
 // StartUpstream serves a replica on the address; port 0 takes a free one.
 func StartUpstream(address string, behaviour Behaviour) (*Upstream, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return StartUpstreamOn(listener, behaviour), nil
+}
+
+// StartUpstreamOn serves a replica on a listener, which it closes at its end.
+func StartUpstreamOn(listener net.Listener, behaviour Behaviour) *Upstream {
 	u := &Upstream{behaviour: behaviour, submits: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
-	var err error
-	u.server, u.address, err = serve(address, mux)
-	return u, err
+	u.server, u.address = serveOn(listener, mux)
+	return u
 }
 
 // Address is the address in use.
@@ -66,6 +78,13 @@
 	return u.queries
 }
 
+// Received counts the requests that arrived, refused ones included.
+func (u *Upstream) Received() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.received
+}
+
 // Submits counts, for each key, how often a submit ran.
 func (u *Upstream) Submits() map[string]int {
 	u.mutex.Lock()
@@ -123,6 +142,7 @@
 func (u *Upstream) begin(r *http.Request) (Behaviour, string) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	u.received++
 	behaviour := u.behaviour
 	behaviour.Versions = slices.Clone(u.behaviour.Versions)
 	switch {
@@ -154,7 +174,11 @@
 		<-r.Context().Done()
 		return false
 	}
-	timer := time.NewTimer(behaviour.Service)
+	service := behaviour.Service
+	if behaviour.Draw != nil {
+		service = behaviour.Draw()
+	}
+	timer := time.NewTimer(service)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
