--- a/internal/fleet/emulation.go
+++ b/internal/fleet/emulation.go
@@ -11,23 +11,33 @@
 	"sync"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
-// Shape is the size of an emulated set of services: a lead that depends on all
-// the others, each service of one shard.
+// maxReplicas bounds an emulation, so that one process can hold it.
+const maxReplicas = 1000
+
+// Shape is the size of an emulated set of services.
 type Shape struct {
-	Lead        string
-	Services    int
+	Services []ServiceShape
+	Versions []uint64
+	Time     ServiceTime
+}
+
+// ServiceShape is the size of one service.
+type ServiceShape struct {
+	Name        string
+	DependsOn   []string
+	Shards      int
 	Replicas    int
 	Slots       int
 	Connections int
 	ConnectCost time.Duration
 	Timeout     time.Duration
-	Versions    []uint64
-	Time        ServiceTime
+	Idempotent  bool
 }
 
 // ServiceTime is a log-normal service time, of which a share takes much longer.
@@ -40,20 +50,60 @@
 	TailFactor float64
 }
 
+// MainLead is the service that MainSearch asks.
+const MainLead = "main-search"
+
 // MainSearch is the size of both users' main searches: 20 services of 2
-// replicas with 2 slots, 25 connections and 6 ms for each new one.
+// replicas with 2 slots, 25 connections and 6 ms for each new one. The first
+// depends on all the others.
 func MainSearch() Shape {
-	return Shape{
-		Lead:        "main-search",
-		Services:    20,
+	const services = 20
+	shape := Shape{Versions: []uint64{41, 42}, Time: DefaultServiceTime()}
+	lead := ServiceShape{
+		Name:        MainLead,
+		Shards:      1,
 		Replicas:    2,
 		Slots:       2,
 		Connections: 25,
 		ConnectCost: 6 * time.Millisecond,
 		Timeout:     500 * time.Millisecond,
-		Versions:    []uint64{41, 42},
-		Time:        ServiceTime{Median: 4 * time.Millisecond, Sigma: 0.4, TailShare: 0.01, TailFactor: 8},
+		Idempotent:  true,
 	}
+	shape.Services = []ServiceShape{lead}
+	for number := 2; number <= services; number++ {
+		next := lead
+		next.Name = fmt.Sprintf("%s-%02d", MainLead, number)
+		shape.Services = append(shape.Services, next)
+		shape.Services[0].DependsOn = append(shape.Services[0].DependsOn, next.Name)
+	}
+	return shape
+}
+
+// DefaultServiceTime is 4 ms in the middle; one request in a hundred takes
+// eight times as long.
+func DefaultServiceTime() ServiceTime {
+	return ServiceTime{Median: 4 * time.Millisecond, Sigma: 0.4, TailShare: 0.01, TailFactor: 8}
+}
+
+// ShapeOf is the size of an operators' text. A service's shards take the
+// number of replicas of its first one.
+func ShapeOf(text *catalog.Catalog) Shape {
+	shape := Shape{Versions: []uint64{41, 42}, Time: DefaultServiceTime()}
+	for _, name := range text.Names {
+		service := text.Services[name]
+		shape.Services = append(shape.Services, ServiceShape{
+			Name:        name,
+			DependsOn:   service.DependsOn,
+			Shards:      len(service.Shards),
+			Replicas:    len(service.Shards[0].Replicas),
+			Slots:       service.Slots,
+			Connections: service.Connections,
+			ConnectCost: service.ConnectCost,
+			Timeout:     service.Timeout,
+			Idempotent:  service.Idempotent,
+		})
+	}
+	return shape
 }
 
 // Draw returns a seeded source of service times, safe for concurrent use.
@@ -90,38 +140,37 @@
 // StartEmulation starts the replicas of a shape on loopback.
 func StartEmulation(shape Shape, seed uint64) (*Emulation, error) {
 	emulation := &Emulation{Shape: shape}
-	for i := range shape.Services * shape.Replicas {
-		replica, err := startReplica(shape, i, seed+uint64(i))
-		if err != nil {
-			emulation.Close()
-			return nil, err
+	for _, service := range shape.Services {
+		for range service.Shards * service.Replicas {
+			replica, err := emulation.startReplica(service, seed)
+			if err != nil {
+				emulation.Close()
+				return nil, err
+			}
+			emulation.Replicas = append(emulation.Replicas, replica)
 		}
-		emulation.Replicas = append(emulation.Replicas, replica)
 	}
 	return emulation, nil
 }
 
-func startReplica(shape Shape, number int, seed uint64) (*Replica, error) {
+func (e *Emulation) startReplica(service ServiceShape, seed uint64) (*Replica, error) {
+	if len(e.Replicas) >= maxReplicas {
+		return nil, fault.NotRun(fault.CodeBadRequest, fmt.Sprintf("the text has more than %d replicas", maxReplicas), "emulate a smaller text")
+	}
 	listener, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, fault.Step("listen for an emulated replica", err)
 	}
-	limited := &limitedListener{Listener: listener, limit: shape.Connections, cost: shape.ConnectCost}
-	behaviour := standin.Behaviour{Slots: shape.Slots, Versions: shape.Versions, Draw: shape.Time.Draw(seed)}
+	limited := &limitedListener{Listener: listener, limit: service.Connections, cost: service.ConnectCost}
+	draw := e.Shape.Time.Draw(seed + uint64(len(e.Replicas)))
+	behaviour := standin.Behaviour{Slots: service.Slots, Versions: e.Shape.Versions, Draw: draw}
 	return &Replica{
 		Upstream: standin.StartUpstreamOn(limited, behaviour),
-		Service:  shape.serviceName(number / shape.Replicas),
+		Service:  service.Name,
 		listener: limited,
 	}, nil
 }
 
-func (s Shape) serviceName(number int) string {
-	if number == 0 {
-		return s.Lead
-	}
-	return fmt.Sprintf("%s-%02d", s.Lead, number+1)
-}
-
 // Close ends all replicas.
 func (e *Emulation) Close() {
 	for _, replica := range e.Replicas {
@@ -173,27 +222,27 @@
 		fmt.Fprintf(&b, "  - {name: %s, weight: %g, in_flight: %d}\n", name, options.Weights[name], options.InFlight)
 	}
 	b.WriteString("services:\n")
-	for number := range e.Shape.Services {
-		e.writeService(&b, number)
+	next := 0
+	for _, service := range e.Shape.Services {
+		writeService(&b, service)
+		for range service.Shards {
+			b.WriteString("      - replicas:\n")
+			for range service.Replicas {
+				fmt.Fprintf(&b, "          - {address: %q, data_centre: dc%d}\n", e.Replicas[next].Address(), next%dataCentres+1)
+				next++
+			}
+		}
 	}
 	return b.String()
 }
 
-func (e *Emulation) writeService(b *strings.Builder, number int) {
-	shape := e.Shape
-	fmt.Fprintf(b, "  - name: %s\n    index: main\n    slots: %d\n    connections: %d\n    connect_cost: %s\n    timeout: %s\n",
-		shape.serviceName(number), shape.Slots, shape.Connections, shape.ConnectCost, shape.Timeout)
-	if number == 0 && shape.Services > 1 {
-		names := make([]string, 0, shape.Services-1)
-		for i := 1; i < shape.Services; i++ {
-			names = append(names, shape.serviceName(i))
-		}
-		fmt.Fprintf(b, "    depends_on: [%s]\n", strings.Join(names, ", "))
-	}
-	b.WriteString("    shards:\n      - replicas:\n")
-	for i, replica := range e.Replicas[number*shape.Replicas : (number+1)*shape.Replicas] {
-		fmt.Fprintf(b, "          - {address: %q, data_centre: dc%d}\n", replica.Address(), (number+i)%dataCentres+1)
+func writeService(b *strings.Builder, service ServiceShape) {
+	fmt.Fprintf(b, "  - name: %s\n    index: main\n    slots: %d\n    connections: %d\n", service.Name, service.Slots, service.Connections)
+	fmt.Fprintf(b, "    connect_cost: %s\n    timeout: %s\n    idempotent: %t\n", service.ConnectCost, service.Timeout, service.Idempotent)
+	if len(service.DependsOn) > 0 {
+		fmt.Fprintf(b, "    depends_on: [%s]\n", strings.Join(service.DependsOn, ", "))
 	}
+	b.WriteString("    shards:\n")
 }
 
 func sortedCustomers(weights map[core.Customer]float64) []core.Customer {
--- /dev/null
+++ b/internal/load/mix.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"math/rand/v2"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Share is one customer asking one service, with its weight in the mix.
+type Share struct {
+	Customer core.Customer
+	Service  string
+	Weight   float64
+}
+
+// mix draws shares by weight.
+type mix struct {
+	shares []Share
+	sum    float64
+	source *rand.Rand
+}
+
+func newMix(shares []Share, source *rand.Rand) *mix {
+	m := &mix{shares: shares, source: source}
+	for _, share := range shares {
+		m.sum += share.Weight
+	}
+	return m
+}
+
+func (m *mix) draw() Share {
+	left := m.source.Float64() * m.sum
+	for _, share := range m.shares {
+		left -= share.Weight
+		if left < 0 {
+			return share
+		}
+	}
+	return m.shares[len(m.shares)-1]
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// The range and precision of the latency histograms, in microseconds.
+const (
+	lowestMicros  = 1
+	highestMicros = int64(2 * time.Minute / time.Microsecond)
+	digits        = 3
+)
+
+// Group is what was measured of one customer, one service or everything.
+type Group struct {
+	histogram *hdrhistogram.Histogram
+	Requests  int
+	// Unsent counts arrivals above the bound of outstanding requests.
+	Unsent   int
+	Outcomes map[string]int
+	// Asked and Answered count shards over all requests that ran.
+	Asked    int
+	Answered int
+	Thin     int
+	Mixed    int
+	Crossed  int
+	// LowestCoverage is the lowest share of any answer, 0 to 1.
+	LowestCoverage float64
+	covered        float64
+	answers        int
+}
+
+// NewGroup makes an empty group.
+func NewGroup() *Group {
+	return &Group{
+		histogram:      hdrhistogram.New(lowestMicros, highestMicros, digits),
+		Outcomes:       map[string]int{},
+		LowestCoverage: 1,
+	}
+}
+
+// Quantile returns the latency below which the share q, 0 to 1, of the
+// requests ended.
+func (g *Group) Quantile(q float64) time.Duration {
+	const percent = 100
+	return time.Duration(g.histogram.ValueAtQuantile(q*percent)) * time.Microsecond
+}
+
+// MeanCoverage is the mean share of shards in the answers, 0 to 1.
+func (g *Group) MeanCoverage() float64 {
+	if g.answers == 0 {
+		return 0
+	}
+	return g.covered / float64(g.answers)
+}
+
+// ThinShare is the share of the answers that lack a shard, 0 to 1.
+func (g *Group) ThinShare() float64 {
+	if g.answers == 0 {
+		return 0
+	}
+	return float64(g.Thin) / float64(g.answers)
+}
+
+func (g *Group) add(latency time.Duration, reply Reply) {
+	_ = g.histogram.RecordValue(min(max(latency.Microseconds(), lowestMicros), highestMicros))
+	g.Requests++
+	g.Outcomes[outcomeName(reply)]++
+	if reply.Outcome != core.Done.String() || reply.Asked == 0 {
+		return
+	}
+	share := float64(reply.Answered) / float64(reply.Asked)
+	g.answers++
+	g.covered += share
+	g.LowestCoverage = min(g.LowestCoverage, share)
+	g.Asked += reply.Asked
+	g.Answered += reply.Answered
+	g.Thin += count(reply.Answered < reply.Asked)
+	g.Mixed += count(reply.Mixed)
+	g.Crossed += count(reply.Crossed)
+}
+
+func outcomeName(reply Reply) string {
+	if reply.Code == "" {
+		return reply.Outcome
+	}
+	return reply.Outcome + "/" + string(reply.Code)
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// Merge adds another group's measurements.
+func (g *Group) Merge(other *Group) {
+	g.histogram.Merge(other.histogram)
+	g.Requests += other.Requests
+	g.Unsent += other.Unsent
+	g.Asked += other.Asked
+	g.Answered += other.Answered
+	g.Thin += other.Thin
+	g.Mixed += other.Mixed
+	g.Crossed += other.Crossed
+	g.covered += other.covered
+	g.answers += other.answers
+	g.LowestCoverage = min(g.LowestCoverage, other.LowestCoverage)
+	for name, number := range other.Outcomes {
+		g.Outcomes[name] += number
+	}
+}
+
+// Recorder collects the replies of a load. It is safe for concurrent use.
+type Recorder struct {
+	mutex      sync.Mutex
+	All        *Group
+	ByCustomer map[string]*Group
+	ByService  map[string]*Group
+	Elapsed    time.Duration
+}
+
+// NewRecorder makes an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{All: NewGroup(), ByCustomer: map[string]*Group{}, ByService: map[string]*Group{}}
+}
+
+// Merge adds another recorder's measurements; both must be at rest.
+func (r *Recorder) Merge(other *Recorder) {
+	r.All.Merge(other.All)
+	mergeGroups(r.ByCustomer, other.ByCustomer)
+	mergeGroups(r.ByService, other.ByService)
+	r.Elapsed += other.Elapsed
+}
+
+func mergeGroups(into, from map[string]*Group) {
+	for name, group := range from {
+		named(into, name).Merge(group)
+	}
+}
+
+func named(groups map[string]*Group, name string) *Group {
+	if groups[name] == nil {
+		groups[name] = NewGroup()
+	}
+	return groups[name]
+}
+
+func (r *Recorder) groups(share Share) []*Group {
+	return []*Group{r.All, named(r.ByCustomer, string(share.Customer)), named(r.ByService, share.Service)}
+}
+
+func (r *Recorder) add(share Share, latency time.Duration, reply Reply) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, group := range r.groups(share) {
+		group.add(latency, reply)
+	}
+}
+
+func (r *Recorder) unsent(share Share) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, group := range r.groups(share) {
+		group.Unsent++
+	}
+}
+
+func (r *Recorder) ran(elapsed time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Elapsed += elapsed
+}
