Named comparisons, the load and experiment commands, and slopes

Variants run in alternating slices of one run, so that a noisy machine hits all alike; every second round runs backwards. Slopes weigh one more part, link, shard, connection and question.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,6 +64,8 @@
 		checkCommand(),
 		queryCommand(),
 		demoCommand(),
+		loadCommand(),
+		experimentCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,153 @@
+// Package experiment compares settings of the system on one machine: named,
+// seeded and bounded runs, in short slices that alternate between the variants,
+// so that a noisy machine hits all alike.
+package experiment
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/fleet"
+	"github.com/pistachiopier/pistachiopier/internal/load"
+)
+
+// Variant is one of the settings compared.
+type Variant struct {
+	Name string
+	// Nodes is the number of the system's nodes, or with Naive of the
+	// callers' processes.
+	Nodes int
+	// Naive leaves the system out: callers connect to replicas themselves.
+	Naive bool
+	// Routing and BundleSize go into the operators' text.
+	Routing    string
+	BundleSize int
+	Weights    map[core.Customer]float64
+	Profile    load.Profile
+	// Prepare, when set, changes the replicas before the first slice.
+	Prepare func(*fleet.Emulation)
+	// During, when set, acts on the replicas while a slice runs.
+	During func(ctx context.Context, emulation *fleet.Emulation, round int, slice time.Duration)
+}
+
+// Experiment is a named comparison.
+type Experiment struct {
+	Name  string
+	About string
+	Shape fleet.Shape
+	// Rounds is how often each variant gets its slice.
+	Rounds   int
+	Variants []Variant
+}
+
+// Slice is what was measured of a variant in one round or in all.
+type Slice struct {
+	Recorder *load.Recorder
+	Usage    load.Usage
+	// Received counts the requests that reached the replicas.
+	Received int
+	// Connections are over the whole run; Refused and Accepted of the slice.
+	Connections fleet.ConnectionCounts
+}
+
+// ExtraLoad is the share of upstream requests above one for each shard asked.
+func (s Slice) ExtraLoad() float64 {
+	if s.Recorder.All.Asked == 0 {
+		return 0
+	}
+	return float64(s.Received)/float64(s.Recorder.All.Asked) - 1
+}
+
+// CPUPerPart is the whole process's CPU time for each shard asked: load, nodes
+// and replicas together.
+func (s Slice) CPUPerPart() time.Duration {
+	return s.Usage.CPU / time.Duration(max(1, s.Recorder.All.Asked))
+}
+
+// AllocationsPerPart is the whole process's allocations for each shard asked.
+func (s Slice) AllocationsPerPart() float64 {
+	return float64(s.Usage.Allocation) / float64(max(1, s.Recorder.All.Asked))
+}
+
+func (s *Slice) add(other Slice) {
+	s.Recorder.Merge(other.Recorder)
+	s.Usage = s.Usage.Add(other.Usage)
+	s.Received += other.Received
+	s.Connections.Accepted += other.Connections.Accepted
+	s.Connections.Refused += other.Connections.Refused
+	s.Connections.Held = other.Connections.Held
+	s.Connections.Peak = max(s.Connections.Peak, other.Connections.Peak)
+}
+
+// Result is a finished experiment: a slice for each round of each variant.
+type Result struct {
+	Experiment Experiment
+	Cores      int
+	Rounds     [][]Slice
+}
+
+// Total merges a variant's rounds.
+func (r Result) Total(variant int) Slice {
+	total := Slice{Recorder: load.NewRecorder()}
+	for _, round := range r.Rounds {
+		total.add(round[variant])
+	}
+	return total
+}
+
+// Order returns the order of the variants in each round. Every second round
+// runs backwards, so that a drift of the machine favours none.
+func Order(variants, rounds int) [][]int {
+	order := make([][]int, rounds)
+	for round := range order {
+		for variant := range variants {
+			order[round] = append(order[round], variant)
+		}
+		if round%2 == 1 {
+			slices.Reverse(order[round])
+		}
+	}
+	return order
+}
+
+// Run starts every variant's system, warms it with a slice that is not
+// counted, and measures the rounds.
+func Run(ctx context.Context, e Experiment, cores int) (Result, error) {
+	result := Result{Experiment: e, Cores: cores}
+	if e.Rounds < 1 || len(e.Variants) == 0 {
+		return result, fault.NotRun(fault.CodeBadRequest, "the experiment has no round or no variant", "give at least one of each")
+	}
+	systems := make([]*system, 0, len(e.Variants))
+	defer func() {
+		for _, one := range systems {
+			one.close()
+		}
+	}()
+	for _, variant := range e.Variants {
+		started, err := startSystem(ctx, e.Shape, variant)
+		if err != nil {
+			return result, fault.Step("start "+variant.Name, err)
+		}
+		systems = append(systems, started)
+	}
+	for _, one := range systems {
+		if _, err := one.measure(ctx, warmRound); err != nil {
+			return result, err
+		}
+	}
+	for round, order := range Order(len(systems), e.Rounds) {
+		measured := make([]Slice, len(systems))
+		for _, variant := range order {
+			slice, err := systems[variant].measure(ctx, round)
+			if err != nil {
+				return result, err
+			}
+			measured[variant] = slice
+		}
+		result.Rounds = append(result.Rounds, measured)
+	}
+	return result, ctx.Err()
+}
--- /dev/null
+++ b/internal/experiment/slopes.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/load"
+)
+
+// repeats is how often each slope is measured.
+const repeats = 3
+
+// Slope is what one more of something costs on this machine.
+type Slope struct {
+	Name string `json:"name"`
+	Unit string `json:"unit"`
+	Spread
+}
+
+// Slopes are all slopes of one run.
+type Slopes struct {
+	Cores  int     `json:"cores"`
+	Slopes []Slope `json:"slopes"`
+}
+
+// figure is one measured value; its name and unit identify it over repeats.
+type figure struct {
+	name  string
+	unit  string
+	value float64
+}
+
+// MeasureSlopes measures every slope several times.
+func MeasureSlopes() (Slopes, error) {
+	slopes := Slopes{Cores: runtime.NumCPU()}
+	for _, measure := range []func() ([]figure, error){
+		catalogSlopes, handshakeSlopes, hopSlopes, entrySlopes, ownerSlopes, connectionSlopes,
+	} {
+		if err := slopes.repeat(measure); err != nil {
+			return slopes, err
+		}
+	}
+	return slopes, nil
+}
+
+func (s *Slopes) repeat(measure func() ([]figure, error)) error {
+	values := map[figure][]float64{}
+	var order []figure
+	for range repeats {
+		figures, err := measure()
+		if err != nil {
+			return err
+		}
+		for _, one := range figures {
+			key := figure{name: one.name, unit: one.unit}
+			if values[key] == nil {
+				order = append(order, key)
+			}
+			values[key] = append(values[key], one.value)
+		}
+	}
+	for _, key := range order {
+		sorted := slices.Sorted(slices.Values(values[key]))
+		spread := Spread{Low: sorted[0], Middle: sorted[len(sorted)/2], High: sorted[len(sorted)-1]}
+		s.Slopes = append(s.Slopes, Slope{Name: key.name, Unit: key.unit, Spread: spread})
+	}
+	return nil
+}
+
+// WriteText writes the slopes for people.
+func (s Slopes) WriteText(out io.Writer) {
+	for _, slope := range s.Slopes {
+		fmt.Fprintf(out, "%-58s %12.2f %-8s (%.2f..%.2f)\n", slope.Name, slope.Middle, slope.Unit, slope.Low, slope.High)
+	}
+}
+
+// WriteJSON writes the slopes for programs.
+func (s Slopes) WriteJSON(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return fault.Step("write the slopes", encoder.Encode(s))
+}
+
+// memoryInUse is the live heap and the stacks, in bytes, after a collection.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) + float64(stats.StackInuse)
+}
+
+// cpuOf runs the work and returns the process's CPU time and the time taken.
+func cpuOf(work func() error) (cpu, elapsed time.Duration, err error) {
+	runtime.GC()
+	started := time.Now()
+	before := load.ReadUsage()
+	err = work()
+	return load.ReadUsage().Since(before).CPU, time.Since(started), err
+}
+
+func micros(duration time.Duration, count int) float64 {
+	return float64(duration) / float64(time.Microsecond) / float64(count)
+}
