--- a/internal/experiment/slopes.go
+++ b/internal/experiment/slopes.go
@@ -39,7 +39,7 @@
 func MeasureSlopes() (Slopes, error) {
 	slopes := Slopes{Cores: runtime.NumCPU()}
 	for _, measure := range []func() ([]figure, error){
-		catalogSlopes, handshakeSlopes, hopSlopes, entrySlopes, ownerSlopes, connectionSlopes,
+		catalogSlopes, handshakeSlopes, hopSlopes, entrySlopes, ownerSlopes, connectionSlopes, idleSlopes,
 	} {
 		if err := slopes.repeat(measure); err != nil {
 			return slopes, err
