--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -54,6 +54,9 @@
 	u := &Upstream{behaviour: behaviour, submits: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
+	// The health endpoint misleads, as those of real upstreams do: it says that
+	// all is well as long as the process lives.
+	mux.HandleFunc("GET "+upstream.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	u.server, u.address = serveOn(listener, mux)
 	return u
 }
