--- a/internal/experiment/slopes.go
+++ b/internal/experiment/slopes.go
@@ -12,7 +12,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/load"
 )
 
-// repeats is how often each slope is measured.
+// repeats is how often each slope is measured, but for the slow ones.
 const repeats = 3
 
 // Slope is what one more of something costs on this machine.
@@ -41,17 +41,17 @@
 	for _, measure := range []func() ([]figure, error){
 		catalogSlopes, handshakeSlopes, hopSlopes, entrySlopes, ownerSlopes, connectionSlopes, idleSlopes,
 	} {
-		if err := slopes.repeat(measure); err != nil {
+		if err := slopes.repeat(measure, repeats); err != nil {
 			return slopes, err
 		}
 	}
-	return slopes, nil
+	return slopes, slopes.repeat(keepAliveSlopes, 1)
 }
 
-func (s *Slopes) repeat(measure func() ([]figure, error)) error {
+func (s *Slopes) repeat(measure func() ([]figure, error), times int) error {
 	values := map[figure][]float64{}
 	var order []figure
-	for range repeats {
+	for range times {
 		figures, err := measure()
 		if err != nil {
 			return err
--- a/internal/experiment/slopes_node.go
+++ b/internal/experiment/slopes_node.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -32,6 +34,7 @@
 	ownerParts      = 40000
 	askersAtOnce    = 32
 	heldConnections = 400
+	bodyBytes       = 1 << 20
 	longTimeout     = time.Minute
 )
 
@@ -53,9 +56,7 @@
 	store.SetConfig(&belief.Config{Revision: 1, Text: text, Catalog: parsed})
 	started := time.Now()
 	now := func() core.Time { return time.Since(started) }
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return parts{belief: store, now: now, log: log, problems: observe.NewProblems(now)}, nil
+	return parts{belief: store, now: now, log: quietLog(), problems: observe.NewProblems(now)}, nil
 }
 
 // instantPeers answer every request at once; silent ones never do.
@@ -108,8 +109,70 @@
 		}
 		figures = append(figures, figure{fmt.Sprintf("entry: CPU of a part, 110 shards, bundle %d", bundle), "us", micros(cpu, entryParts)})
 	}
+	whole, err := callerSlopes()
+	if err != nil {
+		return nil, err
+	}
 	memory, err := questionMemory()
-	return append(figures, memory...), err
+	return append(append(figures, whole...), memory...), err
+}
+
+// discard is a response that nobody reads.
+type discard struct {
+	header http.Header
+	status int
+}
+
+func (d *discard) Header() http.Header { return d.header }
+
+func (d *discard) Write(body []byte) (int, error) { return len(body), nil }
+
+func (d *discard) WriteHeader(status int) { d.status = status }
+
+// callerSlopes asks through the callers' interface, without a connection: the
+// JSON of question and answer counts, HTTP's bytes do not.
+func callerSlopes() ([]figure, error) {
+	e, err := newEntry(questionText(wideQuestion, targetBundle), instantPeers{})
+	if err != nil {
+		return nil, err
+	}
+	defer e.Close()
+	handler := api.NewCaller(api.CallerParts{
+		Log:     quietLog(),
+		Entry:   e,
+		Body:    api.BodyLimits{MaxBytes: bodyBytes, Timeout: longTimeout},
+		Metrics: observe.NewRegistry(),
+	})
+	const questions = entryParts / wideQuestion
+	cpu, _, err := cpuOf(func() error {
+		for range questions {
+			if err := askHandler(handler); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return []figure{{"entry: CPU of a part with the callers' JSON, 110 shards, bundle 10", "us", micros(cpu, questions*wideQuestion)}}, err
+}
+
+func askHandler(handler http.Handler) error {
+	body := strings.NewReader(`{"customer":"large","question":"pork shoulder","timeout_ms":60000}`)
+	request, err := http.NewRequest(http.MethodPost, "/v1/query/s-0-0", body)
+	if err != nil {
+		return fault.Step("build a request", err)
+	}
+	response := &discard{header: http.Header{}, status: http.StatusOK}
+	handler.ServeHTTP(response, request)
+	if response.status != http.StatusOK {
+		return &fault.Error{Code: fault.CodeInternal, Message: "the entry answered " + http.StatusText(response.status)}
+	}
+	return nil
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
 }
 
 func askMany(e *entry.Entry, questions int) error {
--- a/internal/experiment/slopes_peer.go
+++ b/internal/experiment/slopes_peer.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -28,25 +31,33 @@
 	targetBundle = 10
 )
 
+// spreadStep is the time between two parts of a bundle that answers as its
+// replicas do: one after the other.
+const spreadStep = time.Millisecond
+
+// keepAliveTime spans several keepalives of an idle link.
+const keepAliveTime = 16 * time.Second
+
 // links are a pool and the servers it asks, in one process.
 type links struct {
 	authority *keys.Authority
+	handler   peer.HandlerFunc
 	pool      *peer.Pool
 	servers   []*peer.Server
 	targets   []peer.Target
 }
 
-func newLinks() (*links, error) {
+func newLinks(handler peer.HandlerFunc) (*links, error) {
 	authority, err := keys.NewAuthority(time.Now(), keysValid)
 	if err != nil {
 		return nil, err
 	}
-	l := &links{authority: authority}
+	l := &links{authority: authority, handler: handler}
 	config, err := l.keys("asker")
 	if err != nil {
 		return nil, err
 	}
-	l.pool, err = peer.NewPool(config, peer.Identity{Node: "asker", Incarnation: 1}, peer.HandlerFunc(answerAll))
+	l.pool, err = peer.NewPool(config, peer.Identity{Node: "asker", Incarnation: 1}, handler)
 	return l, err
 }
 
@@ -65,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		server, err := peer.Listen("127.0.0.1:0", config, peer.Identity{Node: id, Incarnation: 1}, peer.HandlerFunc(answerAll))
+		server, err := peer.Listen("127.0.0.1:0", config, peer.Identity{Node: id, Incarnation: 1}, l.handler)
 		if err != nil {
 			return err
 		}
@@ -92,13 +103,29 @@
 	}
 }
 
+// answerSpread replies the parts one after the other, as they finish at
+// different replicas, so that they do not share a packet.
+func answerSpread(inbound *peer.Inbound) {
+	asks := inbound.Envelope.GetBundleRequest().GetAsks()
+	left := atomic.Int64{}
+	left.Store(int64(len(asks)))
+	for i, ask := range asks {
+		time.AfterFunc(time.Duration(i+1)*spreadStep, func() {
+			inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Part{Part: examplePart(ask)}}, left.Add(-1) == 0)
+		})
+	}
+}
+
+// examplePayload is a part as an upstream writes it: a JSON value.
+var examplePayload = []byte(strconv.Quote(strings.Repeat("x", payloadBytes-2)))
+
 func examplePart(ask *peerpb.ShardAsk) *peerpb.Part {
 	return &peerpb.Part{
 		Service: ask.GetService(),
 		Shard:   ask.GetShard(),
 		Version: 42,
 		Serves:  []uint64{41, 42},
-		Payload: make([]byte, payloadBytes),
+		Payload: examplePayload,
 		Outcome: uint32(core.Done),
 		Tries:   1,
 	}
@@ -149,7 +176,7 @@
 
 // handshakeSlopes opens links one after the other and weighs what they hold.
 func handshakeSlopes() ([]figure, error) {
-	l, err := newLinks()
+	l, err := newLinks(answerAll)
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +206,7 @@
 // hopSlopes is the cost of sub-requests between two nodes, with few and many
 // peers and with small and large bundles.
 func hopSlopes() ([]figure, error) {
-	l, err := newLinks()
+	l, err := newLinks(answerAll)
 	if err != nil {
 		return nil, err
 	}
@@ -200,7 +227,56 @@
 		figures = append(figures, figure{name, "us", micros(cpu, hopParts)})
 	}
 	bytes, err := l.hopBytes()
-	return append(figures, bytes...), err
+	if err != nil {
+		return nil, err
+	}
+	spread, err := spreadHop()
+	return append(append(figures, bytes...), spread...), err
+}
+
+// spreadHop is the cost when batches thin out: many peers, few messages on each
+// and parts that come one after the other.
+func spreadHop() ([]figure, error) {
+	l, err := newLinks(answerSpread)
+	if err != nil {
+		return nil, err
+	}
+	defer l.close()
+	if err := l.serve(manyPeers); err != nil {
+		return nil, err
+	}
+	if err := l.ask(l.targets, manyPeers, 1, 1); err != nil {
+		return nil, fault.Step("open links", err)
+	}
+	cpu, _, err := cpuOf(func() error { return l.ask(l.targets, hopParts, targetBundle, hopInFlight) })
+	name := fmt.Sprintf("peer hop: CPU of a part, both ends, bundle %d, %d peers, parts one by one", targetBundle, manyPeers)
+	return []figure{{name, "us", micros(cpu, hopParts)}}, fault.Step("ask peers", err)
+}
+
+// keepAliveSlopes counts the bytes of a link that carries nothing.
+func keepAliveSlopes() ([]figure, error) {
+	l, err := newLinks(answerAll)
+	if err != nil {
+		return nil, err
+	}
+	defer l.close()
+	if err := l.serve(1); err != nil {
+		return nil, err
+	}
+	forward, err := startForwarder(l.targets[0].Address)
+	if err != nil {
+		return nil, err
+	}
+	defer forward.close()
+	target := []peer.Target{{Node: l.targets[0].Node, Address: forward.address()}}
+	if err := l.ask(target, 1, 1, 1); err != nil {
+		return nil, fault.Step("open a link", err)
+	}
+	time.Sleep(time.Second)
+	before := forward.bytes.Load()
+	time.Sleep(keepAliveTime)
+	moved := float64(forward.bytes.Load() - before)
+	return []figure{{"peer link: UDP bytes of an idle link, both ways", "bytes/s", moved / keepAliveTime.Seconds()}}, nil
 }
 
 // hopBytes counts the UDP payload of sub-requests through a forwarder.
