--- a/internal/experiment/slopes_peer.go
+++ b/internal/experiment/slopes_peer.go
@@ -35,8 +35,12 @@
 // replicas do: one after the other.
 const spreadStep = time.Millisecond
 
-// keepAliveTime spans several keepalives of an idle link.
-const keepAliveTime = 16 * time.Second
+// An idle link first finds the largest packet that its path takes, one probe a
+// keepalive; settleTime spans that, keepAliveTime several keepalives after it.
+const (
+	settleTime    = 30 * time.Second
+	keepAliveTime = 20 * time.Second
+)
 
 // links are a pool and the servers it asks, in one process.
 type links struct {
@@ -272,11 +276,16 @@
 	if err := l.ask(target, 1, 1, 1); err != nil {
 		return nil, fault.Step("open a link", err)
 	}
-	time.Sleep(time.Second)
-	before := forward.bytes.Load()
+	opened := forward.bytes.Load()
+	time.Sleep(settleTime)
+	settled := forward.bytes.Load()
 	time.Sleep(keepAliveTime)
-	moved := float64(forward.bytes.Load() - before)
-	return []figure{{"peer link: UDP bytes of an idle link, both ways", "bytes/s", moved / keepAliveTime.Seconds()}}, nil
+	kept := float64(forward.bytes.Load() - settled)
+	return []figure{
+		{"peer link: UDP bytes to open it, both ways", "bytes", float64(opened)},
+		{"peer link: UDP bytes to find its packet size, both ways", "bytes", float64(settled - opened)},
+		{"peer link: UDP bytes of an idle link, both ways", "bytes/s", kept / keepAliveTime.Seconds()},
+	}, nil
 }
 
 // hopBytes counts the UDP payload of sub-requests through a forwarder.
