--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -62,6 +63,7 @@
 	next    once.WaiterID
 	wakeAt  core.Time
 	idle    chan<- struct{}
+	gauges  ledgerGauges
 }
 
 func newLoop(ctx context.Context, options Options, issuer *once.Issuer) *loop {
@@ -72,6 +74,7 @@
 		ledger:  once.NewLedger(issuer, options.Limits),
 		waiters: map[once.WaiterID]waiter{},
 		tickets: map[once.SendID]peer.Ticket{},
+		gauges:  newLedgerGauges(options.Metrics),
 	}
 }
 
@@ -91,6 +94,7 @@
 			l.wakeAt = 0
 			l.step(once.Woken{})
 		}
+		l.gauges.update(l.ledger)
 		if l.idle != nil && l.ledger.Running() == 0 {
 			close(l.idle)
 			l.idle = nil
@@ -162,9 +166,23 @@
 	}
 	delete(l.waiters, a.Waiter)
 	waiting.stopWatch()
+	l.note(waiting.inbound.Envelope.GetSubmitRequest(), a.Reply)
 	waiting.inbound.Reply(replyEnvelope(a.Reply), true)
 }
 
+// note counts an outcome told here and reports one that an operator may have to
+// look up.
+func (l *loop) note(message *peerpb.SubmitRequest, reply once.Reply) {
+	switch {
+	case reply.Repeated:
+		observe.Counter(l.options.Metrics, "submits_repeated_total").Inc(1)
+		return
+	case reply.Outcome == core.Unknown:
+		l.options.Problems.Report(observe.KindOutcomeUnknown, message.GetService(), string(reply.Code)+" for key "+message.GetKey())
+	}
+	observe.Counter(l.options.Metrics, "submits_"+reply.Outcome.String()+"_total").Inc(1)
+}
+
 // giveUp withdraws a send: a request that waits for its link to open is past
 // its time and is then never written.
 func (l *loop) giveUp(a once.GiveUp) {
