--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -51,14 +50,17 @@
 	server   *peer.Server
 	platform *platform.Client
 	config   *confwatch.Watcher
-	members  *membership.Watcher
+	members  *membership.Duty
 	caller   *httpServer
 	operator *httpServer
 	gatherer *gather.Gatherer
 	prober   *night.Prober
 	expiry   *expiryWatch
 	rotation api.Rotation
+	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
+	// ready is set once every duty runs: a peer may ask before that.
+	ready atomic.Bool
 }
 
 // httpServer is a server with the address it got.
@@ -174,55 +176,41 @@
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
+	n.belief.SetSelf(route.Node{
+		ID:              n.identity.Node,
+		DataCentre:      n.settings.DataCentre,
+		PeerAddress:     n.server.Address(),
+		CallerAddress:   n.caller.address,
+		OperatorAddress: n.operator.address,
+	})
 	n.config.Start()
-	n.members = membership.Start(n.platform, n.belief, n.log)
+	n.members = membership.Start(membership.Options{
+		Self:        n.belief.Self(),
+		Incarnation: n.identity.Incarnation,
+		Client:      n.platform,
+		Belief:      n.belief,
+		Peers:       n.pool,
+		Now:         n.now,
+		Log:         n.log,
+		Problems:    n.problems,
+		Heard:       n.config.Hint,
+	})
+	n.ready.Store(true)
+	n.pool.OnLink(n.linkNews)
+	n.upstream.OnSilent(n.silentUpstream)
 	n.log.WithField("event", "node_started").Info("node started")
 	return nil
 }
 
-// stop finishes what is in flight, then ends the duties. It also cleans up
-// after a start that failed half-way.
-func (n *Node) stop(ctx context.Context) error {
-	n.stopping.Store(true)
-	var problems []error
-	if n.caller != nil {
-		problems = append(problems, n.caller.Shutdown(ctx))
-	}
-	if n.home != nil {
-		n.home.Stop(ctx)
-		n.owner.DrainSubmits(ctx)
-		defer n.home.Close()
-	}
-	if n.members != nil {
-		n.members.Close()
-	}
-	if n.config != nil {
-		n.config.Close()
-	}
-	n.stopOperating()
-	if n.entry != nil {
-		n.entry.Close()
-	}
-	if n.owner != nil {
-		n.owner.Close()
-	}
-	if n.server != nil {
-		problems = append(problems, n.server.Close())
-	}
-	if n.pool != nil {
-		problems = append(problems, n.pool.Close())
-	}
-	if n.operator != nil {
-		problems = append(problems, n.operator.Close())
-	}
-	n.upstream.Close()
-	n.platform.Close()
-	return errors.Join(problems...)
-}
-
 // Handle implements peer.Handler: it hands a peer's request to its duty.
 func (n *Node) Handle(inbound *peer.Inbound) {
+	if !n.ready.Load() {
+		inbound.Reply(peer.Refused(core.ReasonPeerUnreached), true)
+		return
+	}
 	switch body := inbound.Envelope.GetBody().(type) {
+	case *peerpb.Envelope_Heartbeat:
+		n.members.HandleHeartbeat(inbound)
 	case *peerpb.Envelope_ConfigRequest:
 		n.config.Handle(inbound)
 	case *peerpb.Envelope_BundleRequest:
@@ -254,7 +242,11 @@
 	View        uint64      `json:"view"`
 	Nodes       int         `json:"nodes"`
 	InFlight    int         `json:"in_flight"`
-	UptimeMs    int64       `json:"uptime_ms"`
+	// Paused is set while the node confirms its beliefs after it stood still.
+	Paused bool `json:"paused"`
+	// Drained counts the upstreams that were seen draining by any node.
+	Drained  int   `json:"drained_upstreams"`
+	UptimeMs int64 `json:"uptime_ms"`
 }
 
 // Status reports the node's short state.
@@ -267,6 +259,8 @@
 		View:        n.belief.View().ID(),
 		Nodes:       len(n.belief.View().Nodes()),
 		InFlight:    n.entry.InFlight(),
+		Paused:      n.belief.Paused(),
+		Drained:     n.belief.DrainedUpstreams(),
 		UptimeMs:    n.now().Milliseconds(),
 	}
 	if config := n.belief.Config(); config != nil {
@@ -282,6 +276,8 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	Membership ring.Stats   `json:"membership_ring"`
+	Silent     int64        `json:"silent_upstream_connections"`
 	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
 
@@ -296,6 +292,8 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		Membership: n.members.Rings(),
+		Silent:     n.upstream.SilentConnections(),
 		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
 		Config:     n.config.Dump(),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -26,6 +27,8 @@
 	startTimeout = 20 * time.Second
 	pollPause    = 5 * time.Millisecond
 	dataCentres  = 3
+	// entriesTTL is short, so that planned stops are.
+	entriesTTL = 300 * time.Millisecond
 )
 
 // Member is one running node.
@@ -43,7 +46,9 @@
 	authority *keys.Authority
 	logTo     io.Writer
 	members   []*Member
-	alter     func(*settings.Settings)
+	// added counts the nodes started so far: an id is never used twice.
+	added int
+	alter func(*settings.Settings)
 }
 
 // Options choose a fleet.
@@ -76,7 +81,8 @@
 
 // Add starts one more node and lists its VM as live.
 func (f *Fleet) Add() (*Member, error) {
-	number := len(f.members)
+	number := f.added
+	f.added++
 	id := core.NodeID(fmt.Sprintf("vm-%d", number+1))
 	pair, err := f.authority.Issue(string(id), time.Now(), validity)
 	if err != nil {
@@ -89,6 +95,7 @@
 		PeerAddress:     anyPort,
 		OperatorAddress: anyPort,
 		Platform:        f.Platform.URL(),
+		EntriesTTL:      entriesTTL,
 		TLS:             settings.TLS{Authority: string(f.authority.Certificate), Certificate: string(pair.Certificate), Key: string(pair.Key)},
 	}
 	settings.Fill(s)
@@ -184,8 +191,10 @@
 
 // Close stops all that is left.
 func (f *Fleet) Close() {
+	var stopped sync.WaitGroup
 	for _, member := range f.members {
-		_ = f.Stop(member)
+		stopped.Go(func() { _ = f.Stop(member) })
 	}
+	stopped.Wait()
 	_ = f.Platform.Close()
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,7 +20,9 @@
 
 // Limits and times of the connections to upstreams.
 const (
-	maxReplyBytes  = 8 << 20
+	maxReplyBytes = 8 << 20
+	// idleConnection bounds the age of an idle connection: the longer one is
+	// idle, the likelier something between the ends has forgotten its flow.
 	idleConnection = 30 * time.Second
 	dialTimeout    = time.Second
 	maxHeaderBytes = 64 << 10
@@ -70,6 +72,7 @@
 	mutex      sync.Mutex
 	transports map[string]*http.Transport
 	dropped    atomic.Int64
+	suspects   suspects
 	submitIdle time.Duration
 	observer   Observer
 }
@@ -100,6 +103,7 @@
 	if transport := c.transports[address]; transport != nil {
 		transport.CloseIdleConnections()
 		delete(c.transports, address)
+		c.suspects.forget(address)
 	}
 }
 
@@ -169,10 +173,13 @@
 	if err != nil {
 		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}, false
 	}
-	response, err := c.transport(call.Address).RoundTrip(request)
+	transport := c.transport(call.Address)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
+		c.checkSilence(ctx, call.Address, transport, wire)
 		return failure(ctx, wire, err, 0), wire.refusedStale() && ctx.Err() == nil
 	}
+	c.replied(call.Address)
 	return c.read(ctx, call, response, wire), false
 }
 
