--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -76,6 +76,8 @@
 		settingsCommand(),
 		keysCommand(),
 		demoCommand(),
+		loadCommand(),
+		experimentCommand(),
 	}
 }
 
