A node that the VM list shows leaving leaves its own view too

Its view kept itself while all others had dropped it, so that it went on naming itself to callers and every node raised split_view for as long as the list said so. The new test fails without the change.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -197,6 +197,8 @@
 	lastTick core.Time
 	version  uint32
 	leaving  bool
+	// listedLeaving is set while the VM list shows this node leaving.
+	listedLeaving bool
 	// started is set by the first VM list, published by the first view.
 	started   bool
 	published bool
@@ -331,6 +333,7 @@
 			// Others reach this node by the listed addresses, which its own
 			// listeners may not know.
 			m.config.Self = written.Node
+			m.listedLeaving = written.Leaving && trusted
 			continue
 		}
 		p := m.peer(written.Node)
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// The VM list shows one VM leaving. Every node stops routing to it at once, also
+// that node itself, or its view would differ from all others for good. When the
+// list takes that back, the node returns.
+func TestAListedLeavingNodeIsRoutedAround(t *testing.T) {
+	w := newMesh(11, 8)
+	w.run(settle)
+	var listed []ListedNode
+	for i, n := range w.nodes {
+		listed = append(listed, ListedNode{Node: n.Node, Leaving: i == 3})
+	}
+	for _, n := range w.nodes {
+		w.step(n, Listed{Nodes: listed})
+	}
+	require.Equal(t, 8, w.views(7, w.nodes...))
+	w.run(30 * time.Second)
+	for _, n := range w.nodes {
+		require.False(t, n.split)
+		require.False(t, routes(n, "vm-003"))
+	}
+	w.list(w.nodes)
+	require.Equal(t, 8, w.views(8, w.nodes...))
+}
+
 // A new VM serves before the lagging list shows it. Its heartbeats carry its
 // addresses, so that the others learn of it from each other.
 func TestANodeThatTheListLacksIsLearnt(t *testing.T) {
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -63,7 +63,7 @@
 	m.refresh()
 	m.changed = false
 	var nodes []route.Node
-	if !m.leaving {
+	if !m.leaving && !m.listedLeaving {
 		nodes = append(nodes, m.config.Self)
 	}
 	for _, p := range m.order {
