--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -280,6 +280,8 @@
 	Silent     int64        `json:"silent_upstream_connections"`
 	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
+	// OwnerShards are the queues and replicas of the shards served here.
+	OwnerShards []owner.ShardDump `json:"owner_shards"`
 
 	Config   confwatch.Dump `json:"config"`
 	Problems any            `json:"problems"`
@@ -287,16 +289,17 @@
 
 func (n *Node) dump() any {
 	return Dump{
-		Status:     n.Status(),
-		Nodes:      n.belief.View().Nodes(),
-		Links:      n.pool.Links(),
-		EntryRings: n.entry.Rings(),
-		OwnerRings: n.owner.Rings(),
-		Membership: n.members.Rings(),
-		Silent:     n.upstream.SilentConnections(),
-		HomeRings:  n.home.Rings(),
-		Dropped:    n.upstream.DroppedReplies(),
-		Config:     n.config.Dump(),
-		Problems:   n.gatherer.Own().Problems,
+		Status:      n.Status(),
+		Nodes:       n.belief.View().Nodes(),
+		Links:       n.pool.Links(),
+		EntryRings:  n.entry.Rings(),
+		OwnerRings:  n.owner.Rings(),
+		Membership:  n.members.Rings(),
+		Silent:      n.upstream.SilentConnections(),
+		HomeRings:   n.home.Rings(),
+		Dropped:     n.upstream.DroppedReplies(),
+		Config:      n.config.Dump(),
+		Problems:    n.gatherer.Own().Problems,
+		OwnerShards: n.owner.Dump(),
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,6 +36,9 @@
 	Metrics  observe.Registry
 	// Loops is the number of goroutines; 0 takes the default.
 	Loops int
+	// meters are shared by the loops, number tells them apart.
+	meters *meters
+	number int
 }
 
 // Owner runs the owner's duty on a fixed number of goroutines; a bundle always
@@ -55,7 +58,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	owner := &Owner{options: options, stop: stop}
-	for range options.Loops {
+	options.meters = newMeters(options.Metrics)
+	for number := range options.Loops {
+		options.number = number
 		l := newLoop(ctx, options)
 		owner.loops = append(owner.loops, l)
 		owner.done.Add(1)
