--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -25,8 +25,10 @@
 	// meanGain is the weight of a new sample in the mean service time.
 	meanGain  = 0.05
 	leastWait = time.Millisecond
-	// refusalPause is the advice while nothing better is known.
-	refusalPause = 20 * time.Millisecond
+	// textPause is the advice while only another text or the end of a drain can
+	// bring a replica. It is longer than most questions last, so that they answer
+	// without the shard at once rather than ask for it in vain.
+	textPause = 5 * time.Second
 )
 
 // Shard is the state of one shard's queue. It is not safe for concurrent use.
@@ -147,9 +149,6 @@
 // configure takes over the text's replicas. One that is running work keeps its
 // state, so that what it runs stays counted.
 func (s *Shard) configure(now core.Time, config Config) {
-	if config.Share == 0 {
-		config.Share = config.Slots
-	}
 	s.config = config
 	if config.Latency != nil {
 		s.service = config.Latency
@@ -262,20 +261,26 @@
 	return false
 }
 
-// untilProbe is the time until a down replica is probed, for the advice when to
-// come back.
+// untilProbe is the time until some replica may get work again, for the advice
+// when to come back.
 func (s *Shard) untilProbe(now core.Time) time.Duration {
 	least := time.Duration(0)
 	for _, r := range s.replicas {
-		if r.state != stateDown {
+		at := core.Time(0)
+		switch {
+		case r.state == stateDown:
+			at = r.probeAt
+		case r.state == stateDraining && !r.Draining:
+			at = r.drainedAt + drainHold
+		default:
 			continue
 		}
-		if wait := max(leastWait, r.probeAt-now); least == 0 || wait < least {
+		if wait := max(leastWait, at-now); least == 0 || wait < least {
 			least = wait
 		}
 	}
 	if least == 0 {
-		return refusalPause
+		return textPause
 	}
 	return least
 }
@@ -424,7 +429,10 @@
 // again decides whether the request is tried on another replica.
 func (s *Shard) again(now core.Time, t *try, e TryEnded) bool {
 	r := t.request
-	if r.tries >= maxTries || now >= r.Deadline || e.Reason == core.ReasonDeadline || e.Reason == core.ReasonCancelled {
+	if r.tries >= maxTries || now >= r.Deadline {
+		return false
+	}
+	if !byReplica(e) {
 		return false
 	}
 	if e.Reason != core.ReasonOverloaded {
@@ -444,6 +452,16 @@
 	return !r.Once && s.extra(r)
 }
 
+// byReplica reports whether another replica may do better. Other reasons are the
+// request's own or this node's: no time left, nobody waiting, not the owner.
+func byReplica(e TryEnded) bool {
+	switch e.Reason {
+	case core.ReasonOverloaded, core.ReasonDraining, core.ReasonVersionGone, core.ReasonUpstreamFailed, core.ReasonCrossedReply:
+		return true
+	}
+	return false
+}
+
 // hasOther reports whether a usable replica is left for the request.
 func (s *Shard) hasOther(r *request) bool {
 	return slices.ContainsFunc(s.replicas, func(other *replica) bool {
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -3,15 +3,19 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	. "github.com/pistachiopier/pistachiopier/internal/core/member"
+	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
 
 const settle = 5 * time.Second
@@ -267,6 +271,12 @@
 		w := newMesh(uint64(size), size)
 		w.run(20 * time.Second)
 		quiet := w.rates(20 * time.Second)
+		w.step(w.nodes[1], DrainSeen{Address: "10.9.0.1:80", Draining: true})
+		drained := w.runUntil(10*time.Second, func() bool {
+			return !slices.ContainsFunc(w.nodes, func(n *node) bool { return len(n.drains) == 0 })
+		})
+		require.Less(t, drained, 3*time.Second)
+		t.Logf("%d nodes: a drain is known to all after %v", size, drained)
 		w.nodes[size/2].stopped = true
 		rest := append(append([]*node(nil), w.nodes[:size/2]...), w.nodes[size/2+1:]...)
 		first := w.runUntil(60*time.Second, func() bool { return w.views(size-1, rest...) > 0 })
@@ -319,9 +329,19 @@
 			w.run(settle)
 			machine := w.nodes[0].machine
 			now := w.now
+			var answers []Event
 			for b.Loop() {
 				now += TickEvery
-				machine.Step(now, Tick{})
+				answers = answers[:0]
+				for _, action := range machine.Step(now, Tick{}) {
+					if send, ok := action.(Send); ok {
+						reply := &Message{From: send.To, Incarnation: 1_790_000_000_000_000_001, View: machine.View().ID()}
+						answers = append(answers, Replied{Probe: send.Probe, Message: reply})
+					}
+				}
+				for _, answer := range answers {
+					machine.Step(now, answer)
+				}
 			}
 		})
 	}
@@ -355,3 +375,21 @@
 		require.Less(t, perMachine, float64(1<<20))
 	}
 }
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, size := range []int{8, 64, 256, 780} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			w := newMesh(1, size)
+			w.run(settle)
+			machine, other := w.nodes[0].machine, w.nodes[1]
+			message := &Message{From: other.Node, Incarnation: 1_790_000_000_000_000_001, View: machine.View().ID()}
+			b.ReportAllocs()
+			for b.Loop() {
+				encoded, _ := proto.Marshal(membership.Encode(message))
+				var in peerpb.Heartbeat
+				_ = proto.Unmarshal(encoded, &in)
+				machine.Step(w.now, Received{Ticket: 1, Message: membership.Decode(&in)})
+			}
+		})
+	}
+}
--- a/internal/owner/layout.go
+++ b/internal/owner/layout.go
@@ -29,15 +29,15 @@
 // than the text's, before the text's replicas are taken up: else they would be
 // sent to replicas that hold other data under the same shard number.
 func (l *loop) refuseRepartitioned(text *catalog.Catalog) {
-	for ref, s := range l.shards {
+	for _, s := range l.shards {
 		for id, waiting := range s.requests {
 			w, ok := waiting.work.(*bundleWork)
 			if !ok || refusedByText(text, core.BundleID(w.reply.inbound.Envelope.GetBundleRequest().GetBundle()), w.ask) != core.ReasonLayout {
 				continue
 			}
-			delete(s.requests, id)
-			l.step(l.shards[ref], admit.Withdrawn{ID: id})
-			w.repartitioned(waiting.sent)
+			s.take(id)
+			l.step(s, admit.Withdrawn{ID: id})
+			w.repartitioned(len(waiting.tries) > 0)
 		}
 	}
 }
