A planned stop delivers its last replies before it closes connections

Ruled out: the home's and owner's own waits, which end only after the reply is given. Change: the server writes what is queued, ends each stream and waits until the peers closed, 1 s at most.

--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -11,6 +11,8 @@
 
 const (
 	idlePoll = 5 * time.Millisecond
+	// finishLimit bounds the wait for peers to read the last replies.
+	finishLimit = time.Second
 	// keepShare is the part of the time given for a stop that may go to callers
 	// with old addresses; the rest is for what is in flight.
 	keepShare = 2
@@ -41,11 +43,20 @@
 	for ctx.Err() == nil && n.inFlight() > 0 {
 		sleep(ctx, idlePoll)
 	}
+	n.finishReplies(ctx)
 	if left := n.inFlight(); left > 0 {
 		n.log.WithFields(logrus.Fields{"event": "stop_cut_short", "in_flight": left}).Error("peers' requests were cut off: stop_wait is over")
 	}
 }
 
+// finishReplies lets peers read what was answered last. A peer that stands still
+// must not hold the stop up, so the wait is short.
+func (n *Node) finishReplies(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishLimit)
+	defer cancel()
+	n.server.Finish(ctx)
+}
+
 // keepAccepting is how long callers with old addresses are still served.
 func (n *Node) keepAccepting(ctx context.Context) time.Duration {
 	keep := n.settings.EntriesTTL
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -149,25 +149,51 @@
 	return envelope, nil
 }
 
-// writeBatches writes the wanted ones of the queued messages until the context
-// ends; it flushes only when the queue is empty, so that messages under load share packets.
-func writeBatches(ctx context.Context, queue <-chan *peerpb.Envelope, writer *bufio.Writer, wanted func(*peerpb.Envelope) bool) error {
+// outbox is the queue of messages for one stream.
+type outbox struct {
+	queue  <-chan *peerpb.Envelope
+	writer *bufio.Writer
+	// wanted says whether a queued message is still to be written.
+	wanted func(*peerpb.Envelope) bool
+	// finish, once closed, ends the writing when the queue is empty; nil is never.
+	finish <-chan struct{}
+}
+
+// write writes the wanted messages until the context ends, which is an error, or
+// finish is closed. It flushes only when the queue is empty, so that messages
+// under load share packets.
+func (o *outbox) write(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case envelope := <-queue:
-			if wanted(envelope) {
-				if _, err := protodelim.MarshalTo(writer, envelope); err != nil {
-					return err
-				}
-			}
-			if len(queue) > 0 {
-				continue
-			}
-			if err := writer.Flush(); err != nil {
+		case envelope := <-o.queue:
+			if err := o.put(envelope); err != nil {
 				return err
 			}
+		case <-o.finish:
+			return o.drain()
 		}
 	}
 }
+
+func (o *outbox) drain() error {
+	for len(o.queue) > 0 {
+		if err := o.put(<-o.queue); err != nil {
+			return err
+		}
+	}
+	return o.writer.Flush()
+}
+
+func (o *outbox) put(envelope *peerpb.Envelope) error {
+	if o.wanted(envelope) {
+		if _, err := protodelim.MarshalTo(o.writer, envelope); err != nil {
+			return err
+		}
+	}
+	if len(o.queue) > 0 {
+		return nil
+	}
+	return o.writer.Flush()
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -118,3 +118,35 @@
 	require.NotNil(t, got.failure)
 	require.Equal(t, core.Unknown, got.failure.Outcome)
 }
+
+// A chef's invoice is recorded and its node stops as planned at that moment. The
+// reply is queued, not yet on the wire, when the connections are closed; the
+// entry must still get it, or the outcome would be unknown without need.
+func TestAFinishedServerDeliversItsLastReplies(t *testing.T) {
+	const requests = 64
+	const payloadBytes = 64 << 10
+	authority := newAuthority(t)
+	inbounds := make(chan *Inbound, requests)
+	server := startServer(t, authority, "b", HandlerFunc(func(inbound *Inbound) { inbounds <- inbound }))
+	pool := startPool(t, authority, "a")
+	replies := make(chan received, requests)
+	for range requests {
+		pool.Ask(Target{Node: "b", Address: server.Address()}, &peerpb.Envelope{Body: &peerpb.Envelope_SubmitRequest{SubmitRequest: &peerpb.SubmitRequest{}}},
+			func(reply *peerpb.Envelope, failure *LinkError) { replies <- received{reply, failure} })
+	}
+	var open []*Inbound
+	for range requests {
+		open = append(open, <-inbounds)
+	}
+	for _, inbound := range open {
+		inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_SubmitReply{SubmitReply: &peerpb.SubmitReply{Payload: make([]byte, payloadBytes)}}}, true)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	server.Finish(ctx)
+	require.NoError(t, ctx.Err())
+	require.NoError(t, server.Close())
+	for range requests {
+		require.Nil(t, await(t, replies).failure)
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -285,7 +285,8 @@
 	if _, err := protodelim.MarshalTo(writer, helloEnvelope(l.pool.self)); err != nil {
 		return err
 	}
-	return writeBatches(ctx, l.out.Items(), writer, l.markWritten)
+	out := outbox{queue: l.out.Items(), writer: writer, wanted: l.markWritten}
+	return out.write(ctx)
 }
 
 // markWritten decides whether a queued message is still wanted. A request that
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -28,6 +29,10 @@
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 	open     atomic.Int64
+	// finish is closed by Finish; streams counts those not yet ended.
+	finish     chan struct{}
+	finishOnce sync.Once
+	streams    atomic.Int64
 }
 
 // Listen opens the peer address and serves until Close.
@@ -46,7 +51,7 @@
 		return nil, fault.Step("listen for peers", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	server := &Server{self: self, handler: handler, udp: udp, listener: listener, stop: stop}
+	server := &Server{self: self, handler: handler, udp: udp, listener: listener, stop: stop, finish: make(chan struct{})}
 	server.done.Add(1)
 	go server.accept(ctx)
 	return server, nil
@@ -59,6 +64,25 @@
 // not yet answered.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
+// Finish sends the replies that are queued, ends each stream and waits until the
+// peers have read to the end, or the context is over. Closing a connection
+// discards what it has not sent yet: without this, a reply given just before a
+// planned stop would be lost and its request's outcome unknown.
+func (s *Server) Finish(ctx context.Context) {
+	s.finishOnce.Do(func() { close(s.finish) })
+	ticker := time.NewTicker(finishPoll)
+	defer ticker.Stop()
+	for s.streams.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+const finishPoll = time.Millisecond
+
 // Close ends all connections and frees the address.
 func (s *Server) Close() error {
 	s.stop()
@@ -106,16 +130,33 @@
 	}
 	session := newSession(ctx, s, from)
 	s.done.Add(1)
+	s.streams.Add(1)
+	defer s.streams.Add(-1)
 	go func() {
 		defer s.done.Done()
-		defer cancel()
-		_ = writeBatches(ctx, session.out.Items(), bufio.NewWriterSize(stream, bufferBytes), writeAll)
-		stream.CancelWrite(codeClosing)
+		session.write(stream, cancel)
 	}()
 	session.read(reader)
 	session.abandon()
 }
 
+// write sends the session's replies. An orderly end leaves the reading side open
+// until the peer, which sees the end of the stream, closes the connection.
+func (s *session) write(stream *quic.Stream, cancel context.CancelFunc) {
+	out := outbox{
+		queue:  s.out.Items(),
+		writer: bufio.NewWriterSize(stream, bufferBytes),
+		wanted: writeAll,
+		finish: s.server.finish,
+	}
+	if err := out.write(s.ctx); err != nil {
+		stream.CancelWrite(codeClosing)
+		cancel()
+		return
+	}
+	_ = stream.Close()
+}
+
 // writeAll wants every message.
 func writeAll(*peerpb.Envelope) bool { return true }
 
