--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -146,6 +146,9 @@
 	for _, outcome := range slices.Sorted(maps.Keys(v.All.Outcomes)) {
 		fmt.Fprintf(out, "    outcome %-28s %d\n", outcome, v.All.Outcomes[outcome])
 	}
+	for _, reason := range slices.Sorted(maps.Keys(v.All.Missing)) {
+		fmt.Fprintf(out, "    missing %-28s %d\n", reason, v.All.Missing[reason])
+	}
 	if v.All.Mixed+v.All.Crossed > 0 {
 		fmt.Fprintf(out, "    WRONG ANSWERS: %d of mixed versions, %d crossed\n", v.All.Mixed, v.All.Crossed)
 	}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -97,6 +97,9 @@
 // judge checks the answer against its own parts.
 func judge(answer api.QueryReply) Reply {
 	reply := Reply{Outcome: answer.Outcome, Asked: answer.Coverage.Asked, Answered: len(answer.Parts)}
+	for _, missing := range answer.Coverage.Missing {
+		reply.Missing = append(reply.Missing, missing.Reason)
+	}
 	for _, part := range answer.Parts {
 		var header partHeader
 		if json.Unmarshal(part.Data, &header) != nil || header.Service == "" {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -31,6 +31,8 @@
 	// Asked and Answered count shards.
 	Asked    int
 	Answered int
+	// Missing is the reason of each shard without a part.
+	Missing []core.Reason
 	// Mixed says that the parts are of more than one version.
 	Mixed bool
 	// Crossed says that a part belongs to another shard than it claims.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -11,6 +11,8 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
 type askerFunc func(ctx context.Context, request Request) Reply
@@ -150,6 +152,7 @@
 		reply := answer(20)
 		if i%50 == 0 {
 			reply = answer(17)
+			reply.Missing = []core.Reason{core.ReasonDeadline, core.ReasonDeadline, core.ReasonOverloaded}
 		}
 		if i%200 == 0 {
 			reply = Reply{Outcome: "not_run", Code: "overloaded"}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -23,6 +23,8 @@
 	// Unsent counts arrivals above the bound of outstanding requests.
 	Unsent   int
 	Outcomes map[string]int
+	// Missing counts the shards without a part by their reason.
+	Missing map[core.Reason]int
 	// Asked and Answered count shards over all requests that ran.
 	Asked    int
 	Answered int
@@ -40,6 +42,7 @@
 	return &Group{
 		histogram:      hdrhistogram.New(lowestMicros, highestMicros, digits),
 		Outcomes:       map[string]int{},
+		Missing:        map[core.Reason]int{},
 		LowestCoverage: 1,
 	}
 }
@@ -74,6 +77,9 @@
 	if reply.Outcome != core.Done.String() || reply.Asked == 0 {
 		return
 	}
+	for _, reason := range reply.Missing {
+		g.Missing[reason]++
+	}
 	share := float64(reply.Answered) / float64(reply.Asked)
 	g.answers++
 	g.covered += share
@@ -112,6 +118,9 @@
 	g.covered += other.covered
 	g.answers += other.answers
 	g.LowestCoverage = min(g.LowestCoverage, other.LowestCoverage)
+	for reason, number := range other.Missing {
+		g.Missing[reason] += number
+	}
 	for name, number := range other.Outcomes {
 		g.Outcomes[name] += number
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/plot"
 )
@@ -27,6 +28,8 @@
 	Mixed          int            `json:"mixed"`
 	Crossed        int            `json:"crossed"`
 	Outcomes       map[string]int `json:"outcomes"`
+	// Missing counts shards without a part by reason.
+	Missing map[core.Reason]int `json:"missing,omitempty"`
 }
 
 // The quantiles that reports show.
@@ -52,6 +55,7 @@
 		Mixed:          g.Mixed,
 		Crossed:        g.Crossed,
 		Outcomes:       g.Outcomes,
+		Missing:        g.Missing,
 	}
 }
 
@@ -114,6 +118,9 @@
 	for _, name := range slices.Sorted(maps.Keys(r.All.Outcomes)) {
 		fmt.Fprintf(out, "outcome %-32s %d\n", name, r.All.Outcomes[name])
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.All.Missing)) {
+		fmt.Fprintf(out, "missing %-32s %d\n", reason, r.All.Missing[reason])
+	}
 	if r.All.Mixed+r.All.Crossed > 0 {
 		fmt.Fprintf(out, "WRONG ANSWERS: %d of mixed versions, %d crossed\n", r.All.Mixed, r.All.Crossed)
 	}
