A leaving node serves on until those who heard of it late have let go too

Cause: another entry names a leaving node until the mark of its leaving arrives, and only from then do its callers' answers age; the node counted entries_ttl from its own first moment. Seen: a connection refused in 1 of 5 runs of TestRollingReplacementCutsNothingOff under the race detector, at an entries_ttl of 300 ms. Change: the wait starts with the time that the mark takes, 0.3 s and 0.2 s for each doubling of the fleet, which lies above the measured spread at 8, 64, 256 and 780 nodes (0.6, 1.5, 1.8, 2.1 s).

--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"net/http"
 	"time"
 
@@ -13,6 +14,9 @@
 	idlePoll = 5 * time.Millisecond
 	// finishLimit bounds the wait for peers to read the last replies.
 	finishLimit = time.Second
+	// leaveFirst and leaveRound bound how fast the mark of leaving spreads.
+	leaveFirst = 300 * time.Millisecond
+	leaveRound = 200 * time.Millisecond
 	// keepShare is the part of the time given for a stop that may go to callers
 	// with old addresses; the rest is for what is in flight.
 	keepShare = 2
@@ -57,15 +61,25 @@
 	n.server.Finish(ctx)
 }
 
-// keepAccepting is how long callers with old addresses are still served.
+// keepAccepting is how long callers with old addresses are still served. Another
+// entry names this node until the mark of its leaving has reached it, and only
+// then do its callers' EntriesTTL begin to run out: a node that counted from its
+// own first moment of leaving would refuse those callers' connections.
 func (n *Node) keepAccepting(ctx context.Context) time.Duration {
-	keep := n.settings.EntriesTTL
+	keep := leaveKnown(len(n.belief.View().Nodes())) + n.settings.EntriesTTL
 	if deadline, ok := ctx.Deadline(); ok {
 		keep = min(keep, time.Until(deadline)/keepShare)
 	}
 	return keep
 }
 
+// leaveKnown is the time until every node has heard that one leaves. It grows by
+// a round of heartbeats each time the fleet doubles; docs/design/membership.md
+// has the measured times.
+func leaveKnown(nodes int) time.Duration {
+	return leaveFirst + time.Duration(bits.Len(uint(nodes)))*leaveRound
+}
+
 // inFlight counts the questions being answered here and the requests of peers.
 func (n *Node) inFlight() int { return n.entry.InFlight() + n.server.Open() }
 
