Stand-ins with full behaviours, as processes with a control interface

Failure tests with real processes need stand-ins that are started on any port and changed while they run. The upstream gains connection limits (closed or refused), connect cost, cold start, shedding, deadlines, stragglers, failing, late, crossed, cut and missing replies, repartition and misleading health and load; the platform gains lag, frozen states and a read limit. serve logs its addresses, so that a node may take free ports and still stand in a VM list.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -140,10 +140,22 @@
 	}
 	n.config = confwatch.Start(n.platform, n.belief, n.log)
 	n.members = membership.Start(n.platform, n.belief, n.log)
-	n.log.WithField("event", "node_started").Info("node started")
+	n.logStarted()
 	return nil
 }
 
+// logStarted tells the addresses, which settings with port 0 do not know.
+func (n *Node) logStarted() {
+	addresses := n.Addresses()
+	n.log.WithFields(logrus.Fields{
+		"event":            "node_started",
+		"incarnation":      n.identity.Incarnation,
+		"caller_address":   addresses.Caller,
+		"peer_address":     addresses.Peer,
+		"operator_address": addresses.Operator,
+	}).Info("node started")
+}
+
 func (n *Node) startHTTP() error {
 	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
 	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,6 +64,7 @@
 		checkCommand(),
 		queryCommand(),
 		demoCommand(),
+		standInCommand(),
 	}
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,36 +1,73 @@
-// Package standin holds small stand-ins for the outside systems: the platform
-// and upstreams. They exist for trials and tests.
 package standin
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"golang.org/x/time/rate"
+
 	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
 
-const headerTimeout = 5 * time.Second
+// DefaultReadsPerSecond is what the platform's service answers to all readers
+// together.
+const DefaultReadsPerSecond = 2000
+
+// PlatformBehaviour is how the stand-in platform acts.
+type PlatformBehaviour struct {
+	// Down makes every call fail.
+	Down bool `yaml:"down"`
+	// FreezeConfig and FreezeVMs keep answering what was there when they were
+	// set, whatever is published meanwhile.
+	FreezeConfig bool `yaml:"freeze_config"`
+	FreezeVMs    bool `yaml:"freeze_vms"`
+	// Lag delays when something published can be read.
+	Lag time.Duration `yaml:"lag"`
+	// ReadsPerSecond is the rate above which calls get status 429; 0 takes
+	// DefaultReadsPerSecond.
+	ReadsPerSecond int `yaml:"reads_per_second"`
+}
+
+// MarshalJSON writes the keys and values that the control interface reads.
+func (b PlatformBehaviour) MarshalJSON() ([]byte, error) { return yamlAsJSON(b) }
+
+// PlatformCounts is what a stand-in platform has seen. A watch is one read.
+type PlatformCounts struct {
+	Reads int `json:"reads"`
+	// Limited counts the reads above the rate, Failed those while down.
+	Limited int `json:"limited"`
+	Failed  int `json:"failed"`
+}
 
-// Platform stands in for the configuration service and the VM list.
+// Platform stands in for the configuration service and the VM list. Readers can
+// only read and watch; tests publish by its methods or the control interface.
 type Platform struct {
-	mutex   sync.Mutex
-	config  platform.Config
-	vms     platform.VMList
-	changed chan struct{}
-	reads   int
-	down    bool
-	server  *http.Server
-	address string
+	mutex     sync.Mutex
+	config    state[platform.Config]
+	vms       state[platform.VMList]
+	changed   chan struct{}
+	behaviour PlatformBehaviour
+	counts    PlatformCounts
+	limiter   *rate.Limiter
+	server    *http.Server
+	address   string
+}
+
+// state is a published value and what readers see of it.
+type state[T any] struct {
+	published T
+	visible   T
 }
 
 // StartPlatform serves a platform on the address; port 0 takes a free one.
 func StartPlatform(address string) (*Platform, error) {
-	p := &Platform{changed: make(chan struct{})}
+	p := &Platform{
+		changed: make(chan struct{}),
+		limiter: rate.NewLimiter(DefaultReadsPerSecond, DefaultReadsPerSecond),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathConfig, p.serveConfig)
 	mux.HandleFunc("GET "+platform.PathVMs, p.serveVMs)
@@ -39,17 +76,6 @@
 	return p, err
 }
 
-// serve listens on the address and serves in the background.
-func serve(address string, handler http.Handler) (*http.Server, string, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, "", &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address", Cause: err}
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server, listener.Addr().String(), nil
-}
-
 // Address is the address in use.
 func (p *Platform) Address() string { return p.address }
 
@@ -63,68 +89,121 @@
 func (p *Platform) Publish(text string) uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.config = platform.Config{Revision: p.config.Revision + 1, Text: text}
-	p.wake()
-	return p.config.Revision
+	p.config.published = platform.Config{Revision: p.config.published.Revision + 1, Text: text}
+	p.show()
+	return p.config.published.Revision
 }
 
 // SetConfig sets a revision and text as they are, also an older one.
 func (p *Platform) SetConfig(config platform.Config) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.config = config
-	p.wake()
+	p.config.published = config
+	p.show()
 }
 
 // SetVMs sets the VM list.
 func (p *Platform) SetVMs(vms []platform.VM) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.vms = platform.VMList{Sequence: p.vms.Sequence + 1, VMs: vms}
-	p.wake()
+	p.vms.published = platform.VMList{Sequence: p.vms.published.Sequence + 1, VMs: vms}
+	p.show()
 }
 
 // SetDown makes every call fail while down is set.
 func (p *Platform) SetDown(down bool) {
+	p.Change(func(b *PlatformBehaviour) { b.Down = down })
+}
+
+// Change alters the behaviour.
+func (p *Platform) Change(alter func(*PlatformBehaviour)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.down = down
-	p.wake()
+	before := p.behaviour
+	alter(&p.behaviour)
+	if p.behaviour.ReadsPerSecond != before.ReadsPerSecond {
+		p.setRate()
+	}
+	p.reveal()
 }
 
-// Reads counts the calls so far.
-func (p *Platform) Reads() int {
+func (p *Platform) setRate() {
+	reads := p.behaviour.ReadsPerSecond
+	if reads == 0 {
+		reads = DefaultReadsPerSecond
+	}
+	p.limiter.SetLimit(rate.Limit(reads))
+	p.limiter.SetBurst(reads)
+}
+
+// Behaviour returns the present behaviour.
+func (p *Platform) Behaviour() PlatformBehaviour {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.reads
+	return p.behaviour
 }
 
-func (p *Platform) wake() {
+// Counts returns the counts so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.counts
+}
+
+// Reads counts the calls so far.
+func (p *Platform) Reads() int { return p.Counts().Reads }
+
+// show lets readers see what is published, after the lag.
+func (p *Platform) show() {
+	if p.behaviour.Lag <= 0 {
+		p.reveal()
+		return
+	}
+	time.AfterFunc(p.behaviour.Lag, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.reveal()
+	})
+}
+
+// reveal makes the published values visible, but for frozen ones, and wakes the
+// waiting watches.
+func (p *Platform) reveal() {
+	if !p.behaviour.FreezeConfig {
+		p.config.visible = p.config.published
+	}
+	if !p.behaviour.FreezeVMs {
+		p.vms.visible = p.vms.published
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
 func (p *Platform) serveConfig(w http.ResponseWriter, r *http.Request) {
-	p.serveWatch(w, r, func() (uint64, any) { return p.config.Revision, p.config })
+	p.serveWatch(w, r, func() (uint64, any) { return p.config.visible.Revision, p.config.visible })
 }
 
 func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
-	p.serveWatch(w, r, func() (uint64, any) { return p.vms.Sequence, p.vms })
+	p.serveWatch(w, r, func() (uint64, any) { return p.vms.visible.Sequence, p.vms.visible })
 }
 
-// serveWatch answers at once, or with a wait when something newer is there.
+// serveWatch answers at once, or with a wait when something else is there.
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, read func() (uint64, any)) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get(platform.ParamAfter), 10, 64)
 	waitMs, _ := strconv.Atoi(r.URL.Query().Get(platform.ParamWait))
 	timeout := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timeout.Stop()
-	p.mutex.Lock()
-	p.reads++
-	p.mutex.Unlock()
+	if !p.take() {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	for {
 		p.mutex.Lock()
 		number, value := read()
-		down, changed := p.down, p.changed
+		down, changed := p.behaviour.Down, p.changed
+		if down {
+			p.counts.Failed++
+		}
 		p.mutex.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -145,3 +224,15 @@
 		}
 	}
 }
+
+// take counts a read and reports whether it is within the rate.
+func (p *Platform) take() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.counts.Reads++
+	allowed := p.limiter.Allow()
+	if !allowed {
+		p.counts.Limited++
+	}
+	return allowed
+}
--- /dev/null
+++ b/internal/standin/reply.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+const (
+	// refusedShard counts requests for a shard that the replica does not serve.
+	// The protocol has no word for it: the reply is a plain 404.
+	refusedShard = "shard"
+	crossedMark  = "-crossed"
+	cutDivisor   = 2
+)
+
+// reply is the part that a stand-in returns.
+type reply struct {
+	Service string `json:"service"`
+	Shard   string `json:"shard"`
+	Version uint64 `json:"version"`
+	Replica string `json:"replica"`
+	// Seen counts the dependencies' parts in the request; SeenVersions lists
+	// the versions that they carry.
+	Seen         int      `json:"dependencies_seen"`
+	SeenVersions []uint64 `json:"dependency_versions,omitempty"`
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	var body upstream.Body
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	behaviour, plan, refusal := u.begin(r)
+	u.writeHeader(w.Header(), r, behaviour, plan)
+	if refusal != "" {
+		refuse(w, behaviour, refusal)
+		return
+	}
+	finished := work(r, behaviour, plan)
+	u.end(!finished)
+	switch {
+	case !finished:
+		panic(http.ErrAbortHandler)
+	case plan.fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		u.writePart(w, r, behaviour, plan, body)
+	}
+}
+
+func (u *Upstream) writeHeader(header http.Header, r *http.Request, b Behaviour, p plan) {
+	id := r.Header.Get(upstream.HeaderRequestID)
+	if p.crossed {
+		id += crossedMark
+	}
+	header.Set(upstream.HeaderRequestID, id)
+	header.Set(upstream.HeaderVersions, joinVersions(b.Versions))
+	if b.Draining {
+		header.Set(upstream.HeaderDraining, "true")
+	}
+	if load := u.load(b); load != "" {
+		header.Set(upstream.HeaderLoad, load)
+	}
+}
+
+func refuse(w http.ResponseWriter, b Behaviour, refusal string) {
+	if refusal == refusedShard {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set(upstream.HeaderNotRun, refusal)
+	if b.RetryAfter > 0 {
+		w.Header().Set(upstream.HeaderRetryAfter, strconv.FormatInt(b.RetryAfter.Milliseconds(), 10))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// work takes the request's time; false when the caller has gone.
+func work(r *http.Request, b Behaviour, p plan) bool {
+	if p.never {
+		<-r.Context().Done()
+		return false
+	}
+	if p.late > 0 || b.IgnoreCancel {
+		time.Sleep(p.service + p.late)
+		return true
+	}
+	timer := time.NewTimer(p.service)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (u *Upstream) writePart(w http.ResponseWriter, r *http.Request, b Behaviour, p plan, body upstream.Body) {
+	version := wantedVersion(r, b.Versions)
+	text, err := json.Marshal(reply{
+		Service:      r.PathValue("service"),
+		Shard:        r.PathValue("shard"),
+		Version:      version,
+		Replica:      u.Address(),
+		Seen:         len(body.Dependencies),
+		SeenVersions: dependencyVersions(body.Dependencies),
+	})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(upstream.HeaderVersion, strconv.FormatUint(version, 10))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if p.cut {
+		_, _ = w.Write(text[:len(text)/cutDivisor])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(text)
+}
+
+func dependencyVersions(dependencies []upstream.Dependency) []uint64 {
+	var versions []uint64
+	for _, dependency := range dependencies {
+		var part reply
+		if json.Unmarshal(dependency.Part, &part) == nil && !slices.Contains(versions, part.Version) {
+			versions = append(versions, part.Version)
+		}
+	}
+	return versions
+}
+
+func servesShard(shards []string, shard string) bool {
+	return len(shards) == 0 || slices.Contains(shards, shard)
+}
+
+// wantedVersion is the version to answer from, or 0 when it is not there.
+func wantedVersion(r *http.Request, versions []uint64) uint64 {
+	wanted, err := strconv.ParseUint(r.Header.Get(upstream.HeaderVersion), 10, 64)
+	if err != nil || wanted == 0 {
+		return versions[len(versions)-1]
+	}
+	if slices.Contains(versions, wanted) {
+		return wanted
+	}
+	return 0
+}
+
+func joinVersions(versions []uint64) string {
+	texts := make([]string, len(versions))
+	for i, version := range versions {
+		texts[i] = strconv.FormatUint(version, 10)
+	}
+	return strings.Join(texts, ",")
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/upstream"
+)
+
+const awaitLimit = 20 * time.Second
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, awaitLimit, time.Millisecond, what)
+}
+
+func startOne(t *testing.T, behaviour Behaviour) *Upstream {
+	t.Helper()
+	u, err := StartUpstream("127.0.0.1:0", behaviour)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = u.Close() })
+	return u
+}
+
+// ask sends one query and returns its status, headers and body; the error is
+// that of reading the body.
+func ask(t *testing.T, u *Upstream, verb string, header map[string]string) (*http.Response, string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+u.Address()+upstream.PathPrefix+"base/0/"+verb, strings.NewReader(`{"question":null}`))
+	require.NoError(t, err)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	u := startOne(t, Behaviour{Versions: []uint64{1}, Connections: 1})
+	first, err := net.Dial("tcp", u.Address())
+	require.NoError(t, err)
+	await(t, "the first connection is counted", func() bool { return u.Counts().Open == 1 })
+	second, err := net.Dial("tcp", u.Address())
+	require.NoError(t, err)
+	_, err = second.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, 1, u.Counts().Rejected)
+	require.NoError(t, first.Close())
+	await(t, "the place is free again", func() bool { return u.Counts().Open == 0 })
+}
+
+func TestConnectionsOverTheLimitAreRefused(t *testing.T) {
+	u := startOne(t, Behaviour{Versions: []uint64{1}, Connections: 1, RefuseConnections: true})
+	first, err := net.Dial("tcp", u.Address())
+	require.NoError(t, err)
+	dials := func() bool {
+		connection, err := net.Dial("tcp", u.Address())
+		if err != nil {
+			return false
+		}
+		_ = connection.Close()
+		return true
+	}
+	await(t, "a further connection is refused", func() bool { return u.Counts().Open == 1 && !dials() })
+	require.NoError(t, first.Close())
+	await(t, "connections are taken again", dials)
+}
+
+func TestFaultsOfReplies(t *testing.T) {
+	u := startOne(t, Behaviour{Versions: []uint64{7, 8}})
+	one := func(alter func(*Behaviour)) (*http.Response, string, error) {
+		u.Change(func(b *Behaviour) { *b = Behaviour{Versions: []uint64{7, 8}}; alter(b) })
+		return ask(t, u, upstream.VerbQuery, map[string]string{upstream.HeaderRequestID: "r1", upstream.HeaderTimeLeft: "5"})
+	}
+	response, body, err := one(func(*Behaviour) {})
+	require.NoError(t, err)
+	require.Equal(t, "8", response.Header.Get(upstream.HeaderVersion))
+	require.Contains(t, body, `"version":8`)
+	response, _, err = one(func(b *Behaviour) { b.CrossedShare = 1 })
+	require.NoError(t, err)
+	require.NotEqual(t, "r1", response.Header.Get(upstream.HeaderRequestID))
+	_, _, err = one(func(b *Behaviour) { b.CutShare = 1 })
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	response, _, _ = one(func(b *Behaviour) { b.FailShare = 1 })
+	require.Equal(t, http.StatusInternalServerError, response.StatusCode)
+	response, _, _ = one(func(b *Behaviour) { b.Shards = []string{"base/1"} })
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+	response, _, _ = one(func(b *Behaviour) { b.HonourDeadline = true; b.Service = time.Hour })
+	require.Equal(t, upstream.NotRunDeadline, response.Header.Get(upstream.HeaderNotRun))
+	response, _, _ = one(func(b *Behaviour) { b.ShedShare = 1; b.RetryAfter = time.Second })
+	require.Equal(t, upstream.NotRunOverloaded, response.Header.Get(upstream.HeaderNotRun))
+	require.Equal(t, "1000", response.Header.Get(upstream.HeaderRetryAfter))
+	response, _, _ = one(func(b *Behaviour) { b.Load = "0.01" })
+	require.Equal(t, "0.01", response.Header.Get(upstream.HeaderLoad))
+	require.Equal(t, 5, u.Queries(), "what was refused did not run")
+}
+
+// A replica that reads its health endpoint from a lagging cache still says that
+// it serves after it has begun to drain.
+func TestHealthLags(t *testing.T) {
+	u := startOne(t, Behaviour{Versions: []uint64{1}, ReportLag: time.Hour})
+	read := func() string {
+		response, err := http.Get("http://" + u.Address() + PathHealth)
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		line, _ := bufio.NewReader(response.Body).ReadString('\n')
+		return line
+	}
+	require.Contains(t, read(), HealthServing)
+	u.Change(func(b *Behaviour) { b.Draining = true })
+	require.Contains(t, read(), HealthServing)
+	u.Change(func(b *Behaviour) { b.ReportLag = 0 })
+	require.Contains(t, read(), HealthDraining)
+}
+
+func control(t *testing.T, method, address, path, body string, out any) int {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	if out != nil {
+		require.NoError(t, json.NewDecoder(response.Body).Decode(out))
+	}
+	return response.StatusCode
+}
+
+func TestControlOfUpstreams(t *testing.T) {
+	list, err := StartUpstreams("127.0.0.1:0", 2, Behaviour{Versions: []uint64{7}, Slots: 2})
+	require.NoError(t, err)
+	c, err := ControlUpstreams("127.0.0.1:0", list)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.Equal(t, http.StatusOK, control(t, http.MethodPatch, c.Address(), PathBehaviour+"?replica=1", `{"draining":true,"service":"5ms"}`, nil))
+	require.False(t, list[0].Behaviour().Draining)
+	require.Equal(t, Behaviour{Versions: []uint64{7}, Slots: 2, Draining: true, Service: 5 * time.Millisecond, Seed: 1}, list[1].Behaviour())
+	require.Equal(t, http.StatusBadRequest, control(t, http.MethodPatch, c.Address(), PathBehaviour, `{"drainign":true}`, nil))
+	require.Equal(t, http.StatusBadRequest, control(t, http.MethodPut, c.Address(), PathBehaviour, `{"slots":1}`, nil), "a replacement needs versions")
+	ask(t, list[0], upstream.VerbSubmit, map[string]string{upstream.HeaderSubmitKey: "k1"})
+	var counts []Counts
+	control(t, http.MethodGet, c.Address(), PathCounts, "", &counts)
+	require.Equal(t, map[string]int{"k1": 1}, counts[0].Submits)
+	require.Empty(t, counts[1].Submits)
+}
+
+func TestPlatformFrozenLimitedAndRolledBack(t *testing.T) {
+	p, err := StartPlatform("127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = p.Close() }()
+	c, err := ControlPlatform("127.0.0.1:0", p)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	reader := platform.NewClient(p.URL())
+	defer reader.Close()
+	revision := func() uint64 {
+		config, _, err := reader.ReadConfig(t.Context(), 0, 0)
+		require.NoError(t, err)
+		return config.Revision
+	}
+	p.Publish("one")
+	require.Equal(t, uint64(1), revision())
+	control(t, http.MethodPatch, c.Address(), PathBehaviour, `{"freeze_config":true}`, nil)
+	control(t, http.MethodPut, c.Address(), PathPublish, `{"revision":5,"text":"five"}`, nil)
+	require.Equal(t, uint64(1), revision())
+	control(t, http.MethodPatch, c.Address(), PathBehaviour, `{"freeze_config":false}`, nil)
+	require.Equal(t, uint64(5), revision())
+	p.SetConfig(platform.Config{Revision: 2, Text: "two"})
+	require.Equal(t, uint64(2), revision())
+	p.Change(func(b *PlatformBehaviour) { b.ReadsPerSecond = 1 })
+	limited := func() bool {
+		_, _, err := reader.ReadConfig(t.Context(), 0, 0)
+		return err != nil
+	}
+	await(t, "a read above the rate is refused", limited)
+	require.Positive(t, p.Counts().Limited)
+	p.Change(func(b *PlatformBehaviour) { b.Down = true; b.ReadsPerSecond = 0 })
+	await(t, "a read while down fails", func() bool { return limited() && p.Counts().Failed > 0 })
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -1,185 +1,240 @@
 package standin
 
 import (
-	"encoding/json"
+	"math/rand/v2"
 	"net/http"
-	"slices"
+	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
-// Behaviour is how a stand-in upstream acts. It may be changed at any time.
-type Behaviour struct {
-	// Slots is how many requests run at once; more are shed. 0 is no limit.
-	Slots int
-	// Service is the time one request takes.
-	Service time.Duration
-	// Versions are the index versions it has; the last is the newest.
-	Versions []uint64
-	Draining bool
-	// Silent makes it take requests and never answer.
-	Silent bool
-}
+// The paths of an upstream's own health and load. Both may lag or mislead.
+const (
+	PathHealth = "/v1/health"
+	PathLoad   = "/v1/load"
+)
 
 // Upstream stands in for one replica of any shard.
 type Upstream struct {
 	mutex     sync.Mutex
 	behaviour Behaviour
-	running   int
-	queries   int
-	submits   map[string]int
+	counts    Counts
+	random    *rand.Rand
+	coldUntil time.Time
+	report    report
+	gate      *gate
 	server    *http.Server
-	address   string
 }
 
 // StartUpstream serves a replica on the address; port 0 takes a free one.
 func StartUpstream(address string, behaviour Behaviour) (*Upstream, error) {
-	u := &Upstream{behaviour: behaviour, submits: map[string]int{}}
+	u := &Upstream{counts: newCounts()}
+	u.set(behaviour)
+	gate, err := newGate(u, address)
+	if err != nil {
+		return nil, err
+	}
+	u.gate = gate
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
-	var err error
-	u.server, u.address, err = serve(address, mux)
-	return u, err
+	mux.HandleFunc("GET "+PathHealth, u.serveHealth)
+	mux.HandleFunc("GET "+PathLoad, u.serveLoad)
+	u.server = serveOn(gate, mux)
+	return u, nil
 }
 
 // Address is the address in use.
-func (u *Upstream) Address() string { return u.address }
+func (u *Upstream) Address() string { return u.gate.address }
 
 // Close ends the stand-in at once.
 func (u *Upstream) Close() error { return u.server.Close() }
 
+// Behaviour returns a copy of the present behaviour.
+func (u *Upstream) Behaviour() Behaviour {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.behaviour.clone()
+}
+
 // Change alters the behaviour.
 func (u *Upstream) Change(alter func(*Behaviour)) {
+	behaviour := u.Behaviour()
+	alter(&behaviour)
+	u.set(behaviour)
+	u.gate.adjust()
+}
+
+// set takes a behaviour over. A changed seed restarts the draws and a changed
+// cold start makes the replica cold.
+func (u *Upstream) set(behaviour Behaviour) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	alter(&u.behaviour)
+	if u.random == nil || behaviour.Seed != u.behaviour.Seed {
+		u.random = rand.New(rand.NewPCG(behaviour.Seed, behaviour.Seed))
+	}
+	if behaviour.ColdStart != u.behaviour.ColdStart {
+		u.coldUntil = time.Now().Add(behaviour.ColdStart)
+	}
+	u.behaviour = behaviour.clone()
 }
 
-// Queries counts the queries run.
-func (u *Upstream) Queries() int {
+// Counts returns a copy of the counts.
+func (u *Upstream) Counts() Counts {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	return u.queries
+	return u.counts.clone()
 }
 
+// Queries counts the queries run.
+func (u *Upstream) Queries() int { return u.Counts().Queries }
+
 // Submits counts, for each key, how often a submit ran.
-func (u *Upstream) Submits() map[string]int {
+func (u *Upstream) Submits() map[string]int { return u.Counts().Submits }
+
+// connectionOpened counts a new connection; false when it is over the limit.
+func (u *Upstream) connectionOpened() bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	counts := make(map[string]int, len(u.submits))
-	for key, count := range u.submits {
-		counts[key] = count
+	if u.behaviour.Connections > 0 && u.counts.Open >= u.behaviour.Connections {
+		u.counts.Rejected++
+		return false
 	}
-	return counts
+	u.counts.Opened++
+	u.counts.Open++
+	u.counts.MostOpen = max(u.counts.MostOpen, u.counts.Open)
+	return true
 }
 
-// reply is the part that a stand-in returns.
-type reply struct {
-	Service string `json:"service"`
-	Shard   string `json:"shard"`
-	Version uint64 `json:"version"`
-	Replica string `json:"replica"`
-	Seen    int    `json:"dependencies_seen"`
+func (u *Upstream) connectionClosed() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.counts.Open--
 }
 
-func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
-	var body upstream.Body
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
-	behaviour, refusal := u.begin(r)
-	w.Header().Set(upstream.HeaderVersions, joinVersions(behaviour.Versions))
-	if behaviour.Draining {
-		w.Header().Set(upstream.HeaderDraining, "true")
-	}
-	if refusal != "" {
-		w.Header().Set(upstream.HeaderNotRun, refusal)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer u.end()
-	if !work(r, behaviour) {
-		return
-	}
-	version := wantedVersion(r, behaviour.Versions)
-	w.Header().Set(upstream.HeaderVersion, strconv.FormatUint(version, 10))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply{
-		Service: r.PathValue("service"),
-		Shard:   r.PathValue("shard"),
-		Version: version,
-		Replica: u.address,
-		Seen:    len(body.Dependencies),
-	})
+// refusesConnections reports whether the limit is reached and further
+// connections are not even accepted.
+func (u *Upstream) refusesConnections() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	b := u.behaviour
+	return b.RefuseConnections && b.Connections > 0 && u.counts.Open >= b.Connections
+}
+
+// plan is what happens to one request, drawn when it begins.
+type plan struct {
+	service time.Duration
+	late    time.Duration
+	fail    bool
+	crossed bool
+	cut     bool
+	never   bool
 }
 
 // begin admits a request or names the reason it does not run.
-func (u *Upstream) begin(r *http.Request) (Behaviour, string) {
+func (u *Upstream) begin(r *http.Request) (b Behaviour, p plan, refusal string) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	behaviour := u.behaviour
-	behaviour.Versions = slices.Clone(u.behaviour.Versions)
-	switch {
-	case behaviour.Draining:
-		return behaviour, upstream.NotRunDraining
-	case behaviour.Slots > 0 && u.running >= behaviour.Slots:
-		return behaviour, upstream.NotRunOverloaded
-	case wantedVersion(r, behaviour.Versions) == 0:
-		return behaviour, upstream.NotRunVersion
+	u.counts.Arrived++
+	b = u.behaviour.clone()
+	p = u.draw()
+	refusal = u.refusal(r, p)
+	if refusal != "" {
+		u.counts.Refused[refusal]++
+		return b, p, refusal
 	}
-	u.running++
+	u.counts.Running++
+	u.counts.MostRunning = max(u.counts.MostRunning, u.counts.Running)
 	if r.PathValue("verb") == upstream.VerbSubmit {
-		u.submits[r.Header.Get(upstream.HeaderSubmitKey)]++
+		u.counts.Submits[r.Header.Get(upstream.HeaderSubmitKey)]++
 	} else {
-		u.queries++
+		u.counts.Queries++
 	}
-	return behaviour, ""
+	return b, p, ""
 }
 
-func (u *Upstream) end() {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.running--
+func (u *Upstream) refusal(r *http.Request, p plan) string {
+	b := &u.behaviour
+	switch {
+	case !servesShard(b.Shards, r.PathValue("service")+"/"+r.PathValue("shard")):
+		return refusedShard
+	case b.Draining:
+		return upstream.NotRunDraining
+	case b.HonourDeadline && timeLeft(r) < p.service:
+		return upstream.NotRunDeadline
+	case b.Slots > 0 && u.counts.Running >= b.Slots, u.hit(b.ShedShare):
+		return upstream.NotRunOverloaded
+	case wantedVersion(r, b.Versions) == 0:
+		return upstream.NotRunVersion
+	}
+	return ""
 }
 
-// work takes the service time; false when the caller has gone.
-func work(r *http.Request, behaviour Behaviour) bool {
-	if behaviour.Silent {
-		<-r.Context().Done()
-		return false
+// draw decides one request's fate. Shares of 0 draw nothing, so that one
+// fault's sequence does not depend on the others being off.
+func (u *Upstream) draw() plan {
+	b := &u.behaviour
+	p := plan{service: b.Service}
+	if time.Now().Before(u.coldUntil) {
+		p.service += b.ColdExtra
 	}
-	timer := time.NewTimer(behaviour.Service)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
+	if u.hit(b.StragglerShare) {
+		p.service += b.StragglerExtra
+	}
+	if u.hit(b.LateShare) {
+		p.late = b.LateBy
 	}
+	p.fail = u.hit(b.FailShare)
+	p.crossed = u.hit(b.CrossedShare)
+	p.cut = u.hit(b.CutShare)
+	p.never = b.Silent || u.hit(b.NeverShare)
+	return p
 }
 
-// wantedVersion is the version to answer from, or 0 when it is not there.
-func wantedVersion(r *http.Request, versions []uint64) uint64 {
-	wanted, err := strconv.ParseUint(r.Header.Get(upstream.HeaderVersion), 10, 64)
-	if err != nil || wanted == 0 {
-		return versions[len(versions)-1]
-	}
-	if slices.Contains(versions, wanted) {
-		return wanted
+func (u *Upstream) hit(share float64) bool {
+	return share > 0 && u.random.Float64() < share
+}
+
+func (u *Upstream) end(cancelled bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.counts.Running--
+	if cancelled {
+		u.counts.Cancelled++
 	}
-	return 0
 }
 
-func joinVersions(versions []uint64) string {
-	texts := make([]string, len(versions))
-	for i, version := range versions {
-		texts[i] = strconv.FormatUint(version, 10)
+func timeLeft(r *http.Request) time.Duration {
+	ms, _ := strconv.ParseInt(r.Header.Get(upstream.HeaderTimeLeft), 10, 64)
+	return time.Duration(ms) * time.Millisecond
+}
+
+// StartUpstreams serves replicas on the address and the ports that follow it;
+// with port 0 each takes a free one. Seeds follow each other too, so that the
+// replicas' faults do not fall together.
+func StartUpstreams(address string, replicas int, behaviour Behaviour) ([]*Upstream, error) {
+	first, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, &fault.Error{Code: fault.CodeAddress, Message: address + " is not IP:PORT", Fix: "write an address such as 127.0.0.1:0", Cause: err}
+	}
+	var list []*Upstream
+	for i := range replicas {
+		port := first.Port()
+		if port != 0 {
+			port += uint16(i)
+		}
+		u, err := StartUpstream(netip.AddrPortFrom(first.Addr(), port).String(), behaviour)
+		if err != nil {
+			for _, one := range list {
+				_ = one.Close()
+			}
+			return nil, err
+		}
+		behaviour.Seed++
+		list = append(list, u)
 	}
-	return strings.Join(texts, ",")
+	return list, nil
 }
