A fault-injecting proxy for TCP and UDP

Partitions, silent flows and cut replies can't be made with stand-ins alone: something between two ends has to lose the bytes. The proxy switches faults for each direction while traffic flows, draws from a seed and shows what it dropped, so that tests await its effect.

--- /dev/null
+++ b/internal/faultproxy/faultproxy_test.go
@@ -0,0 +1,217 @@
+package faultproxy
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+const (
+	awaitLimit = 20 * time.Second
+	quiet      = 100 * time.Millisecond
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// startEcho serves every TCP connection with its own bytes.
+func startEcho(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(connection, connection)
+				_ = connection.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func startTCP(t *testing.T) *TCP {
+	t.Helper()
+	p, err := StartTCP(startEcho(t), 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func dial(t *testing.T, network, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial(network, address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	require.NoError(t, connection.SetDeadline(time.Now().Add(awaitLimit)))
+	return connection
+}
+
+func echoes(t *testing.T, connection net.Conn, text string) {
+	t.Helper()
+	_, err := connection.Write([]byte(text))
+	require.NoError(t, err)
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(connection, got)
+	require.NoError(t, err)
+	require.Equal(t, text, string(got))
+}
+
+// staysQuiet reads for a short while. It can only miss bytes that come later,
+// so that it never fails a proxy that keeps them back.
+func staysQuiet(t *testing.T, connection net.Conn) {
+	t.Helper()
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(quiet)))
+	_, err := connection.Read(make([]byte, 1))
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(awaitLimit)))
+}
+
+func TestTCPCutHoldsBytesUntilItEnds(t *testing.T) {
+	p := startTCP(t)
+	connection := dial(t, "tcp", p.Address())
+	echoes(t, connection, "before")
+	p.Set(ToClient, Faults{Cut: true})
+	_, err := connection.Write([]byte("held"))
+	require.NoError(t, err)
+	staysQuiet(t, connection)
+	p.Set(ToClient, Faults{})
+	got := make([]byte, len("held"))
+	_, err = io.ReadFull(connection, got)
+	require.NoError(t, err)
+	require.Equal(t, "held", string(got))
+}
+
+// A middlebox has lost track of a connection: it shows no end, yet swallows all
+// bytes, while a new connection through it works.
+func TestTCPSilentFlowStaysSilentWhileNewOnesWork(t *testing.T) {
+	p := startTCP(t)
+	old := dial(t, "tcp", p.Address())
+	echoes(t, old, "before")
+	p.Silence()
+	_, err := old.Write([]byte("lost"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Dropped() > 0 }, awaitLimit, time.Millisecond)
+	echoes(t, dial(t, "tcp", p.Address()), "new")
+	staysQuiet(t, old)
+}
+
+func TestTCPResetAndCutMidReply(t *testing.T) {
+	p := startTCP(t)
+	connection := dial(t, "tcp", p.Address())
+	echoes(t, connection, "before")
+	p.Reset()
+	_, err := connection.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.EOF, "a reset is not an orderly end")
+	p.Set(ToClient, Faults{CutAfter: 3})
+	connection = dial(t, "tcp", p.Address())
+	_, err = connection.Write([]byte("whole"))
+	require.NoError(t, err)
+	got, err := io.ReadAll(connection)
+	require.LessOrEqual(t, len(got), 3)
+	require.True(t, bytes.HasPrefix([]byte("whole"), got))
+	require.Error(t, err)
+}
+
+func TestTCPThrottledAndDelayedBytesArriveWhole(t *testing.T) {
+	p := startTCP(t)
+	p.SetBoth(Faults{Delay: time.Millisecond, BytesPerSecond: 1 << 20})
+	connection := dial(t, "tcp", p.Address())
+	text := string(bytes.Repeat([]byte("0123456789"), 4000))
+	started := time.Now()
+	echoes(t, connection, text)
+	require.GreaterOrEqual(t, time.Since(started), throttle(len(text), 1<<20), "no faster than the line")
+}
+
+// startSink counts and lists the datagrams that arrive.
+func startSink(t *testing.T) (address string, read func() string) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket.LocalAddr().String(), func() string {
+		require.NoError(t, socket.SetReadDeadline(time.Now().Add(awaitLimit)))
+		buffer := make([]byte, 64)
+		n, from, err := socket.ReadFromUDP(buffer)
+		require.NoError(t, err)
+		_, err = socket.WriteToUDP(buffer[:n], from)
+		require.NoError(t, err)
+		return string(buffer[:n])
+	}
+}
+
+func TestUDPLossDuplicateReorderAndCut(t *testing.T) {
+	target, read := startSink(t)
+	p, err := StartUDP(target, 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	client := dial(t, "udp", p.Address())
+	send := func(text string) {
+		before := p.Dropped()
+		_, err := client.Write([]byte(text))
+		require.NoError(t, err)
+		if faults, _ := p.present(ToTarget); faults.Cut || faults.Loss == 1 {
+			require.Eventually(t, func() bool { return p.Dropped() == before+1 }, awaitLimit, time.Millisecond)
+		}
+	}
+	p.Set(ToTarget, Faults{Loss: 1})
+	send("lost")
+	p.Set(ToTarget, Faults{Cut: true})
+	send("cut")
+	p.Set(ToTarget, Faults{Duplicate: 1})
+	send("twice")
+	require.Equal(t, "twice", read())
+	require.Equal(t, "twice", read())
+	p.Set(ToTarget, Faults{Reorder: 1})
+	send("first")
+	send("second")
+	require.Equal(t, "second", read())
+	require.Equal(t, "first", read())
+	p.Set(ToTarget, Faults{Delay: time.Millisecond, BytesPerSecond: 1 << 20})
+	send("slow")
+	require.Equal(t, "slow", read())
+	p.Set(ToTarget, Faults{Loss: 0.5})
+	for i := range 64 {
+		_, err := client.Write([]byte(strconv.Itoa(i)))
+		require.NoError(t, err)
+	}
+	read()
+	require.Eventually(t, func() bool { return p.Dropped() > 2 }, awaitLimit, time.Millisecond)
+}
+
+func TestUDPSilentFlowStaysSilentWhileNewOnesWork(t *testing.T) {
+	target, read := startSink(t)
+	p, err := StartUDP(target, 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	old := dial(t, "udp", p.Address())
+	_, err = old.Write([]byte("before"))
+	require.NoError(t, err)
+	require.Equal(t, "before", read())
+	p.Silence()
+	before := p.Dropped()
+	_, err = old.Write([]byte("lost"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Dropped() > before }, awaitLimit, time.Millisecond)
+	fresh := dial(t, "udp", p.Address())
+	_, err = fresh.Write([]byte("new"))
+	require.NoError(t, err)
+	require.Equal(t, "new", read())
+	got := make([]byte, 8)
+	n, err := fresh.Read(got)
+	require.NoError(t, err)
+	require.Equal(t, "new", string(got[:n]))
+}
