End-to-end tests with real processes

Nodes, a stand-in platform and forty stand-in replicas run as processes of the built program; UDP proxies stand between the nodes where a test splits them. Every answer of the load is checked: one version in all parts and in what the lead service was given, coverage that counts the parts at hand, the caller's own request id.

--- /dev/null
+++ b/test/e2e/config_test.go
@@ -0,0 +1,83 @@
+package e2e
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
+)
+
+// moreReads waits until the platform has answered more reads, or failed them:
+// every watcher has then seen its present state.
+func moreReads(t *testing.T, p *harness.Platform, more int) {
+	t.Helper()
+	from := p.Reads().Reads
+	harness.Await(t, "the platform is read more often", func() bool { return p.Reads().Reads >= from+more })
+}
+
+func requireRevision(t *testing.T, fleet *harness.Fleet, revision uint64) {
+	t.Helper()
+	for _, n := range fleet.Nodes() {
+		status, ok := n.Status()
+		require.True(t, ok)
+		require.Equal(t, revision, status.Revision, n.VM.ID)
+	}
+}
+
+// The configuration service is down for a stretch and then comes back from an
+// old backup, with an older revision. Questions go on throughout, nobody falls
+// back to the old text, and the next true revision comes into force.
+func TestConfigurationServiceDownAndRolledBack(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	text := harness.Text(upstreams.Addresses)
+	second := fleet.Publish(text)
+	fleet.AwaitReady(second)
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	fleet.Platform.Alter(harness.All, "{down: true}")
+	moreReads(t, fleet.Platform, 30)
+	load.AwaitWhole(20)
+	requireRevision(t, fleet, second)
+	fleet.Platform.Publish(second-1, strings.Replace(text, "timeout: 4s", "timeout: 1ms", 1))
+	fleet.Platform.Alter(harness.All, "{down: false}")
+	moreReads(t, fleet.Platform, 30)
+	load.AwaitWhole(20)
+	requireRevision(t, fleet, second)
+	fleet.AwaitReady(fleet.Publish(text))
+	load.AwaitWhole(20)
+	require.Zero(t, load.Stop().Thin)
+	load.RequireHonest()
+}
+
+// The configuration service answers from a stale replica: what operators publish
+// does not show for a long stretch. The nodes serve what they have, and take the
+// newest revision when it shows.
+func TestStaleConfigurationService(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	fleet.Platform.Alter(harness.All, "{freeze_config: true, freeze_vms: true}")
+	latest := fleet.Publish(harness.Text(upstreams.Addresses))
+	latest = max(latest, fleet.Publish(harness.Text(upstreams.Addresses)))
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(40)
+	requireRevision(t, fleet, 1)
+	fleet.Platform.Alter(harness.All, "{freeze_config: false, freeze_vms: false}")
+	fleet.AwaitReady(latest)
+	load.AwaitWhole(20)
+	load.Stop()
+	load.RequireHonest()
+}
+
+// An operator publishes a text with a mistake. The former revision stays in
+// force on every node, and the corrected one follows it.
+func TestInvalidRevisionIsRefused(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	text := harness.Text(upstreams.Addresses)
+	fleet.Publish(strings.Replace(text, "slots: 2", "slots: 0", 1))
+	for _, n := range fleet.Nodes() {
+		var refused struct{}
+		n.AwaitEvent("config_refused", &refused)
+	}
+	requireRevision(t, fleet, 1)
+	fleet.AwaitReady(fleet.Publish(text))
+}
--- /dev/null
+++ b/test/e2e/harness/fleet.go
@@ -0,0 +1,209 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/platform"
+)
+
+const (
+	dataCentres = 3
+	validity    = 24 * time.Hour
+	readLimit   = 2 * time.Second
+)
+
+// Fleet is a platform and nodes as processes.
+type Fleet struct {
+	t      testing.TB
+	binary string
+	folder string
+	client *client.Client
+	// Platform is the one that a node reads unless it is told another.
+	Platform  *Platform
+	Authority *keys.Authority
+	nodes     []*Node
+	started   int
+	revision  uint64
+}
+
+// Node is a node's process.
+type Node struct {
+	*Process
+	fleet *Fleet
+	// Stands in the VM list, unless a test lists the node otherwise.
+	VM       platform.VM
+	platform *Platform
+}
+
+// NodeOptions change how a node is started.
+type NodeOptions struct {
+	// Platform is read instead of the fleet's.
+	Platform *Platform
+	// Authority signs the certificate instead of the fleet's.
+	Authority *keys.Authority
+	// Settings are further lines of the settings.
+	Settings string
+	// CallerAddress instead of a free port.
+	CallerAddress string
+}
+
+// NewFleet starts a platform and no nodes.
+func NewFleet(t testing.TB, binary string) *Fleet {
+	t.Helper()
+	authority, err := keys.NewAuthority(time.Now(), validity)
+	require.NoError(t, err)
+	f := &Fleet{t: t, binary: binary, folder: t.TempDir(), client: client.New(), Platform: StartPlatform(t, binary), Authority: authority}
+	t.Cleanup(f.client.Close)
+	return f
+}
+
+// Spawn starts a node without listing it or waiting for it.
+func (f *Fleet) Spawn(options NodeOptions) *Node {
+	f.t.Helper()
+	f.started++
+	id := fmt.Sprintf("vm-%d", f.started)
+	dataCentre := fmt.Sprintf("dc%d", (f.started-1)%dataCentres+1)
+	n := &Node{fleet: f, platform: options.Platform}
+	if n.platform == nil {
+		n.platform = f.Platform
+	}
+	n.VM = platform.VM{ID: core.NodeID(id), DataCentre: dataCentre, State: platform.VMLive}
+	path := filepath.Join(f.folder, id+".yaml")
+	require.NoError(f.t, os.WriteFile(path, []byte(f.settings(n, options)), 0o600))
+	n.Process = Start(f.t, f.binary, id, "serve", "--settings", path)
+	return n
+}
+
+func (f *Fleet) settings(n *Node, options NodeOptions) string {
+	f.t.Helper()
+	authority := options.Authority
+	if authority == nil {
+		authority = f.Authority
+	}
+	pair, err := authority.Issue(string(n.VM.ID), time.Now(), validity)
+	require.NoError(f.t, err)
+	caller := options.CallerAddress
+	if caller == "" {
+		caller = "127.0.0.1:0"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "node: %s\ndata_centre: %s\ncaller_address: %q\n", n.VM.ID, n.VM.DataCentre, caller)
+	fmt.Fprintf(&b, "peer_address: \"127.0.0.1:0\"\noperator_address: \"127.0.0.1:0\"\nplatform: \"http://%s\"\n", n.platform.Addresses[0])
+	fmt.Fprintf(&b, "tls:\n  authority: %q\n  certificate: %q\n  key: %q\n", authority.Certificate, pair.Certificate, pair.Key)
+	b.WriteString(options.Settings)
+	return b.String()
+}
+
+// Add starts a node, reads its addresses and counts it among the fleet's nodes.
+// List lists it.
+func (f *Fleet) Add(options NodeOptions) *Node {
+	f.t.Helper()
+	n := f.Spawn(options)
+	var started struct {
+		Caller   string `json:"caller_address"`
+		Peer     string `json:"peer_address"`
+		Operator string `json:"operator_address"`
+	}
+	n.AwaitEvent("node_started", &started)
+	n.VM.CallerAddress = started.Caller
+	n.VM.PeerAddress = started.Peer
+	n.VM.OperatorAddress = started.Operator
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// Remove takes a node off the fleet's list; List publishes it.
+func (f *Fleet) Remove(n *Node) {
+	var kept []*Node
+	for _, one := range f.nodes {
+		if one != n {
+			kept = append(kept, one)
+		}
+	}
+	f.nodes = kept
+}
+
+// Nodes are the fleet's nodes in the order of their start.
+func (f *Fleet) Nodes() []*Node { return f.nodes }
+
+// List publishes the VM list of the fleet's nodes.
+func (f *Fleet) List() {
+	f.t.Helper()
+	var vms []platform.VM
+	for _, n := range f.nodes {
+		vms = append(vms, n.VM)
+	}
+	f.Platform.List(vms)
+}
+
+// Publish publishes the text as the next revision and returns it.
+func (f *Fleet) Publish(text string) uint64 {
+	f.t.Helper()
+	f.revision++
+	f.Platform.Publish(f.revision, text)
+	return f.revision
+}
+
+// Callers are the callers' addresses of the fleet's nodes.
+func (f *Fleet) Callers() []string {
+	var list []string
+	for _, n := range f.nodes {
+		list = append(list, n.VM.CallerAddress)
+	}
+	return list
+}
+
+// StartFleet starts nodes, lists them, publishes the text and awaits that all
+// have both.
+func StartFleet(t testing.TB, binary string, nodes int, text string, options NodeOptions) *Fleet {
+	t.Helper()
+	f := NewFleet(t, binary)
+	for range nodes {
+		f.Add(options)
+	}
+	f.List()
+	f.AwaitReady(f.Publish(text))
+	return f
+}
+
+// AwaitReady waits until each node is ready with the revision and sees as many
+// nodes as the fleet has.
+func (f *Fleet) AwaitReady(revision uint64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		Await(f.t, fmt.Sprintf("%s is ready with revision %d and %d nodes", n.VM.ID, revision, len(f.nodes)), func() bool {
+			status, ok := n.Status()
+			return ok && status.Health.State == "ready" && status.Revision == revision && status.Nodes == len(f.nodes)
+		})
+	}
+}
+
+// Status is the part of a node's status that the tests read.
+type Status struct {
+	Health struct {
+		State string `json:"state"`
+	} `json:"health"`
+	Revision uint64 `json:"config_revision"`
+	Nodes    int    `json:"nodes"`
+	InFlight int    `json:"in_flight"`
+}
+
+// Status reads the node's status; false when it does not answer.
+func (n *Node) Status() (Status, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), readLimit)
+	defer cancel()
+	var status Status
+	err := n.fleet.client.Get(ctx, n.VM.OperatorAddress, "/v1/status", &status)
+	return status, err == nil
+}
--- /dev/null
+++ b/test/e2e/harness/load.go
@@ -0,0 +1,235 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+const (
+	// askGuard is far above every timeout of the texts: a question that runs
+	// into it never got its answer.
+	askGuard   = 20 * time.Second
+	errorPause = 5 * time.Millisecond
+)
+
+// Load asks the Lead service without end from several callers, each with one
+// question at a time, and checks every answer.
+type Load struct {
+	t       testing.TB
+	client  *client.Client
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	mutex   sync.Mutex
+	entries []string
+	next    int
+	tally   Tally
+	// exempt holds the entries whose lost answers are expected.
+	exempt map[string]bool
+}
+
+// Tally is what a load has seen.
+type Tally struct {
+	Whole int
+	Thin  int
+	// Failed counts typed failures by code and outcome, such as "lost/unknown".
+	Failed map[string]int
+	// Unexpected lists failures of entries that were not exempt.
+	Unexpected []string
+	// Wrong lists answers that break a promise, and questions without an end.
+	Wrong    []string
+	Versions map[core.Version]int
+	// MissingReasons counts why shards were missing from thin answers.
+	MissingReasons map[core.Reason]int
+}
+
+// StartLoad begins to ask the entries in turn, until Stop or the test's end.
+func StartLoad(t testing.TB, callers int, entries ...string) *Load {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Load{t: t, client: client.New(), stop: stop, entries: entries, exempt: map[string]bool{}}
+	l.tally = Tally{Failed: map[string]int{}, Versions: map[core.Version]int{}, MissingReasons: map[core.Reason]int{}}
+	for caller := range callers {
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			l.run(ctx, caller)
+		}()
+	}
+	t.Cleanup(func() { l.Stop() })
+	return l
+}
+
+// Use replaces the entries to ask.
+func (l *Load) Use(entries ...string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries = entries
+}
+
+// Exempt says that answers of the entry may be lost from now on.
+func (l *Load) Exempt(entry string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.exempt[entry] = true
+}
+
+// Stop ends the load, once every question has its answer, and returns the tally.
+func (l *Load) Stop() Tally {
+	l.stop()
+	l.done.Wait()
+	l.client.Close()
+	return l.Tally()
+}
+
+// Tally returns a copy of what was seen so far.
+func (l *Load) Tally() Tally {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	tally := l.tally
+	tally.Failed = maps.Clone(tally.Failed)
+	tally.Versions = maps.Clone(tally.Versions)
+	tally.MissingReasons = maps.Clone(tally.MissingReasons)
+	return tally
+}
+
+// RequireHonest fails the test when an answer broke a promise, a question had no
+// end, or an entry that is not exempt failed one.
+func (l *Load) RequireHonest() {
+	l.t.Helper()
+	tally := l.Tally()
+	require.Empty(l.t, tally.Wrong)
+	require.Empty(l.t, tally.Unexpected)
+}
+
+// AwaitWhole waits for so many more whole answers.
+func (l *Load) AwaitWhole(more int) {
+	l.t.Helper()
+	from := l.Tally().Whole
+	Await(l.t, fmt.Sprintf("%d more whole answers", more), func() bool { return l.Tally().Whole >= from+more })
+}
+
+func (l *Load) run(ctx context.Context, caller int) {
+	for number := 0; ctx.Err() == nil; number++ {
+		entry := l.entry()
+		id := fmt.Sprintf("caller-%d-%d", caller, number)
+		reply, err := l.ask(entry, id)
+		if l.record(entry, id, reply, err) {
+			continue
+		}
+		time.Sleep(errorPause)
+	}
+}
+
+func (l *Load) entry() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.next++
+	return l.entries[l.next%len(l.entries)]
+}
+
+func (l *Load) ask(entry, id string) (api.QueryReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askGuard)
+	defer cancel()
+	question, err := json.Marshal(id)
+	if err != nil {
+		return api.QueryReply{}, err
+	}
+	return l.client.Query(ctx, entry, Lead, api.QueryRequest{Customer: "southern-table", RequestID: id, Question: question})
+}
+
+// record tallies the end of one question; false when it failed.
+func (l *Load) record(entry, id string, reply api.QueryReply, err error) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		l.recordFailure(entry, err)
+		return false
+	}
+	if problem := Check(id, reply); problem != nil {
+		l.tally.Wrong = append(l.tally.Wrong, problem.Error())
+	}
+	l.tally.Versions[reply.Version]++
+	if !reply.Coverage.Thin {
+		l.tally.Whole++
+		return true
+	}
+	l.tally.Thin++
+	for _, missing := range reply.Coverage.Missing {
+		l.tally.MissingReasons[missing.Reason]++
+	}
+	return true
+}
+
+func (l *Load) recordFailure(entry string, err error) {
+	typed := fault.As(err)
+	name := string(typed.Code) + "/" + typed.Outcome.String()
+	l.tally.Failed[name]++
+	if errors.Is(err, context.DeadlineExceeded) {
+		l.tally.Wrong = append(l.tally.Wrong, "a question to "+entry+" had no end: "+err.Error())
+	}
+	if !l.exempt[entry] {
+		l.tally.Unexpected = append(l.tally.Unexpected, entry+": "+err.Error())
+	}
+}
+
+// part is what a stand-in upstream puts into its part.
+type part struct {
+	Service  string         `json:"service"`
+	Version  core.Version   `json:"version"`
+	Seen     int            `json:"dependencies_seen"`
+	Versions []core.Version `json:"dependency_versions"`
+}
+
+// Check tests an answer against the promises: it is to this question, its parts
+// and their dependencies' parts are of the one version that it states, and its
+// coverage counts the parts at hand and names the missing ones.
+func Check(id string, reply api.QueryReply) error {
+	coverage := reply.Coverage
+	switch {
+	case reply.RequestID != id:
+		return fmt.Errorf("asked as %s, answered as %s", id, reply.RequestID)
+	case coverage.Answered != len(reply.Parts):
+		return fmt.Errorf("%s: coverage counts %d, the answer holds %d parts", id, coverage.Answered, len(reply.Parts))
+	case coverage.Asked != coverage.Answered+len(coverage.Missing):
+		return fmt.Errorf("%s: asked %d, answered %d, but %d named missing", id, coverage.Asked, coverage.Answered, len(coverage.Missing))
+	case coverage.Thin != (coverage.Answered < coverage.Asked):
+		return fmt.Errorf("%s: thin is %t with %d of %d", id, coverage.Thin, coverage.Answered, coverage.Asked)
+	}
+	for _, one := range reply.Parts {
+		if err := checkPart(reply, one); err != nil {
+			return fmt.Errorf("%s: %w", id, err)
+		}
+	}
+	return nil
+}
+
+func checkPart(reply api.QueryReply, written api.Part) error {
+	var p part
+	if err := json.Unmarshal(written.Data, &p); err != nil {
+		return fmt.Errorf("part of %s: %w", written.Service, err)
+	}
+	if p.Service != written.Service {
+		return fmt.Errorf("the part of %s is one of %s", written.Service, p.Service)
+	}
+	for _, version := range append(p.Versions, p.Version) {
+		if version != reply.Version {
+			return fmt.Errorf("version %d in the part of %s of an answer of version %d", version, written.Service, reply.Version)
+		}
+	}
+	if p.Service == Lead && !reply.Coverage.Thin && p.Seen != Services-1 {
+		return fmt.Errorf("a whole answer whose lead saw %d dependencies", p.Seen)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/e2e/harness/process.go
@@ -0,0 +1,166 @@
+// Package harness starts the built program as real processes on loopback for
+// the end-to-end tests: nodes, stand-ins and a load of checked questions. Every
+// process is ended by its id when its test ends, and its output is shown when
+// the test failed.
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// AwaitLimit ends a test whose awaited condition never comes. It is far above
+	// what any condition takes, so that a slow machine changes no verdict.
+	AwaitLimit = 30 * time.Second
+	awaitPause = 5 * time.Millisecond
+	shownBytes = 8 << 10
+)
+
+// Build builds the program into a new temporary folder. The caller removes the
+// folder.
+func Build() (binary, folder string, err error) {
+	folder, err = os.MkdirTemp("", "pistachiopier-e2e-")
+	if err != nil {
+		return "", "", err
+	}
+	binary = filepath.Join(folder, "pistachiopier")
+	build := exec.Command("go", "build", "-o", binary, "github.com/pistachiopier/pistachiopier/cmd/pistachiopier")
+	build.Stderr = os.Stderr
+	return binary, folder, build.Run()
+}
+
+// Await waits until the condition holds, and fails the test when it never does.
+func Await(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(AwaitLimit); time.Now().Before(deadline); time.Sleep(awaitPause) {
+		if condition() {
+			return
+		}
+	}
+	require.FailNow(t, "not reached: "+what)
+}
+
+// Process is one running process of the program.
+type Process struct {
+	t      testing.TB
+	name   string
+	cmd    *exec.Cmd
+	output output
+	exited chan struct{}
+}
+
+// output collects what a process prints.
+type output struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.text.String()
+}
+
+// Start runs the program with the arguments until the test's end.
+func Start(t testing.TB, binary, name string, arguments ...string) *Process {
+	t.Helper()
+	p := &Process{t: t, name: name, cmd: exec.Command(binary, arguments...), exited: make(chan struct{})}
+	p.cmd.Stdout = &p.output
+	p.cmd.Stderr = &p.output
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(p.end)
+	return p
+}
+
+func (p *Process) end() {
+	p.Kill()
+	if !p.t.Failed() {
+		return
+	}
+	text := p.output.String()
+	p.t.Logf("output of %s:\n%s", p.name, text[max(0, len(text)-shownBytes):])
+}
+
+// Output is what the process has printed so far.
+func (p *Process) Output() string { return p.output.String() }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.t.Helper()
+	require.NoError(p.t, p.cmd.Process.Signal(signal))
+}
+
+// Pause stops the process where it is; Resume lets it go on.
+func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
+
+// Kill ends the process at once, as kill -9 does.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// Exited reports whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitExit waits for the process's own end and returns its exit code.
+func (p *Process) AwaitExit() int {
+	p.t.Helper()
+	Await(p.t, p.name+" ends", p.Exited)
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// AwaitEvent waits for the first JSON line with the event and decodes it.
+func (p *Process) AwaitEvent(event string, out any) {
+	p.t.Helper()
+	Await(p.t, p.name+" prints "+event, func() bool {
+		if line := p.find(event); line != nil {
+			require.NoError(p.t, json.Unmarshal(line, out))
+			return true
+		}
+		require.False(p.t, p.Exited(), "%s has ended: %s", p.name, p.Output())
+		return false
+	})
+}
+
+func (p *Process) find(event string) []byte {
+	for line := range bytes.Lines([]byte(p.output.String())) {
+		var head struct {
+			Event string `json:"event"`
+		}
+		if bytes.HasSuffix(line, []byte("\n")) && json.Unmarshal(line, &head) == nil && head.Event == event {
+			return line
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/e2e/harness/split.go
@@ -0,0 +1,80 @@
+package harness
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
+	"github.com/pistachiopier/pistachiopier/internal/platform"
+)
+
+// SplitFleet is a fleet of two sides. Each side reads a platform of its own,
+// whose VM list gives a proxy's address for every node of the other side: so the
+// traffic between the sides, and none else, can be cut in either direction.
+type SplitFleet struct {
+	*Fleet
+	// FirstToSecond and SecondToFirst carry what one side's nodes send to the
+	// other's.
+	FirstToSecond []*faultproxy.UDP
+	SecondToFirst []*faultproxy.UDP
+}
+
+// NewSplitFleet starts the nodes of both sides and awaits that all are ready.
+func NewSplitFleet(t testing.TB, binary string, first, second int, text string) *SplitFleet {
+	t.Helper()
+	s := &SplitFleet{Fleet: NewFleet(t, binary)}
+	other := StartPlatform(t, binary)
+	for range first {
+		s.Add(NodeOptions{})
+	}
+	for range second {
+		s.Add(NodeOptions{Platform: other})
+	}
+	nodes := s.Nodes()
+	s.FirstToSecond = s.proxies(nodes[first:])
+	s.SecondToFirst = s.proxies(nodes[:first])
+	s.Platform.List(append(listed(nodes[:first], nil), listed(nodes[first:], s.FirstToSecond)...))
+	other.List(append(listed(nodes[:first], s.SecondToFirst), listed(nodes[first:], nil)...))
+	revision := s.Publish(text)
+	other.Publish(revision, text)
+	s.AwaitReady(revision)
+	return s
+}
+
+func (s *SplitFleet) proxies(nodes []*Node) []*faultproxy.UDP {
+	s.t.Helper()
+	var list []*faultproxy.UDP
+	for i, n := range nodes {
+		proxy, err := faultproxy.StartUDP(n.VM.PeerAddress, uint64(i))
+		require.NoError(s.t, err)
+		s.t.Cleanup(func() { _ = proxy.Close() })
+		list = append(list, proxy)
+	}
+	return list
+}
+
+// listed are the nodes' VMs, at their proxies' addresses when there are any.
+func listed(nodes []*Node, proxies []*faultproxy.UDP) []platform.VM {
+	var vms []platform.VM
+	for i, n := range nodes {
+		vm := n.VM
+		if proxies != nil {
+			vm.PeerAddress = proxies[i].Address()
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// Cut lets nothing through between the sides.
+func (s *SplitFleet) Cut() { s.set(faultproxy.Faults{Cut: true}) }
+
+// Heal lets everything through again.
+func (s *SplitFleet) Heal() { s.set(faultproxy.Faults{}) }
+
+func (s *SplitFleet) set(faults faultproxy.Faults) {
+	for _, proxy := range append(s.FirstToSecond, s.SecondToFirst...) {
+		proxy.SetBoth(faults)
+	}
+}
--- /dev/null
+++ b/test/e2e/harness/text.go
@@ -0,0 +1,51 @@
+package harness
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	// Services and Replicas are the sizes of the users' largest search today.
+	Services = 20
+	Replicas = 2
+	// Lead is the service that depends on all the others.
+	Lead = "plate-costing"
+)
+
+// Text writes the operators' text of Services services of Replicas replicas
+// each, at the addresses in order; the first service is the Lead. The
+// addresses of draining replicas are marked so.
+func Text(addresses []string, draining ...string) string {
+	var b strings.Builder
+	b.WriteString("version: 1\nindexes: [prices]\nservices:\n")
+	var others []string
+	for i := 1; i < Services; i++ {
+		others = append(others, fmt.Sprintf("vendor-%02d", i))
+	}
+	for i := range Services {
+		name := Lead
+		if i > 0 {
+			name = others[i-1]
+		}
+		fmt.Fprintf(&b, "  - name: %s\n    index: prices\n    slots: 2\n    connections: 25\n    connect_cost: 6ms\n    timeout: 4s\n", name)
+		if i == 0 {
+			fmt.Fprintf(&b, "    depends_on: [%s]\n", strings.Join(others, ", "))
+		}
+		b.WriteString("    shards:\n      - replicas:\n")
+		for r := range Replicas {
+			address := addresses[i*Replicas+r]
+			fmt.Fprintf(&b, "          - {address: %q, data_centre: dc%d, draining: %t}\n", address, r+1, contains(draining, address))
+		}
+	}
+	return b.String()
+}
+
+func contains(list []string, one string) bool {
+	for _, item := range list {
+		if item == one {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/e2e/main_test.go
@@ -0,0 +1,46 @@
+package e2e
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
+)
+
+// binary is the built program.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if testing.Short() {
+		fmt.Println("end-to-end tests are skipped by -short")
+		os.Exit(0)
+	}
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	built, folder, err := harness.Build()
+	defer func() { _ = os.RemoveAll(folder) }()
+	if err != nil {
+		fmt.Println("the program cannot be built:", err)
+		return 1
+	}
+	binary = built
+	return m.Run()
+}
+
+const (
+	upstreamBehaviour = "{slots: 2, service: 1ms, versions: [41, 42], connections: 25, connect_cost: 6ms, load: 'true'}"
+	callers           = 4
+	replicas          = harness.Services * harness.Replicas
+)
+
+// start runs all upstreams in one process and a fleet of three nodes.
+func start(t *testing.T, options harness.NodeOptions) (*harness.Fleet, *harness.StandIn) {
+	t.Helper()
+	upstreams := harness.StartUpstreams(t, binary, replicas, upstreamBehaviour)
+	return harness.StartFleet(t, binary, 3, harness.Text(upstreams.Addresses), options), upstreams
+}
--- /dev/null
+++ b/test/e2e/node_test.go
@@ -0,0 +1,144 @@
+package e2e
+
+import (
+	"os/exec"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
+)
+
+// An operator asks each of three nodes by the command line, at the sizes of
+// today's searches, and reads from each that the answer is whole.
+func TestEveryNodeAnswersTheCommandLine(t *testing.T) {
+	fleet, _ := start(t, harness.NodeOptions{})
+	for _, address := range fleet.Callers() {
+		out, err := exec.Command(binary, "query", harness.Lead, "--address", address, "--question", `"pork shoulder"`).CombinedOutput()
+		require.NoError(t, err, string(out))
+		require.Contains(t, string(out), "plate-costing: whole answer, 20 of 20 shards")
+	}
+}
+
+// A chef's answers go on while a VM dies: one of three nodes is killed in the
+// middle of the load, and nothing tells the others until the VM list drops it.
+// Its own callers see their answers lost; nobody else does, and nobody waits
+// without end.
+func TestKilledNodeLosesNoOtherAnswer(t *testing.T) {
+	fleet, _ := start(t, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(50)
+	victim := fleet.Nodes()[1]
+	load.Exempt(victim.VM.CallerAddress)
+	victim.Kill()
+	fleet.Remove(victim)
+	load.Use(fleet.Callers()...)
+	load.AwaitWhole(10)
+	fleet.List()
+	load.AwaitWhole(50)
+	load.Stop()
+	load.RequireHonest()
+}
+
+// A VM is suspended by its host for a while and wakes up. The others answer
+// whole meanwhile, by the next node of each bundle's order, and the woken node
+// answers whole again.
+func TestPausedNode(t *testing.T) {
+	fleet, _ := start(t, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(20)
+	paused := fleet.Nodes()[2]
+	load.Exempt(paused.VM.CallerAddress)
+	load.Use(fleet.Callers()[:2]...)
+	paused.Pause()
+	load.AwaitWhole(20)
+	paused.Resume()
+	load.Use(paused.VM.CallerAddress)
+	load.AwaitWhole(20)
+	load.Stop()
+	load.RequireHonest()
+}
+
+// The network between data centres splits one node from the two others, in both
+// directions, while each side still reaches the upstreams, the platform and its
+// callers. Each side answers whole, with the other's bundles taken over, and
+// still does when the split heals.
+func TestPartitionBetweenNodes(t *testing.T) {
+	upstreams := harness.StartUpstreams(t, binary, replicas, upstreamBehaviour)
+	split := harness.NewSplitFleet(t, binary, 2, 1, harness.Text(upstreams.Addresses))
+	load := harness.StartLoad(t, callers, split.Callers()...)
+	load.AwaitWhole(20)
+	split.Cut()
+	for _, address := range split.Callers() {
+		load.Use(address)
+		load.AwaitWhole(10)
+	}
+	split.Heal()
+	load.Use(split.Callers()...)
+	load.AwaitWhole(40)
+	load.Stop()
+	load.RequireHonest()
+	for _, counts := range upstreams.Counts() {
+		require.LessOrEqual(t, counts.MostOpen, 25, "both sides' owners together keep to the connection limit")
+		require.Zero(t, counts.Rejected)
+	}
+}
+
+// An operator stops a node while questions run on it, and while it runs
+// upstream work for the other nodes. Every question is answered whole before
+// the process ends, and it ends cleanly.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	upstreams.Alter(harness.All, "{service: 100ms}")
+	stopped := fleet.Nodes()[0]
+	own := harness.StartLoad(t, callers, stopped.VM.CallerAddress)
+	others := harness.StartLoad(t, callers, fleet.Callers()[1:]...)
+	others.AwaitWhole(4)
+	harness.Await(t, "questions are in flight", func() bool {
+		status, ok := stopped.Status()
+		return ok && status.InFlight == callers
+	})
+	done := make(chan harness.Tally, 1)
+	go func() { done <- own.Stop() }()
+	stopped.Signal(syscall.SIGTERM)
+	require.Zero(t, stopped.AwaitExit())
+	tally := <-done
+	own.RequireHonest()
+	require.Empty(t, tally.Failed)
+	require.Zero(t, tally.Thin, tally.MissingReasons)
+	others.AwaitWhole(10)
+	require.Zero(t, others.Stop().Thin)
+	others.RequireHonest()
+}
+
+// Every VM is replaced during service, one after the other: a new node joins,
+// the old one is listed as leaving, callers fetch the address answer anew, and
+// the old node is stopped. No question fails.
+func TestRollingReplacementOfAllNodes(t *testing.T) {
+	const ttl = "entries_ttl: 300ms\n"
+	fleet, _ := start(t, harness.NodeOptions{Settings: ttl})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
+		fleet.Add(harness.NodeOptions{Settings: ttl})
+		fleet.List()
+		fleet.AwaitReady(1)
+		old.VM.State = platform.VMLeaving
+		fleet.List()
+		fleet.Remove(old)
+		load.Use(fleet.Callers()...)
+		harness.Await(t, "no question is left on the leaving node", func() bool {
+			status, ok := old.Status()
+			return ok && status.InFlight == 0
+		})
+		old.Signal(syscall.SIGTERM)
+		require.Zero(t, old.AwaitExit())
+		fleet.List()
+		fleet.AwaitReady(1)
+		load.AwaitWhole(20)
+	}
+	tally := load.Stop()
+	load.RequireHonest()
+	require.Zero(t, tally.Thin, tally.MissingReasons)
+}
--- /dev/null
+++ b/test/e2e/upstream_test.go
@@ -0,0 +1,107 @@
+package e2e
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
+)
+
+// The index is rebuilt while callers ask: the replicas take the new version and
+// drop the oldest one after the other, so that at times no version is on all of
+// them. No answer mixes versions, and in the end all are of the new one.
+func TestIndexChangesUnderLoad(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(20)
+	for version := 43; version <= 45; version++ {
+		versions := "{versions: [" + strconv.Itoa(version-1) + ", " + strconv.Itoa(version) + "]}"
+		for replica := range replicas {
+			upstreams.Alter(replica, versions)
+		}
+		load.AwaitWhole(20)
+	}
+	harness.Await(t, "answers of version 45", func() bool { return load.Tally().Versions[core.Version(45)] >= 20 })
+	load.Stop()
+	load.RequireHonest()
+}
+
+func arrived(upstreams *harness.StandIn, replica int) int {
+	return upstreams.Counts()[replica].Arrived
+}
+
+// A replica begins to drain and says so only in its replies. After a few seconds
+// nothing new reaches it, from any node, and answers stay whole by its twin.
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(50)
+	require.Positive(t, arrived(upstreams, 0))
+	upstreams.Alter(0, "{draining: true}")
+	harness.Await(t, "many answers without a request to the draining replica", func() bool {
+		before := arrived(upstreams, 0)
+		load.AwaitWhole(50)
+		return arrived(upstreams, 0) == before
+	})
+	settled := arrived(upstreams, 0)
+	load.AwaitWhole(200)
+	require.Equal(t, settled, arrived(upstreams, 0))
+	load.Stop()
+	load.RequireHonest()
+}
+
+// An operator marks a replica as draining in the text. Once the revision is in
+// force everywhere nothing new reaches it.
+func TestReplicaDrainedByTheText(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(50)
+	fleet.AwaitReady(fleet.Publish(harness.Text(upstreams.Addresses, upstreams.Addresses[0])))
+	harness.Await(t, "many answers without a request to the draining replica", func() bool {
+		before := arrived(upstreams, 0)
+		load.AwaitWhole(50)
+		return arrived(upstreams, 0) == before
+	})
+	settled := arrived(upstreams, 0)
+	load.AwaitWhole(200)
+	require.Equal(t, settled, arrived(upstreams, 0))
+	require.Zero(t, load.Stop().Thin)
+	load.RequireHonest()
+}
+
+// The VM of one replica is suspended: its connections stay open and answer
+// nothing. Answers meanwhile may be thin and then name that shard alone; when it
+// wakes up, they are whole again.
+func TestPausedUpstream(t *testing.T) {
+	paused := harness.StartUpstreams(t, binary, 1, upstreamBehaviour)
+	others := harness.StartUpstreams(t, binary, replicas-1, upstreamBehaviour)
+	text := harness.Text(append(append([]string(nil), paused.Addresses...), others.Addresses...))
+	fleet := harness.StartFleet(t, binary, 3, text, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(20)
+	paused.Pause()
+	harness.Await(t, "answers come while the replica is paused", func() bool {
+		tally := load.Tally()
+		return tally.Thin > 0 || tally.Whole > 100
+	})
+	paused.Resume()
+	load.AwaitWhole(50)
+	load.Stop()
+	load.RequireHonest()
+}
+
+// Replicas answer in every wrong way: other requests' replies, replies cut short
+// and errors. No answer takes up such a part, and none hides that it is thin.
+func TestWrongRepliesNeverReachCallers(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	upstreams.Alter(harness.All, "{crossed_share: 0.02, cut_share: 0.02, fail_share: 0.02, shed_share: 0.05}")
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	harness.Await(t, "many answers", func() bool { return load.Tally().Whole+load.Tally().Thin >= 100 })
+	upstreams.Alter(harness.All, "{crossed_share: 0, cut_share: 0, fail_share: 0, shed_share: 0}")
+	load.AwaitWhole(20)
+	load.Stop()
+	load.RequireHonest()
+}
