End-to-end tests: each lost node owns bundles; silent upstream connections

With bundles of ten and all replicas in two data centres one node owned everything, so that the loss of another was felt by nobody: kill and pause passed in 0.4 s without a single fall-back.

--- a/test/e2e/harness/fleet.go
+++ b/test/e2e/harness/fleet.go
@@ -11,8 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
@@ -155,6 +157,25 @@
 	return f.revision
 }
 
+// RequireOwner fails the test unless the node owns a bundle of the text while
+// all the fleet's nodes are live: only then is its loss felt by the others.
+func (f *Fleet) RequireOwner(n *Node, text string) {
+	f.t.Helper()
+	parsed, err := catalog.Parse([]byte(text))
+	require.NoError(f.t, err)
+	var nodes []route.Node
+	for _, one := range f.nodes {
+		nodes = append(nodes, route.Node{ID: one.VM.ID, DataCentre: one.VM.DataCentre})
+	}
+	view := route.NewView(nodes)
+	for _, bundle := range parsed.Bundles {
+		if owner, ok := view.Rank(bundle.ID, bundle.DataCentre, 0); ok && owner.ID == n.VM.ID {
+			return
+		}
+	}
+	require.FailNow(f.t, string(n.VM.ID)+" owns no bundle of the text")
+}
+
 // Callers are the callers' addresses of the fleet's nodes.
 func (f *Fleet) Callers() []string {
 	var list []string
--- a/test/e2e/harness/text.go
+++ b/test/e2e/harness/text.go
@@ -11,14 +11,17 @@
 	Replicas = 2
 	// Lead is the service that depends on all the others.
 	Lead = "plate-costing"
+	// bundleSize is small, so that each of three nodes owns some bundles.
+	bundleSize = 4
 )
 
 // Text writes the operators' text of Services services of Replicas replicas
 // each, at the addresses in order; the first service is the Lead. The
-// addresses of draining replicas are marked so.
+// addresses of draining replicas are marked so. Bundles are spread over the data
+// centres: a bundle's owner is a node of its data centre.
 func Text(addresses []string, draining ...string) string {
 	var b strings.Builder
-	b.WriteString("version: 1\nindexes: [prices]\nservices:\n")
+	fmt.Fprintf(&b, "version: 1\npolicy: {bundle_size: %d}\nindexes: [prices]\nservices:\n", bundleSize)
 	var others []string
 	for i := 1; i < Services; i++ {
 		others = append(others, fmt.Sprintf("vendor-%02d", i))
@@ -35,7 +38,7 @@
 		b.WriteString("    shards:\n      - replicas:\n")
 		for r := range Replicas {
 			address := addresses[i*Replicas+r]
-			fmt.Fprintf(&b, "          - {address: %q, data_centre: dc%d, draining: %t}\n", address, r+1, contains(draining, address))
+			fmt.Fprintf(&b, "          - {address: %q, data_centre: dc%d, draining: %t}\n", address, i/bundleSize%dataCentres+1, contains(draining, address))
 		}
 	}
 	return b.String()
--- a/test/e2e/node_test.go
+++ b/test/e2e/node_test.go
@@ -27,10 +27,11 @@
 // Its own callers see their answers lost; nobody else does, and nobody waits
 // without end.
 func TestKilledNodeLosesNoOtherAnswer(t *testing.T) {
-	fleet, _ := start(t, harness.NodeOptions{})
+	fleet, upstreams := start(t, harness.NodeOptions{})
 	load := harness.StartLoad(t, callers, fleet.Callers()...)
 	load.AwaitWhole(50)
 	victim := fleet.Nodes()[1]
+	fleet.RequireOwner(victim, harness.Text(upstreams.Addresses))
 	load.Exempt(victim.VM.CallerAddress)
 	victim.Kill()
 	fleet.Remove(victim)
@@ -46,10 +47,11 @@
 // whole meanwhile, by the next node of each bundle's order, and the woken node
 // answers whole again.
 func TestPausedNode(t *testing.T) {
-	fleet, _ := start(t, harness.NodeOptions{})
+	fleet, upstreams := start(t, harness.NodeOptions{})
 	load := harness.StartLoad(t, callers, fleet.Callers()...)
 	load.AwaitWhole(20)
 	paused := fleet.Nodes()[2]
+	fleet.RequireOwner(paused, harness.Text(upstreams.Addresses))
 	load.Exempt(paused.VM.CallerAddress)
 	load.Use(fleet.Callers()[:2]...)
 	paused.Pause()
@@ -67,7 +69,11 @@
 // still does when the split heals.
 func TestPartitionBetweenNodes(t *testing.T) {
 	upstreams := harness.StartUpstreams(t, binary, replicas, upstreamBehaviour)
-	split := harness.NewSplitFleet(t, binary, 2, 1, harness.Text(upstreams.Addresses))
+	text := harness.Text(upstreams.Addresses)
+	split := harness.NewSplitFleet(t, binary, 2, 1, text)
+	for _, n := range split.Nodes() {
+		split.RequireOwner(n, text)
+	}
 	load := harness.StartLoad(t, callers, split.Callers()...)
 	load.AwaitWhole(20)
 	split.Cut()
@@ -93,6 +99,7 @@
 	fleet, upstreams := start(t, harness.NodeOptions{})
 	upstreams.Alter(harness.All, "{service: 100ms}")
 	stopped := fleet.Nodes()[0]
+	fleet.RequireOwner(stopped, harness.Text(upstreams.Addresses))
 	own := harness.StartLoad(t, callers, stopped.VM.CallerAddress)
 	others := harness.StartLoad(t, callers, fleet.Callers()[1:]...)
 	others.AwaitWhole(4)
--- a/test/e2e/start_test.go
+++ b/test/e2e/start_test.go
@@ -15,12 +15,13 @@
 // list names it. The others take no message of it and give it none; their
 // answers stay whole by the next node of each order.
 func TestNodeWithAForeignCertificate(t *testing.T) {
-	fleet, _ := start(t, harness.NodeOptions{})
+	fleet, upstreams := start(t, harness.NodeOptions{})
 	foreign, err := keys.NewAuthority(time.Now(), time.Hour)
 	require.NoError(t, err)
 	good := fleet.Callers()
-	fleet.Add(harness.NodeOptions{Authority: foreign})
+	intruder := fleet.Add(harness.NodeOptions{Authority: foreign})
 	fleet.List()
+	fleet.RequireOwner(intruder, harness.Text(upstreams.Addresses))
 	fleet.AwaitReady(1)
 	load := harness.StartLoad(t, callers, good...)
 	load.AwaitWhole(30)
--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
@@ -93,6 +94,35 @@
 	load.RequireHonest()
 }
 
+// Something between the nodes and both replicas of one shard has lost track of
+// the open connections: they take bytes and give none back, for good, while new
+// ones work. Answers are whole again once the silent connections are given up.
+func TestSilentConnectionsToUpstreams(t *testing.T) {
+	upstreams := harness.StartUpstreams(t, binary, replicas, upstreamBehaviour)
+	addresses := append([]string(nil), upstreams.Addresses...)
+	var proxies []*faultproxy.TCP
+	for i := range harness.Replicas {
+		proxy, err := faultproxy.StartTCP(addresses[i], uint64(i))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = proxy.Close() })
+		addresses[i] = proxy.Address()
+		proxies = append(proxies, proxy)
+	}
+	fleet := harness.StartFleet(t, binary, 3, harness.Text(addresses), harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(50)
+	for _, proxy := range proxies {
+		require.Positive(t, proxy.Flows())
+		proxy.Silence()
+	}
+	load.AwaitWhole(100)
+	load.Stop()
+	load.RequireHonest()
+	for _, proxy := range proxies {
+		require.Positive(t, proxy.Dropped(), "a request went into the silence")
+	}
+}
+
 // Replicas answer in every wrong way: other requests' replies, replies cut short
 // and errors. No answer takes up such a part, and none hides that it is thin.
 func TestWrongRepliesNeverReachCallers(t *testing.T) {
