--- /dev/null
+++ b/test/session/query.go
@@ -0,0 +1,142 @@
+package session
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/query"
+)
+
+// querySession drives one question. Header lines: "service NAME shards=N
+// bundle=N needs=A,B", dependencies first, and "options" with query.Options.
+type querySession struct {
+	plan    query.Plan
+	options query.Options
+	machine *query.Machine
+}
+
+func newQuery() machine { return &querySession{} }
+
+func (s *querySession) header(l line) error {
+	switch l.word {
+	case "options":
+		return fill(l, &s.options)
+	case "service":
+		return s.service(l)
+	}
+	return l.fault("a query session has no header %q", l.word)
+}
+
+func (s *querySession) service(l line) error {
+	written := struct {
+		Shards int
+		Bundle uint32
+		Needs  []string
+	}{Shards: 1}
+	if err := fill(l, &written); err != nil {
+		return err
+	}
+	place := len(s.plan.Services)
+	service := query.ServicePlan{Name: l.name}
+	for _, needed := range written.Needs {
+		at := s.find(needed)
+		if at < 0 {
+			return l.fault("service %q is not written above", needed)
+		}
+		service.DependsOn = append(service.DependsOn, at)
+	}
+	for shard := range written.Shards {
+		service.Shards = append(service.Shards, len(s.plan.Needs))
+		s.plan.Needs = append(s.plan.Needs, query.Need{
+			Ref:     core.ShardRef{Service: l.name, Shard: shard},
+			Bundle:  core.BundleID(written.Bundle),
+			Service: place,
+		})
+	}
+	s.plan.Services = append(s.plan.Services, service)
+	return nil
+}
+
+func (s *querySession) find(service string) int {
+	for i, one := range s.plan.Services {
+		if one.Name == service {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *querySession) step(now time.Duration, l line) ([]any, error) {
+	if s.machine == nil {
+		s.machine = query.New(&s.plan, s.options)
+	}
+	event, err := s.event(l)
+	if err != nil {
+		return nil, err
+	}
+	return steps(s.machine.Step(now, event)), nil
+}
+
+func (s *querySession) event(l line) (query.Event, error) {
+	l, err := s.numberShard(l)
+	if err != nil {
+		return nil, err
+	}
+	switch l.word {
+	case "started":
+		return query.Started{}, fill(l, &query.Started{})
+	case "part":
+		var e query.PartArrived
+		err := fill(l, &e)
+		return e, err
+	case "part_failed":
+		var e query.PartFailed
+		err := fill(l, &e)
+		return e, err
+	case "send_failed":
+		var e query.SendFailed
+		err := fill(l, &e)
+		return e, err
+	case "woken":
+		return query.Woken{}, fill(l, &query.Woken{})
+	case "cancelled":
+		return query.Cancelled{}, fill(l, &query.Cancelled{})
+	}
+	return nil, l.fault("a question has no event %q", l.word)
+}
+
+// numberShard replaces shard=NAME/N by the number that the machine uses.
+func (s *querySession) numberShard(l line) (line, error) {
+	fields := append([]field(nil), l.fields...)
+	for i, f := range fields {
+		if f.key != "shard" {
+			continue
+		}
+		number := -1
+		for need := range s.plan.Needs {
+			if s.plan.Needs[need].Ref.String() == f.value {
+				number = need
+			}
+		}
+		if number < 0 {
+			return l, l.fault("shard %s is not in the plan", f.value)
+		}
+		fields[i] = field{key: "need", value: strconv.Itoa(number)}
+	}
+	l.fields = fields
+	return l, nil
+}
+
+func (s *querySession) name(field string, value any) (string, bool) {
+	needs, ok := value.([]int)
+	if field != "Needs" || !ok {
+		return "", false
+	}
+	names := make([]string, 0, len(needs))
+	for _, need := range needs {
+		names = append(names, s.plan.Needs[need].Ref.String())
+	}
+	return strings.Join(names, ","), true
+}
--- /dev/null
+++ b/test/session/value.go
@@ -0,0 +1,161 @@
+package session
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// fill sets the fields of a struct, given by pointer, from a line's fields. It
+// goes by the fields' names, so that a machine's type may gain fields without a
+// change here.
+func fill(l line, out any) error {
+	value := reflect.ValueOf(out).Elem()
+	for _, f := range l.fields {
+		target, ok := fieldOf(value, f.key)
+		if !ok {
+			return l.fault("%s has no field %q", snake(value.Type().Name()), f.key)
+		}
+		if err := set(target, f.value); err != nil {
+			return l.fault("%s: %v", f.key, err)
+		}
+	}
+	return nil
+}
+
+func fieldOf(value reflect.Value, key string) (reflect.Value, bool) {
+	for i := range value.NumField() {
+		written := value.Type().Field(i)
+		if written.IsExported() && snake(written.Name) == key {
+			return value.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+// set parses one value by the type of its place.
+func set(target reflect.Value, text string) error {
+	switch target.Type() {
+	case reflect.TypeFor[time.Duration]():
+		duration, err := time.ParseDuration(text)
+		target.SetInt(int64(duration))
+		return err
+	case reflect.TypeFor[core.Outcome]():
+		return setOutcome(target, text)
+	case reflect.TypeFor[[]byte]():
+		target.SetBytes([]byte(text))
+		return nil
+	}
+	switch target.Kind() {
+	case reflect.String:
+		target.SetString(text)
+		return nil
+	case reflect.Slice:
+		return setList(target, text)
+	case reflect.Bool:
+		parsed, err := strconv.ParseBool(text)
+		target.SetBool(parsed)
+		return err
+	case reflect.Int, reflect.Int64:
+		parsed, err := strconv.ParseInt(text, 10, 64)
+		target.SetInt(parsed)
+		return err
+	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		target.SetUint(parsed)
+		return err
+	case reflect.Float64:
+		parsed, err := strconv.ParseFloat(text, 64)
+		target.SetFloat(parsed)
+		return err
+	default:
+		return fmt.Errorf("a %s cannot be written in a session", target.Type())
+	}
+}
+
+func setList(target reflect.Value, text string) error {
+	texts := strings.Split(text, ",")
+	list := reflect.MakeSlice(target.Type(), len(texts), len(texts))
+	for i, one := range texts {
+		if err := set(list.Index(i), one); err != nil {
+			return err
+		}
+	}
+	target.Set(list)
+	return nil
+}
+
+func setOutcome(target reflect.Value, text string) error {
+	for _, outcome := range []core.Outcome{core.Unknown, core.Done, core.NotRun} {
+		if outcome.String() == text {
+			target.SetUint(uint64(outcome))
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is none of unknown, done and not_run", text)
+}
+
+// namer renders a value of a field in the session's own words; false leaves it
+// to its type.
+type namer func(field string, value any) (string, bool)
+
+// render writes a struct as its type's name and the fields that are not zero.
+func render(value any, name namer) string {
+	v := reflect.ValueOf(value)
+	return snake(v.Type().Name()) + renderFields(v, name)
+}
+
+func renderFields(v reflect.Value, name namer) string {
+	var b strings.Builder
+	for i := range v.NumField() {
+		written := v.Type().Field(i)
+		if !written.IsExported() || v.Field(i).IsZero() {
+			continue
+		}
+		b.WriteString(" " + snake(written.Name) + "=" + renderValue(written.Name, v.Field(i), name))
+	}
+	return b.String()
+}
+
+func renderValue(field string, v reflect.Value, name namer) string {
+	if text, ok := name(field, v.Interface()); ok {
+		return text
+	}
+	if text, ok := v.Interface().([]byte); ok {
+		return string(text)
+	}
+	if stringer, ok := v.Interface().(fmt.Stringer); ok {
+		return stringer.String()
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return "{" + strings.TrimSpace(renderFields(v, name)) + "}"
+	case reflect.Slice:
+		items := make([]string, 0, v.Len())
+		for i := range v.Len() {
+			items = append(items, renderValue(field, v.Index(i), name))
+		}
+		return "[" + strings.Join(items, " ") + "]"
+	default:
+		return fmt.Sprint(v.Interface())
+	}
+}
+
+// snake turns a Go name into lower case with underscores.
+func snake(name string) string {
+	var b strings.Builder
+	previousLower := false
+	for _, r := range name {
+		if unicode.IsUpper(r) && previousLower {
+			b.WriteByte('_')
+		}
+		previousLower = unicode.IsLower(r) || unicode.IsDigit(r)
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
