--- a/test/session/query.go
+++ b/test/session/query.go
@@ -12,9 +12,10 @@
 // querySession drives one question. Header lines: "service NAME shards=N
 // bundle=N needs=A,B", dependencies first, and "options" with query.Options.
 type querySession struct {
-	plan    query.Plan
-	options query.Options
-	machine *query.Machine
+	services []query.ServicePlan
+	needs    []query.Need
+	options  query.Options
+	machine  *query.Machine
 }
 
 func newQuery() machine { return &querySession{} }
@@ -38,7 +39,7 @@
 	if err := fill(l, &written); err != nil {
 		return err
 	}
-	place := len(s.plan.Services)
+	place := len(s.services)
 	service := query.ServicePlan{Name: l.name}
 	for _, needed := range written.Needs {
 		at := s.find(needed)
@@ -48,19 +49,19 @@
 		service.DependsOn = append(service.DependsOn, at)
 	}
 	for shard := range written.Shards {
-		service.Shards = append(service.Shards, len(s.plan.Needs))
-		s.plan.Needs = append(s.plan.Needs, query.Need{
+		service.Shards = append(service.Shards, len(s.needs))
+		s.needs = append(s.needs, query.Need{
 			Ref:     core.ShardRef{Service: l.name, Shard: shard},
 			Bundle:  core.BundleID(written.Bundle),
 			Service: place,
 		})
 	}
-	s.plan.Services = append(s.plan.Services, service)
+	s.services = append(s.services, service)
 	return nil
 }
 
 func (s *querySession) find(service string) int {
-	for i, one := range s.plan.Services {
+	for i, one := range s.services {
 		if one.Name == service {
 			return i
 		}
@@ -70,7 +71,7 @@
 
 func (s *querySession) step(now time.Duration, l line) ([]any, error) {
 	if s.machine == nil {
-		s.machine = query.New(&s.plan, s.options)
+		s.machine = query.New(query.NewPlan(s.services, s.needs), s.options)
 	}
 	event, err := s.event(l)
 	if err != nil {
@@ -115,8 +116,8 @@
 			continue
 		}
 		number := -1
-		for need := range s.plan.Needs {
-			if s.plan.Needs[need].Ref.String() == f.value {
+		for need := range s.needs {
+			if s.needs[need].Ref.String() == f.value {
 				number = need
 			}
 		}
@@ -136,7 +137,7 @@
 	}
 	names := make([]string, 0, len(needs))
 	for _, need := range needs {
-		names = append(names, s.plan.Needs[need].Ref.String())
+		names = append(names, s.needs[need].Ref.String())
 	}
 	return strings.Join(names, ","), true
 }
