End-to-end load: answers counted for each caller, tally shown on failure

The test of a paused upstream resumed it after 0.3 s, before any held-up question had ended; it now waits for three more answers of every caller.

--- a/test/e2e/harness/load.go
+++ b/test/e2e/harness/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -49,6 +50,8 @@
 type Tally struct {
 	Whole int
 	Thin  int
+	// Answered counts each caller's answers, whole or thin.
+	Answered []int
 	// Failed counts typed failures by code and outcome, such as "lost/unknown".
 	Failed map[string]int
 	// Unexpected lists failures of entries that were not exempt.
@@ -73,7 +76,7 @@
 func startLoad(t testing.TB, callers, questions int, entries []string) *Load {
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Load{t: t, client: client.New(), stop: stop, entries: entries, exempt: map[string]bool{}}
-	l.tally = Tally{Failed: map[string]int{}, Versions: map[core.Version]int{}, MissingReasons: map[core.Reason]int{}}
+	l.tally = Tally{Answered: make([]int, callers), Failed: map[string]int{}, Versions: map[core.Version]int{}, MissingReasons: map[core.Reason]int{}}
 	for caller := range callers {
 		l.done.Add(1)
 		go func() {
@@ -81,7 +84,12 @@
 			l.run(ctx, caller, questions)
 		}()
 	}
-	t.Cleanup(func() { l.Stop() })
+	t.Cleanup(func() {
+		tally := l.Stop()
+		if t.Failed() {
+			t.Logf("load: %d whole, %d thin, missing %v, failed %v, versions %v", tally.Whole, tally.Thin, tally.MissingReasons, tally.Failed, tally.Versions)
+		}
+	})
 	return l
 }
 
@@ -121,6 +129,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	tally := l.tally
+	tally.Answered = slices.Clone(tally.Answered)
 	tally.Failed = maps.Clone(tally.Failed)
 	tally.Versions = maps.Clone(tally.Versions)
 	tally.MissingReasons = maps.Clone(tally.MissingReasons)
@@ -143,12 +152,28 @@
 	Await(l.t, fmt.Sprintf("%d more whole answers", more), func() bool { return l.Tally().Whole >= from+more })
 }
 
+// AwaitEach waits until every caller got so many more answers: a caller whose
+// question is held up gets none meanwhile, so that all that were held up at the
+// start have ended.
+func (l *Load) AwaitEach(more int) {
+	l.t.Helper()
+	from := l.Tally().Answered
+	Await(l.t, fmt.Sprintf("%d more answers for each caller", more), func() bool {
+		for caller, answered := range l.Tally().Answered {
+			if answered < from[caller]+more {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (l *Load) run(ctx context.Context, caller, questions int) {
 	for number := 0; number < questions && ctx.Err() == nil; number++ {
 		entry := l.entry()
 		id := fmt.Sprintf("caller-%d-%d", caller, number)
 		reply, err := l.ask(entry, id)
-		if l.record(entry, id, reply, err) {
+		if l.record(entry, id, caller, reply, err) {
 			continue
 		}
 		time.Sleep(errorPause)
@@ -192,7 +217,7 @@
 }
 
 // record tallies the end of one question; false when it failed.
-func (l *Load) record(entry, id string, reply api.QueryReply, err error) bool {
+func (l *Load) record(entry, id string, caller int, reply api.QueryReply, err error) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if err != nil {
@@ -202,6 +227,7 @@
 	if problem := Check(id, reply); problem != nil {
 		l.tally.Wrong = append(l.tally.Wrong, problem.Error())
 	}
+	l.tally.Answered[caller]++
 	l.tally.Versions[reply.Version]++
 	if !reply.Coverage.Thin {
 		l.tally.Whole++
--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -84,10 +84,7 @@
 	load := harness.StartLoad(t, callers, fleet.Callers()...)
 	load.AwaitWhole(20)
 	paused.Pause()
-	harness.Await(t, "answers come while the replica is paused", func() bool {
-		tally := load.Tally()
-		return tally.Thin > 0 || tally.Whole > 100
-	})
+	load.AwaitEach(3)
 	paused.Resume()
 	load.AwaitWhole(50)
 	load.Stop()
