--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -3,24 +3,28 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/gather"
+	"github.com/pistachiopier/pistachiopier/internal/home"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/night"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -43,6 +47,7 @@
 	upstream *upstream.Client
 	owner    *owner.Owner
 	entry    *entry.Entry
+	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
 	platform *platform.Client
@@ -50,12 +55,18 @@
 	members  *membership.Watcher
 	caller   *httpServer
 	operator *httpServer
+	gatherer *gather.Gatherer
+	prober   *night.Prober
+	expiry   *expiryWatch
+	rotation api.Rotation
+	stopping atomic.Bool
 }
 
 // httpServer is a server with the address it got.
 type httpServer struct {
 	*http.Server
-	address string
+	address  string
+	listener *api.LimitedListener
 }
 
 // Addresses are where a started node listens.
@@ -73,12 +84,12 @@
 // New describes a node as an fx application; Run or Start it.
 func New(s *settings.Settings, log logrus.FieldLogger, options ...fx.Option) *fx.App {
 	base := []fx.Option{
-		fx.NopLogger,
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(log.WithField("node", s.Node)) }),
 		fx.Supply(s),
 		fx.Provide(func() logrus.FieldLogger { return log }),
 		fx.Provide(newNode),
 		fx.Invoke(func(lifecycle fx.Lifecycle, node *Node) {
-			lifecycle.Append(fx.Hook{OnStart: node.start, OnStop: node.stop})
+			lifecycle.Append(fx.Hook{OnStart: node.startOrCleanUp, OnStop: node.stop})
 		}),
 		fx.StopTimeout(s.StopWait),
 	}
@@ -103,8 +114,18 @@
 
 func (n *Node) now() core.Time { return time.Since(n.started) }
 
+// startOrCleanUp starts the node. fx does not call the stop of a start that
+// failed, so that what did start is ended here.
+func (n *Node) startOrCleanUp(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.stop(ctx)
+	}
+	return err
+}
+
 func (n *Node) start(context.Context) error {
-	tlsConfig, err := loadTLS(n.settings.TLS)
+	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
 	if err != nil {
 		return fault.Step("load keys", err)
 	}
@@ -117,11 +138,17 @@
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
+	n.startOperating(tlsConfig, certificates)
 	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("open peer pool", err)
 	}
 	n.config = n.newConfigWatcher()
+	n.home, err = home.New(home.Options{Self: n.identity.Node, Belief: n.belief, Peers: n.pool, Now: n.now, Log: n.log, Limits: once.DefaultLimits()})
+	if err != nil {
+		return fault.Step("start home", err)
+	}
+	n.pool.OnBroken((&linkLog{log: n.log}).broken)
 	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
 	if err != nil {
 		return fault.Step("listen for peers", err)
@@ -145,68 +172,26 @@
 	return nil
 }
 
-// logStarted tells the addresses, which settings with port 0 do not know.
-func (n *Node) logStarted() {
-	addresses := n.Addresses()
-	n.log.WithFields(logrus.Fields{
-		"event":            "node_started",
-		"incarnation":      n.identity.Incarnation,
-		"caller_address":   addresses.Caller,
-		"peer_address":     addresses.Peer,
-		"operator_address": addresses.Operator,
-	}).Info("node started")
-}
-
-func (n *Node) newConfigWatcher() *confwatch.Watcher {
-	return confwatch.New(confwatch.Options{
-		Self:       n.identity.Node,
-		DataCentre: n.settings.DataCentre,
-		Service:    n.platform,
-		Belief:     n.belief,
-		Peers:      n.pool,
-		Now:        n.now,
-		Log:        n.log,
-		Problems:   n.problems,
-		Metrics:    n.metrics,
-		Seed:       n.identity.Incarnation,
-	})
-}
-
-func (n *Node) startHTTP() error {
-	caller := api.NewCaller(api.CallerParts{Entry: n.entry, Entries: n.entries, MaxBodyBytes: int64(n.settings.Limits.MaxBodyBytes)})
-	operator := api.NewOperator(api.OperatorParts{Health: n.health, Status: func() any { return n.Status() }, Dump: n.dump})
-	var err error
-	n.caller, err = n.serve(n.settings.CallerAddress, caller)
-	if err != nil {
-		return fault.Step("listen for callers", err)
-	}
-	n.operator, err = n.serve(n.settings.OperatorAddress, operator)
-	return fault.Step("listen for operators", err)
-}
-
-func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: n.settings.Limits.HeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return &httpServer{Server: server, address: listener.Addr().String()}, nil
-}
-
 // stop finishes what is in flight, then ends the duties. It also cleans up
 // after a start that failed half-way.
 func (n *Node) stop(ctx context.Context) error {
+	n.stopping.Store(true)
 	var problems []error
 	if n.caller != nil {
 		problems = append(problems, n.caller.Shutdown(ctx))
 	}
+	if n.home != nil {
+		n.home.Stop(ctx)
+		n.owner.DrainSubmits(ctx)
+		defer n.home.Close()
+	}
 	if n.members != nil {
 		n.members.Close()
 	}
 	if n.config != nil {
 		n.config.Close()
 	}
+	n.stopOperating()
 	if n.entry != nil {
 		n.entry.Close()
 	}
@@ -235,30 +220,22 @@
 	case *peerpb.Envelope_BundleRequest:
 		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
 		n.owner.HandleBundle(inbound)
+	case *peerpb.Envelope_SubmitRequest:
+		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
+			n.owner.HandleSubmit(inbound)
+			return
+		}
+		n.home.HandleSubmit(inbound)
+	case *peerpb.Envelope_HandoverRequest:
+		n.home.HandleHandover(inbound)
+	case *peerpb.Envelope_ProblemsRequest:
+		n.gatherer.Answer(inbound)
 	default:
 		// A newer peer may send a body that this node does not know.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
 }
 
-func (n *Node) entries() api.Entries {
-	out := api.Entries{TTLMs: n.settings.EntriesTTL.Milliseconds()}
-	for _, node := range n.belief.View().Nodes() {
-		out.Entries = append(out.Entries, api.EntryAddress{Node: node.ID, Address: node.CallerAddress, DataCentre: node.DataCentre})
-	}
-	return out
-}
-
-func (n *Node) health() api.Health {
-	if n.belief.Config() == nil {
-		return api.Health{State: "starting", Why: "no configuration is in force yet"}
-	}
-	if len(n.belief.View().Nodes()) == 0 {
-		return api.Health{State: "starting", Why: "the VM list is not read yet"}
-	}
-	return api.Health{State: "ready"}
-}
-
 // Status is a node's short state for operators.
 type Status struct {
 	Node        core.NodeID `json:"node"`
@@ -297,9 +274,11 @@
 	Links      int          `json:"peer_links"`
 	EntryRings []ring.Stats `json:"entry_rings"`
 	OwnerRings []ring.Stats `json:"owner_rings"`
+	HomeRings  []ring.Stats `json:"home_rings"`
 	Dropped    int64        `json:"dropped_upstream_replies"`
 
-	Config confwatch.Dump `json:"config"`
+	Config   confwatch.Dump `json:"config"`
+	Problems any            `json:"problems"`
 }
 
 func (n *Node) dump() any {
@@ -309,23 +288,9 @@
 		Links:      n.pool.Links(),
 		EntryRings: n.entry.Rings(),
 		OwnerRings: n.owner.Rings(),
+		HomeRings:  n.home.Rings(),
 		Dropped:    n.upstream.DroppedReplies(),
 		Config:     n.config.Dump(),
+		Problems:   n.gatherer.Own().Problems,
 	}
 }
-
-func loadTLS(paths settings.TLS) (*tls.Config, error) {
-	authority, err := settings.PEM(paths.Authority)
-	if err != nil {
-		return nil, err
-	}
-	certificate, err := settings.PEM(paths.Certificate)
-	if err != nil {
-		return nil, err
-	}
-	key, err := settings.PEM(paths.Key)
-	if err != nil {
-		return nil, err
-	}
-	return keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
-}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -113,7 +113,7 @@
 func TestHealthLags(t *testing.T) {
 	u := startOne(t, Behaviour{Versions: []uint64{1}, ReportLag: time.Hour})
 	read := func() string {
-		response, err := http.Get("http://" + u.Address() + PathHealth)
+		response, err := http.Get("http://" + u.Address() + upstream.PathHealth)
 		require.NoError(t, err)
 		defer func() { _ = response.Body.Close() }()
 		line, _ := bufio.NewReader(response.Body).ReadString('\n')
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -12,11 +12,9 @@
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
-// The paths of an upstream's own health and load. Both may lag or mislead.
-const (
-	PathHealth = "/v1/health"
-	PathLoad   = "/v1/load"
-)
+// PathLoad is an upstream's own word on its load. Like that on its health it may
+// lag or mislead.
+const PathLoad = "/v1/load"
 
 // Upstream stands in for one replica of any shard.
 type Upstream struct {
@@ -41,7 +39,7 @@
 	u.gate = gate
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
-	mux.HandleFunc("GET "+PathHealth, u.serveHealth)
+	mux.HandleFunc("GET "+upstream.PathHealth, u.serveHealth)
 	mux.HandleFunc("GET "+PathLoad, u.serveLoad)
 	u.server = serveOn(gate, mux)
 	return u, nil
