--- a/internal/fleet/operate_test.go
+++ b/internal/fleet/operate_test.go
@@ -101,6 +101,25 @@
 	require.Eventually(t, func() bool { return report().Count() == 0 }, awaitLimit, awaitPause)
 }
 
+// The replicas of a service that must not be repeated die at night. No query may
+// be sent to them as a probe: it would be recorded as an invoice. Their health
+// endpoint is all there is, and the problem says so.
+func TestAServiceThatMustNotBeRepeatedIsProbedByItsHealthOnly(t *testing.T) {
+	upstreams := startUpstreams(t, 2)
+	text := strings.Replace(testText(upstreams), "timeout: 5s", "timeout: 5s\n    idempotent: false", 1)
+	f := startWith(t, Options{Nodes: 1, LogTo: io.Discard, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }}, text)
+	require.NoError(t, upstreams[0].Close())
+	var report api.ProblemsReport
+	require.Eventually(t, func() bool {
+		report = get[api.ProblemsReport](t, f.Members()[0].Addresses.Operator, "/v1/problems")
+		return kinds(report)[observe.KindReplicaDown] == 1
+	}, awaitLimit, awaitPause)
+	require.Contains(t, fmt.Sprint(report), "by its health endpoint only")
+	require.Zero(t, kinds(report)[observe.KindStalledService], "the other replica answers")
+	require.Zero(t, upstreams[1].Queries())
+	require.Empty(t, upstreams[1].Submits())
+}
+
 // A node dies while it is still in the VM list. The report must say that its
 // problems are not known, rather than look complete.
 func TestANodeThatDoesNotAnswerIsNamed(t *testing.T) {
@@ -194,16 +213,24 @@
 	pair, err := stranger.Issue("vm-2", time.Now(), validity)
 	require.NoError(t, err)
 	var log safeBuffer
-	f := startWith(t, Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
+	f, err := Start(Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
 		if s.Node == "vm-2" {
 			s.TLS.Authority, s.TLS.Certificate, s.TLS.Key = string(stranger.Certificate), string(pair.Certificate), string(pair.Key)
 		}
-	}}, testText(startUpstreams(t, 8)))
+	}})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	revision := f.Platform.Publish(testText(startUpstreams(t, 8)))
+	for _, member := range f.Members() {
+		ready := func() bool { return member.Node.Status().Revision == revision && member.Node.Status().Nodes == 1 }
+		require.Eventually(t, ready, awaitLimit, awaitPause, "it must not route to a node that cannot be reached")
+	}
 	caller := client.New()
 	defer caller.Close()
 	for _, member := range f.Members() {
-		_, err := caller.Query(context.Background(), member.Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
+		reply, err := caller.Query(context.Background(), member.Addresses.Caller, "top", api.QueryRequest{Customer: "chef"})
 		require.NoError(t, err)
+		require.False(t, reply.Coverage.Thin)
 	}
 	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"event":"peer_certificate_refused"`) }, awaitLimit, awaitPause)
 	require.Contains(t, log.String(), "unknown authority")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,8 +5,11 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 
@@ -24,6 +27,7 @@
 	listener *quic.Listener
 	stop     context.CancelFunc
 	done     sync.WaitGroup
+	open     atomic.Int64
 }
 
 // Listen opens the peer address and serves until Close.
@@ -51,6 +55,10 @@
 // Address is the UDP address in use, with the port chosen for port 0.
 func (s *Server) Address() string { return s.udp.LocalAddr().String() }
 
+// Open is the number of peers' questions and must-not-repeat requests that are
+// not yet answered.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
 // Close ends all connections and frees the address.
 func (s *Server) Close() error {
 	s.stop()
@@ -105,6 +113,7 @@
 		stream.CancelWrite(codeClosing)
 	}()
 	session.read(reader)
+	session.abandon()
 }
 
 // writeAll wants every message.
@@ -134,7 +143,18 @@
 	from   Identity
 	out    *ring.Ring[*peerpb.Envelope]
 	mutex  sync.Mutex
-	open   map[uint64]context.CancelFunc
+	open   map[uint64]openRequest
+}
+
+// openRequest is a request that is not yet answered; work tells questions and
+// must-not-repeat requests from heartbeats and watches.
+type openRequest struct {
+	cancel context.CancelFunc
+	work   bool
+}
+
+func isWork(envelope *peerpb.Envelope) bool {
+	return envelope.GetBundleRequest() != nil || envelope.GetSubmitRequest() != nil || envelope.GetHandoverRequest() != nil
 }
 
 func newSession(ctx context.Context, server *Server, from Identity) *session {
@@ -143,7 +163,7 @@
 		server: server,
 		from:   from,
 		out:    ring.New[*peerpb.Envelope](writeRingDepth),
-		open:   map[uint64]context.CancelFunc{},
+		open:   map[uint64]openRequest{},
 	}
 	_ = s.out.Put(ctx, helloEnvelope(server.self))
 	return s
@@ -159,15 +179,26 @@
 			s.end(envelope.GetId())
 			continue
 		}
+		if envelope.GetHello() != nil {
+			// A liveness check: the answer proves that both ways work.
+			_ = s.out.Put(s.ctx, helloEnvelope(s.server.self))
+			continue
+		}
 		s.begin(envelope)
 	}
 }
 
 func (s *session) begin(envelope *peerpb.Envelope) {
 	ctx, cancel := context.WithCancel(s.ctx)
+	// A peer that uses an id twice ends the former request.
+	s.end(envelope.GetId())
+	work := isWork(envelope)
 	s.mutex.Lock()
-	s.open[envelope.GetId()] = cancel
+	s.open[envelope.GetId()] = openRequest{cancel: cancel, work: work}
 	s.mutex.Unlock()
+	if work {
+		s.server.open.Add(1)
+	}
 	s.server.handler.Handle(NewInbound(ctx, s.from, envelope, s.send))
 }
 
@@ -180,11 +211,25 @@
 
 func (s *session) end(id uint64) {
 	s.mutex.Lock()
-	cancel := s.open[id]
+	request, known := s.open[id]
 	delete(s.open, id)
 	s.mutex.Unlock()
-	if cancel != nil {
-		cancel()
+	if !known {
+		return
+	}
+	if request.work {
+		s.server.open.Add(-1)
+	}
+	request.cancel()
+}
+
+// abandon ends the requests of a stream that has ended.
+func (s *session) abandon() {
+	s.mutex.Lock()
+	ids := slices.Collect(maps.Keys(s.open))
+	s.mutex.Unlock()
+	for _, id := range ids {
+		s.end(id)
 	}
 }
 
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -87,3 +88,18 @@
 	requireRevision(t, fleet, 1)
 	fleet.AwaitReady(fleet.Publish(text))
 }
+
+// A VM is replaced while the configuration service answers from an old backup.
+// The new node must not serve by the old text: it learns the revision in force
+// from the other nodes.
+func TestNewNodeNeverServesAnOlderRevision(t *testing.T) {
+	fleet, upstreams := start(t, harness.NodeOptions{})
+	text := harness.Text(upstreams.Addresses)
+	latest := fleet.Publish(text)
+	fleet.AwaitReady(latest)
+	fleet.Platform.Publish(latest-1, text)
+	late := fleet.Add(harness.NodeOptions{})
+	fleet.List()
+	fleet.AwaitReady(latest)
+	require.NotContains(t, late.Output(), fmt.Sprintf(`"revision":%d`, latest-1), "the older revision was never in force")
+}
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -34,8 +34,10 @@
 
 const (
 	upstreamBehaviour = "{slots: 2, service: 1ms, versions: [41, 42], connections: 25, connect_cost: 6ms, load: 'true'}"
-	callers           = 4
-	replicas          = harness.Services * harness.Replicas
+	// shortTTL keeps the time short for which a stopping node goes on to serve.
+	shortTTL = "entries_ttl: 500ms\n"
+	callers  = 4
+	replicas = harness.Services * harness.Replicas
 )
 
 // start runs all upstreams in one process and a fleet of three nodes.
--- a/test/e2e/node_test.go
+++ b/test/e2e/node_test.go
@@ -96,7 +96,7 @@
 // upstream work for the other nodes. Every question is answered whole before
 // the process ends, and it ends cleanly.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
-	fleet, upstreams := start(t, harness.NodeOptions{})
+	fleet, upstreams := start(t, harness.NodeOptions{Settings: shortTTL})
 	// Two questions at the stopping node and two at the others fill the slots of
 	// every shard, and each runs long enough to be seen in flight.
 	const asking = callers / 2
@@ -123,11 +123,10 @@
 // the old one is listed as leaving, callers fetch the address answer anew, and
 // the old node is stopped. No question fails.
 func TestRollingReplacementOfAllNodes(t *testing.T) {
-	const ttl = "entries_ttl: 300ms\n"
-	fleet, _ := start(t, harness.NodeOptions{Settings: ttl})
+	fleet, _ := start(t, harness.NodeOptions{Settings: shortTTL})
 	load := harness.StartLoad(t, callers, fleet.Callers()...)
 	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
-		fleet.Add(harness.NodeOptions{Settings: ttl})
+		fleet.Add(harness.NodeOptions{Settings: shortTTL})
 		fleet.List()
 		fleet.AwaitReady(1)
 		old.VM.State = platform.VMLeaving
@@ -148,3 +147,48 @@
 	load.RequireHonest()
 	require.Zero(t, tally.Thin, tally.MissingReasons)
 }
+
+// A caller keeps the address answer for a while and connects by it. A node that
+// is told to stop in that while still gets questions; it leaves the answer, goes
+// on to serve until the answers given out have expired, and no question fails.
+func TestStoppingNodeServesUntilAddressesExpire(t *testing.T) {
+	fleet, _ := start(t, harness.NodeOptions{Settings: shortTTL})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.KeepAddresses()
+	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
+		load.AwaitWhole(20)
+		fleet.Add(harness.NodeOptions{Settings: shortTTL})
+		fleet.List()
+		fleet.AwaitReady(1)
+		old.VM.State = platform.VMLeaving
+		fleet.List()
+		old.Signal(syscall.SIGTERM)
+		require.Zero(t, old.AwaitExit())
+		fleet.Remove(old)
+		fleet.List()
+		fleet.AwaitReady(1)
+		load.RequireHonest()
+	}
+	load.AwaitWhole(20)
+	tally := load.Stop()
+	load.RequireHonest()
+	require.Zero(t, tally.Thin, tally.MissingReasons)
+}
+
+// A middlebox between the nodes has lost track of their open flows: datagrams go
+// in and none come out, for good, while a flow from a new port works. Answers
+// stay whole, and the nodes go on by new flows rather than for ever by the next
+// node of each order.
+func TestSilentFlowsBetweenNodesAreReplaced(t *testing.T) {
+	upstreams := harness.StartUpstreams(t, binary, replicas, upstreamBehaviour)
+	split := harness.NewSplitFleet(t, binary, 2, 1, harness.Text(upstreams.Addresses))
+	load := harness.StartLoad(t, callers, split.Callers()...)
+	load.AwaitWhole(20)
+	proxy := split.FirstToSecond[0]
+	flows := proxy.Flows()
+	proxy.Silence()
+	load.AwaitWhole(20)
+	harness.Await(t, "new flows through the proxy", func() bool { return proxy.Flows() > flows })
+	load.Stop()
+	load.RequireHonest()
+}
--- a/test/e2e/start_test.go
+++ b/test/e2e/start_test.go
@@ -22,10 +22,12 @@
 	intruder := fleet.Add(harness.NodeOptions{Authority: foreign})
 	fleet.List()
 	fleet.RequireOwner(intruder, harness.Text(upstreams.Addresses))
-	fleet.AwaitReady(1)
 	load := harness.StartLoad(t, callers, good...)
-	load.AwaitWhole(30)
-	load.Stop()
+	for _, n := range fleet.Nodes()[:len(good)] {
+		n.AwaitEvent("peer_certificate_refused", &struct{}{})
+	}
+	load.AwaitWhole(100)
+	require.Zero(t, load.Stop().Thin)
 	load.RequireHonest()
 }
 
--- a/test/e2e/submit_test.go
+++ b/test/e2e/submit_test.go
@@ -15,7 +15,7 @@
 func startLedger(t *testing.T) (*harness.Fleet, *harness.StandIn, *harness.Invoices) {
 	t.Helper()
 	upstreams := harness.StartUpstreams(t, binary, harness.LedgerReplicas, ledgerBehaviour)
-	fleet := harness.StartFleet(t, binary, 3, harness.LedgerText(upstreams.Addresses), harness.NodeOptions{})
+	fleet := harness.StartFleet(t, binary, 3, harness.LedgerText(upstreams.Addresses), harness.NodeOptions{Settings: shortTTL})
 	invoices := harness.StartInvoices(t, callers, fleet.Callers()...)
 	invoices.AwaitDone(30)
 	return fleet, upstreams, invoices
@@ -82,7 +82,7 @@
 func TestInvoicesDuringARollingReplacement(t *testing.T) {
 	fleet, upstreams, invoices := startLedger(t)
 	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
-		fleet.Add(harness.NodeOptions{})
+		fleet.Add(harness.NodeOptions{Settings: shortTTL})
 		fleet.List()
 		fleet.AwaitReady(1)
 		old.VM.State = platform.VMLeaving
