--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -77,6 +77,8 @@
 		keysCommand(),
 		demoCommand(),
 		standInCommand(),
+		loadCommand(),
+		experimentCommand(),
 	}
 }
 
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -177,6 +177,11 @@
 	Unreached int
 }
 
+// Unreached replaces the set of nodes that are lost though the VM list shows them
+// live.
+type Unreached struct{ Nodes []core.NodeID }
+
+func (Unreached) isAction()     {}
 func (Send) isAction()          {}
 func (Reply) isAction()         {}
 func (Publish) isAction()       {}
@@ -192,6 +197,8 @@
 	lastTick core.Time
 	version  uint32
 	leaving  bool
+	// listedLeaving is set while the VM list shows this node leaving.
+	listedLeaving bool
 	// started is set by the first VM list, published by the first view.
 	started   bool
 	published bool
@@ -221,6 +228,8 @@
 	drainQueue  []string
 	drainsDirty bool
 
+	unreached []core.NodeID
+
 	pause   pause
 	split   split
 	actions []Action
@@ -324,6 +333,7 @@
 			// Others reach this node by the listed addresses, which its own
 			// listeners may not know.
 			m.config.Self = written.Node
+			m.listedLeaving = written.Leaving && trusted
 			continue
 		}
 		p := m.peer(written.Node)
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -26,6 +26,10 @@
 			require.True(t, ok)
 			require.Equal(t, rank < 4, node.DataCentre == "dc2")
 			seen[node.ID] = true
+			if rank > 0 {
+				former, _ := view.Rank(bundle, "dc2", rank-1)
+				require.Equal(t, former, First(node, former, bundle, "dc2"))
+			}
 			require.Equal(t, node, view.Order(bundle, "dc2")[rank])
 			require.Equal(t, rank, view.Place(bundle, "dc2", node))
 		}
--- a/internal/fleet/submit_test.go
+++ b/internal/fleet/submit_test.go
@@ -21,10 +21,10 @@
 const submitTimeoutMs = int64(10_000)
 
 // submitText writes a service that must not be repeated, of two shards, and one
-// that may be.
+// that may be. The replicas' data centre makes the third node their owner.
 func submitText(upstreams []*standin.Upstream) string {
 	shard := func(i int) string {
-		return fmt.Sprintf("      - replicas:\n          - {address: %q, data_centre: dc1}\n", upstreams[i].Address())
+		return fmt.Sprintf("      - replicas:\n          - {address: %q, data_centre: dc3}\n", upstreams[i].Address())
 	}
 	return "version: 1\nindexes: [ledger]\nservices:\n" +
 		"  - name: invoices\n    index: ledger\n    idempotent: false\n    slots: 32\n    connections: 200\n    timeout: 5s\n    shards:\n" + shard(0) + shard(1) +
@@ -184,12 +184,41 @@
 	done.Wait()
 	runs := ran(upstreams)
 	require.NotEmpty(t, runs)
+	logOutcomes(t, told)
 	for i, key := range keys {
 		require.LessOrEqual(t, runs[key], 1, key)
 		requireTrue(t, key, told[i], runs[key])
 	}
 }
 
+// Invoices are being recorded when one of three nodes is stopped as planned, the
+// home of some and the owner of all. Each client keeps waiting at its entry,
+// which stays. None may be left without knowing.
+func TestAPlannedStopCutsOffNoSubmit(t *testing.T) {
+	f, upstreams := startSubmitFleet(t, 3, 300*time.Millisecond)
+	caller := client.New()
+	defer caller.Close()
+	const submits = 24
+	outcomes := make([]string, submits)
+	var done sync.WaitGroup
+	for i := range submits {
+		key := freshKey(t, caller, f.Members()[i%3].Addresses.Caller)
+		address := f.Members()[i%2].Addresses.Caller
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			reply, refusal := caller.Submit(context.Background(), address, "invoices", invoice(key))
+			outcomes[i] = reply.Outcome + refusal.Outcome + " " + string(refusal.Code)
+		}()
+	}
+	require.Eventually(t, func() bool { return len(ran(upstreams)) == submits }, awaitLimit, pollPause)
+	require.NoError(t, f.Stop(f.Members()[2]))
+	done.Wait()
+	for i, outcome := range outcomes {
+		require.Equal(t, "done ", outcome, "submit %d", i)
+	}
+}
+
 // retryEverywhere sends one key through all entries at once and returns what
 // each said.
 func retryEverywhere(caller *client.Client, addresses []string, key string) []string {
@@ -207,6 +236,17 @@
 	return told
 }
 
+func logOutcomes(t *testing.T, told [][]string) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, replies := range told {
+		for _, outcome := range replies {
+			counts[outcome]++
+		}
+	}
+	t.Logf("replies by outcome: %v", counts)
+}
+
 func requireTrue(t *testing.T, key string, told []string, runs int) {
 	t.Helper()
 	for _, outcome := range told {
--- a/internal/standin/behaviour.go
+++ b/internal/standin/behaviour.go
@@ -17,6 +17,9 @@
 	Slots int `yaml:"slots"`
 	// Service is the time one request takes.
 	Service time.Duration `yaml:"service"`
+	// Draw, when set, gives each request's time in place of Service. It can't be
+	// written as YAML or JSON and must not block.
+	Draw func() time.Duration `yaml:"-"`
 	// Versions are the index versions it has; the last is the newest.
 	Versions []uint64 `yaml:"versions"`
 	Draining bool     `yaml:"draining"`
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -18,14 +18,10 @@
 	closed   bool
 }
 
-func newGate(u *Upstream, address string) (*gate, error) {
-	listener, err := listen(address)
-	if err != nil {
-		return nil, err
-	}
+func newGate(u *Upstream, listener net.Listener) *gate {
 	g := &gate{upstream: u, address: listener.Addr().String(), inner: listener}
 	g.changed = sync.NewCond(&g.mutex)
-	return g, nil
+	return g
 }
 
 // Addr implements net.Listener.
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -30,19 +31,24 @@
 
 // StartUpstream serves a replica on the address; port 0 takes a free one.
 func StartUpstream(address string, behaviour Behaviour) (*Upstream, error) {
-	u := &Upstream{counts: newCounts()}
-	u.set(behaviour)
-	gate, err := newGate(u, address)
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
-	u.gate = gate
+	return StartUpstreamOn(listener, behaviour), nil
+}
+
+// StartUpstreamOn serves a replica on a listener, which it closes at its end.
+func StartUpstreamOn(listener net.Listener, behaviour Behaviour) *Upstream {
+	u := &Upstream{counts: newCounts()}
+	u.set(behaviour)
+	u.gate = newGate(u, listener)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+upstream.PathPrefix+"{service}/{shard}/{verb}", u.serve)
 	mux.HandleFunc("GET "+upstream.PathHealth, u.serveHealth)
 	mux.HandleFunc("GET "+PathLoad, u.serveLoad)
-	u.server = serveOn(gate, mux)
-	return u, nil
+	u.server = serveOn(u.gate, mux)
+	return u
 }
 
 // Address is the address in use.
@@ -90,6 +96,9 @@
 // Queries counts the queries run.
 func (u *Upstream) Queries() int { return u.Counts().Queries }
 
+// Received counts the requests that arrived, refused ones included.
+func (u *Upstream) Received() int { return u.Counts().Arrived }
+
 // Submits counts, for each key, how often a submit ran.
 func (u *Upstream) Submits() map[string]int { return u.Counts().Submits }
 
@@ -176,6 +185,9 @@
 func (u *Upstream) draw() plan {
 	b := &u.behaviour
 	p := plan{service: b.Service}
+	if b.Draw != nil {
+		p.service = b.Draw()
+	}
 	if time.Now().Before(u.coldUntil) {
 		p.service += b.ColdExtra
 	}
