--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -133,3 +133,22 @@
 	load.Stop()
 	load.RequireHonest()
 }
+
+// One of two replicas is suspended and its connections answer nothing. The other
+// one answers for it, and no list is thin on its account.
+func TestPausedUpstreamIsPassedOver(t *testing.T) {
+	paused := harness.StartUpstreams(t, binary, 1, upstreamBehaviour)
+	others := harness.StartUpstreams(t, binary, replicas-1, upstreamBehaviour)
+	text := harness.Text(append(append([]string(nil), paused.Addresses...), others.Addresses...))
+	fleet := harness.StartFleet(t, binary, 3, text, harness.NodeOptions{})
+	load := harness.StartLoad(t, callers, fleet.Callers()...)
+	load.AwaitWhole(100)
+	paused.Pause()
+	load.AwaitEach(5)
+	load.AwaitEach(5)
+	paused.Resume()
+	load.AwaitWhole(20)
+	tally := load.Stop()
+	load.RequireHonest()
+	require.Zero(t, tally.Thin, tally.MissingReasons)
+}
