One refusal at the text's slots no longer halves a replica's limit

Cause: an upstream frees its slot a moment after its answer has left, or after a cancelled request has noticed, and sheds what comes in between. Ruled out: the queue's bound and the latency gradient, which took no part in those steps. Change: at or below the slots the limit falls at the second refusal in a window, and a request goes back to the replica that shed it only when no other is free.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -159,3 +159,18 @@
 		require.InDelta(t, tolerance*max(slots, capacity), l.limit, 1+capacity/4, "capacity %v", capacity)
 	}
 }
+
+// At full load a replica answers, frees its slot a moment later and sheds what
+// came in between. A supervisor would see thin lists for seconds: for each such
+// refusal the owner served the replica at half its slots for 256 answers. One
+// refusal in a window must change nothing; a second one is the replica's word.
+func TestOneRefusalAtTheSlotsDoesNotHalveTheLimit(t *testing.T) {
+	limit := limiter{limit: 2, start: 2, max: 8}
+	require.False(t, limit.shed(2))
+	require.Equal(t, 2, limit.slots())
+	require.True(t, limit.shed(2))
+	require.Equal(t, 1, limit.slots())
+	above := limiter{limit: 4, start: 2, max: 8}
+	require.True(t, above.shed(4), "above the text's slots the first refusal counts")
+	require.Equal(t, 2, above.slots())
+}
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -70,12 +70,12 @@
 	i.replica.probeWait = 0
 }
 
-// lowerShed lowers the limit. At a limit of 1 there is nothing to lower, and a
+// lowerShed lowers the limit, unless the refusal is the first in its window. At a limit of 1 there is nothing to lower, and a
 // queue would be drained into refusals: the replica gets nothing for a growing
 // time, at least the one it asked for itself.
 func (i *incident) lowerShed() {
-	i.replica.lower(i.inFlight, shedFactor)
-	if i.inFlight > 1 {
+	lowered := i.replica.shed(i.inFlight)
+	if !lowered || i.inFlight > 1 {
 		return
 	}
 	wait := lengthen(&i.replica.pause, firstPause, longestPause, i.jitter)
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -22,6 +22,9 @@
 	// remotePenalty is what another data centre counts beyond its measured
 	// latency.
 	remotePenalty = 0.1
+	// shedPenalty puts the replica that shed a request behind all others for that
+	// request, in nanoseconds.
+	shedPenalty = float64(time.Hour)
 	// forgetSlowAfter halves the latency held against a replica that got no
 	// work, so that one that has recovered is tried again.
 	forgetSlowAfter = 5 * time.Second
@@ -139,6 +142,9 @@
 	steepest     = 0.5
 	// shedFactor is the multiplicative decrease at an upstream's own refusal.
 	shedFactor = 0.7
+	// shedsToLower is how many refusals at or below the text's slots it takes
+	// within one window before the limit falls.
+	shedsToLower = 2
 	// refusedFactor is the decrease at a refused connection.
 	refusedFactor = 0.5
 	// ceilingWindows is how many windows a concurrency that was refused is not
@@ -170,7 +176,11 @@
 // percentile: it needs two words a replica.
 //
 // An upstream's refusal for load sets limit = 0.7 x in flight, and one less than
-// was in flight becomes the ceiling for a while.
+// was in flight becomes the ceiling for a while. At or below the text's slots a
+// single refusal in a window changes nothing: an upstream frees its slot a moment
+// after its answer has left, or after a cancelled request has noticed, and sheds
+// what comes in between. A limit that fell for it would serve at half the slots
+// for hundreds of answers.
 type limiter struct {
 	limit    float64
 	start    int
@@ -180,6 +190,8 @@
 	count int
 	sum   float64
 	peak  int
+	// sheds counts the window's refusals at or below the text's slots.
+	sheds int
 
 	ceiling     int
 	ceilingLeft int
@@ -204,7 +216,7 @@
 	l.sum += float64(latency)
 	if l.count >= limitWindow {
 		l.adjust(l.sum / float64(l.count))
-		l.count, l.sum, l.peak = 0, 0, 0
+		l.count, l.sum, l.peak, l.sheds = 0, 0, 0, 0
 	}
 }
 
@@ -235,6 +247,19 @@
 	return max(1, l.max)
 }
 
+// shed takes an upstream's refusal for load with the given number in flight and
+// reports whether the limit was lowered for it.
+func (l *limiter) shed(inFlight int) bool {
+	if inFlight <= l.start {
+		l.sheds++
+	}
+	if inFlight <= l.start && l.sheds < shedsToLower {
+		return false
+	}
+	l.lower(inFlight, shedFactor)
+	return true
+}
+
 // lower cuts the limit after a refusal with the given number in flight.
 func (l *limiter) lower(inFlight int, factor float64) {
 	l.limit = max(1, min(l.limit, factor*float64(inFlight)))
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -67,6 +67,9 @@
 	live []*try
 	// avoid are the replicas that this request is not sent to again.
 	avoid []*replica
+	// shedBy is the replica that shed it last; it is asked again only when no
+	// other one is free.
+	shedBy *replica
 	// best is the try whose result is reported when no other is better.
 	best        TryID
 	bestOutcome core.Outcome
@@ -435,10 +438,9 @@
 	if !byReplica(e) {
 		return false
 	}
-	if e.Reason != core.ReasonOverloaded {
-		// One that shed has a lower limit or a pause now, which keeps the
-		// request away for as long as it should; it may be the better choice
-		// again later.
+	if e.Reason == core.ReasonOverloaded {
+		r.shedBy = t.replica
+	} else {
 		r.avoid = append(r.avoid, t.replica)
 	}
 	if !s.hasOther(r) {
@@ -566,7 +568,11 @@
 		if !candidate.free(now) || slices.Contains(r.avoid, candidate) {
 			continue
 		}
-		if wait := candidate.expectedWait(now); best == nil || wait < bestWait {
+		wait := candidate.expectedWait(now)
+		if candidate == r.shedBy {
+			wait += shedPenalty
+		}
+		if best == nil || wait < bestWait {
 			best, bestWait = candidate, wait
 		}
 	}
