Smaller buffers and rings for a peer link: 458 KB become 184 KB

Cause: each link held four stream buffers of 64 KB and two rings of 4,096 places, so that 64 MB ended at about 128 peers. Change: buffers of 8 KB and rings of 1,024 places. A full mesh of 780 still does not fit: 143 MB.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,8 +22,8 @@
 const (
 	// MaxMessageBytes bounds one message; a longer one ends the stream.
 	MaxMessageBytes = 4 << 20
-	bufferBytes     = 64 << 10
-	writeRingDepth  = 4096
+	bufferBytes     = 8 << 10
+	writeRingDepth  = 1024
 	idleTimeout     = 30 * time.Second
 	// keepAlive is how often an idle connection is written to. A keepalive and
 	// its acknowledgement take about 130 bytes with IP and UDP headers: 100
