peer: pool, link, server and session each in their own file

pool.go held the pool and the links, server.go the server and its sessions. Each now has a file; what comes before what at a link's end, and which requests Open counts, is said where it is done.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,9 +5,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +14,11 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
-	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
+// finishPoll is how often Finish looks whether all streams have ended.
+const finishPoll = time.Millisecond
+
 // Server accepts peers' connections and hands their requests to a Handler.
 type Server struct {
 	self     Identity
@@ -28,7 +27,8 @@
 	listener *quic.Listener
 	stop     context.CancelFunc
 	done     sync.WaitGroup
-	open     atomic.Int64
+	// open counts the requests of isWork that are not yet answered.
+	open atomic.Int64
 	// finish is closed by Finish; streams counts those not yet ended.
 	finish     chan struct{}
 	finishOnce sync.Once
@@ -81,8 +81,6 @@
 	}
 }
 
-const finishPoll = time.Millisecond
-
 // Close ends all connections and frees the address.
 func (s *Server) Close() error {
 	s.stop()
@@ -140,26 +138,6 @@
 	session.abandon()
 }
 
-// write sends the session's replies. An orderly end leaves the reading side open
-// until the peer, which sees the end of the stream, closes the connection.
-func (s *session) write(stream *quic.Stream, cancel context.CancelFunc) {
-	out := outbox{
-		queue:  s.out.Items(),
-		writer: bufio.NewWriterSize(stream, bufferBytes),
-		wanted: writeAll,
-		finish: s.server.finish,
-	}
-	if err := out.write(s.ctx); err != nil {
-		stream.CancelWrite(codeClosing)
-		cancel()
-		return
-	}
-	_ = stream.Close()
-}
-
-// writeAll wants every message.
-func writeAll(*peerpb.Envelope) bool { return true }
-
 // welcome checks that the peer is who its certificate says.
 func (s *Server) welcome(connection *quic.Conn, reader *bufio.Reader) (Identity, error) {
 	envelope, err := readEnvelope(reader)
@@ -177,103 +155,6 @@
 	return Identity{Node: core.NodeID(hello.GetNode()), Incarnation: hello.GetIncarnation()}, nil
 }
 
-// session is one peer's stream: its open requests and its replies.
-type session struct {
-	ctx    context.Context
-	server *Server
-	from   Identity
-	out    *ring.Ring[*peerpb.Envelope]
-	mutex  sync.Mutex
-	open   map[uint64]openRequest
-}
-
-// openRequest is a request that is not yet answered; work tells questions and
-// must-not-repeat requests from heartbeats and watches.
-type openRequest struct {
-	cancel context.CancelFunc
-	work   bool
-}
-
-func isWork(envelope *peerpb.Envelope) bool {
-	return envelope.GetBundleRequest() != nil || envelope.GetSubmitRequest() != nil || envelope.GetHandoverRequest() != nil
-}
-
-func newSession(ctx context.Context, server *Server, from Identity) *session {
-	s := &session{
-		ctx:    ctx,
-		server: server,
-		from:   from,
-		out:    ring.New[*peerpb.Envelope](writeRingDepth),
-		open:   map[uint64]openRequest{},
-	}
-	_ = s.out.Put(ctx, helloEnvelope(server.self))
-	return s
-}
-
-func (s *session) read(reader *bufio.Reader) {
-	for {
-		envelope, err := readEnvelope(reader)
-		if err != nil {
-			return
-		}
-		if envelope.GetCancel() != nil {
-			s.end(envelope.GetId())
-			continue
-		}
-		if envelope.GetHello() != nil {
-			// A liveness check: the answer proves that both ways work.
-			_ = s.out.Put(s.ctx, helloEnvelope(s.server.self))
-			continue
-		}
-		s.begin(envelope)
-	}
-}
-
-func (s *session) begin(envelope *peerpb.Envelope) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	// A peer that uses an id twice ends the former request.
-	s.end(envelope.GetId())
-	work := isWork(envelope)
-	s.mutex.Lock()
-	s.open[envelope.GetId()] = openRequest{cancel: cancel, work: work}
-	s.mutex.Unlock()
-	if work {
-		s.server.open.Add(1)
-	}
-	s.server.handler.Handle(NewInbound(ctx, s.from, envelope, s.send))
-}
-
-func (s *session) send(reply *peerpb.Envelope) {
-	if reply.GetLast() {
-		defer s.end(reply.GetId())
-	}
-	_ = s.out.Put(s.ctx, reply)
-}
-
-func (s *session) end(id uint64) {
-	s.mutex.Lock()
-	request, known := s.open[id]
-	delete(s.open, id)
-	s.mutex.Unlock()
-	if !known {
-		return
-	}
-	if request.work {
-		s.server.open.Add(-1)
-	}
-	request.cancel()
-}
-
-// abandon ends the requests of a stream that has ended.
-func (s *session) abandon() {
-	s.mutex.Lock()
-	ids := slices.Collect(maps.Keys(s.open))
-	s.mutex.Unlock()
-	for _, id := range ids {
-		s.end(id)
-	}
-}
-
 func addressFault(address string, cause error) error {
 	return &fault.Error{
 		Code:    fault.CodeAddress,
