app: the start in steps, HTTP, metrics and the operators' look apart

The start is now a list of steps, and the order it depends on is said there. No behaviour changed; the fleet's tests pass.

--- a/internal/app/expiry.go
+++ b/internal/app/expiry.go
@@ -1,12 +1,15 @@
 package app
 
 import (
+	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/settings"
 )
 
 const day = 24 * time.Hour
@@ -17,6 +20,29 @@
 	until   time.Time
 }
 
+// loadTLS reads the node's keys and refuses certificates that are not valid now.
+// It returns their ends too, to be watched.
+func loadTLS(paths settings.TLS, now time.Time) (*tls.Config, []expiry, error) {
+	authority, err := settings.PEM(paths.Authority)
+	if err != nil {
+		return nil, nil, err
+	}
+	certificate, err := settings.PEM(paths.Certificate)
+	if err != nil {
+		return nil, nil, err
+	}
+	key, err := settings.PEM(paths.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	expiries, err := readExpiries(authority, certificate, now)
+	if err != nil {
+		return nil, nil, err
+	}
+	config, err := keys.Config(authority, keys.Pair{Certificate: certificate, Key: key})
+	return config, expiries, err
+}
+
 // readExpiries reads the ends of the authority's and the node's certificate, and
 // fails when one is not valid now.
 func readExpiries(authority, certificate []byte, now time.Time) ([]expiry, error) {
@@ -51,3 +77,36 @@
 	}
 	daysLeft.Update(int64(least.Sub(now) / day))
 }
+
+// expiryWatch reports certificates that are about to expire.
+type expiryWatch struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+const expiryCheck = time.Hour
+
+func watchExpiry(problems *observe.Problems, registry observe.Registry, certificates []expiry, warnBefore time.Duration) *expiryWatch {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &expiryWatch{stop: stop, done: make(chan struct{})}
+	daysLeft := observe.Gauge(registry, "certificate_days_left")
+	go func() {
+		defer close(w.done)
+		ticker := time.NewTicker(expiryCheck)
+		defer ticker.Stop()
+		for {
+			checkExpiry(problems, daysLeft, certificates, time.Now(), warnBefore)
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return w
+}
+
+func (w *expiryWatch) close() {
+	w.stop()
+	<-w.done
+}
--- /dev/null
+++ b/internal/app/http.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+// startHTTP opens the callers' and the operators' address.
+func (n *Node) startHTTP() error {
+	var err error
+	n.caller, err = n.serve(n.settings.CallerAddress, n.closeWhenLeaving(n.callerHandler()))
+	if err != nil {
+		return fault.Step("listen for callers", err)
+	}
+	n.operator, err = n.serve(n.settings.OperatorAddress, n.operatorHandler())
+	if err != nil {
+		return fault.Step("listen for operators", err)
+	}
+	n.watchListener("caller", n.caller.listener)
+	n.watchListener("operator", n.operator.listener)
+	return nil
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return api.NewCaller(api.CallerParts{
+		Log:     n.log,
+		Entry:   n.entry,
+		Home:    n.home,
+		Entries: n.entries,
+		Body:    api.BodyLimits{MaxBytes: int64(n.settings.Limits.MaxBodyBytes), Timeout: n.settings.Limits.BodyTimeout},
+		Metrics: n.metrics,
+	})
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	return api.NewOperator(api.OperatorParts{
+		Log:           n.log,
+		BodyTimeout:   n.settings.Limits.BodyTimeout,
+		Health:        n.health,
+		Status:        func() any { return n.Status() },
+		Dump:          n.dump,
+		Nodes:         n.nodes,
+		Problems:      func() api.ProblemsReport { return api.ProblemsReport{Nodes: []api.NodeProblems{n.gatherer.Own()}} },
+		FleetProblems: n.gatherer.Fleet,
+		Metrics:       func(out io.Writer) { observe.WriteText(out, n.metrics) },
+	})
+}
+
+func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+	}
+	limits := n.settings.Limits
+	listener := api.LimitConnections(inner, limits.Connections)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, ErrorLog: logs.HTTP(n.log)}
+	go func() { _ = server.Serve(listener) }()
+	return &httpServer{Server: server, address: inner.Addr().String(), listener: listener}, nil
+}
--- /dev/null
+++ b/internal/app/look.go
@@ -0,0 +1,82 @@
+package app
+
+import (
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/confwatch"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/owner"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
+)
+
+// Status is a node's short state for operators.
+type Status struct {
+	Node        core.NodeID `json:"node"`
+	DataCentre  string      `json:"data_centre"`
+	Incarnation uint64      `json:"incarnation"`
+	Health      api.Health  `json:"health"`
+	Revision    uint64      `json:"config_revision"`
+	View        uint64      `json:"view"`
+	Nodes       int         `json:"nodes"`
+	InFlight    int         `json:"in_flight"`
+	// Paused is set while the node confirms its beliefs after it stood still.
+	Paused bool `json:"paused"`
+	// Drained counts the upstreams that were seen draining by any node.
+	Drained  int   `json:"drained_upstreams"`
+	UptimeMs int64 `json:"uptime_ms"`
+}
+
+// Status reports the node's short state.
+func (n *Node) Status() Status {
+	status := Status{
+		Node:        n.identity.Node,
+		DataCentre:  n.settings.DataCentre,
+		Incarnation: n.identity.Incarnation,
+		Health:      n.health(),
+		View:        n.belief.View().ID(),
+		Nodes:       len(n.belief.View().Nodes()),
+		InFlight:    n.entry.InFlight(),
+		Paused:      n.belief.Paused(),
+		Drained:     n.belief.DrainedUpstreams(),
+		UptimeMs:    n.now().Milliseconds(),
+	}
+	if config := n.belief.Config(); config != nil {
+		status.Revision = config.Revision
+	}
+	return status
+}
+
+// Dump is a node's whole state.
+type Dump struct {
+	Status     any          `json:"status"`
+	Nodes      []route.Node `json:"nodes"`
+	Links      int          `json:"peer_links"`
+	EntryRings []ring.Stats `json:"entry_rings"`
+	OwnerRings []ring.Stats `json:"owner_rings"`
+	Membership ring.Stats   `json:"membership_ring"`
+	Silent     int64        `json:"silent_upstream_connections"`
+	HomeRings  []ring.Stats `json:"home_rings"`
+	Dropped    int64        `json:"dropped_upstream_replies"`
+	// OwnerShards are the queues and replicas of the shards served here.
+	OwnerShards []owner.ShardDump `json:"owner_shards"`
+
+	Config   confwatch.Dump `json:"config"`
+	Problems any            `json:"problems"`
+}
+
+func (n *Node) dump() any {
+	return Dump{
+		Status:      n.Status(),
+		Nodes:       n.belief.View().Nodes(),
+		Links:       n.pool.Links(),
+		EntryRings:  n.entry.Rings(),
+		OwnerRings:  n.owner.Rings(),
+		Membership:  n.members.Rings(),
+		Silent:      n.upstream.SilentConnections(),
+		HomeRings:   n.home.Rings(),
+		Dropped:     n.upstream.DroppedReplies(),
+		Config:      n.config.Dump(),
+		Problems:    n.gatherer.Own().Problems,
+		OwnerShards: n.owner.Dump(),
+	}
+}
--- /dev/null
+++ b/internal/app/metrics.go
@@ -0,0 +1,59 @@
+package app
+
+import (
+	"runtime"
+	"runtime/metrics"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/api"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/ring"
+)
+
+// watchMetrics adds the gauges that are read from the node's parts.
+func (n *Node) watchMetrics() {
+	observe.Watch(n.metrics, "uptime_seconds", func() int64 { return int64(n.now() / time.Second) })
+	observe.Watch(n.metrics, "process_goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	observe.Watch(n.metrics, "process_memory_bytes", processMemory)
+	observe.Watch(n.metrics, "problems", func() int64 { return int64(len(n.problems.List())) })
+	observe.Watch(n.metrics, "problems_not_listed_total", func() int64 { return int64(n.problems.Overflow()) })
+	observe.Watch(n.metrics, "view_nodes", func() int64 { return int64(len(n.belief.View().Nodes())) })
+	observe.Watch(n.metrics, "queries_in_flight", func() int64 { return int64(n.entry.InFlight()) })
+	observe.Watch(n.metrics, "peer_links", func() int64 { return int64(n.pool.Links()) })
+	observe.Watch(n.metrics, "upstream_replies_dropped_total", n.upstream.DroppedReplies)
+	n.watchRings("entry", func() []ring.Stats { return n.entry.Rings() })
+	n.watchRings("owner", func() []ring.Stats { return n.owner.Rings() })
+	n.watchRings("home", func() []ring.Stats { return n.home.Rings() })
+}
+
+const memoryMetric = "/memory/classes/total:bytes"
+
+// processMemory is the memory that the Go runtime holds, in bytes.
+func processMemory() int64 {
+	sample := []metrics.Sample{{Name: memoryMetric}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
+// watchRings adds the sums over a duty's rings.
+func (n *Node) watchRings(duty string, read func() []ring.Stats) {
+	sum := func(pick func(ring.Stats) int64) func() int64 {
+		return func() int64 {
+			var total int64
+			for _, stats := range read() {
+				total += pick(stats)
+			}
+			return total
+		}
+	}
+	observe.Watch(n.metrics, duty+"_ring_depth", sum(func(s ring.Stats) int64 { return int64(s.Depth) }))
+	observe.Watch(n.metrics, duty+"_ring_capacity", sum(func(s ring.Stats) int64 { return int64(s.Capacity) }))
+	observe.Watch(n.metrics, duty+"_ring_refused_total", sum(func(s ring.Stats) int64 { return s.Refused }))
+	observe.Watch(n.metrics, duty+"_ring_dropped_total", sum(func(s ring.Stats) int64 { return s.Dropped }))
+}
+
+func (n *Node) watchListener(name string, listener *api.LimitedListener) {
+	observe.Watch(n.metrics, name+"_connections", listener.Open)
+	observe.Watch(n.metrics, name+"_connections_limit", func() int64 { return int64(n.settings.Limits.Connections) })
+	observe.Watch(n.metrics, name+"_connections_refused_total", listener.Refused)
+}
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -2,7 +2,6 @@
 package app
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,9 +14,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
-	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
-	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/gather"
 	"github.com/pistachiopier/pistachiopier/internal/home"
 	"github.com/pistachiopier/pistachiopier/internal/logs"
@@ -26,9 +23,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
-	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/platform"
-	"github.com/pistachiopier/pistachiopier/internal/ring"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
@@ -114,192 +109,3 @@
 }
 
 func (n *Node) now() core.Time { return time.Since(n.started) }
-
-// startOrCleanUp starts the node. fx does not call the stop of a start that
-// failed, so that what did start is ended here.
-func (n *Node) startOrCleanUp(ctx context.Context) error {
-	err := n.start(ctx)
-	if err != nil {
-		_ = n.stop(ctx)
-	}
-	return err
-}
-
-func (n *Node) start(context.Context) error {
-	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
-	if err != nil {
-		return fault.Step("load keys", err)
-	}
-	n.owner = owner.New(owner.Options{
-		Self:     n.identity.Node,
-		Belief:   n.belief,
-		Upstream: n.upstream,
-		Now:      n.now,
-		Log:      n.log,
-		Problems: n.problems,
-		Metrics:  n.metrics,
-	})
-	n.startOperating(tlsConfig, certificates)
-	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
-	if err != nil {
-		return fault.Step("open peer pool", err)
-	}
-	n.config = n.newConfigWatcher()
-	n.home, err = home.New(home.Options{
-		Self:     n.identity.Node,
-		Belief:   n.belief,
-		Peers:    n.pool,
-		Now:      n.now,
-		Log:      n.log,
-		Limits:   n.settings.Once.Limits(),
-		Problems: n.problems,
-		Metrics:  n.metrics,
-	})
-	if err != nil {
-		return fault.Step("start home", err)
-	}
-	n.pool.OnBroken((&linkLog{log: n.log}).broken)
-	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
-	if err != nil {
-		return fault.Step("listen for peers", err)
-	}
-	n.entry = entry.New(entry.Options{
-		Self:        n.identity.Node,
-		Incarnation: n.identity.Incarnation,
-		Belief:      n.belief,
-		Peers:       n.pool,
-		Now:         n.now,
-		Log:         n.log,
-		Problems:    n.problems,
-		Metrics:     n.metrics,
-	})
-	if err := n.startHTTP(); err != nil {
-		return err
-	}
-	n.belief.SetSelf(route.Node{
-		ID:              n.identity.Node,
-		DataCentre:      n.settings.DataCentre,
-		PeerAddress:     n.server.Address(),
-		CallerAddress:   n.caller.address,
-		OperatorAddress: n.operator.address,
-	})
-	n.config.Start()
-	n.members = membership.Start(membership.Options{
-		Self:        n.belief.Self(),
-		Incarnation: n.identity.Incarnation,
-		Client:      n.platform,
-		Belief:      n.belief,
-		Peers:       n.pool,
-		Now:         n.now,
-		Log:         n.log,
-		Problems:    n.problems,
-		Heard:       n.config.Hint,
-	})
-	n.ready.Store(true)
-	n.pool.OnLink(n.linkNews)
-	n.upstream.OnSilent(n.silentUpstream)
-	n.log.WithField("event", "node_started").Info("node started")
-	return nil
-}
-
-// Handle implements peer.Handler: it hands a peer's request to its duty.
-func (n *Node) Handle(inbound *peer.Inbound) {
-	if !n.ready.Load() {
-		inbound.Reply(peer.Refused(core.ReasonPeerUnreached), true)
-		return
-	}
-	switch body := inbound.Envelope.GetBody().(type) {
-	case *peerpb.Envelope_Heartbeat:
-		n.members.HandleHeartbeat(inbound)
-	case *peerpb.Envelope_ConfigRequest:
-		n.config.Handle(inbound)
-	case *peerpb.Envelope_BundleRequest:
-		n.config.Hint(inbound.From.Node, body.BundleRequest.GetConfigRevision(), 0)
-		n.owner.HandleBundle(inbound)
-	case *peerpb.Envelope_SubmitRequest:
-		if inbound.Envelope.GetSubmitRequest().GetToOwner() {
-			n.owner.HandleSubmit(inbound)
-			return
-		}
-		n.home.HandleSubmit(inbound)
-	case *peerpb.Envelope_HandoverRequest:
-		n.home.HandleHandover(inbound)
-	case *peerpb.Envelope_ProblemsRequest:
-		n.gatherer.Answer(inbound)
-	default:
-		// A newer peer may send a body that this node does not know.
-		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
-	}
-}
-
-// Status is a node's short state for operators.
-type Status struct {
-	Node        core.NodeID `json:"node"`
-	DataCentre  string      `json:"data_centre"`
-	Incarnation uint64      `json:"incarnation"`
-	Health      api.Health  `json:"health"`
-	Revision    uint64      `json:"config_revision"`
-	View        uint64      `json:"view"`
-	Nodes       int         `json:"nodes"`
-	InFlight    int         `json:"in_flight"`
-	// Paused is set while the node confirms its beliefs after it stood still.
-	Paused bool `json:"paused"`
-	// Drained counts the upstreams that were seen draining by any node.
-	Drained  int   `json:"drained_upstreams"`
-	UptimeMs int64 `json:"uptime_ms"`
-}
-
-// Status reports the node's short state.
-func (n *Node) Status() Status {
-	status := Status{
-		Node:        n.identity.Node,
-		DataCentre:  n.settings.DataCentre,
-		Incarnation: n.identity.Incarnation,
-		Health:      n.health(),
-		View:        n.belief.View().ID(),
-		Nodes:       len(n.belief.View().Nodes()),
-		InFlight:    n.entry.InFlight(),
-		Paused:      n.belief.Paused(),
-		Drained:     n.belief.DrainedUpstreams(),
-		UptimeMs:    n.now().Milliseconds(),
-	}
-	if config := n.belief.Config(); config != nil {
-		status.Revision = config.Revision
-	}
-	return status
-}
-
-// Dump is a node's whole state.
-type Dump struct {
-	Status     any          `json:"status"`
-	Nodes      []route.Node `json:"nodes"`
-	Links      int          `json:"peer_links"`
-	EntryRings []ring.Stats `json:"entry_rings"`
-	OwnerRings []ring.Stats `json:"owner_rings"`
-	Membership ring.Stats   `json:"membership_ring"`
-	Silent     int64        `json:"silent_upstream_connections"`
-	HomeRings  []ring.Stats `json:"home_rings"`
-	Dropped    int64        `json:"dropped_upstream_replies"`
-	// OwnerShards are the queues and replicas of the shards served here.
-	OwnerShards []owner.ShardDump `json:"owner_shards"`
-
-	Config   confwatch.Dump `json:"config"`
-	Problems any            `json:"problems"`
-}
-
-func (n *Node) dump() any {
-	return Dump{
-		Status:      n.Status(),
-		Nodes:       n.belief.View().Nodes(),
-		Links:       n.pool.Links(),
-		EntryRings:  n.entry.Rings(),
-		OwnerRings:  n.owner.Rings(),
-		Membership:  n.members.Rings(),
-		Silent:      n.upstream.SilentConnections(),
-		HomeRings:   n.home.Rings(),
-		Dropped:     n.upstream.DroppedReplies(),
-		Config:      n.config.Dump(),
-		Problems:    n.gatherer.Own().Problems,
-		OwnerShards: n.owner.Dump(),
-	}
-}
--- /dev/null
+++ b/internal/app/start.go
@@ -0,0 +1,152 @@
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/confwatch"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/entry"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/home"
+	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/owner"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+)
+
+// startOrCleanUp starts the node. fx does not call the stop of a start that
+// failed, so that what did start is ended here.
+func (n *Node) startOrCleanUp(ctx context.Context) error {
+	err := n.start(ctx)
+	if err != nil {
+		_ = n.stop(ctx)
+	}
+	return err
+}
+
+// start brings the duties up, those that answer before those that ask. Peers
+// may connect as soon as the peer port is open; Handle refuses their requests as
+// not run until every duty is there.
+func (n *Node) start(context.Context) error {
+	tlsConfig, certificates, err := loadTLS(n.settings.TLS, time.Now())
+	if err != nil {
+		return fault.Step("load keys", err)
+	}
+	n.owner = n.newOwner()
+	n.startOperating(tlsConfig, certificates)
+	if err := n.startPeers(tlsConfig); err != nil {
+		return err
+	}
+	n.entry = n.newEntry()
+	if err := n.startHTTP(); err != nil {
+		return err
+	}
+	n.belief.SetSelf(n.self())
+	n.config.Start()
+	n.members = n.startMembership()
+	n.ready.Store(true)
+	n.pool.OnLink(n.linkNews)
+	n.upstream.OnSilent(n.silentUpstream)
+	n.log.WithField("event", "node_started").Info("node started")
+	return nil
+}
+
+// startPeers opens both directions towards other nodes and makes the duties that
+// need them.
+func (n *Node) startPeers(tlsConfig *tls.Config) error {
+	var err error
+	n.pool, err = peer.NewPool(tlsConfig, n.identity, n)
+	if err != nil {
+		return fault.Step("open peer pool", err)
+	}
+	n.config = n.newConfigWatcher()
+	n.home, err = n.newHome()
+	if err != nil {
+		return fault.Step("start home", err)
+	}
+	n.pool.OnBroken((&linkLog{log: n.log}).broken)
+	n.server, err = peer.Listen(n.settings.PeerAddress, tlsConfig, n.identity, n)
+	if err != nil {
+		return fault.Step("listen for peers", err)
+	}
+	return nil
+}
+
+// self is this node as others route to it, with the ports chosen for port 0.
+func (n *Node) self() route.Node {
+	return route.Node{
+		ID:              n.identity.Node,
+		DataCentre:      n.settings.DataCentre,
+		PeerAddress:     n.server.Address(),
+		CallerAddress:   n.caller.address,
+		OperatorAddress: n.operator.address,
+	}
+}
+
+func (n *Node) newOwner() *owner.Owner {
+	return owner.New(owner.Options{
+		Self:     n.identity.Node,
+		Belief:   n.belief,
+		Upstream: n.upstream,
+		Now:      n.now,
+		Log:      n.log,
+		Problems: n.problems,
+		Metrics:  n.metrics,
+	})
+}
+
+func (n *Node) newHome() (*home.Home, error) {
+	return home.New(home.Options{
+		Self:     n.identity.Node,
+		Belief:   n.belief,
+		Peers:    n.pool,
+		Now:      n.now,
+		Log:      n.log,
+		Limits:   n.settings.Once.Limits(),
+		Problems: n.problems,
+		Metrics:  n.metrics,
+	})
+}
+
+func (n *Node) newEntry() *entry.Entry {
+	return entry.New(entry.Options{
+		Self:        n.identity.Node,
+		Incarnation: n.identity.Incarnation,
+		Belief:      n.belief,
+		Peers:       n.pool,
+		Now:         n.now,
+		Log:         n.log,
+		Problems:    n.problems,
+		Metrics:     n.metrics,
+	})
+}
+
+func (n *Node) newConfigWatcher() *confwatch.Watcher {
+	return confwatch.New(confwatch.Options{
+		Self:       n.identity.Node,
+		DataCentre: n.settings.DataCentre,
+		Service:    n.platform,
+		Belief:     n.belief,
+		Peers:      n.pool,
+		Now:        n.now,
+		Log:        n.log,
+		Problems:   n.problems,
+		Metrics:    n.metrics,
+		Seed:       n.identity.Incarnation,
+	})
+}
+
+func (n *Node) startMembership() *membership.Duty {
+	return membership.Start(membership.Options{
+		Self:        n.belief.Self(),
+		Incarnation: n.identity.Incarnation,
+		Client:      n.platform,
+		Belief:      n.belief,
+		Peers:       n.pool,
+		Now:         n.now,
+		Log:         n.log,
+		Problems:    n.problems,
+		Heard:       n.config.Hint,
+	})
+}
