--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -207,3 +208,12 @@
 	}
 	return best
 }
+
+func hashID(name string) core.BundleID {
+	return core.BundleID(xxhash.Sum64String(name))
+}
+
+func familyKey(service *Service, dependents []string) string {
+	parts := []string{service.Index, strings.Join(service.DependsOn, ","), strings.Join(dependents, ",")}
+	return strings.Join(parts, "|")
+}
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -26,7 +26,7 @@
 	names := groupNames(written, services)
 	b.groups[written.Name] = names
 	for i, name := range names {
-		service := b.groupService(key, written, name)
+		service := b.newService(key, name, written.commonText)
 		service.Shards = b.groupShards(key, name, rotate(written.DataCentres, i), shards, replicas, next)
 		if written.Lead && i == 0 {
 			service.DependsOn = append(service.DependsOn, names[1:]...)
@@ -46,19 +46,6 @@
 	return names
 }
 
-func (b *builder) groupService(key string, written *groupText, name string) *Service {
-	return &Service{
-		Name:        name,
-		Index:       written.Index,
-		DependsOn:   append([]string(nil), written.DependsOn...),
-		Slots:       b.count(key+".slots", written.Slots, defaultSlots),
-		Connections: b.count(key+".connections", written.Connections, defaultConnections),
-		ConnectCost: written.ConnectCost,
-		Timeout:     b.duration(key+".timeout", written.Timeout, defaultTimeout),
-		Idempotent:  written.Idempotent == nil || *written.Idempotent,
-	}
-}
-
 func (b *builder) groupShards(key, name string, dataCentres []string, shards, replicas int, next func() string) []Shard {
 	list := make([]Shard, shards)
 	for i := range list {
--- a/internal/catalog/text.go
+++ b/internal/catalog/text.go
@@ -27,8 +27,8 @@
 	InFlight int     `yaml:"in_flight"`
 }
 
-type serviceText struct {
-	Name        string        `yaml:"name"`
+// commonText is what services and groups have in common.
+type commonText struct {
 	Index       string        `yaml:"index"`
 	DependsOn   []string      `yaml:"depends_on"`
 	Slots       int           `yaml:"slots"`
@@ -36,7 +36,12 @@
 	ConnectCost time.Duration `yaml:"connect_cost"`
 	Timeout     time.Duration `yaml:"timeout"`
 	Idempotent  *bool         `yaml:"idempotent"`
-	Shards      []shardText   `yaml:"shards"`
+}
+
+type serviceText struct {
+	Name string `yaml:"name"`
+	commonText
+	Shards []shardText `yaml:"shards"`
 }
 
 type shardText struct {
@@ -51,19 +56,13 @@
 
 // groupText writes many like services at once: name-01, name-02 and so on.
 type groupText struct {
-	Name         string        `yaml:"name"`
-	Services     int           `yaml:"services"`
-	Lead         bool          `yaml:"lead"`
-	Index        string        `yaml:"index"`
-	DependsOn    []string      `yaml:"depends_on"`
-	Slots        int           `yaml:"slots"`
-	Connections  int           `yaml:"connections"`
-	ConnectCost  time.Duration `yaml:"connect_cost"`
-	Timeout      time.Duration `yaml:"timeout"`
-	Idempotent   *bool         `yaml:"idempotent"`
-	Shards       int           `yaml:"shards"`
-	Replicas     int           `yaml:"replicas"`
-	DataCentres  []string      `yaml:"data_centres"`
-	FirstAddress string        `yaml:"first_address"`
-	AddressStep  string        `yaml:"address_step"`
+	Name     string `yaml:"name"`
+	Services int    `yaml:"services"`
+	Lead     bool   `yaml:"lead"`
+	commonText
+	Shards       int      `yaml:"shards"`
+	Replicas     int      `yaml:"replicas"`
+	DataCentres  []string `yaml:"data_centres"`
+	FirstAddress string   `yaml:"first_address"`
+	AddressStep  string   `yaml:"address_step"`
 }
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -185,24 +185,24 @@
 }
 
 func (d *Document) mapping(at *path, node *yaml.Node, out reflect.Value) {
-	names := fieldNames(out.Type())
+	fields := fieldsOf(out.Type())
 	if node.Kind != yaml.MappingNode {
-		d.problem(at, node, "want a mapping of keys to values", "write one of: "+strings.Join(known(names), ", "))
+		d.problem(at, node, "want a mapping of keys to values", "write one of: "+strings.Join(keysOf(fields), ", "))
 		return
 	}
-	seen := make([]bool, len(names))
+	seen := make([]bool, len(fields))
 	for i := 0; i+1 < len(node.Content); i += 2 {
 		key := node.Content[i]
 		way := &path{parent: at, name: key.Value}
-		field := fieldIndex(names, key.Value)
+		found := slices.IndexFunc(fields, func(one field) bool { return one.key == key.Value })
 		switch {
-		case field < 0:
-			d.problem(way, key, "unknown key", unknownFix(key.Value, known(names)))
-		case seen[field]:
+		case found < 0:
+			d.problem(way, key, "unknown key", unknownFix(key.Value, keysOf(fields)))
+		case seen[found]:
 			d.problem(way, key, "the key stands twice", "keep one of the two")
 		default:
-			seen[field] = true
-			d.value(way, node.Content[i+1], out.Field(field))
+			seen[found] = true
+			d.value(way, node.Content[i+1], out.FieldByIndex(fields[found].index))
 		}
 	}
 }
@@ -255,35 +255,39 @@
 	}
 }
 
-// names holds the keys of each struct type decoded so far.
-var names sync.Map
+// field is a field that can be written, by its key. Those of an embedded struct
+// count as fields of the outer one.
+type field struct {
+	key   string
+	index []int
+}
+
+// knownFields holds the []field of each struct type decoded so far.
+var knownFields sync.Map
 
-// fieldNames lists the keys of a struct's fields; "" for a field without.
-func fieldNames(structType reflect.Type) []string {
-	if cached, ok := names.Load(structType); ok {
-		return cached.([]string)
+// fieldsOf lists the fields of a struct that have a key.
+func fieldsOf(structType reflect.Type) []field {
+	if cached, ok := knownFields.Load(structType); ok {
+		return cached.([]field)
 	}
-	list := make([]string, structType.NumField())
-	for i := range list {
-		list[i], _, _ = strings.Cut(structType.Field(i).Tag.Get("yaml"), ",")
-		if list[i] == "-" {
-			list[i] = ""
+	var list []field
+	for _, one := range reflect.VisibleFields(structType) {
+		key, _, _ := strings.Cut(one.Tag.Get("yaml"), ",")
+		if key != "" && key != "-" {
+			list = append(list, field{key: key, index: one.Index})
 		}
 	}
-	names.Store(structType, list)
+	knownFields.Store(structType, list)
 	return list
 }
 
-func fieldIndex(names []string, key string) int {
-	if key == "" {
-		return -1
+// keysOf lists the keys that can be written.
+func keysOf(fields []field) []string {
+	keys := make([]string, len(fields))
+	for i, one := range fields {
+		keys[i] = one.key
 	}
-	return slices.Index(names, key)
-}
-
-// known lists the keys that can be written.
-func known(names []string) []string {
-	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == "" })
+	return keys
 }
 
 // unknownFix suggests the known key that shares the longest prefix.
