command: what query and submit, and status, problems and dump share stands once

The flags, the check of the address and the client with its time limit were written out in each command. callerOptions and askOperator hold them now. One test builds queryOptions by its new fields; its assertions are unchanged. The package's tests pass.

--- a/internal/command/dump.go
+++ b/internal/command/dump.go
@@ -23,15 +23,11 @@
 }
 
 func dump(address string, out io.Writer) error {
-	if err := needAddress(address); err != nil {
-		return err
-	}
-	operator := client.New()
-	defer operator.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
-	defer cancel()
 	var state json.RawMessage
-	if err := operator.Get(ctx, address, "/v1/dump", &state); err != nil {
+	err := askOperator(address, nodeTimeout, func(ctx context.Context, operator *client.Client) error {
+		return operator.Get(ctx, address, "/v1/dump", &state)
+	})
+	if err != nil {
 		return err
 	}
 	return printJSON(state, out)
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -188,7 +188,7 @@
 
 func (o loadOptions) runAgainst(profile load.Profile, out io.Writer) error {
 	if len(o.addresses) == 0 {
-		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT of any node, or --embedded")
+		return noAddress("add --address IP:PORT of any node, or --embedded")
 	}
 	caller := load.NewCaller(o.addresses)
 	defer caller.Close()
--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -85,7 +85,7 @@
 	caller := client.New()
 	defer caller.Close()
 	entries := []api.EntryAddress{{Address: gone.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
-	options := queryOptions{service: "mood", customer: "agency", question: "null", timeout: awaitLimit}
+	options := queryOptions{callerOptions: callerOptions{service: "mood", customer: "agency", timeout: awaitLimit}, question: "null"}
 	reply, err := askInTurn(context.Background(), caller, entries, options)
 	require.NoError(t, err)
 	require.False(t, reply.Coverage.Thin)
--- a/internal/command/problems.go
+++ b/internal/command/problems.go
@@ -13,18 +13,16 @@
 )
 
 type problemsOptions struct {
-	address string
-	own     bool
-	json    bool
+	operatorOptions
+	own bool
 }
 
 func problemsCommand() *command {
 	parser := flaggy.NewSubcommand("problems")
 	parser.Description = "list the problems of all nodes; exit code 1 when there are any"
 	var options problemsOptions
-	parser.String(&options.address, "a", "address", "the operators' address of any node (required)")
+	options.addFlags(parser)
 	parser.Bool(&options.own, "o", "own", "only those of this node")
-	parser.Bool(&options.json, "j", "json", "print JSON")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier problems --address 10.0.0.1:7003",
@@ -33,19 +31,15 @@
 }
 
 func problems(options problemsOptions, out io.Writer) error {
-	if err := needAddress(options.address); err != nil {
-		return err
-	}
-	operator := client.New()
-	defer operator.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
-	defer cancel()
 	path := "/v1/problems?fleet=1"
 	if options.own {
 		path = "/v1/problems"
 	}
 	var report api.ProblemsReport
-	if err := operator.Get(ctx, options.address, path, &report); err != nil {
+	err := askOperator(options.address, fleetTimeout, func(ctx context.Context, operator *client.Client) error {
+		return operator.Get(ctx, options.address, path, &report)
+	})
+	if err != nil {
 		return err
 	}
 	if err := printProblems(report, options.json, out); err != nil {
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -16,29 +16,19 @@
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
-const defaultQueryTimeout = 5 * time.Second
-
 type queryOptions struct {
-	service  string
-	entry    string
-	customer string
+	callerOptions
 	question string
 	prefer   string
-	raw      bool
-	timeout  time.Duration
 }
 
 func queryCommand() *command {
 	parser := flaggy.NewSubcommand("query")
 	parser.Description = "ask a question as a caller would"
-	options := queryOptions{customer: "operator", question: "null", timeout: defaultQueryTimeout}
-	parser.AddPositionalValue(&options.service, "service", 1, true, "the service to ask")
-	parser.String(&options.entry, "a", "address", "the callers' address of any node (required)")
-	parser.String(&options.customer, "c", "customer", "the customer to ask for")
+	options := queryOptions{callerOptions: defaultCaller(), question: "null"}
+	options.addFlags(parser, "the callers' address of any node")
 	parser.String(&options.question, "q", "question", "the question, as JSON")
 	parser.String(&options.prefer, "p", "prefer", "whole or early")
-	parser.Bool(&options.raw, "j", "json", "print the raw answer")
-	parser.Duration(&options.timeout, "t", "timeout", "the time to answer in")
 	return &command{
 		parser:  parser,
 		example: `pistachiopier query plate-costing --address 10.0.0.1:7001 --question '"pork shoulder"'`,
@@ -47,17 +37,14 @@
 }
 
 func runQuery(options queryOptions, out io.Writer) error {
-	if options.entry == "" {
-		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT of any node")
-	}
-	if !json.Valid([]byte(options.question)) {
-		return fault.NotRun(fault.CodeBadRequest, "the question is not JSON", `quote a text twice, such as '"pork"'`)
+	if err := options.check("question", options.question); err != nil {
+		return err
 	}
 	caller := client.New()
 	defer caller.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), options.timeout+time.Second)
 	defer cancel()
-	entries, err := caller.Entries(ctx, options.entry)
+	entries, err := caller.Entries(ctx, options.address)
 	if err != nil {
 		return err
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -15,30 +13,22 @@
 	"github.com/pistachiopier/pistachiopier/internal/app"
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
-	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
-const (
-	// lookTimeout bounds a look at one node, fleetTimeout one at all of them.
-	lookTimeout  = 5 * time.Second
-	fleetTimeout = 2 * time.Minute
-	// lookAtOnce is how many nodes are looked at at a time.
-	lookAtOnce = 16
-)
+// maxConcurrentLooks is how many nodes are looked at at a time.
+const maxConcurrentLooks = 16
 
 type statusOptions struct {
-	address string
-	fleet   bool
-	json    bool
+	operatorOptions
+	fleet bool
 }
 
 func statusCommand() *command {
 	parser := flaggy.NewSubcommand("status")
 	parser.Description = "show a node's state, or that of all nodes"
 	var options statusOptions
-	parser.String(&options.address, "a", "address", "the operators' address of any node (required)")
-	parser.Bool(&options.fleet, "f", "fleet", "show every node that this one believes live")
-	parser.Bool(&options.json, "j", "json", "print JSON")
+	options.addFlags(parser)
+	parser.Bool(&options.fleet, "f", "fleet", "show every node that this one or the VM list names")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier status --address 10.0.0.1:7003 --fleet",
@@ -54,20 +44,20 @@
 }
 
 func status(options statusOptions, out io.Writer) error {
-	if err := needAddress(options.address); err != nil {
-		return err
-	}
-	operator := client.New()
-	defer operator.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
-	defer cancel()
-	nodes := []api.NodeAddress{{OperatorAddress: options.address}}
-	if options.fleet {
-		if err := operator.Get(ctx, options.address, "/v1/nodes", &nodes); err != nil {
-			return err
+	var list []nodeStatus
+	err := askOperator(options.address, fleetTimeout, func(ctx context.Context, operator *client.Client) error {
+		nodes := []api.NodeAddress{{OperatorAddress: options.address}}
+		if options.fleet {
+			if err := operator.Get(ctx, options.address, "/v1/nodes", &nodes); err != nil {
+				return err
+			}
 		}
+		list = lookAtAll(ctx, operator, nodes)
+		return nil
+	})
+	if err != nil {
+		return err
 	}
-	list := lookAtAll(ctx, operator, nodes)
 	if err := printStatus(list, options.json, out); err != nil {
 		return err
 	}
@@ -88,16 +78,9 @@
 	return true
 }
 
-func needAddress(address string) error {
-	if address == "" {
-		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT, the operators' address of any node")
-	}
-	return nil
-}
-
 func lookAtAll(ctx context.Context, operator *client.Client, nodes []api.NodeAddress) []nodeStatus {
 	list := make([]nodeStatus, len(nodes))
-	places := make(chan struct{}, lookAtOnce)
+	places := make(chan struct{}, maxConcurrentLooks)
 	var looking sync.WaitGroup
 	for i, node := range nodes {
 		places <- struct{}{}
@@ -113,7 +96,7 @@
 }
 
 func lookAt(ctx context.Context, operator *client.Client, node api.NodeAddress) nodeStatus {
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
 	var got app.Status
 	if err := operator.Get(ctx, node.OperatorAddress, "/v1/status", &got); err != nil {
@@ -139,15 +122,3 @@
 	}
 	return table.Flush()
 }
-
-const tablePadding = 2
-
-func newTable(out io.Writer) *tabwriter.Writer {
-	return tabwriter.NewWriter(out, 0, 0, tablePadding, ' ', 0)
-}
-
-func printJSON(value any, out io.Writer) error {
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
-}
--- a/internal/command/submit.go
+++ b/internal/command/submit.go
@@ -6,34 +6,24 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/integrii/flaggy"
 
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
-	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
 type submitOptions struct {
-	service   string
-	addresses string
-	customer  string
-	payload   string
-	raw       bool
-	timeout   time.Duration
+	callerOptions
+	payload string
 }
 
 func submitCommand() *command {
 	parser := flaggy.NewSubcommand("submit")
 	parser.Description = "send a must-not-repeat request, at most once"
-	options := submitOptions{customer: "operator", payload: "null", timeout: defaultQueryTimeout}
-	parser.AddPositionalValue(&options.service, "service", 1, true, "the service to send to")
-	parser.String(&options.addresses, "a", "address", "the callers' addresses of one or more nodes, by commas (required)")
-	parser.String(&options.customer, "c", "customer", "the customer to send for")
+	options := submitOptions{callerOptions: defaultCaller(), payload: "null"}
+	options.addFlags(parser, "the callers' addresses of one or more nodes, by commas")
 	parser.String(&options.payload, "p", "payload", "the payload, as JSON")
-	parser.Bool(&options.raw, "j", "json", "print the outcome as JSON")
-	parser.Duration(&options.timeout, "t", "timeout", "the time for all tries together")
 	return &command{
 		parser:  parser,
 		example: `pistachiopier submit record-invoice --address 10.0.0.1:7001 --payload '{"vendor":"ham house"}'`,
@@ -42,17 +32,14 @@
 }
 
 func runSubmit(options submitOptions, out io.Writer) error {
-	if options.addresses == "" {
-		return fault.NotRun(fault.CodeBadRequest, "no address is given", "add --address IP:PORT of any node")
-	}
-	if !json.Valid([]byte(options.payload)) {
-		return fault.NotRun(fault.CodeBadRequest, "the payload is not JSON", `quote a text twice, such as '"pork"'`)
+	if err := options.check("payload", options.payload); err != nil {
+		return err
 	}
 	caller := client.New()
 	defer caller.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), options.timeout)
 	defer cancel()
-	submitted, err := caller.SubmitOnce(ctx, strings.Split(options.addresses, ","), client.Submission{
+	submitted, err := caller.SubmitOnce(ctx, strings.Split(options.address, ","), client.Submission{
 		Service:  options.service,
 		Customer: core.Customer(options.customer),
 		Payload:  json.RawMessage(options.payload),
