api: documents, failures and handlers in files of their own

caller.go held the wire documents, their conversion, the typed failures and the handlers in 313 lines; toQuestion checked five things in one function. The test that compares the documents with INTERFACE.md reads all three files now, with those of submit, which it left out. The link test covers the design pages too: they exist now, so the exception is gone.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -62,17 +62,19 @@
 	requireListed(t, read(t, "../internal/core/core.go"), `Reason\w+ +Reason = "([a-z_]+)"`, "INTERFACE.md")
 	requireListed(t, read(t, "../internal/fault/fault.go"), `Code\w+ +Code = "([a-z_]+)"`, "INTERFACE.md")
 	requireListed(t, read(t, "../internal/upstream/protocol.go"), `Header\w+ += "([A-Za-z-]+)"`, "INTERFACE.md")
-	requireListed(t, read(t, "../internal/api/caller.go"), `json:"([a-z_]+),?`, "INTERFACE.md")
+	for _, source := range []string{"documents.go", "failures.go", "submit.go"} {
+		requireListed(t, read(t, "../internal/api/"+source), `json:"([a-z_]+),?`, "INTERFACE.md")
+	}
 }
 
 func TestLinksBetweenPagesLeadSomewhere(t *testing.T) {
 	pages, err := filepath.Glob("*.md")
 	require.NoError(t, err)
-	for _, page := range append(pages, "../README.md", "../CONTRIBUTING.md") {
+	design, err := filepath.Glob("design/*.md")
+	require.NoError(t, err)
+	pages = append(pages, design...)
+	for _, page := range append(pages, "../README.md", "../CONTRIBUTING.md", "../CHANGELOG.md") {
 		for _, link := range regexp.MustCompile(`\]\(([^):#]+)\)`).FindAllStringSubmatch(read(t, page), -1) {
-			if strings.HasPrefix(link[1], "design/") {
-				continue // these pages are written with the mechanisms they describe
-			}
 			_, err := os.Stat(filepath.Join(filepath.Dir(page), link[1]))
 			require.NoError(t, err, "%s links to %s", page, link[1])
 		}
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -19,89 +19,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 )
 
-// Entries is the answer to which addresses a caller may use, and for how long.
-type Entries struct {
-	Entries []EntryAddress `json:"entries"`
-	// TTLMs is how long the caller may keep the answer, in milliseconds.
-	TTLMs int64 `json:"ttl_ms"`
-	// KeyPrefix starts the keys of the caller's must-not-repeat requests.
-	KeyPrefix string `json:"key_prefix,omitempty"`
-}
-
-// EntryAddress is one entry of the system.
-type EntryAddress struct {
-	Node       core.NodeID `json:"node"`
-	Address    string      `json:"address"`
-	DataCentre string      `json:"data_centre"`
-}
-
-// QueryRequest is the body of a query.
-type QueryRequest struct {
-	Customer      core.Customer   `json:"customer"`
-	RequestID     string          `json:"request_id,omitempty"`
-	Question      json.RawMessage `json:"question"`
-	TimeoutMs     *int64          `json:"timeout_ms,omitempty"`
-	LeastCoverage float64         `json:"least_coverage,omitempty"`
-	// Prefer is "whole" or "early".
-	Prefer string `json:"prefer,omitempty"`
-}
-
-// QueryReply is the answer to a query.
-type QueryReply struct {
-	Outcome   string       `json:"outcome"`
-	RequestID string       `json:"request_id"`
-	Service   string       `json:"service"`
-	Index     string       `json:"index"`
-	Version   core.Version `json:"version"`
-	Revision  uint64       `json:"config_revision"`
-	Coverage  Coverage     `json:"coverage"`
-	Parts     []Part       `json:"parts"`
-	ElapsedMs float64      `json:"elapsed_ms"`
-}
-
-// Coverage tells callers what an answer covers.
-type Coverage struct {
-	Asked    int     `json:"asked"`
-	Answered int     `json:"answered"`
-	Share    float64 `json:"share"`
-	Thin     bool    `json:"thin"`
-	// BelowLeast is set when less than least_coverage is answered.
-	BelowLeast bool `json:"below_least,omitempty"`
-	// Incomplete counts answered shards computed without some dependency's part.
-	Incomplete int       `json:"incomplete,omitempty"`
-	Missing    []Missing `json:"missing,omitempty"`
-}
-
-// Missing is a shard without a part.
-type Missing struct {
-	Service string      `json:"service"`
-	Shard   int         `json:"shard"`
-	Reason  core.Reason `json:"reason"`
-}
-
-// Part is one shard's part.
-type Part struct {
-	Service string          `json:"service"`
-	Shard   int             `json:"shard"`
-	Data    json.RawMessage `json:"data"`
-}
-
-// ErrorReply is the body of every failed request.
-type ErrorReply struct {
-	Outcome string     `json:"outcome"`
-	Code    fault.Code `json:"code"`
-	Message string     `json:"message"`
-	Fix     string     `json:"fix,omitempty"`
-	// Detail is the cause, in words that may change.
-	Detail       string `json:"detail,omitempty"`
-	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
-	// The rest comes with must-not-repeat requests only. ThisTry is "not_run"
-	// when the outcome of the key is unknown but this try alone did not run.
-	ThisTry   string `json:"this_try,omitempty"`
-	Repeated  bool   `json:"repeated,omitempty"`
-	KeyPrefix string `json:"key_prefix,omitempty"`
-}
-
 // BodyLimits bound a request's body in bytes and in the time it may take to
 // arrive.
 type BodyLimits struct {
@@ -186,128 +103,67 @@
 // maxTimeoutMs keeps a caller's time from overflowing a duration.
 const maxTimeoutMs = int64(time.Hour / time.Millisecond)
 
+// toQuestion checks a request. What it leaves out takes its default, here or,
+// for the time and the least coverage, in the entry.
 func toQuestion(service string, request QueryRequest) (entry.Question, error) {
-	question := entry.Question{
-		Service:       service,
-		Customer:      request.Customer,
-		Body:          request.Question,
-		RequestID:     request.RequestID,
-		LeastCoverage: request.LeastCoverage,
-	}
-	if request.Customer == "" {
-		return question, fault.NotRun(fault.CodeUnknownCustomer, "the request names no customer", "set customer")
+	if err := checkCustomer(request.Customer); err != nil {
+		return entry.Question{}, err
 	}
 	if request.LeastCoverage < 0 || request.LeastCoverage > 1 {
-		return question, fault.NotRun(fault.CodeBadRequest, "least_coverage is outside 0 to 1", "write a share such as 0.9")
-	}
-	if len(question.Body) == 0 {
-		question.Body = json.RawMessage("null")
+		return entry.Question{}, fault.NotRun(fault.CodeBadRequest, "least_coverage is outside 0 to 1", "write a share such as 0.9")
 	}
-	if request.TimeoutMs != nil {
-		if *request.TimeoutMs > maxTimeoutMs {
-			return question, fault.NotRun(fault.CodeBadRequest, "timeout_ms is over an hour", "write milliseconds")
-		}
-		if *request.TimeoutMs <= 0 {
-			return question, fault.NotRun(fault.CodePastDeadline, "timeout_ms leaves no time", "give more time")
-		}
-		question.Timeout = time.Duration(*request.TimeoutMs) * time.Millisecond
-	}
-	switch request.Prefer {
-	case "", "whole":
-		question.Preference = query.PreferWhole
-	case "early":
-		question.Preference = query.PreferEarly
-	default:
-		return question, fault.NotRun(fault.CodeBadRequest, "prefer is neither whole nor early", "write whole or early")
-	}
-	return question, nil
-}
-
-func toReply(service string, result *entry.Result) QueryReply {
-	reply := QueryReply{
-		Outcome:   core.Done.String(),
-		RequestID: result.RequestID,
-		Service:   service,
-		Index:     result.Index,
-		Version:   result.Version,
-		Revision:  result.Revision,
-		Coverage:  toCoverage(result.Answer),
-		ElapsedMs: float64(result.Elapsed) / float64(time.Millisecond),
-	}
-	for _, part := range result.Parts {
-		reply.Parts = append(reply.Parts, Part{Service: part.Ref.Service, Shard: part.Ref.Shard, Data: part.Payload})
+	timeout, err := toTimeout(request.TimeoutMs)
+	if err != nil {
+		return entry.Question{}, err
 	}
-	return reply
-}
-
-func toCoverage(answer query.Answer) Coverage {
-	coverage := answer.Coverage
-	out := Coverage{
-		BelowLeast: answer.BelowLeast, Incomplete: coverage.Incomplete,
-		Asked:    coverage.Asked,
-		Answered: coverage.Answered,
-		Share:    coverage.Share(),
-		Thin:     coverage.Answered < coverage.Asked,
+	preference, err := toPreference(request.Prefer)
+	if err != nil {
+		return entry.Question{}, err
 	}
-	for _, missing := range coverage.Missing {
-		out.Missing = append(out.Missing, Missing{Service: missing.Ref.Service, Shard: missing.Ref.Shard, Reason: missing.Reason})
+	body := request.Question
+	if len(body) == 0 {
+		body = json.RawMessage("null")
 	}
-	return out
+	return entry.Question{
+		Service:       service,
+		Customer:      request.Customer,
+		Body:          body,
+		RequestID:     request.RequestID,
+		Timeout:       timeout,
+		LeastCoverage: request.LeastCoverage,
+		Preference:    preference,
+	}, nil
 }
 
-// fail writes the typed error of a request.
-func fail(c *gin.Context, err error) {
-	typed := fault.As(err)
-	detail := ""
-	if typed.Cause != nil {
-		detail = typed.Cause.Error()
+// checkCustomer refuses a request that names no customer.
+func checkCustomer(customer core.Customer) error {
+	if customer == "" {
+		return fault.NotRun(fault.CodeUnknownCustomer, "the request names no customer", "set customer")
 	}
-	c.JSON(status(typed.Code), ErrorReply{
-		Detail:       detail,
-		Outcome:      typed.Outcome.String(),
-		Code:         typed.Code,
-		Message:      typed.Message,
-		Fix:          typed.Fix,
-		RetryAfterMs: typed.RetryAfter.Milliseconds(),
-	})
+	return nil
 }
 
-func status(code fault.Code) int {
-	switch code {
-	case fault.CodeBadRequest, fault.CodeUnknownCustomer, fault.CodeKeyMissing, fault.CodeKeyInvalid, fault.CodeWrongMethod:
-		return http.StatusBadRequest
-	case fault.CodeUnknownMethod:
-		return http.StatusMethodNotAllowed
-	case fault.CodeUnknownService, fault.CodeUnknownPath:
-		return http.StatusNotFound
-	case fault.CodeTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case fault.CodePastDeadline:
-		return http.StatusRequestTimeout
-	case fault.CodeOverloaded:
-		return http.StatusTooManyRequests
-	case fault.CodeKeyReused, fault.CodeKeyExpired:
-		return http.StatusConflict
-	case fault.CodeNotReady, fault.CodeDraining, fault.CodeRefused:
-		return http.StatusServiceUnavailable
-	case fault.CodeHomeGone, fault.CodeLost:
-		return http.StatusBadGateway
+// toTimeout is 0 when none is written: the service's own then holds.
+func toTimeout(written *int64) (time.Duration, error) {
+	switch {
+	case written == nil:
+		return 0, nil
+	case *written > maxTimeoutMs:
+		return 0, fault.NotRun(fault.CodeBadRequest, "timeout_ms is over an hour", "write milliseconds")
+	case *written <= 0:
+		return 0, fault.NotRun(fault.CodePastDeadline, "timeout_ms leaves no time", "give more time")
 	default:
-		return http.StatusInternalServerError
+		return time.Duration(*written) * time.Millisecond, nil
 	}
 }
 
-// ToFault turns a failed request's body back into its typed error.
-func ToFault(reply ErrorReply) error {
-	outcome := core.Unknown
-	if reply.Outcome == core.NotRun.String() {
-		outcome = core.NotRun
-	}
-	return &fault.Error{
-		Code:       reply.Code,
-		Outcome:    outcome,
-		Message:    reply.Message,
-		Fix:        reply.Fix,
-		RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond,
+func toPreference(written string) (query.Preference, error) {
+	switch written {
+	case "", "whole":
+		return query.PreferWhole, nil
+	case "early":
+		return query.PreferEarly, nil
+	default:
+		return query.PreferWhole, fault.NotRun(fault.CodeBadRequest, "prefer is neither whole nor early", "write whole or early")
 	}
 }
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -64,8 +64,8 @@
 // under any key: its body is not one that a home takes.
 func toSubmit(service string, request SubmitRequest) (home.Request, error) {
 	submit := home.Request{Customer: request.Customer, Key: request.Key, Service: service, Payload: request.Payload}
-	if request.Customer == "" {
-		return submit, fault.NotRun(fault.CodeUnknownCustomer, "the request names no customer", "set customer")
+	if err := checkCustomer(request.Customer); err != nil {
+		return submit, err
 	}
 	if len(submit.Payload) == 0 {
 		submit.Payload = json.RawMessage("null")
