--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
-	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
@@ -27,11 +25,6 @@
 	watchWait = 20 * time.Second
 	pauseLow  = 100 * time.Millisecond
 	ringDepth = 1024
-	// ticketLife is when a heartbeat without a reply is withdrawn. The machine
-	// has given it up by then.
-	ticketLife = 2 * time.Second
-	// pauseShown is how long a pause stays among the problems: over a night.
-	pauseShown = 12 * time.Hour
 )
 
 // Options are the parts of a Duty.
@@ -133,44 +126,6 @@
 // Answered takes the evidence that a node answered a request.
 func (d *Duty) Answered(node core.NodeID) { d.events.TryPut(member.Answered{Node: node}) }
 
-// HandleHeartbeat takes a peer's heartbeat. A full ring refuses it.
-func (d *Duty) HandleHeartbeat(inbound *peer.Inbound) {
-	message := Decode(inbound.Envelope.GetHeartbeat())
-	if message.From.ID != inbound.From.Node {
-		// Only the node that its certificate names speaks for itself.
-		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
-		return
-	}
-	d.heard(message)
-	ticket := d.keep(inbound)
-	if !d.events.TryPut(member.Received{Ticket: ticket, Message: message}) {
-		d.take(ticket)
-		inbound.Reply(peer.Refused(core.ReasonOverloaded), true)
-	}
-}
-
-func (d *Duty) heard(message *member.Message) {
-	if d.options.Heard != nil {
-		d.options.Heard(message.From.ID, message.Revision, message.Digest)
-	}
-}
-
-func (d *Duty) keep(inbound *peer.Inbound) member.Ticket {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.ticket++
-	d.inbound[d.ticket] = inbound
-	return d.ticket
-}
-
-func (d *Duty) take(ticket member.Ticket) *peer.Inbound {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	inbound := d.inbound[ticket]
-	delete(d.inbound, ticket)
-	return inbound
-}
-
 func (d *Duty) run() {
 	ticker := time.NewTicker(member.TickEvery)
 	defer ticker.Stop()
@@ -224,78 +179,3 @@
 		}
 	}
 }
-
-func (d *Duty) send(a member.Send) {
-	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: Encode(a.Message)}}
-	target := peer.Target{Node: a.To.ID, Address: a.To.PeerAddress}
-	ticket := d.options.Peers.Ask(target, envelope, func(reply *peerpb.Envelope, failure *peer.LinkError) {
-		if failure != nil || reply.GetHeartbeat() == nil {
-			d.events.TryPut(member.Failed{Probe: a.Probe})
-			return
-		}
-		message := Decode(reply.GetHeartbeat())
-		d.heard(message)
-		d.events.TryPut(member.Replied{Probe: a.Probe, Message: message})
-	})
-	d.asked[a.Probe] = asked{ticket: ticket, at: d.options.Now()}
-}
-
-func (d *Duty) reply(a member.Reply) {
-	inbound := d.take(a.Ticket)
-	if inbound != nil {
-		inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: Encode(a.Message)}}, true)
-	}
-}
-
-// withdrawOld withdraws heartbeats that were given up, so that a silent link
-// holds a bounded number of them.
-func (d *Duty) withdrawOld() {
-	now := d.options.Now()
-	for probe, one := range d.asked {
-		if now-one.at > ticketLife {
-			one.ticket.Cancel()
-			delete(d.asked, probe)
-		}
-	}
-}
-
-func (d *Duty) gate(a member.Gate) {
-	d.options.Belief.SetPaused(a.Closed)
-	if !a.Closed {
-		d.options.Log.WithField("event", "beliefs_confirmed").Info("beliefs confirmed after a pause")
-		return
-	}
-	d.pausedAt = d.options.Now()
-	d.options.Problems.Report(observe.KindPaused, string(d.options.Self.ID), "the process stood still for "+a.Late.Round(time.Millisecond).String())
-	d.options.Log.WithFields(logrus.Fields{"event": "process_paused", "late_ms": a.Late.Milliseconds()}).Warn("the process stood still; beliefs are confirmed before work goes on")
-}
-
-func (d *Duty) clearOldPause() {
-	if d.pausedAt > 0 && d.options.Now()-d.pausedAt > pauseShown {
-		d.pausedAt = 0
-		d.options.Problems.Clear(observe.KindPaused, string(d.options.Self.ID))
-	}
-}
-
-func (d *Duty) split(a member.Split) {
-	subject := string(d.options.Self.ID)
-	if !a.Present {
-		d.options.Problems.Clear(observe.KindSplitView, subject)
-		return
-	}
-	d.options.Problems.Report(observe.KindSplitView, subject, splitDetail(a.Unreached))
-}
-
-func (d *Duty) unreached(a member.Unreached) {
-	for _, node := range d.lost {
-		if !slices.Contains(a.Nodes, node) {
-			d.options.Problems.Clear(observe.KindPeerUnreachable, string(node))
-		}
-	}
-	for _, node := range a.Nodes {
-		if !slices.Contains(d.lost, node) {
-			d.options.Problems.Report(observe.KindPeerUnreachable, string(node), "the VM list shows it live, and neither this node nor others reach it")
-		}
-	}
-	d.lost = a.Nodes
-}
