settings: one check for values below 0

validateLimits listed durations and counts in two tables with two loops. One generic check does both; the guard on once.retain, which keeps a late retry from running again, is a function of its own that says so. The message of a negative duration now names the value, as that of a count did.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -184,46 +184,39 @@
 
 // validateLimits refuses durations and counts below 0; a 0 took its default.
 func (s *Settings) validateLimits(doc *strictyaml.Document) {
-	durations := []struct {
-		key   string
-		value time.Duration
-	}{
-		{"entries_ttl", s.EntriesTTL},
-		{"stop_wait", s.StopWait},
-		{"tls.warn_before", s.TLS.WarnBefore},
-		{"limits.header_timeout", s.Limits.HeaderTimeout},
-		{"limits.body_timeout", s.Limits.BodyTimeout},
-		{"limits.idle_timeout", s.Limits.IdleTimeout},
-		{"probing.report_within", s.Probing.ReportWithin},
-		{"once.accept", s.Once.Accept},
-		{"once.retain", s.Once.Retain},
-		{"once.max_run", s.Once.MaxRun},
-	}
-	for _, one := range durations {
-		if one.value < 0 {
-			doc.Report(one.key, "the duration is negative", "write a duration above 0")
-		}
-	}
-	// A key that is not remembered between the two ages has provably never run;
-	// with less to remember by, a late retry would run a second time.
-	if limits := s.Once.Limits(); limits.Retain <= limits.Accept+limits.MaxRun+limits.Grace {
+	const duration, count = "write a duration above 0", "write a number above 0"
+	notNegative(doc, "entries_ttl", s.EntriesTTL, duration)
+	notNegative(doc, "stop_wait", s.StopWait, duration)
+	notNegative(doc, "tls.warn_before", s.TLS.WarnBefore, duration)
+	notNegative(doc, "limits.header_timeout", s.Limits.HeaderTimeout, duration)
+	notNegative(doc, "limits.body_timeout", s.Limits.BodyTimeout, duration)
+	notNegative(doc, "limits.idle_timeout", s.Limits.IdleTimeout, duration)
+	notNegative(doc, "limits.max_body_bytes", s.Limits.MaxBodyBytes, count)
+	notNegative(doc, "limits.connections", s.Limits.Connections, count)
+	notNegative(doc, "limits.entries", s.Limits.Entries, count)
+	notNegative(doc, "probing.report_within", s.Probing.ReportWithin, duration)
+	notNegative(doc, "probing.in_flight", s.Probing.InFlight, count)
+	notNegative(doc, "once.accept", s.Once.Accept, duration)
+	notNegative(doc, "once.retain", s.Once.Retain, duration)
+	notNegative(doc, "once.max_run", s.Once.MaxRun, duration)
+	notNegative(doc, "once.entries", s.Once.Entries, count)
+	notNegative(doc, "once.bytes", s.Once.Bytes, count)
+	s.validateRetain(doc)
+}
+
+// validateRetain guards against a second run. A key that is not remembered
+// between the two ages has provably never run; with less to remember by, a late
+// retry would be taken for new.
+func (s *Settings) validateRetain(doc *strictyaml.Document) {
+	limits := s.Once.Limits()
+	if limits.Retain <= limits.Accept+limits.MaxRun+limits.Grace {
 		doc.Report("once.retain", limits.Retain.String()+" is too short for once.accept and once.max_run", "write more than their sum and "+limits.Grace.String())
 	}
-	counts := []struct {
-		key   string
-		value int
-	}{
-		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
-		{"limits.connections", s.Limits.Connections},
-		{"limits.entries", s.Limits.Entries},
-		{"probing.in_flight", s.Probing.InFlight},
-		{"once.entries", s.Once.Entries},
-		{"once.bytes", s.Once.Bytes},
-	}
-	for _, one := range counts {
-		if one.value < 0 {
-			doc.Report(one.key, fmt.Sprintf("%d is negative", one.value), "write a number above 0")
-		}
+}
+
+func notNegative[T int | time.Duration](doc *strictyaml.Document, key string, value T, fix string) {
+	if value < 0 {
+		doc.Report(key, fmt.Sprintf("%v is negative", value), fix)
 	}
 }
 
