--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -80,3 +80,13 @@
 		}
 	}
 }
+
+func TestTheDesignListsEveryPackage(t *testing.T) {
+	entries, err := os.ReadDir("../internal")
+	require.NoError(t, err)
+	page := read(t, "DESIGN.md")
+	table := page[strings.Index(page, "## Packages"):strings.Index(page, "## Decisions apart")]
+	for _, entry := range entries {
+		require.Contains(t, table, "`"+entry.Name()+"`", "the package table of DESIGN.md")
+	}
+}
