--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -68,7 +68,7 @@
 	return count
 }
 
-// NodeAddress is one node of the view, for operators.
+// NodeAddress is one node of the view or the VM list, for operators.
 type NodeAddress struct {
 	Node            core.NodeID `json:"node"`
 	DataCentre      string      `json:"data_centre"`
@@ -83,7 +83,7 @@
 	Health      func() Health
 	Status      func() any
 	Dump        func() any
-	// Nodes lists the nodes that this one believes live.
+	// Nodes lists the nodes of the view and of the VM list.
 	Nodes func() []NodeAddress
 	// Problems lists this node's problems, FleetProblems those of all nodes.
 	Problems      func() ProblemsReport
--- a/internal/api/router.go
+++ b/internal/api/router.go
@@ -79,9 +79,9 @@
 }
 
 // readBody reads a request's body within its limit of size and the time that
-// boundBody gave it. The deadline is lifted once the body is in: net/http goes on reading in the background to notice a caller
-// that disconnects, and a deadline that expires there would cancel a question
-// that is still being answered.
+// boundBody gave it. The deadline is lifted once the body is in: net/http goes on
+// reading in the background to notice a caller that disconnects, and a deadline
+// that expires there would cancel a question that is still being answered.
 func readBody(c *gin.Context, maxBytes int64) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, c.Request.Body, maxBytes))
 	if err == nil {
