--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -85,15 +85,24 @@
 // inFlight counts the questions being answered here and the requests of peers.
 func (n *Node) inFlight() int { return n.entry.InFlight() + n.server.Open() }
 
-// close ends the duties. It also cleans up after a start that failed half-way.
+// close ends the duties. It also cleans up after a start that failed half-way,
+// when some of them are nil. The home ends last.
 func (n *Node) close(ctx context.Context) error {
-	var problems []error
+	var callers error
 	if n.caller != nil {
-		problems = append(problems, n.caller.Shutdown(ctx))
+		callers = n.caller.Shutdown(ctx)
 	}
 	if n.home != nil {
 		defer n.home.Close()
 	}
+	n.closeDuties()
+	servers := n.closeServers()
+	n.upstream.Close()
+	n.platform.Close()
+	return errors.Join(callers, servers)
+}
+
+func (n *Node) closeDuties() {
 	if n.members != nil {
 		n.members.Close()
 	}
@@ -107,18 +116,21 @@
 	if n.owner != nil {
 		n.owner.Close()
 	}
+}
+
+// closeServers ends the links to peers and the operators' interface.
+func (n *Node) closeServers() error {
+	var failures []error
 	if n.server != nil {
-		problems = append(problems, n.server.Close())
+		failures = append(failures, n.server.Close())
 	}
 	if n.pool != nil {
-		problems = append(problems, n.pool.Close())
+		failures = append(failures, n.pool.Close())
 	}
 	if n.operator != nil {
-		problems = append(problems, n.operator.Close())
+		failures = append(failures, n.operator.Close())
 	}
-	n.upstream.Close()
-	n.platform.Close()
-	return errors.Join(problems...)
+	return errors.Join(failures...)
 }
 
 // closeWhenLeaving asks callers to close their connections with the answer. An
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -28,12 +28,15 @@
 
 // Gatherer asks peers for their problems. It runs one gathering at a time.
 type Gatherer struct {
-	Self     peer.Identity
-	TLS      *tls.Config
+	Self peer.Identity
+	TLS  *tls.Config
+	// Nodes lists whom to ask, also those that may not answer.
 	Nodes    func() []route.Node
 	Problems *observe.Problems
-	Now      func() core.Time
-	busy     sync.Mutex
+	// Now reads the node's monotonic clock.
+	Now func() core.Time
+	// busy is held by the gathering under way.
+	busy sync.Mutex
 }
 
 // Own lists this node's problems.
@@ -70,11 +73,11 @@
 	inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_ProblemsReply{ProblemsReply: reply}}, true)
 }
 
-// Fleet asks every node of the view. A node that does not answer is listed as
-// such: it may have any problem.
+// Fleet asks every node that Nodes lists. A node that does not answer is listed
+// as such: it may have any problem.
 func (g *Gatherer) Fleet(ctx context.Context) (api.ProblemsReport, error) {
 	if !g.busy.TryLock() {
-		return api.ProblemsReport{}, &fault.Error{Code: fault.CodeOverloaded, Outcome: core.NotRun, Message: "a gathering is under way on this node", Fix: "come back later or ask another node", RetryAfter: retryPause}
+		return api.ProblemsReport{}, errBusy()
 	}
 	defer g.busy.Unlock()
 	report := api.ProblemsReport{Nodes: []api.NodeProblems{g.Own()}}
@@ -92,6 +95,16 @@
 	return report, nil
 }
 
+func errBusy() error {
+	return &fault.Error{
+		Code:       fault.CodeOverloaded,
+		Outcome:    core.NotRun,
+		Message:    "a gathering is under way on this node",
+		Fix:        "come back later or ask another node",
+		RetryAfter: retryPause,
+	}
+}
+
 // answer is one peer's reply, or why there is none.
 type answer struct {
 	reply *peerpb.ProblemsReply
