End-to-end tests run again when the program changes

Change: the test package imports internal/command, so that its result depends on the program's packages.

--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -6,6 +6,10 @@
 	"os"
 	"testing"
 
+	// The tests run the built program. The go command takes a former result for
+	// good while the packages that a test imports are unchanged, so that without
+	// this import a change of the program would be passed without a run.
+	_ "github.com/pistachiopier/pistachiopier/internal/command"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
