A VM that the list shows leaving is marked whatever comes first, and for as long

Cause: upstreams on leaving VMs were marked only when a new list arrived while a text was in force. A list read before the first text marked nobody, and a mark ended after 5 minutes although the list still said the same. Change: the duty marks again when the list or the text is another one, and every minute. Before: the new fleet test ends at its 20 s limit; after: it passes, also with the race detector.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,8 +48,9 @@
 	logTo     io.Writer
 	members   []*Member
 	// added counts the nodes started so far: an id is never used twice.
-	added int
-	alter func(*settings.Settings)
+	added       int
+	alter       func(*settings.Settings)
+	upstreamVMs []platform.VM
 }
 
 // Options choose a fleet.
@@ -57,6 +59,8 @@
 	LogTo io.Writer
 	// Alter, when set, changes each node's settings before its start.
 	Alter func(*settings.Settings)
+	// UpstreamVMs are in the VM list beside the nodes.
+	UpstreamVMs []platform.VM
 }
 
 // Start runs a platform and nodes. The text is published by the caller.
@@ -69,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Platform: stand, authority: authority, logTo: options.LogTo, alter: options.Alter}
+	fleet := &Fleet{Platform: stand, authority: authority, logTo: options.LogTo, alter: options.Alter, upstreamVMs: options.UpstreamVMs}
 	for range options.Nodes {
 		if _, err := fleet.Add(); err != nil {
 			fleet.Close()
@@ -158,7 +162,7 @@
 }
 
 func (f *Fleet) publishVMs() {
-	vms := make([]platform.VM, 0, len(f.members))
+	vms := slices.Clone(f.upstreamVMs)
 	for _, member := range f.members {
 		vms = append(vms, member.vm)
 	}
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -151,6 +153,29 @@
 	require.Equal(t, before, upstreams[0].Queries())
 }
 
+// Nodes start and read the VM list, which shows an upstream's VM leaving, before
+// they read the first text. The text then names a replica on that VM: it must get
+// no work, although the list does not change any more.
+func TestALeavingVMInTheListBeforeTheTextIsDrained(t *testing.T) {
+	const leavingVM = "127.0.0.2"
+	upstreams := startUpstreams(t, 1)
+	leaving, err := standin.StartUpstream(leavingVM+":0", standin.Behaviour{Slots: 2, Versions: []uint64{7}})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = leaving.Close() })
+	f, err := Start(Options{Nodes: 2, LogTo: io.Discard, UpstreamVMs: []platform.VM{
+		{ID: "upstream-1", State: platform.VMLeaving, CallerAddress: leavingVM + ":1"},
+	}})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	listRead := func() bool { return f.Members()[0].Node.Status().Nodes == 2 && f.Members()[1].Node.Status().Nodes == 2 }
+	require.Eventually(t, listRead, awaitLimit, pollPause)
+	f.Platform.Publish(testText(append(upstreams, leaving)))
+	drained := func() bool {
+		return f.Members()[0].Node.Status().Drained == 1 && f.Members()[1].Node.Status().Drained == 1
+	}
+	require.Eventually(t, drained, awaitLimit, pollPause)
+}
+
 // A node dies without a planned stop and its VM stays in the list. Questions must soon
 // be whole again, with its bundles at other owners.
 func TestADeadOwnerIsReplacedThoughItIsListed(t *testing.T) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -49,6 +49,8 @@
 	done    sync.WaitGroup
 	seen    uint64
 	listed  atomic.Pointer[[]route.Node]
+	// list is the VM list last read.
+	list atomic.Pointer[platform.VMList]
 
 	mutex   sync.Mutex
 	inbound map[member.Ticket]*peer.Inbound
@@ -58,6 +60,7 @@
 	asked    map[member.ProbeID]asked
 	pausedAt core.Time
 	lost     []core.NodeID
+	marked   marking
 }
 
 // asked is a heartbeat that was handed to the peers' pool.
@@ -134,6 +137,7 @@
 			d.step(e)
 		case <-ticker.C:
 			d.step(d.tick())
+			d.markLeaving()
 			d.withdrawOld()
 			d.clearOldPause()
 			// After the step, so that the gate is closed before the sign of
--- a/internal/membership/vmlist.go
+++ b/internal/membership/vmlist.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/member"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -20,6 +22,9 @@
 	listWait = 20 * time.Second
 	// listPause follows a read that failed or brought nothing new.
 	listPause = 100 * time.Millisecond
+	// markAgain is how often an unchanged list marks its leaving upstreams again,
+	// well within the life of a mark.
+	markAgain = time.Minute
 	// staleReads is how many reads in a row must fail before the VM list counts
 	// as stale.
 	staleReads = 20
@@ -67,13 +72,34 @@
 		nodes = append(nodes, one.Node)
 	}
 	d.listed.Store(&nodes)
+	d.list.Store(&list)
 	_ = d.events.Put(d.ctx, listed)
-	config := d.options.Belief.Config()
-	if config == nil {
+}
+
+// marking is what the marks of leaving upstreams were last made from, and when.
+type marking struct {
+	list   *platform.VMList
+	config *belief.Config
+	at     core.Time
+}
+
+// due reports whether the marks are to be made again: the list or the text is
+// another one, or the marks would end although the list still says the same.
+func (m marking) due(now marking) bool {
+	return m.list != now.list || m.config != now.config || now.at-m.at >= markAgain
+}
+
+// markLeaving marks the upstreams that the VM list shows leaving. The list may
+// be read before the first text and may stay unchanged for longer than a mark
+// lasts, so it is not enough to mark when a list arrives.
+func (d *Duty) markLeaving() {
+	now := marking{list: d.list.Load(), config: d.options.Belief.Config(), at: d.options.Now()}
+	if now.list == nil || now.config == nil || !d.marked.due(now) {
 		return
 	}
-	for _, address := range leavingUpstreams(list, config.Catalog) {
-		_ = d.events.Put(d.ctx, member.DrainSeen{Address: address, Draining: true})
+	d.marked = now
+	for _, address := range leavingUpstreams(*now.list, now.config.Catalog) {
+		d.step(member.DrainSeen{Address: address, Draining: true})
 	}
 }
 
