--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -97,3 +99,19 @@
 	require.Equal(t, ExitOK, code, errors)
 	require.Contains(t, out, `"outcome":"done"`)
 }
+
+// An operator asks a node that has just started. It knows no other node yet; an
+// empty table with exit code 0 would pass for a fleet that is fine.
+func TestStatusOfAStartingNodeIsTrouble(t *testing.T) {
+	operator := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/nodes" {
+			_, _ = io.WriteString(w, "[]")
+			return
+		}
+		_, _ = io.WriteString(w, `{"node":"vm-1","health":{"state":"starting","why":"no configuration is in force yet"}}`)
+	}))
+	defer operator.Close()
+	code, out, errors := run("status", "--address", operator.Listener.Addr().String(), "--fleet")
+	require.Equal(t, ExitTrouble, code, errors)
+	require.Contains(t, out, "starting")
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -48,9 +48,11 @@
 	err := askOperator(options.address, fleetTimeout, func(ctx context.Context, operator *client.Client) error {
 		nodes := []api.NodeAddress{{OperatorAddress: options.address}}
 		if options.fleet {
-			if err := operator.Get(ctx, options.address, "/v1/nodes", &nodes); err != nil {
+			known, err := fleetNodes(ctx, operator, options.address)
+			if err != nil {
 				return err
 			}
+			nodes = known
 		}
 		list = lookAtAll(ctx, operator, nodes)
 		return nil
@@ -67,6 +69,20 @@
 	return nil
 }
 
+// fleetNodes lists the nodes that the asked one knows. One that is still starting
+// knows none, not even itself: then it alone is looked at, so that an empty table
+// never passes for a fleet that is fine.
+func fleetNodes(ctx context.Context, operator *client.Client, address string) ([]api.NodeAddress, error) {
+	var nodes []api.NodeAddress
+	if err := operator.Get(ctx, address, "/v1/nodes", &nodes); err != nil {
+		return nil, err
+	}
+	if len(nodes) == 0 {
+		nodes = []api.NodeAddress{{OperatorAddress: address}}
+	}
+	return nodes, nil
+}
+
 // allReady reports whether every node answered, is ready and has the same
 // revision in force as the others.
 func allReady(list []nodeStatus) bool {
