admit: the shard's machine in files by job

The shard's machine stood in one file of 687 lines, its constants far from their use; the end of a request (observe) mixed three decisions in one switch of 40 lines, queueWait nested a switch in a loop, and end had a parameter that was nil at every call.

Now: configure, request, try, dispatch, hedge, estimate, observe, limiter, each with its constants; the verdict on a replica is separate from what is learnt and from the event that its chart gets, and each verdict says what it means. Behaviour and tests are as before.

--- a/internal/core/admit/fair.go
+++ b/internal/core/admit/fair.go
@@ -9,6 +9,9 @@
 // turnGain is the weight of a new sample in a customer's time between turns.
 const turnGain = 0.1
 
+// maxIdle bounds the customers remembered without a waiting request.
+const maxIdle = 64
+
 // fairQueue is start-time fair queueing between customers. Each customer has a
 // start tag: the virtual time at which its next request is due. The customer
 // with the least tag goes next, its tag grows by 1/weight, and virtual time is
--- /dev/null
+++ b/internal/core/admit/hedge.go
@@ -0,0 +1,65 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+const (
+	// hedgeQuantile is the learnt latency after which a second replica is
+	// asked: of the first tries, one in twenty gets there.
+	hedgeQuantile = 0.95
+	// medianQuantile replaces it for a replica that is usually slower than that.
+	medianQuantile = 0.5
+)
+
+func hedgedBefore(a, b *try) bool {
+	if a.hedgeAt != b.hedgeAt {
+		return a.hedgeAt < b.hedgeAt
+	}
+	return a.id < b.id
+}
+
+// hedgeDelay is how long a try runs alone: the service's hedgeQuantile, or its
+// median on a replica that is usually slower than that.
+func (s *Shard) hedgeDelay(chosen *replica) (time.Duration, bool) {
+	delay, known := s.service.Quantile(hedgeQuantile)
+	if known && chosen.latency > float64(delay) {
+		return s.service.Quantile(medianQuantile)
+	}
+	return delay, known
+}
+
+// hedge sends a second try for the requests that have run longer than usual,
+// in slots that no waiting request can use. One that finds no slot or no budget
+// is looked at again at every step, so that it gets the next free slot.
+func (s *Shard) hedge(now core.Time) {
+	for s.hedges.len() > 0 && s.hedges.first().hedgeAt <= now {
+		t := s.hedges.first()
+		s.hedges.remove(t)
+		s.overdue = append(s.overdue, t)
+	}
+	s.overdue = slices.DeleteFunc(s.overdue, func(t *try) bool {
+		r := t.request
+		if r.ended || s.running[t.id] != t || len(r.live) > 1 || r.tries >= maxTries || now+s.quickest() >= r.Deadline {
+			return true
+		}
+		chosen := s.chooseHedge(now, t)
+		if chosen == nil || !s.extra(r) {
+			return false
+		}
+		s.send(now, r, chosen, KindHedge)
+		return true
+	})
+}
+
+func (s *Shard) chooseHedge(now core.Time, t *try) *replica {
+	r := t.request
+	avoid := r.avoid
+	r.avoid = append(slices.Clip(avoid), t.replica)
+	chosen := s.choose(now, r)
+	r.avoid = avoid
+	return chosen
+}
