once: the ledger in files by job, one name for an entry's asks

An entry's asks were called a trip with stops, kept the home's reply in a field that nobody read, and the key's fields were cut out by adding lengths.

Trip is Submission, Stop is Holder (the home or its successor), the unread field is gone; the search test tells submissions apart by whom they ask instead of by that field, which tells at least as many states with another future apart. A permit that is used is taken, as its method says.

--- a/internal/core/once/key.go
+++ b/internal/core/once/key.go
@@ -1,5 +1,5 @@
 // Package once decides must-not-repeat requests: the keys that name a home, the
-// home's ledger, the owner's permit to send and the entry's way to an outcome.
+// home's ledger, the owner's permit to send and the entry's asks for an outcome.
 //
 // The right to run a key is never shared: only the incarnation of the home that
 // issued its prefix may run it, and that right ends with the process. Nothing
@@ -21,13 +21,19 @@
 
 // Limits of a key.
 const (
+	// MaxCallerID is the length of a caller's id, in bytes.
 	MaxCallerID = 64
 	maxKeyBytes = 256
-	macBytes    = 16
-	radix       = 36
-	tickUnit    = time.Millisecond
-	separator   = "."
-	keyFields   = 4
+	// macBytes is the part of the HMAC-SHA-256 that a prefix carries.
+	macBytes = 16
+	// radix is the base in which incarnation and tick are written.
+	radix = 36
+	// tickUnit is the unit of a tick; tickBits hold 34 years of it.
+	tickUnit  = time.Millisecond
+	tickBits  = 40
+	separator = "."
+	// keyFields is the number of fields after the node's name.
+	keyFields = 4
 )
 
 // Key is a parsed key: PREFIX.callerid, where PREFIX is
@@ -59,25 +65,30 @@
 		return Key{}, malformed("the key is not PREFIX.id")
 	}
 	// The node's name may itself hold separators, so the fields count from the end.
-	tail := fields[len(fields)-keyFields:]
-	incarnation, errIncarnation := strconv.ParseUint(tail[0], radix, 64)
-	tick, errTick := strconv.ParseUint(tail[1], radix, 40)
+	return parseFields(text, [keyFields]string(fields[len(fields)-keyFields:]))
+}
+
+// parseFields reads the fields that follow the node's name in a key's text.
+func parseFields(text string, fields [keyFields]string) (Key, error) {
+	incarnationText, tickText, mac, callerID := fields[0], fields[1], fields[2], fields[3]
+	incarnation, errIncarnation := strconv.ParseUint(incarnationText, radix, 64)
+	tick, errTick := strconv.ParseUint(tickText, radix, tickBits)
 	if errIncarnation != nil || errTick != nil {
 		return Key{}, malformed("the key's prefix is not one that was issued")
 	}
-	if !validCallerID(tail[3]) {
+	if !validCallerID(callerID) {
 		return Key{}, malformed("the caller's id is not 1 to " + strconv.Itoa(MaxCallerID) + " of A-Z a-z 0-9 _ -")
 	}
-	signed := text[:len(text)-len(tail[2])-len(tail[3])-2*len(separator)]
-	node := signed[:len(signed)-len(tail[0])-len(tail[1])-2*len(separator)]
+	signed := strings.TrimSuffix(text, separator+mac+separator+callerID)
+	node := strings.TrimSuffix(signed, separator+incarnationText+separator+tickText)
 	return Key{
 		Text:        text,
 		Node:        core.NodeID(node),
 		Incarnation: incarnation,
 		Tick:        core.Time(tick) * tickUnit,
-		CallerID:    tail[3],
+		CallerID:    callerID,
 		signed:      signed,
-		mac:         tail[2],
+		mac:         mac,
 	}, nil
 }
 
--- a/internal/core/once/permit.go
+++ b/internal/core/once/permit.go
@@ -13,7 +13,7 @@
 // only a send that is proven not to have run gives the right back.
 type Permit struct {
 	deadline core.Time
-	spent    bool
+	taken    bool
 }
 
 // NewPermit makes the permit of a request that must be sent before deadline, on
@@ -29,28 +29,28 @@
 // Take asks for the right to send now. It returns the time left, or a refusal.
 func (p *Permit) Take(now core.Time, owns bool) (time.Duration, *Refusal) {
 	switch {
-	case p.spent:
+	case p.taken:
 		return 0, &Refusal{Outcome: core.Unknown, Reason: core.ReasonUpstreamFailed}
 	case p.deadline <= now:
 		return 0, &Refusal{Outcome: core.NotRun, Reason: core.ReasonDeadline}
 	case !owns:
 		return 0, &Refusal{Outcome: core.NotRun, Reason: core.ReasonNotOwner}
 	}
-	p.spent = true
+	p.taken = true
 	return p.deadline - now, nil
 }
 
 // Ended gives the right back when the send is proven not to have run.
 func (p *Permit) Ended(outcome core.Outcome) {
 	if outcome == core.NotRun {
-		p.spent = false
+		p.taken = false
 	}
 }
 
 // Cap is the outcome that may be told: "not run" only when no send is left that
 // may have run.
 func (p *Permit) Cap(outcome core.Outcome) core.Outcome {
-	if outcome == core.NotRun && p.spent {
+	if outcome == core.NotRun && p.taken {
 		return core.Unknown
 	}
 	return outcome
--- /dev/null
+++ b/internal/core/once/wording.go
@@ -0,0 +1,36 @@
+package once
+
+import (
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+// endedReply words the end of a send for callers.
+func endedReply(e *Ended) Reply {
+	if e.Outcome == core.Done {
+		return Reply{Outcome: core.Done, Payload: e.Payload, Message: e.Message}
+	}
+	reply := Reply{Outcome: e.Outcome, Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
+	if reply.Code == "" {
+		reply.Code = codeOf(e.Outcome, e.Reason)
+	}
+	if reply.Message == "" {
+		reply.Message = "the request ended with " + string(e.Reason)
+	}
+	return reply
+}
+
+func codeOf(outcome core.Outcome, reason core.Reason) fault.Code {
+	switch {
+	case outcome != core.NotRun:
+		return fault.CodeLost
+	case reason == core.ReasonDeadline:
+		return fault.CodePastDeadline
+	case reason == core.ReasonOverloaded:
+		return fault.CodeOverloaded
+	case reason == core.ReasonDraining:
+		return fault.CodeDraining
+	default:
+		return fault.CodeRefused
+	}
+}
--- a/internal/core/once/world_test.go
+++ b/internal/core/once/world_test.go
@@ -19,17 +19,17 @@
 // world is one key, its caller, entries, home, owner and upstream, with every
 // message between them held back until a move delivers or loses it.
 type world struct {
-	now       core.Time
-	key       Key
-	request   Asked
-	home      *Ledger
-	successor *Ledger
-	listed    bool
-	restarts  int
-	trips     map[WaiterID]*worldTrip
-	asks      []WaiterID
-	sends     []Send
-	replies   []Ended
+	now         core.Time
+	key         Key
+	request     Asked
+	home        *Ledger
+	successor   *Ledger
+	listed      bool
+	restarts    int
+	submissions map[WaiterID]*worldSubmission
+	asks        []WaiterID
+	sends       []Send
+	replies     []Ended
 	// sender tells the home's incarnation that a send or reply belongs to.
 	sender   map[SendID]int
 	nextAsk  WaiterID
@@ -45,15 +45,15 @@
 	broken  string
 }
 
-type worldTrip struct {
-	Trip
+type worldSubmission struct {
+	Submission
 	// home is the incarnation that took the ask and has not answered; 0 none.
 	home  int
 	ended bool
 }
 
 func newWorld(maxTries int) *world {
-	w := &world{listed: true, trips: map[WaiterID]*worldTrip{}, sender: map[SendID]int{}, told: map[string]bool{}, maxTries: maxTries}
+	w := &world{listed: true, submissions: map[WaiterID]*worldSubmission{}, sender: map[SendID]int{}, told: map[string]bool{}, maxTries: maxTries}
 	issuer := w.newHome()
 	key, err := ParseKey(issuer.Prefix(0) + ".invoice-1")
 	if err != nil {
@@ -87,7 +87,7 @@
 	}
 	for i, ask := range w.asks {
 		add(fmt.Sprint("deliver ask ", ask), func() { w.deliverAsk(i) })
-		if !w.trips[ask].ended {
+		if !w.submissions[ask].ended {
 			add(fmt.Sprint("ask not written ", ask), func() { w.loseAsk(i, core.NotRun) })
 			add(fmt.Sprint("ask's link lost, ask late ", ask), func() { w.loseAsk(i, core.Unknown) })
 		}
@@ -125,13 +125,13 @@
 func (w *world) callerTries() {
 	w.tries++
 	w.nextAsk++
-	trip := &worldTrip{}
-	w.trips[w.nextAsk] = trip
-	w.goTo(w.nextAsk, trip.First(w.listed))
+	submission := &worldSubmission{}
+	w.submissions[w.nextAsk] = submission
+	w.goTo(w.nextAsk, submission.First(w.listed))
 }
 
-func (w *world) goTo(id WaiterID, stop Stop) {
-	if stop == StopHome {
+func (w *world) goTo(id WaiterID, holder Holder) {
+	if holder == HolderHome {
 		w.asks = append(w.asks, id)
 		return
 	}
@@ -149,16 +149,16 @@
 }
 
 func (w *world) next(id WaiterID, answered Answered) {
-	trip := w.trips[id]
-	if trip.ended {
+	submission := w.submissions[id]
+	if submission.ended {
 		return
 	}
-	stop, _, reply := trip.Next(answered)
-	if stop != StopNone {
-		w.goTo(id, stop)
+	holder, _, reply := submission.Next(answered)
+	if holder != HolderNone {
+		w.goTo(id, holder)
 		return
 	}
-	trip.ended = true
+	submission.ended = true
 	w.tell(reply)
 }
 
@@ -184,8 +184,8 @@
 		w.next(id, Answered{Outcome: core.NotRun})
 		return
 	}
-	if !w.trips[id].ended {
-		w.trips[id].home = w.restarts + 1
+	if !w.submissions[id].ended {
+		w.submissions[id].home = w.restarts + 1
 	}
 	asked := w.request
 	asked.Waiter = id
@@ -209,7 +209,7 @@
 			w.sends = append(w.sends, a)
 			w.sender[a.Send] = w.restarts + 1
 		case Answer:
-			w.trips[a.Waiter].home = 0
+			w.submissions[a.Waiter].home = 0
 			w.next(a.Waiter, Answered{Reply: &a.Reply})
 		}
 	}
@@ -291,7 +291,7 @@
 	w.faults++
 	w.restarts++
 	w.newHome()
-	w.breakTrips()
+	w.breakSubmissions()
 }
 
 // stop hands over at once, also when a run has not ended: the worst case of a
@@ -301,13 +301,13 @@
 	w.stepHome(Stopping{})
 	w.successor.Inherit(w.now, w.home.Records(w.now))
 	w.listed = false
-	w.breakTrips()
+	w.breakSubmissions()
 }
 
-func (w *world) breakTrips() {
+func (w *world) breakSubmissions() {
 	for id := WaiterID(1); id <= w.nextAsk; id++ {
-		if trip := w.trips[id]; trip.home != 0 {
-			trip.home = 0
+		if submission := w.submissions[id]; submission.home != 0 {
+			submission.home = 0
 			w.next(id, Answered{Outcome: core.Unknown})
 		}
 	}
@@ -334,8 +334,8 @@
 func (w *world) fingerprint() string {
 	var parts []string
 	for id := WaiterID(1); id <= w.nextAsk; id++ {
-		trip := w.trips[id]
-		parts = append(parts, fmt.Sprintf("%d:%d:%d:%t:%t:%t", id, trip.home, trip.homeAsks, trip.reached, trip.gone != nil, trip.ended))
+		submission := w.submissions[id]
+		parts = append(parts, fmt.Sprintf("%d:%d:%d:%t:%d:%t", id, submission.home, submission.homeAsks, submission.reached, submission.asked, submission.ended))
 	}
 	sort.Strings(parts)
 	entry := "none"
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -1,6 +1,6 @@
 // Package home is the role that remembers must-not-repeat requests: it runs
 // each key of its own prefixes at most once and keeps the outcome. It also holds
-// an entry's way from a key to its home.
+// an entry's asks for the outcome of a key.
 package home
 
 import (
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
 
+// defaultTimeout stands while no text says the service's.
 const defaultTimeout = 5 * time.Second
 
 // Request is a caller's must-not-repeat request as its entry takes it.
@@ -35,8 +36,8 @@
 	timeout := h.timeout(request)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	trip := &trip{home: h, key: key, request: request, deadline: h.options.Now() + timeout}
-	return trip.run(ctx)
+	asks := &submission{home: h, key: key, request: request, deadline: h.options.Now() + timeout}
+	return asks.run(ctx)
 }
 
 func (h *Home) timeout(request Request) time.Duration {
@@ -51,43 +52,43 @@
 	return defaultTimeout
 }
 
-// trip runs a once.Trip with messages.
-type trip struct {
-	once.Trip
+// submission runs a once.Submission with messages.
+type submission struct {
+	once.Submission
 	home     *Home
 	key      once.Key
 	request  Request
 	deadline core.Time
 }
 
-func (t *trip) run(ctx context.Context) once.Reply {
-	view := t.home.options.Belief.View()
-	_, listed := view.Node(t.key.Node)
-	stop := t.First(listed)
+func (s *submission) run(ctx context.Context) once.Reply {
+	view := s.home.options.Belief.View()
+	_, listed := view.Node(s.key.Node)
+	holder := s.First(listed)
 	for {
-		answered, inTime := t.ask(ctx, stop)
+		answered, inTime := s.ask(ctx, holder)
 		if !inTime {
-			return t.Lost()
+			return s.Lost()
 		}
-		next, pause, reply := t.Next(answered)
-		if next == once.StopNone {
+		next, pause, reply := s.Next(answered)
+		if next == once.HolderNone {
 			return reply
 		}
-		stop = next
+		holder = next
 		if !sleep(ctx, pause) {
-			return t.Lost()
+			return s.Lost()
 		}
 	}
 }
 
-// ask asks one stop; false when the caller's time ends first.
-func (t *trip) ask(ctx context.Context, stop once.Stop) (once.Answered, bool) {
-	node, ok := t.node(stop)
+// ask asks one holder; false when the caller's time ends first.
+func (s *submission) ask(ctx context.Context, holder once.Holder) (once.Answered, bool) {
+	node, ok := s.node(holder)
 	if !ok {
 		return once.Answered{Outcome: core.NotRun}, true
 	}
 	ends := make(chan once.Answered, 1)
-	ticket := t.home.options.Peers.Ask(target(node), t.envelope(), func(reply *peerpb.Envelope, failure *peer.LinkError) {
+	ticket := s.home.options.Peers.Ask(target(node), s.envelope(), func(reply *peerpb.Envelope, failure *peer.LinkError) {
 		select {
 		case ends <- toAnswered(reply, failure):
 		default:
@@ -102,21 +103,21 @@
 	}
 }
 
-func (t *trip) node(stop once.Stop) (route.Node, bool) {
-	view := t.home.options.Belief.View()
-	if stop == once.StopHome {
-		return view.Node(t.key.Node)
+func (s *submission) node(holder once.Holder) (route.Node, bool) {
+	view := s.home.options.Belief.View()
+	if holder == once.HolderHome {
+		return view.Node(s.key.Node)
 	}
-	return once.Successor(view, t.key.Node)
+	return once.Successor(view, s.key.Node)
 }
 
-func (t *trip) envelope() *peerpb.Envelope {
+func (s *submission) envelope() *peerpb.Envelope {
 	return &peerpb.Envelope{Body: &peerpb.Envelope_SubmitRequest{SubmitRequest: &peerpb.SubmitRequest{
-		Customer:   string(t.request.Customer),
-		Key:        t.key.Text,
-		Service:    t.request.Service,
-		Payload:    t.request.Payload,
-		TimeLeftUs: microseconds(t.deadline - t.home.options.Now()),
+		Customer:   string(s.request.Customer),
+		Key:        s.key.Text,
+		Service:    s.request.Service,
+		Payload:    s.request.Payload,
+		TimeLeftUs: microseconds(s.deadline - s.home.options.Now()),
 	}}}
 }
 
@@ -133,6 +134,7 @@
 	return once.Answered{}
 }
 
+// sleep waits; false when the context ends first.
 func sleep(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
