member: messages, witnesses and checks in files of their own

member.go and gossip.go held settings, events, the VM list, messages, spreading and the counting of witnesses, 730 lines together. States stood as bare words (dead, live) next to fields and locals of the same names. The action that stops work after a pause was called Gate with Closed, while the store that it sets says Paused. The bit mixer stood in member and in route.

Now: config, event, listed, message, gossip, witness, probe, doubt; stateDead and so on, as in the other packages with a chart; SetPaused with Paused, as in the store; core.Mix64 once. Behaviour and assertions are as before; the tests' harness calls its copy of the flag confirming, since paused there is the process that stands still.

--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -27,7 +27,7 @@
 	view    atomic.Pointer[route.View]
 	self    route.Node
 	drains  atomic.Pointer[map[string]bool]
-	pause   pauseGate
+	pause   pauseWatch
 	onDrain atomic.Pointer[func(address string)]
 	mutex   sync.Mutex
 	changed []func()
@@ -37,9 +37,9 @@
 // older, the process stood still and what it believes may have expired.
 const PauseLimit = time.Second
 
-// pauseGate tells whether beliefs may be acted on.
-type pauseGate struct {
-	closed atomic.Bool
+// pauseWatch tells whether beliefs may be acted on.
+type pauseWatch struct {
+	paused atomic.Bool
 	// alive is the last sign of life, 0 before the first; now reads the same
 	// clock.
 	alive atomic.Int64
@@ -120,18 +120,19 @@
 // Paused reports whether this node's beliefs may have expired: the process
 // stood still, and has not confirmed them since. Roles then send nothing and
 // refuse what comes as not run. The age of the last sign of life is looked at
-// here too: right after a wake a role may run before the duty that would close
-// the gate.
+// here too: right after a wake a role may run before the duty that would call
+// SetPaused.
 func (s *Store) Paused() bool {
-	if s.pause.closed.Load() {
+	if s.pause.paused.Load() {
 		return true
 	}
 	now := s.pause.now.Load()
 	return now != nil && (*now)()-core.Time(s.pause.alive.Load()) > PauseLimit
 }
 
-// SetPaused closes or opens the gate.
-func (s *Store) SetPaused(paused bool) { s.pause.closed.Store(paused) }
+// SetPaused says whether the process stood still and has not confirmed its
+// beliefs since.
+func (s *Store) SetPaused(paused bool) { s.pause.paused.Store(paused) }
 
 // SignOfLife notes that the process runs. The first one begins the watch; a nil
 // clock ends it.
--- /dev/null
+++ b/internal/core/member/config.go
@@ -0,0 +1,65 @@
+package member
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+)
+
+// Config is a machine's identity and its times. Fill gives the defaults.
+type Config struct {
+	Self        route.Node
+	Incarnation uint64
+	// Neighbours is the number of rings; each neighbour gets one heartbeat a
+	// Period.
+	Neighbours int
+	Period     time.Duration
+	// ReplyWait is the time after which a heartbeat counts as unanswered.
+	ReplyWait time.Duration
+	// Round is the time between two tries to reach a doubted node, and Rounds
+	// the number of failed ones that make this node a witness of its loss.
+	Round  time.Duration
+	Rounds int
+	// Helpers is how many other nodes are asked in each round.
+	Helpers int
+	// MaxUpdates and MaxDrains bound the lists in one heartbeat.
+	MaxUpdates int
+	MaxDrains  int
+	// PauseLimit is how late a tick may come before beliefs count as expired.
+	PauseLimit time.Duration
+	// ConfirmWait bounds the confirmation after a pause: a node that reaches
+	// nobody serves on with what it has.
+	ConfirmWait time.Duration
+	// SplitWait is how long other views are seen before a problem is raised.
+	SplitWait time.Duration
+	// DrainLife is how long a drain mark holds without being seen again.
+	DrainLife time.Duration
+	// ForgetWait is how long a dead node that is not listed is remembered.
+	ForgetWait time.Duration
+}
+
+// Fill sets the default of every field that is zero.
+func (c *Config) Fill() {
+	fill(&c.Neighbours, 4)
+	fill(&c.Period, time.Second)
+	fill(&c.ReplyWait, 500*time.Millisecond)
+	fill(&c.Round, 500*time.Millisecond)
+	fill(&c.Rounds, 4)
+	fill(&c.Helpers, 3)
+	fill(&c.MaxUpdates, 24)
+	fill(&c.MaxDrains, 16)
+	fill(&c.PauseLimit, time.Second)
+	fill(&c.ConfirmWait, 2*time.Second)
+	fill(&c.SplitWait, 10*time.Second)
+	fill(&c.DrainLife, 5*time.Minute)
+	fill(&c.ForgetWait, 2*time.Minute)
+}
+
+func fill[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// TickEvery is how often a machine wants a Tick.
+const TickEvery = 100 * time.Millisecond
--- a/internal/core/member/harness_test.go
+++ b/internal/core/member/harness_test.go
@@ -37,15 +37,15 @@
 
 type node struct {
 	route.Node
-	machine   *Machine
-	stopped   bool
-	paused    bool
-	closed    bool
-	split     bool
-	published int
-	view      *route.View
-	drains    []string
-	revision  uint64
+	machine    *Machine
+	stopped    bool
+	paused     bool
+	confirming bool
+	split      bool
+	published  int
+	view       *route.View
+	drains     []string
+	revision   uint64
 }
 
 type delivery struct {
@@ -143,8 +143,8 @@
 			n.view = a.View
 		case PublishDrains:
 			n.drains = a.Addresses
-		case Gate:
-			n.closed = a.Closed
+		case SetPaused:
+			n.confirming = a.Paused
 		case Split:
 			n.split = a.Present
 		}
--- a/internal/core/member/life.go
+++ b/internal/core/member/lifecycle.go
@@ -12,8 +12,8 @@
 	peer    *peer
 }
 
-// life is the life cycle of a node as another one believes it.
-var life = chart.Must(chart.Source("node"), chart.Bindings[subject]{
+// lifeCycle is the life cycle of a node as another one believes it.
+var lifeCycle = chart.Must(chart.Source("node"), chart.Bindings[subject]{
 	Actions: map[string]func(subject){
 		"spread_loss":   func(s subject) { s.machine.tellLoss(s.peer) },
 		"spread_return": func(s subject) { s.machine.tell(&s.machine.returns, s.peer) },
@@ -22,25 +22,25 @@
 })
 
 var (
-	unknown = life.State("unknown")
-	live    = life.State("live")
-	suspect = life.State("suspect")
-	dead    = life.State("dead")
-	leaving = life.State("leaving")
-	gone    = life.State("gone")
+	stateUnknown = lifeCycle.State("unknown")
+	stateLive    = lifeCycle.State("live")
+	stateSuspect = lifeCycle.State("suspect")
+	stateDead    = lifeCycle.State("dead")
+	stateLeaving = lifeCycle.State("leaving")
+	stateGone    = lifeCycle.State("gone")
 
-	eventAnswered  = life.Event("answered")
-	eventDoubted   = life.Event("doubted")
-	eventConfirmed = life.Event("confirmed_dead")
-	eventLeft      = life.Event("left")
-	eventRenewed   = life.Event("renewed")
+	eventAnswered  = lifeCycle.Event("answered")
+	eventDoubted   = lifeCycle.Event("doubted")
+	eventConfirmed = lifeCycle.Event("confirmed_dead")
+	eventLeft      = lifeCycle.Event("left")
+	eventRenewed   = lifeCycle.Event("renewed")
 )
 
 func (p *peer) is(states ...chart.State) bool { return slices.Contains(states, p.state) }
 
 func (m *Machine) fire(p *peer, event chart.Event) {
 	before := p.state
-	p.state = life.Fire(before, event, subject{m, p})
+	p.state = lifeCycle.Fire(before, event, subject{m, p})
 	if p.state != before {
 		m.changed = true
 	}
@@ -60,7 +60,7 @@
 func (m *Machine) State(id string) string {
 	for known, p := range m.peers {
 		if string(known) == id {
-			return life.Name(p.state)
+			return lifeCycle.Name(p.state)
 		}
 	}
 	return ""
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -214,12 +214,12 @@
 	before := sleeper.published
 	sleeper.paused = false
 	w.run(TickEvery)
-	require.True(t, sleeper.closed)
+	require.True(t, sleeper.confirming)
 	w.run(4 * time.Second)
-	require.True(t, sleeper.closed, "it still runs by an older text than the others")
+	require.True(t, sleeper.confirming, "it still runs by an older text than the others")
 	sleeper.revision = 9
 	w.run(3 * time.Second)
-	require.False(t, sleeper.closed)
+	require.False(t, sleeper.confirming)
 	require.Equal(t, before, sleeper.published, "its view was right all along")
 	w.runUntil(20*time.Second, w.all(8, w.nodes))
 	require.Equal(t, 8, w.views(8, w.nodes...))
--- a/internal/core/member/pause.go
+++ b/internal/core/member/pause.go
@@ -5,7 +5,7 @@
 // confirmations is how many nodes must agree with this one after a pause.
 const confirmations = 2
 
-// newerTextWaits is how many times ConfirmWait the gate stays closed while
+// newerTextWaits is how many times ConfirmWait the node stays paused while
 // others are known to run by a newer text than this node.
 const newerTextWaits = 5
 
@@ -25,9 +25,9 @@
 
 // checkPause finds that the process stood still: its tick came late. A process
 // that was stopped goes on with what it believed before: it would send work to
-// replicas that others own by now, by a text that was replaced. So the gate
-// closes before anything else happens, and every open check is dropped, since
-// it was this node that did not answer.
+// replicas that others own by now, by a text that was replaced. So the node
+// counts as paused before anything else happens, and every open check is
+// dropped, since it was this node that did not answer.
 func (m *Machine) checkPause() {
 	late := m.now - m.lastTick - TickEvery
 	if m.lastTick == 0 || late < m.config.PauseLimit {
@@ -39,14 +39,14 @@
 		p.answeredAt = 0
 	}
 	m.pause = pause{confirming: true, wokeAt: m.now, replies: map[core.NodeID]*Message{}}
-	m.act(Gate{Closed: true, Late: late})
+	m.act(SetPaused{Paused: true, Late: late})
 	m.refresh()
 	for _, p := range m.neighbours {
 		m.probe(p, probe{target: p.node.ID})
 	}
 }
 
-// confirm opens the gate once enough nodes show this node's view and no newer
+// confirm ends the pause once enough nodes show this node's view and no newer
 // configuration, or when nobody can be reached for long.
 func (m *Machine) confirm() {
 	if !m.pause.confirming {
@@ -68,5 +68,5 @@
 		return
 	}
 	m.pause = pause{}
-	m.act(Gate{})
+	m.act(SetPaused{})
 }
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -43,7 +43,7 @@
 	var best *peer
 	var bestDistance uint64
 	for _, p := range m.order {
-		if p.is(dead, gone, leaving) || slices.Contains(m.neighbours, p) {
+		if p.is(stateDead, stateGone, stateLeaving) || slices.Contains(m.neighbours, p) {
 			continue
 		}
 		distance := pairHash(p.node.ID, ring) - self
@@ -90,7 +90,7 @@
 	if p.listedLeaving {
 		return false
 	}
-	return p.is(live, suspect) || p.is(unknown) && p.presumed
+	return p.is(stateLive, stateSuspect) || p.is(stateUnknown) && p.presumed
 }
 
 // compareView notes whether the sender routes by another view.
@@ -136,7 +136,7 @@
 func (m *Machine) tellUnreached() {
 	var lost []core.NodeID
 	for _, p := range m.order {
-		if p.is(dead) && p.listed && !p.listedLeaving {
+		if p.is(stateDead) && p.listed && !p.listedLeaving {
 			lost = append(lost, p.node.ID)
 		}
 	}
--- a/internal/core/route/order.go
+++ b/internal/core/route/order.go
@@ -9,7 +9,7 @@
 // Order returns all nodes in the rendezvous order of a key, those of the data
 // centre first. The slice is the caller's.
 func (v *View) Order(key core.BundleID, dataCentre string) []Node {
-	seed := mix(uint64(key))
+	seed := core.Mix64(uint64(key))
 	places := make([]int, len(v.nodes))
 	for i := range places {
 		places[i] = i
@@ -20,7 +20,7 @@
 		if localA != localB {
 			return localA
 		}
-		return before(mix(v.hashes[a]^seed), a, mix(v.hashes[b]^seed), b)
+		return before(core.Mix64(v.hashes[a]^seed), a, core.Mix64(v.hashes[b]^seed), b)
 	})
 	ordered := make([]Node, 0, len(places))
 	for _, i := range places {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -70,7 +70,7 @@
 	if rank < 0 || rank >= len(v.nodes) {
 		return Node{}, false
 	}
-	seed := mix(uint64(bundle))
+	seed := core.Mix64(uint64(bundle))
 	local := v.centres[dataCentre]
 	if rank < len(local) {
 		return v.nodes[v.nth(seed, local, rank)], true
@@ -88,7 +88,7 @@
 // node itself need not be in the view: one that is leaving still finds out
 // whether it is the owner by the views of those that have not heard of it.
 func (v *View) Place(bundle core.BundleID, dataCentre string, node Node) int {
-	seed := mix(uint64(bundle))
+	seed := core.Mix64(uint64(bundle))
 	own := nodeWeight(node, bundle)
 	local := node.DataCentre == dataCentre
 	place := 0
@@ -97,7 +97,7 @@
 		if (other.DataCentre == dataCentre) != local || other.ID == node.ID {
 			continue
 		}
-		weight := mix(v.hashes[i] ^ seed)
+		weight := core.Mix64(v.hashes[i] ^ seed)
 		if weight > own || weight == own && other.ID < node.ID {
 			place++
 		}
@@ -132,7 +132,7 @@
 }
 
 func nodeWeight(node Node, bundle core.BundleID) uint64 {
-	return mix(xxhash.Sum64String(string(node.ID)) ^ mix(uint64(bundle)))
+	return core.Mix64(xxhash.Sum64String(string(node.ID)) ^ core.Mix64(uint64(bundle)))
 }
 
 // nth returns the node at a place among some nodes, by falling weight. Places
@@ -145,7 +145,7 @@
 		best := -1
 		var bestWeight uint64
 		for _, i := range among {
-			weight := mix(v.hashes[i] ^ seed)
+			weight := core.Mix64(v.hashes[i] ^ seed)
 			taken := last >= 0 && !before(lastWeight, last, weight, i)
 			if !taken && (best < 0 || before(weight, i, bestWeight, best)) {
 				best, bestWeight = i, weight
@@ -163,11 +163,3 @@
 	}
 	return a < b
 }
-
-// mix spreads the bits of a number (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -185,7 +185,7 @@
 			d.step(d.tick())
 			d.withdrawOld()
 			d.clearOldPause()
-			// After the step, so that the gate is closed before the sign of
+			// After the step, so that the pause is set before the sign of
 			// life is young again.
 			d.options.Belief.SignOfLife(d.options.Now)
 		}
@@ -215,8 +215,8 @@
 			d.options.Log.WithFields(logrus.Fields{"event": "view_changed", "nodes": len(a.View.Nodes()), "view": a.View.ID()}).Info("routing view changed")
 		case member.PublishDrains:
 			d.options.Belief.SetDrained(a.Addresses)
-		case member.Gate:
-			d.gate(a)
+		case member.SetPaused:
+			d.setPaused(a)
 		case member.Split:
 			d.split(a)
 		case member.Unreached:
@@ -259,9 +259,9 @@
 	}
 }
 
-func (d *Duty) gate(a member.Gate) {
-	d.options.Belief.SetPaused(a.Closed)
-	if !a.Closed {
+func (d *Duty) setPaused(a member.SetPaused) {
+	d.options.Belief.SetPaused(a.Paused)
+	if !a.Paused {
 		d.options.Log.WithField("event", "beliefs_confirmed").Info("beliefs confirmed after a pause")
 		return
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -95,8 +95,8 @@
 
 // A process stands still for ten seconds, and others take over what it owned
 // under a newer text. When it wakes, no role may act before the beliefs are
-// confirmed: the gate is closed the moment the clock has jumped, before any duty
-// has run, and it opens only when the newer text is in force here.
+// confirmed: the node counts as paused the moment the clock has jumped, before any
+// duty has run, and acts again only when the newer text is in force here.
 func TestAWokenProcessIsGatedUntilConfirmed(t *testing.T) {
 	d, peers, clock := startDuty(t)
 	store := d.options.Belief
