config: the machine's chart, problems and readings apart

The chart's action adopt did two things and asked the chart which state it was in, so the chart had to be bound in init; events had names such as same and older.

Now: lifecycle, problems, machine. The chart itself says which reading goes in force at the end of gathering (adopt_kept), so nothing asks for the state while an action runs and the chart is bound like the others; events are eventSame and so on. Behaviour and tests are as before.

--- /dev/null
+++ b/internal/core/config/problems.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Refusal is a text that was refused, and why.
+type Refusal struct {
+	Mark   Mark
+	Reason string
+}
+
+// Refused returns what was refused above the text in force. Only relays read
+// an invalid text; they pass the refusal on, so that every node reports it.
+func (m *Machine) Refused() (Refusal, bool) {
+	return m.refused, m.refusedIsNewer()
+}
+
+// HearRefusal records that a peer has refused a text.
+func (m *Machine) HearRefusal(now core.Time, refusal Refusal) []Action {
+	if refusal.Mark.Revision <= max(m.refused.Mark.Revision, m.current.Mark.Revision) {
+		return nil
+	}
+	return m.Offer(now, &Reading{Mark: refusal.Mark, Source: FromReport, Fault: refusal.Reason})
+}
+
+// Tick renews what depends on time alone.
+func (m *Machine) Tick(now core.Time) []Action {
+	m.begin(now)
+	if m.Age(now) > StaleAfter && (!m.staleNoted || now-m.staleAt >= staleEvery) {
+		m.staleNoted, m.staleAt = true, now
+		m.emit(Report{ProblemStale, fmt.Sprintf("revision %d was last confirmed %s ago and stays in force", m.current.Mark.Revision, m.Age(now).Round(time.Second))})
+	}
+	return m.finish()
+}
+
+func (m *Machine) reportOlder() {
+	m.olderNoted = true
+	m.emit(Report{ProblemOlder, fmt.Sprintf("the service offers revision %d, revision %d stays in force", m.serviceSeen, m.current.Mark.Revision)})
+}
+
+// clearOlder ends the problem that the service offers an older revision.
+func (m *Machine) clearOlder() {
+	if m.olderNoted {
+		m.olderNoted = false
+		m.emit(Clear{ProblemOlder})
+	}
+}
+
+func (m *Machine) reportConflict() { m.noteConflict(m.offered.Mark) }
+
+func (m *Machine) noteConflict(other Mark) {
+	m.conflict = true
+	m.emit(Report{ProblemConflict, fmt.Sprintf("revision %d has texts with digests %016x and %016x; publish a higher revision", other.Revision, m.current.Mark.Digest, other.Digest)})
+}
