chart: refuse bindings that no transition names, and answers never taken

A guard or action could be bound and never run, and a second answer to an event after one that always holds, or beside an ignored event, was accepted and never taken. The chart variable has one name, lifeCycle, in all packages that interpret one.

--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -49,6 +49,10 @@
 		"unbound action":    {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, do: [nothing]}]}]", "action nothing is not bound"},
 		"unreachable state": {"name: a\ninitial: s\nevents: []\nstates: [{name: s}, {name: t}]", "state t cannot be reached"},
 		"no answer":         {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s}]", "no answer to event e"},
+		"unused binding":    {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, do: [count]}]}]", "guard powered is bound but not written"},
+		"unused action":     {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, when: powered}, {event: e}]}]", "action count is bound but not written"},
+		"never taken":       {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e}, {event: e, when: powered}]}]", "an answer to event e that is never taken"},
+		"ignored and taken": {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e}], ignore: [e]}]", "an answer to event e that is never taken"},
 		"guarded only":      {"name: a\ninitial: s\nevents: [e]\nstates: [{name: s, on: [{event: e, when: powered}]}]", "no answer to event e"},
 	}
 	for name, one := range cases {
--- a/internal/chart/definition.go
+++ b/internal/chart/definition.go
@@ -1,8 +1,9 @@
 // Package chart interprets state charts: life cycles written in YAML files under
 // charts/, whose guards and actions are names bound in code.
 //
-// A chart with an unbound name, an unreachable state or an event that some
-// state does not answer fails when it is parsed, which is at start-up.
+// A chart with an unbound name, a bound name that it does not use, an unreachable
+// state, a transition that is never taken or an event that some state does not
+// answer fails when it is parsed, which is at start-up.
 package chart
 
 import (
@@ -143,6 +144,9 @@
 			return invalid(d.Name, "state "+s.Name+" ignores event "+event+", which is not listed")
 		}
 	}
+	if event, ok := s.answeredTwice(); ok {
+		return invalid(d.Name, "state "+s.Name+" has an answer to event "+event+" that is never taken")
+	}
 	for _, event := range d.Events {
 		if !s.answers(event) {
 			return invalid(d.Name, "state "+s.Name+" has no answer to event "+event)
@@ -163,6 +167,21 @@
 	return answered
 }
 
+// answeredTwice finds an event that a state answers again after an answer that
+// always holds.
+func (s state) answeredTwice() (string, bool) {
+	always := slices.Clone(s.Ignore)
+	for _, t := range s.On {
+		if slices.Contains(always, t.Event) {
+			return t.Event, true
+		}
+		if t.When == "" {
+			always = append(always, t.Event)
+		}
+	}
+	return "", false
+}
+
 func (d *definition) validateReach() error {
 	reached := []string{d.Initial}
 	for i := 0; i < len(reached); i++ {
--- a/internal/chart/machine.go
+++ b/internal/chart/machine.go
@@ -56,7 +56,7 @@
 			m.table[cell] = append(m.table[cell], bound)
 		}
 	}
-	return m, nil
+	return m, allNamed(d, bindings)
 }
 
 // Must is Parse for a package's own chart: a fault in it ends the start.
@@ -99,6 +99,30 @@
 	return bound, nil
 }
 
+// allNamed refuses bindings that no transition names: such code never runs.
+func allNamed[T any](d *definition, bindings Bindings[T]) error {
+	guards, actions := map[string]bool{}, map[string]bool{}
+	for _, s := range d.States {
+		for _, t := range s.On {
+			guards[t.When] = true
+			for _, name := range t.Do {
+				actions[name] = true
+			}
+		}
+	}
+	for name := range bindings.Guards {
+		if !guards[name] {
+			return invalid(d.Name, "guard "+name+" is bound but not written")
+		}
+	}
+	for name := range bindings.Actions {
+		if !actions[name] {
+			return invalid(d.Name, "action "+name+" is bound but not written")
+		}
+	}
+	return nil
+}
+
 // State finds a state by name; a name that the chart lacks ends the start.
 func (m *Machine[T]) State(name string) State {
 	for i, state := range m.states {
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -19,7 +19,7 @@
 	spare bool
 }
 
-var healthChart = chart.Must(chart.Source("replica"), chart.Bindings[*incident]{
+var lifeCycle = chart.Must(chart.Source("replica"), chart.Bindings[*incident]{
 	Guards: map[string]func(*incident) bool{
 		"ramped":        func(i *incident) bool { return i.replica.ramped() },
 		"many_failures": func(i *incident) bool { return i.spare && i.replica.failures+1 >= failuresToDown },
@@ -39,23 +39,23 @@
 })
 
 var (
-	stateCold     = healthChart.State("cold")
-	stateLive     = healthChart.State("live")
-	stateSuspect  = healthChart.State("suspect")
-	stateDown     = healthChart.State("down")
-	stateDraining = healthChart.State("draining")
-	stateGone     = healthChart.State("gone")
+	stateCold     = lifeCycle.State("cold")
+	stateLive     = lifeCycle.State("live")
+	stateSuspect  = lifeCycle.State("suspect")
+	stateDown     = lifeCycle.State("down")
+	stateDraining = lifeCycle.State("draining")
+	stateGone     = lifeCycle.State("gone")
 
-	eventSucceeded = healthChart.Event("succeeded")
-	eventFailed    = healthChart.Event("failed")
-	eventRefused   = healthChart.Event("refused")
-	eventShed      = healthChart.Event("shed")
-	eventDrainSeen = healthChart.Event("drain_seen")
-	eventUndrained = healthChart.Event("undrained")
-	eventHoldOver  = healthChart.Event("hold_over")
-	eventProbed    = healthChart.Event("probed")
-	eventRemoved   = healthChart.Event("removed")
-	eventRestored  = healthChart.Event("restored")
+	eventSucceeded = lifeCycle.Event("succeeded")
+	eventFailed    = lifeCycle.Event("failed")
+	eventRefused   = lifeCycle.Event("refused")
+	eventShed      = lifeCycle.Event("shed")
+	eventDrainSeen = lifeCycle.Event("drain_seen")
+	eventUndrained = lifeCycle.Event("undrained")
+	eventHoldOver  = lifeCycle.Event("hold_over")
+	eventProbed    = lifeCycle.Event("probed")
+	eventRemoved   = lifeCycle.Event("removed")
+	eventRestored  = lifeCycle.Event("restored")
 )
 
 func (i *incident) countFailure() {
@@ -91,9 +91,9 @@
 func (s *Shard) fire(r *replica, event chart.Event, i incident) {
 	from := r.state
 	i.replica, i.jitter, i.spare = r, s.config.Jitter, s.canSpare()
-	r.state = healthChart.Fire(from, event, &i)
+	r.state = lifeCycle.Fire(from, event, &i)
 	if r.state != from {
-		s.actions = append(s.actions, HealthChanged{Address: r.Address, From: healthChart.Name(from), To: healthChart.Name(r.state)})
+		s.actions = append(s.actions, HealthChanged{Address: r.Address, From: lifeCycle.Name(from), To: lifeCycle.Name(r.state)})
 	}
 }
 
--- a/internal/core/admit/state.go
+++ b/internal/core/admit/state.go
@@ -64,7 +64,7 @@
 func (r *replica) report(now core.Time) ReplicaState {
 	report := ReplicaState{
 		Address:     r.Address,
-		State:       healthChart.Name(r.state),
+		State:       lifeCycle.Name(r.state),
 		InFlight:    r.inFlight,
 		Limit:       r.limit,
 		Share:       r.max,
--- a/internal/core/night/night.go
+++ b/internal/core/night/night.go
@@ -15,7 +15,7 @@
 
 // The life of a watched replica, in internal/chart/charts/idle_replica.yaml.
 var (
-	life = chart.Must(chart.Source("idle_replica"), chart.Bindings[*turn]{
+	lifeCycle = chart.Must(chart.Source("idle_replica"), chart.Bindings[*turn]{
 		Actions: map[string]func(*turn){
 			"wait_sweep":   (*turn).waitSweep,
 			"confirm_soon": (*turn).confirmSoon,
@@ -23,9 +23,9 @@
 			"take_back":    (*turn).takeBack,
 		},
 	})
-	stateDown     = life.State("down")
-	eventAnswered = life.Event("answered")
-	eventFailed   = life.Event("failed")
+	stateDown     = lifeCycle.State("down")
+	eventAnswered = lifeCycle.Event("answered")
+	eventFailed   = lifeCycle.Event("failed")
 )
 
 // Target is one replica of one shard.
@@ -219,7 +219,7 @@
 		return
 	}
 	wasDown := known.down()
-	known.state = life.Fire(known.state, event, &turn{machine: m, replica: known, at: at})
+	known.state = lifeCycle.Fire(known.state, event, &turn{machine: m, replica: known, at: at})
 	if wasDown || known.down() {
 		m.judge(target.Ref)
 	}
--- a/internal/core/query/lifecycle.go
+++ b/internal/core/query/lifecycle.go
@@ -5,9 +5,9 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
-// life is the question's state chart: it says in which state a version may be
+// lifeCycle is the question's state chart: it says in which state a version may be
 // chosen, shards may be asked and the answer is given.
-var life = chart.Must(chart.Source("query"), chart.Bindings[*Machine]{
+var lifeCycle = chart.Must(chart.Source("query"), chart.Bindings[*Machine]{
 	Guards: map[string]func(*Machine) bool{
 		"may_replan":     (*Machine).mayReplan,
 		"version_known":  func(m *Machine) bool { return m.target != 0 || m.first != 0 },
@@ -29,16 +29,16 @@
 })
 
 var (
-	stateFinished  = life.State("finished")
-	eventReplanned = life.Event("replanned")
-	eventDecide    = life.Event("decide")
-	eventAsk       = life.Event("ask")
-	eventCheck     = life.Event("check")
-	eventDeadline  = life.Event("deadline")
-	eventCancelled = life.Event("cancelled")
+	stateFinished  = lifeCycle.State("finished")
+	eventReplanned = lifeCycle.Event("replanned")
+	eventDecide    = lifeCycle.Event("decide")
+	eventAsk       = lifeCycle.Event("ask")
+	eventCheck     = lifeCycle.Event("check")
+	eventDeadline  = lifeCycle.Event("deadline")
+	eventCancelled = lifeCycle.Event("cancelled")
 )
 
-func (m *Machine) fire(event chart.Event) { m.state = life.Fire(m.state, event, m) }
+func (m *Machine) fire(event chart.Event) { m.state = lifeCycle.Fire(m.state, event, m) }
 
 // Step takes one event at the given time and returns what to do. The slice is
 // valid until the next Step. After the Finish it returns nothing.
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -167,7 +167,7 @@
 func (m *Machine) Plan() *Plan { return m.plan }
 
 // State names the question's state, for dumps and tests.
-func (m *Machine) State() string { return life.Name(m.state) }
+func (m *Machine) State() string { return lifeCycle.Name(m.state) }
 
 // Parts returns a service's parts at the version, for its dependents.
 func (m *Machine) Parts(service int, version core.Version) []Part {
