query: guards only look, settling a shard is one function

The guard switch_pays changed the machine: it cleared a flag and left the version that it found in a field for the action after it. mayRetry counted tries under a name that says that it asks. Three places settled a shard by the same three lines, and carry nested four levels.

Now: switch_pays looks, keep_version (in the chart) and switch_version change; the better version is worked out again for the switch, which happens at most MaxSwitches times. takeRetry, settle, keepParts. Assertions are as before; one test sets its targets by switchTo in place of the field.

--- a/internal/core/query/ask.go
+++ b/internal/core/query/ask.go
@@ -93,9 +93,7 @@
 			continue
 		}
 		if s.depShards > 0 && s.depAnswered == 0 {
-			need.failure = failure{core.ReasonDependency, m.target}
-			need.settled = true
-			m.countSettled(index)
+			m.settle(index, core.ReasonDependency)
 			continue
 		}
 		m.due = append(m.due, index)
@@ -148,13 +146,10 @@
 	}
 	for _, dependency := range m.service(index).DependsOn {
 		for _, straggler := range m.plan.Services[dependency].Shards {
-			need := &m.needs[straggler]
-			if need.settled || m.hasTarget(straggler) {
+			if m.needs[straggler].settled || m.hasTarget(straggler) {
 				continue
 			}
-			need.failure = failure{core.ReasonStraggler, m.target}
-			need.settled = true
-			m.countSettled(straggler)
+			m.settle(straggler, core.ReasonStraggler)
 			m.withdrawNeed(straggler)
 		}
 	}
--- a/internal/core/query/lifecycle.go
+++ b/internal/core/query/lifecycle.go
@@ -19,6 +19,7 @@
 		"take_plan":          (*Machine).takePlan,
 		"adopt_version":      (*Machine).adoptVersion,
 		"switch_version":     (*Machine).switchVersion,
+		"keep_version":       (*Machine).keepVersion,
 		"ask_fallbacks":      (*Machine).askFallbacks,
 		"ask_due":            (*Machine).askDue,
 		"set_wake":           (*Machine).setWake,
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -27,8 +27,6 @@
 	target core.Version
 	// first is the version that the first part named.
 	first core.Version
-	// better is the version that chooseVersion found to cover more.
-	better core.Version
 	// versionsChanged asks for a new look at the versions, dueChanged for a
 	// look at which shards to ask, replan for a newer text.
 	versionsChanged bool
@@ -163,6 +161,14 @@
 	}
 }
 
+// settle ends the tries of a shard at the target.
+func (m *Machine) settle(index int, reason core.Reason) {
+	need := &m.needs[index]
+	need.failure = failure{reason, m.target}
+	need.settled = true
+	m.countSettled(index)
+}
+
 // Plan returns the question's plan.
 func (m *Machine) Plan() *Plan { return m.plan }
 
--- a/internal/core/query/machine_test.go
+++ b/internal/core/query/machine_test.go
@@ -300,10 +300,8 @@
 	w.serves[core.ShardRef{Service: "top"}] = []core.Version{8}
 	top := w.take(0)
 	w.m.needs[2].parts = append(w.m.needs[2].parts, versionPart{version: 7, payload: w.partAt(top, 7, false).(PartArrived).Payload})
-	w.m.better = 8
-	w.m.switchVersion()
-	w.m.better = 7
-	w.m.switchVersion()
+	w.m.switchTo(8)
+	w.m.switchTo(7)
 	w.step(Woken{})
 	require.NotNil(t, w.finished)
 	require.Equal(t, core.Version(7), w.finished.Version)
--- a/internal/core/query/retry.go
+++ b/internal/core/query/retry.go
@@ -24,9 +24,8 @@
 		return
 	}
 	pause := max(try.retryAfter, m.options.RetryPause<<need.reroutes)
-	if m.now+pause >= m.options.Deadline || !m.mayRetry(index, try) {
-		need.settled = true
-		m.countSettled(index)
+	if m.now+pause >= m.options.Deadline || !m.takeRetry(index, try) {
+		m.settle(index, try.reason)
 		return
 	}
 	need.retryAt = m.now + pause
@@ -37,11 +36,12 @@
 // replica of it may have it, while an index is being rolled out.
 const maxGone = 2
 
-// mayRetry decides whether the shard is asked again. A try that reached nobody
-// put no load on an upstream and is repeated freely, up to its bound. Anything
-// that may have run, and a refusal for load, is repeated only from the budget:
-// otherwise a sick fleet would be asked several times over.
-func (m *Machine) mayRetry(index int, try failedTry) bool {
+// takeRetry counts a failed try against its bound and the budget and reports
+// whether the shard is asked again. A try that reached nobody put no load on an
+// upstream and is repeated freely, up to its bound. Anything that may have run,
+// and a refusal for load, is repeated only from the budget: otherwise a sick
+// fleet would be asked several times over.
+func (m *Machine) takeRetry(index int, try failedTry) bool {
 	need := &m.needs[index]
 	reason, notRun := try.reason, try.outcome == core.NotRun
 	switch {
--- a/internal/core/query/version.go
+++ b/internal/core/query/version.go
@@ -35,23 +35,28 @@
 	return m.switches >= m.options.MaxSwitches || m.options.Deadline-m.now <= m.options.SwitchReserve
 }
 
-// switchPays looks for a version that more shards can answer at than at the
-// target. An equal number is no reason to ask all again.
+// switchPays reports whether more shards can answer at another version than at
+// the target. It looks only when a shard told something new of its versions.
 func (m *Machine) switchPays() bool {
-	if !m.versionsChanged {
-		return false
-	}
-	m.versionsChanged = false
+	return m.versionsChanged && m.betterVersion() != m.target
+}
+
+// keepVersion stays with the target until a shard tells something new.
+func (m *Machine) keepVersion() { m.versionsChanged = false }
+
+// betterVersion is the version that most shards can answer at, the newest of
+// several, or the target: an equal number is no reason to ask all again.
+func (m *Machine) betterVersion() core.Version {
+	better := m.target
 	best := m.reach(m.target)
-	m.better = m.target
 	for _, version := range m.knownVersions() {
 		reach := m.reach(version)
-		if reach > best || reach == best && m.better != m.target && version > m.better {
+		if reach > best || reach == best && better != m.target && version > better {
 			best = reach
-			m.better = version
+			better = version
 		}
 	}
-	return m.better != m.target
+	return better
 }
 
 // reach counts the shards that have a part at the version or may give one.
@@ -109,10 +114,17 @@
 	return false
 }
 
-// switchVersion moves to the better version: sends for the former are
-// withdrawn, parts are kept for each version.
+// switchVersion moves to the better version.
 func (m *Machine) switchVersion() {
-	m.target = m.better
+	better := m.betterVersion()
+	m.versionsChanged = false
+	m.switchTo(better)
+}
+
+// switchTo changes the target: sends for the former are withdrawn, parts are
+// kept for each version.
+func (m *Machine) switchTo(version core.Version) {
+	m.target = version
 	m.switches++
 	for i := range m.sends {
 		if version := m.sends[i].version; version != m.target && version != 0 {
@@ -163,29 +175,42 @@
 	}
 	former, formerNeeds := m.plan, m.needs
 	m.take(m.offered)
-	m.carry(former, formerNeeds)
+	m.keepParts(former, formerNeeds)
 	m.settleClosed()
 	m.recount()
 	m.versionsChanged = true
 }
 
-func (m *Machine) carry(former *Plan, formerNeeds []needState) {
+// keepParts takes over what is known of the shards whose service is unchanged.
+// Dependencies come before dependents in the plan.
+func (m *Machine) keepParts(former *Plan, formerNeeds []needState) {
 	kept := make([]bool, len(m.plan.Services))
 	for i := range m.plan.Services {
 		service := &m.plan.Services[i]
 		j := slices.IndexFunc(former.Services, func(s ServicePlan) bool { return s.Name == service.Name })
-		kept[i] = j >= 0 && sameService(m.plan, i, former, j)
-		for _, dependency := range service.DependsOn {
-			kept[i] = kept[i] && kept[dependency]
-		}
+		kept[i] = j >= 0 && sameService(m.plan, i, former, j) && all(kept, service.DependsOn)
 		if !kept[i] {
 			continue
 		}
 		for k, index := range service.Shards {
-			old := &formerNeeds[former.Services[j].Shards[k]]
-			m.needs[index].parts = old.parts
-			m.needs[index].serves = old.serves
-			m.needs[index].asked = old.asked
+			m.needs[index].keep(&formerNeeds[former.Services[j].Shards[k]])
+		}
+	}
+}
+
+// all reports whether the flags at all the places are set.
+func all(flags []bool, places []int) bool {
+	for _, place := range places {
+		if !flags[place] {
+			return false
 		}
 	}
+	return true
+}
+
+// keep takes over what outlives a plan.
+func (n *needState) keep(former *needState) {
+	n.parts = former.parts
+	n.serves = former.serves
+	n.asked = former.asked
 }
