ring: one way to put into a ring from its own reader

The loops of home and entry each had their own "try, or wait in another goroutine", with the reason told twice and no test.

--- /dev/null
+++ b/internal/home/send.go
@@ -0,0 +1,142 @@
+package home
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/once"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+// giveUp withdraws a send: a request that waits for its link to open is past
+// its time and is then never written.
+func (l *loop) giveUp(a once.GiveUp) {
+	if ticket := l.tickets[a.Send]; ticket != nil {
+		ticket.Cancel()
+		delete(l.tickets, a.Send)
+	}
+}
+
+// put queues an event for the ledger, also from the loop's own goroutine.
+func (l *loop) put(e once.Event) { l.events.PutAsync(l.ctx, stepped{event: e}) }
+
+// send asks the owner of the key's shard, exactly once for each Send.
+func (l *loop) send(a once.Send) {
+	target, shard, err := l.owner(a)
+	if err != nil {
+		l.put(notSent(a, err))
+		return
+	}
+	left := a.Deadline - l.options.Now()
+	if left <= 0 {
+		l.put(once.Ended{Key: a.Key, Send: a.Send, Outcome: core.NotRun, Reason: core.ReasonDeadline})
+		return
+	}
+	message := &peerpb.SubmitRequest{
+		Customer:   string(a.Customer),
+		Key:        a.Key,
+		Service:    a.Service,
+		Shard:      uint32(shard.Ref.Shard),
+		Payload:    a.Payload,
+		TimeLeftUs: microseconds(left),
+		View:       l.options.Belief.View().ID(),
+		Bundle:     uint32(shard.Bundle),
+		Rank:       uint32(a.Rank),
+		ToOwner:    true,
+	}
+	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_SubmitRequest{SubmitRequest: message}}
+	l.tickets[a.Send] = l.options.Peers.Ask(target, envelope, l.sink(a))
+}
+
+func notSent(a once.Send, err error) once.Ended {
+	typed := fault.As(err)
+	ended := once.Ended{Key: a.Key, Send: a.Send, Outcome: core.NotRun, Code: typed.Code, Message: typed.Message}
+	if typed.Code == fault.CodeRefused {
+		ended.Reason = core.ReasonPeerUnreached
+	}
+	return ended
+}
+
+// owner finds the node to ask and the shard: the key's hash over the service's
+// shards. The error is a *fault.Error with outcome not run.
+func (l *loop) owner(a once.Send) (peer.Target, *catalog.Shard, error) {
+	config := l.options.Belief.Config()
+	if config == nil {
+		return peer.Target{}, nil, fault.NotRun(fault.CodeNotReady, "no configuration is in force yet", "")
+	}
+	service, err := submittable(config.Catalog, a)
+	if err != nil {
+		return peer.Target{}, nil, err
+	}
+	shard := &service.Shards[xxhash.Sum64String(a.Key)%uint64(len(service.Shards))]
+	if config.Catalog.Policy.Routing == catalog.RoutingDirect {
+		return peer.Target{Node: l.options.Self}, shard, nil
+	}
+	bundle := config.Catalog.Bundles[shard.Bundle]
+	node, ok := l.options.Belief.View().Rank(bundle.ID, bundle.DataCentre, a.Rank)
+	if !ok {
+		return peer.Target{}, nil, fault.NotRun(fault.CodeRefused, "no node owns the shard "+shard.Ref.String(), "")
+	}
+	return target(node), shard, nil
+}
+
+func submittable(text *catalog.Catalog, a once.Send) (*catalog.Service, error) {
+	service := text.Services[a.Service]
+	if service == nil {
+		return nil, fault.NotRun(fault.CodeUnknownService, "service "+strconv.Quote(a.Service)+" is not in the text", "")
+	}
+	if service.Idempotent {
+		return nil, fault.NotRun(fault.CodeWrongMethod, "service "+a.Service+" is idempotent: ask it by /v1/query/"+a.Service, "")
+	}
+	if _, known := text.Customer(a.Customer); !known {
+		return nil, fault.NotRun(fault.CodeUnknownCustomer, "customer "+strconv.Quote(string(a.Customer))+" is not in the text", "")
+	}
+	return service, nil
+}
+
+func target(node route.Node) peer.Target {
+	return peer.Target{Node: node.ID, Address: node.PeerAddress}
+}
+
+// sink turns the owner's reply into the send's end.
+func (l *loop) sink(a once.Send) peer.Sink {
+	return func(reply *peerpb.Envelope, failure *peer.LinkError) {
+		ended := once.Ended{Key: a.Key, Send: a.Send}
+		switch {
+		case failure != nil:
+			ended.Outcome, ended.Reason = failure.Outcome, linkReason(failure)
+		case reply.GetRefusal() != nil:
+			ended.Outcome, ended.Reason = core.NotRun, refusedReason(reply.GetRefusal())
+			ended.RetryAfter = milliseconds(reply.GetRefusal().GetRetryAfterMs())
+		case reply.GetSubmitReply() != nil:
+			message := reply.GetSubmitReply()
+			ended.Outcome, ended.Reason = core.Outcome(message.GetOutcome()), core.Reason(message.GetCode())
+			ended.Message = message.GetMessage()
+			ended.Payload, ended.RetryAfter = message.GetPayload(), milliseconds(message.GetRetryAfterMs())
+		default:
+			ended.Reason = core.ReasonCrossedReply
+		}
+		l.put(ended)
+	}
+}
+
+// refusedReason passes over an owner that stops, as one that is not reached.
+func refusedReason(refusal *peerpb.Refusal) core.Reason {
+	if reason := core.Reason(refusal.GetReason()); reason != core.ReasonDraining {
+		return reason
+	}
+	return core.ReasonPeerUnreached
+}
+
+func linkReason(failure *peer.LinkError) core.Reason {
+	if failure.Outcome == core.NotRun {
+		return core.ReasonPeerUnreached
+	}
+	return core.ReasonPeerLost
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// PutAsync adds an item at once or, while the ring is full, from a goroutine that
+// waits for room until the context ends. It is for the goroutine that reads the
+// ring: were that one to wait itself, nobody would make room and it would hang.
+// Items that wait may come in another order.
+func (r *Ring[T]) PutAsync(ctx context.Context, item T) {
+	select {
+	case r.items <- item:
+	default:
+		go func() { _ = r.Put(ctx, item) }()
+	}
+}
+
 // PutDropOldest adds an item, discarding the oldest ones while the ring is
 // full. It suits state where only the newest value counts.
 func (r *Ring[T]) PutDropOldest(item T) {
