--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -10,6 +10,8 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 )
 
+// Four requests come at once for two replicas with one slot each. A third one
+// sent would queue at an upstream, out of sight of fairness and deadlines.
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	shard := NewShard(Config{Slots: 1, Share: 1, Replicas: []ReplicaConfig{{Address: "a"}, {Address: "b"}}, MaxQueue: 8})
 	dispatched := 0
@@ -24,6 +26,8 @@
 	require.Equal(t, 2, shard.Waiting())
 }
 
+// A caller gives a millisecond while the only slot is busy for longer. Sent all the
+// same once the slot is free, its work would be done for nobody.
 func TestLateWorkIsRefusedNotSent(t *testing.T) {
 	shard := NewShard(Config{Slots: 1, Share: 1, Replicas: []ReplicaConfig{{Address: "a"}}, MaxQueue: 8})
 	shard.Step(0, Offered{ID: 1, Deadline: time.Second})
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -44,14 +44,18 @@
 	require.LessOrEqual(t, g.Size(), 2*maxKeys)
 }
 
+// The table is full and a new customer comes. Forgetting a bucket that is used up
+// would give its customer a fresh floor; forgetting a full one changes nothing.
 func TestFullBucketsAreForgotten(t *testing.T) {
 	g := NewGroup(GroupConfig{Customer: Config{Floor: 1}, MaxKeys: 2})
-	require.True(t, g.TryExtra("s", "spent"))
+	require.True(t, g.TryExtra("s", "empty"))
 	g.FirstTry("s", "quiet", 1)
 	require.True(t, g.TryExtra("s", "new"), "quiet's full bucket made room")
-	require.False(t, g.TryExtra("s", "spent"), "a spent bucket is kept")
+	require.False(t, g.TryExtra("s", "empty"), "an empty bucket is kept")
 }
 
+// A customer without tokens goes on asking for retries. Were the service's token
+// taken each time all the same, the other customers could retry nothing.
 func TestAnExtraTryTakesFromBothOrNeither(t *testing.T) {
 	g := NewGroup(GroupConfig{Service: Config{Floor: 2}, Customer: Config{Floor: 1}})
 	require.True(t, g.TryExtra("s", "large"))
--- a/internal/core/once/ledger_test.go
+++ b/internal/core/once/ledger_test.go
@@ -81,6 +81,8 @@
 	require.Equal(t, code, reply.Code)
 }
 
+// A caller mistypes its key or sends the bare prefix. A key that parses wrongly could
+// name another key's entry, or none, and its request would run a second time.
 func TestKeysAreChecked(t *testing.T) {
 	d := newDesk(t, DefaultLimits())
 	key := d.key("order_7-a")
@@ -275,6 +277,8 @@
 	require.Equal(t, core.Unknown, successor.ask(key, "12").Outcome)
 }
 
+// A home stops and hands its outcomes over; entries ask before and after their view
+// lacks it. Were the two to choose different nodes, a retry would find nothing.
 func TestTheSuccessorFollowsFromTheView(t *testing.T) {
 	nodes := []route.Node{{ID: "vm-1"}, {ID: "vm-2"}, {ID: "vm-3"}}
 	with, ok := Successor(route.NewView(nodes), "vm-1")
