--- a/internal/core/config/edits.go
+++ b/internal/core/config/edits.go
@@ -123,7 +123,7 @@
 			}
 			row[k+d] = x
 			if x >= len(before) && x-k >= len(after) {
-				return backtrack(reach, d, k, before, after), true
+				return backtrack(reach, d, k, after), true
 			}
 		}
 		reach = append(reach, row)
@@ -152,7 +152,7 @@
 
 // backtrack collects the differences from the end to the start, which is the
 // order in which edits keep each other's places.
-func backtrack(reach [][]int, d, k int, before, after []string) []Edit {
+func backtrack(reach [][]int, d, k int, after []string) []Edit {
 	var edits []Edit
 	for ; d > 0; d-- {
 		if inserts(reach, d, k) {
