admit: drop the event of a replica's chart that nothing sends

ProbeSucceeded, event probed of the chart replica, was handled and never sent by any part of a node: idle replicas are probed by another machine, which reports them. A newcomer would take it for the way back of a replica that is down; that way is a request sent as a probe. The session interpreter loses the word too; no session used it.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -84,22 +84,18 @@
 // DrainSeen says that another node has seen the replica drain.
 type DrainSeen struct{ Address string }
 
-// ProbeSucceeded says that a replica answered a check that carried no work.
-type ProbeSucceeded struct{ Address string }
-
 // Reconfigured says that the operators' text has changed the shard.
 type Reconfigured struct{ Config Config }
 
 // Woken is the alarm that a WakeAt asked for.
 type Woken struct{}
 
-func (Offered) isEvent()        {}
-func (Withdrawn) isEvent()      {}
-func (TryEnded) isEvent()       {}
-func (DrainSeen) isEvent()      {}
-func (ProbeSucceeded) isEvent() {}
-func (Reconfigured) isEvent()   {}
-func (Woken) isEvent()          {}
+func (Offered) isEvent()      {}
+func (Withdrawn) isEvent()    {}
+func (TryEnded) isEvent()     {}
+func (DrainSeen) isEvent()    {}
+func (Reconfigured) isEvent() {}
+func (Woken) isEvent()        {}
 
 // Action is something the shard wants done.
 type Action interface{ isAction() }
--- a/internal/core/admit/configure.go
+++ b/internal/core/admit/configure.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/pistachiopier/pistachiopier/internal/chart"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/latency"
 )
@@ -63,9 +62,10 @@
 	return nil
 }
 
-func (s *Shard) seen(now core.Time, address string, event chart.Event) {
+// drainSeen takes what another node saw of a replica.
+func (s *Shard) drainSeen(now core.Time, address string) {
 	if r := s.replica(address); r != nil {
-		s.fire(r, event, incident{now: now})
+		s.fire(r, eventDrainSeen, incident{now: now})
 	}
 }
 
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -53,7 +53,6 @@
 	eventDrainSeen = lifeCycle.Event("drain_seen")
 	eventUndrained = lifeCycle.Event("undrained")
 	eventHoldOver  = lifeCycle.Event("hold_over")
-	eventProbed    = lifeCycle.Event("probed")
 	eventRemoved   = lifeCycle.Event("removed")
 	eventRestored  = lifeCycle.Event("restored")
 )
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -54,9 +54,7 @@
 	case TryEnded:
 		s.tryEnded(now, e)
 	case DrainSeen:
-		s.seen(now, e.Address, eventDrainSeen)
-	case ProbeSucceeded:
-		s.seen(now, e.Address, eventProbed)
+		s.drainSeen(now, e.Address)
 	case Reconfigured:
 		s.configure(now, e.Config)
 	}
--- a/test/session/admit.go
+++ b/test/session/admit.go
@@ -73,10 +73,6 @@
 		var e admit.DrainSeen
 		err := fill(l, &e)
 		return e, err
-	case "probe_succeeded":
-		var e admit.ProbeSucceeded
-		err := fill(l, &e)
-		return e, err
 	case "reconfigured":
 		err := s.configure(l)
 		return admit.Reconfigured{Config: s.config}, err
