--- /dev/null
+++ b/internal/alarm/alarm_test.go
@@ -0,0 +1,30 @@
+package alarm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A machine moves its wake-up twice and another one ends. Were a former time to
+// stay in force, the goroutine would wake for nothing, or for a machine that is
+// gone; were the new one lost, its request would hang past its deadline.
+func TestOnlyTheLastTimeOfAKeyRings(t *testing.T) {
+	alarms := New[string]()
+	alarms.Set("moved", 5*time.Second)
+	alarms.Set("moved", time.Second)
+	alarms.Set("moved", 3*time.Second)
+	alarms.Set("ended", 2*time.Second)
+	alarms.Clear("ended")
+	alarms.Set("later", 9*time.Second)
+
+	at, ok := alarms.Next()
+	require.True(t, ok)
+	require.Equal(t, 3*time.Second, at)
+	require.Empty(t, alarms.Pop(2*time.Second))
+	require.Equal(t, []string{"moved"}, alarms.Pop(8*time.Second))
+	require.Equal(t, []string{"later"}, alarms.Pop(9*time.Second))
+	_, ok = alarms.Next()
+	require.False(t, ok)
+}
