--- a/internal/chart/definition.go
+++ b/internal/chart/definition.go
@@ -20,7 +20,8 @@
 //go:embed charts/*.yaml
 var files embed.FS
 
-const folder = "charts/"
+// folder holds the embedded charts, a file each.
+const folder = "charts"
 
 // definition is a chart as written.
 type definition struct {
@@ -50,7 +51,7 @@
 
 // Source returns the text of an embedded chart.
 func Source(name string) []byte {
-	text, err := files.ReadFile(folder + name + ".yaml")
+	text, err := files.ReadFile(folder + "/" + name + ".yaml")
 	if err != nil {
 		panic(invalid(name, "no such chart"))
 	}
@@ -59,7 +60,7 @@
 
 // Names lists the embedded charts.
 func Names() []string {
-	entries, _ := files.ReadDir("charts")
+	entries, _ := files.ReadDir(folder)
 	var names []string
 	for _, entry := range entries {
 		names = append(names, strings.TrimSuffix(entry.Name(), ".yaml"))
@@ -84,6 +85,7 @@
 	return b.String(), nil
 }
 
+// target is the state after the transition from the given one.
 func (t transition) target(from string) string {
 	if t.To == "" {
 		return from
@@ -182,22 +184,25 @@
 	return "", false
 }
 
+// validateReach refuses states that no transition leads to from the initial one.
 func (d *definition) validateReach() error {
-	reached := []string{d.Initial}
-	for i := 0; i < len(reached); i++ {
-		for _, s := range d.States {
-			if s.Name != reached[i] {
-				continue
-			}
-			for _, t := range s.On {
-				if to := t.target(s.Name); !slices.Contains(reached, to) {
-					reached = append(reached, to)
-				}
+	targets := map[string][]string{}
+	for _, s := range d.States {
+		for _, t := range s.On {
+			targets[s.Name] = append(targets[s.Name], t.target(s.Name))
+		}
+	}
+	reached := map[string]bool{d.Initial: true}
+	for open := []string{d.Initial}; len(open) > 0; open = open[1:] {
+		for _, to := range targets[open[0]] {
+			if !reached[to] {
+				reached[to] = true
+				open = append(open, to)
 			}
 		}
 	}
 	for _, s := range d.States {
-		if !slices.Contains(reached, s.Name) {
+		if !reached[s.Name] {
 			return invalid(d.Name, "state "+s.Name+" cannot be reached")
 		}
 	}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -14,8 +14,8 @@
 type Node struct {
 	ID         core.NodeID
 	DataCentre string
-	// PeerAddress is the UDP address for other nodes, CallerAddress the TCP
-	// address for callers.
+	// PeerAddress is the UDP address for other nodes, CallerAddress and
+	// OperatorAddress the TCP addresses for callers and operators.
 	PeerAddress     string
 	CallerAddress   string
 	OperatorAddress string
