query, member: one count of the version that covers most; cmp.Or for defaults

The choice of the version with most parts stood in the answer and in the knowledge of versions; member had its own function for defaults that the standard library has.

--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
@@ -40,25 +41,19 @@
 
 // Fill sets the default of every field that is zero.
 func (c *Config) Fill() {
-	fill(&c.Neighbours, 4)
-	fill(&c.Period, time.Second)
-	fill(&c.ReplyWait, 500*time.Millisecond)
-	fill(&c.Round, 500*time.Millisecond)
-	fill(&c.Rounds, 4)
-	fill(&c.Helpers, 3)
-	fill(&c.MaxUpdates, 24)
-	fill(&c.MaxDrains, 16)
-	fill(&c.PauseLimit, time.Second)
-	fill(&c.ConfirmWait, 2*time.Second)
-	fill(&c.SplitWait, 10*time.Second)
-	fill(&c.DrainLife, 5*time.Minute)
-	fill(&c.ForgetWait, 2*time.Minute)
-}
-
-func fill[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
+	c.Neighbours = cmp.Or(c.Neighbours, 4)
+	c.Period = cmp.Or(c.Period, time.Second)
+	c.ReplyWait = cmp.Or(c.ReplyWait, 500*time.Millisecond)
+	c.Round = cmp.Or(c.Round, 500*time.Millisecond)
+	c.Rounds = cmp.Or(c.Rounds, 4)
+	c.Helpers = cmp.Or(c.Helpers, 3)
+	c.MaxUpdates = cmp.Or(c.MaxUpdates, 24)
+	c.MaxDrains = cmp.Or(c.MaxDrains, 16)
+	c.PauseLimit = cmp.Or(c.PauseLimit, time.Second)
+	c.ConfirmWait = cmp.Or(c.ConfirmWait, 2*time.Second)
+	c.SplitWait = cmp.Or(c.SplitWait, 10*time.Second)
+	c.DrainLife = cmp.Or(c.DrainLife, 5*time.Minute)
+	c.ForgetWait = cmp.Or(c.ForgetWait, 2*time.Minute)
 }
 
 // TickEvery is how often a machine wants a Tick.
--- a/internal/core/query/answer.go
+++ b/internal/core/query/answer.go
@@ -175,6 +175,7 @@
 	return append(counts, versionCount{version: version, parts: 1})
 }
 
+// bestVersion is the one that covers most, the target while no part is there.
 func (m *Machine) bestVersion() core.Version {
 	var counts []versionCount
 	for i := range m.needs {
@@ -182,7 +183,13 @@
 			counts = count(counts, part.version)
 		}
 	}
-	best := versionCount{version: m.target}
+	return most(counts, m.target)
+}
+
+// most is the version with the highest count, the newest of equals; it is the
+// fallback when nothing was counted.
+func most(counts []versionCount, fallback core.Version) core.Version {
+	best := versionCount{version: fallback}
 	for _, candidate := range counts {
 		if candidate.parts > best.parts || candidate.parts == best.parts && candidate.version > best.version {
 			best = candidate
--- a/internal/core/query/knowledge.go
+++ b/internal/core/query/knowledge.go
@@ -61,11 +61,5 @@
 			counts = count(counts, version)
 		}
 	}
-	var best versionCount
-	for _, candidate := range counts {
-		if candidate.parts > best.parts || candidate.parts == best.parts && candidate.version > best.version {
-			best = candidate
-		}
-	}
-	return best.version
+	return most(counts, 0)
 }
