--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -55,7 +55,11 @@
 		if !candidate.free(now) || slices.Contains(r.avoid, candidate) {
 			continue
 		}
-		if wait := candidate.expectedWait(now); best == nil || wait < bestWait {
+		wait := candidate.expectedWait(now)
+		if candidate == r.shedBy {
+			wait += shedPenalty
+		}
+		if best == nil || wait < bestWait {
 			best, bestWait = candidate, wait
 		}
 	}
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -21,6 +21,9 @@
 	// remotePenalty is what another data centre counts beyond its measured
 	// latency.
 	remotePenalty = 0.1
+	// shedPenalty puts the replica that shed a request behind all others for that
+	// request, in nanoseconds.
+	shedPenalty = float64(time.Hour)
 	// forgetSlowAfter halves the latency held against a replica that got no
 	// work, so that one that has recovered is tried again.
 	forgetSlowAfter = 5 * time.Second
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -20,6 +20,9 @@
 	live []*try
 	// avoid are the replicas that this request is not sent to again.
 	avoid []*replica
+	// shedBy is the replica that shed it last; it is asked again only when no
+	// other one is free.
+	shedBy *replica
 	// best is the try whose result is reported when no other is better.
 	best        TryID
 	bestOutcome core.Outcome
--- a/internal/core/admit/try.go
+++ b/internal/core/admit/try.go
@@ -79,10 +79,9 @@
 	if !byReplica(e) {
 		return false
 	}
-	if e.Reason != core.ReasonOverloaded {
-		// One that shed has a lower limit or a pause now, which keeps the
-		// request away for as long as it should; it may be the better choice
-		// again later.
+	if e.Reason == core.ReasonOverloaded {
+		r.shedBy = t.replica
+	} else {
 		r.avoid = append(r.avoid, t.replica)
 	}
 	if !s.hasOther(r) {
