--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -69,9 +69,10 @@
 	i.replica.probeWait = 0
 }
 
-// lowerShed lowers the limit, unless the refusal is the first in its window. At a limit of 1 there is nothing to lower, and a
-// queue would be drained into refusals: the replica gets nothing for a growing
-// time, at least the one it asked for itself.
+// lowerShed lowers the limit, unless the refusal is the first in its window. At a
+// limit of 1 there is nothing to lower, and a queue would be drained into
+// refusals: the replica gets nothing for a growing time, at least the one it asked
+// for itself.
 func (i *incident) lowerShed() {
 	lowered := i.replica.shed(i.inFlight)
 	if !lowered || i.inFlight > 1 {
