--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -281,5 +281,11 @@
 	return ask
 }
 
-// put queues an event, also from the loop's own goroutine.
-func (l *loop) put(e stepped) { l.events.PutAsync(l.ctx, e) }
+// put queues an event. The loop's own goroutine uses it too, and must not wait
+// for itself: a full ring is then emptied by another goroutine's wait.
+func (l *loop) put(e stepped) {
+	if l.events.TryPut(e) {
+		return
+	}
+	go func() { _ = l.events.Put(l.ctx, e) }()
+}
