--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 const (
@@ -38,14 +40,14 @@
 func (n *Node) drain(ctx context.Context) {
 	n.members.Leave()
 	n.log.WithField("event", "node_leaving").Info("planned stop: no longer an owner, still serving")
-	sleep(ctx, n.keepAccepting(ctx))
+	wait.For(ctx, n.keepAccepting(ctx))
 	if err := n.caller.Shutdown(ctx); err != nil {
 		n.log.WithError(err).WithField("event", "stop_cut_short").Error("callers' requests were cut off: stop_wait is over")
 	}
 	n.home.Stop(ctx)
 	n.owner.DrainSubmits(ctx)
 	for ctx.Err() == nil && n.inFlight() > 0 {
-		sleep(ctx, idlePoll)
+		wait.For(ctx, idlePoll)
 	}
 	n.finishReplies(ctx)
 	if left := n.inFlight(); left > 0 {
@@ -83,15 +85,24 @@
 // inFlight counts the questions being answered here and the requests of peers.
 func (n *Node) inFlight() int { return n.entry.InFlight() + n.server.Open() }
 
-// close ends the duties. It also cleans up after a start that failed half-way.
+// close ends the duties. It also cleans up after a start that failed half-way,
+// when some of them are nil. The home ends last.
 func (n *Node) close(ctx context.Context) error {
-	var problems []error
+	var callers error
 	if n.caller != nil {
-		problems = append(problems, n.caller.Shutdown(ctx))
+		callers = n.caller.Shutdown(ctx)
 	}
 	if n.home != nil {
 		defer n.home.Close()
 	}
+	n.closeDuties()
+	servers := n.closeServers()
+	n.upstream.Close()
+	n.platform.Close()
+	return errors.Join(callers, servers)
+}
+
+func (n *Node) closeDuties() {
 	if n.members != nil {
 		n.members.Close()
 	}
@@ -105,18 +116,21 @@
 	if n.owner != nil {
 		n.owner.Close()
 	}
+}
+
+// closeServers ends the links to peers and the operators' interface.
+func (n *Node) closeServers() error {
+	var failures []error
 	if n.server != nil {
-		problems = append(problems, n.server.Close())
+		failures = append(failures, n.server.Close())
 	}
 	if n.pool != nil {
-		problems = append(problems, n.pool.Close())
+		failures = append(failures, n.pool.Close())
 	}
 	if n.operator != nil {
-		problems = append(problems, n.operator.Close())
+		failures = append(failures, n.operator.Close())
 	}
-	n.upstream.Close()
-	n.platform.Close()
-	return errors.Join(problems...)
+	return errors.Join(failures...)
 }
 
 // closeWhenLeaving asks callers to close their connections with the answer. An
@@ -131,15 +145,6 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the node's connections at once, without a planned stop. Tests of lost
 // nodes use it; the application's own stop must follow.
 func (n *Node) Kill() {
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -9,6 +9,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 // defaultTimeout stands while no text says the service's.
@@ -75,7 +76,7 @@
 			return reply
 		}
 		holder = next
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return s.Lost()
 		}
 	}
@@ -133,15 +134,3 @@
 	}
 	return once.Answered{}
 }
-
-// sleep waits; false when the context ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
