--- a/internal/chart/definition.go
+++ b/internal/chart/definition.go
@@ -1,8 +1,9 @@
 // Package chart interprets state charts: life cycles written in YAML files under
 // charts/, whose guards and actions are names bound in code.
 //
-// A chart with an unbound name, an unreachable state or an event that some
-// state does not answer fails when it is parsed, which is at start-up.
+// A chart with an unbound name, a bound name that it does not use, an unreachable
+// state, a transition that is never taken or an event that some state does not
+// answer fails when it is parsed, which is at start-up.
 package chart
 
 import (
@@ -19,7 +20,8 @@
 //go:embed charts/*.yaml
 var files embed.FS
 
-const folder = "charts/"
+// folder holds the embedded charts, a file each.
+const folder = "charts"
 
 // definition is a chart as written.
 type definition struct {
@@ -49,7 +51,7 @@
 
 // Source returns the text of an embedded chart.
 func Source(name string) []byte {
-	text, err := files.ReadFile(folder + name + ".yaml")
+	text, err := files.ReadFile(folder + "/" + name + ".yaml")
 	if err != nil {
 		panic(invalid(name, "no such chart"))
 	}
@@ -58,7 +60,7 @@
 
 // Names lists the embedded charts.
 func Names() []string {
-	entries, _ := files.ReadDir("charts")
+	entries, _ := files.ReadDir(folder)
 	var names []string
 	for _, entry := range entries {
 		names = append(names, strings.TrimSuffix(entry.Name(), ".yaml"))
@@ -83,6 +85,7 @@
 	return b.String(), nil
 }
 
+// target is the state after the transition from the given one.
 func (t transition) target(from string) string {
 	if t.To == "" {
 		return from
@@ -143,6 +146,9 @@
 			return invalid(d.Name, "state "+s.Name+" ignores event "+event+", which is not listed")
 		}
 	}
+	if event, ok := s.answeredTwice(); ok {
+		return invalid(d.Name, "state "+s.Name+" has an answer to event "+event+" that is never taken")
+	}
 	for _, event := range d.Events {
 		if !s.answers(event) {
 			return invalid(d.Name, "state "+s.Name+" has no answer to event "+event)
@@ -163,22 +169,40 @@
 	return answered
 }
 
+// answeredTwice finds an event that a state answers again after an answer that
+// always holds.
+func (s state) answeredTwice() (string, bool) {
+	always := slices.Clone(s.Ignore)
+	for _, t := range s.On {
+		if slices.Contains(always, t.Event) {
+			return t.Event, true
+		}
+		if t.When == "" {
+			always = append(always, t.Event)
+		}
+	}
+	return "", false
+}
+
+// validateReach refuses states that no transition leads to from the initial one.
 func (d *definition) validateReach() error {
-	reached := []string{d.Initial}
-	for i := 0; i < len(reached); i++ {
-		for _, s := range d.States {
-			if s.Name != reached[i] {
-				continue
-			}
-			for _, t := range s.On {
-				if to := t.target(s.Name); !slices.Contains(reached, to) {
-					reached = append(reached, to)
-				}
+	targets := map[string][]string{}
+	for _, s := range d.States {
+		for _, t := range s.On {
+			targets[s.Name] = append(targets[s.Name], t.target(s.Name))
+		}
+	}
+	reached := map[string]bool{d.Initial: true}
+	for open := []string{d.Initial}; len(open) > 0; open = open[1:] {
+		for _, to := range targets[open[0]] {
+			if !reached[to] {
+				reached[to] = true
+				open = append(open, to)
 			}
 		}
 	}
 	for _, s := range d.States {
-		if !slices.Contains(reached, s.Name) {
+		if !reached[s.Name] {
 			return invalid(d.Name, "state "+s.Name+" cannot be reached")
 		}
 	}
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -27,8 +27,6 @@
 	target core.Version
 	// first is the version that the first part named.
 	first core.Version
-	// better is the version that chooseVersion found to cover more.
-	better core.Version
 	// versionsChanged asks for a new look at the versions, dueChanged for a
 	// look at which shards to ask, replan for a newer text.
 	versionsChanged bool
@@ -163,11 +161,19 @@
 	}
 }
 
+// settle ends the tries of a shard at the target.
+func (m *Machine) settle(index int, reason core.Reason) {
+	need := &m.needs[index]
+	need.failure = failure{reason, m.target}
+	need.settled = true
+	m.countSettled(index)
+}
+
 // Plan returns the question's plan.
 func (m *Machine) Plan() *Plan { return m.plan }
 
 // State names the question's state, for dumps and tests.
-func (m *Machine) State() string { return life.Name(m.state) }
+func (m *Machine) State() string { return lifeCycle.Name(m.state) }
 
 // Parts returns a service's parts at the version, for its dependents.
 func (m *Machine) Parts(service int, version core.Version) []Part {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -140,7 +140,7 @@
 			d.markLeaving()
 			d.withdrawOld()
 			d.clearOldPause()
-			// After the step, so that the gate is closed before the sign of
+			// After the step, so that the pause is set before the sign of
 			// life is young again.
 			d.options.Belief.SignOfLife(d.options.Now)
 		}
@@ -170,8 +170,8 @@
 			d.options.Log.WithFields(logrus.Fields{"event": "view_changed", "nodes": len(a.View.Nodes()), "view": a.View.ID()}).Info("routing view changed")
 		case member.PublishDrains:
 			d.options.Belief.SetDrained(a.Addresses)
-		case member.Gate:
-			d.gate(a)
+		case member.SetPaused:
+			d.setPaused(a)
 		case member.Split:
 			d.split(a)
 		case member.Unreached:
