Keep one view of thin services for the node, and let it lapse

Cause: each of the four entry loops remembered its own reports, so a whole answer on another loop than the thin one's did not clear thin_service; with no further question it stood for ever. Ruled out: the register itself, which clears by kind and subject from any loop. Change: the loops share one watch; a whole answer on any loop clears it. A problem that only traffic shows may be reported for a quiet time (Problems.ReportFor); thin_service lapses 10 minutes after its last thin answer. Before: TestOneWholeAnswerClearsAThinService failed, the problem still listed after one thin and one whole answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,8 +89,9 @@
 func New(options Options) *Entry {
 	ctx, stop := context.WithCancel(context.Background())
 	entry := &Entry{options: options, stop: stop, limiter: newLimiter(), metrics: newMeters(options.Metrics)}
+	thin := newThinWatch(options.Problems)
 	for range defaultLoops {
-		l := newLoop(ctx, options, entry.metrics)
+		l := newLoop(ctx, options, entry.metrics, thin)
 		entry.loops = append(entry.loops, l)
 		entry.done.Add(1)
 		go func() {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -172,6 +172,29 @@
 	require.Empty(t, f.problems.List())
 }
 
+// An operator mends the shard, sees whole answers and still finds the problem
+// listed: the questions went to other loops than the thin one's, and each loop
+// knew only its own reports. One whole answer must clear it, on whichever loop.
+func TestOneWholeAnswerClearsAThinService(t *testing.T) {
+	var broken atomic.Bool
+	f := start(t, config(t, 1, 3), answerAll(func(ask *peerpb.ShardAsk) core.Reason {
+		if broken.Load() && ask.GetShard() == 2 {
+			return core.ReasonNoReplica
+		}
+		return core.ReasonNone
+	}))
+	for thin := 1; thin <= defaultLoops; thin++ {
+		broken.Store(true)
+		for range thin {
+			f.ask(t)
+		}
+		require.Len(t, f.problems.List(), 1)
+		broken.Store(false)
+		f.ask(t)
+		require.Empty(t, f.problems.List(), "after %d thin answers", thin)
+	}
+}
+
 // An owner ends its reply after the first of two shards. Without a guard the
 // other shard is waited for until the deadline although nothing can come.
 func TestACutReplyIsAskedAgainAtOnce(t *testing.T) {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -56,7 +56,7 @@
 	plans     plans
 	budgets   *budget.Group
 	metrics   *meters
-	thin      thinWatch
+	thin      *thinWatch
 }
 
 // open is one question being answered.
@@ -66,7 +66,7 @@
 	tickets map[query.SendID]peer.Ticket
 }
 
-func newLoop(ctx context.Context, options Options, metrics *meters) *loop {
+func newLoop(ctx context.Context, options Options, metrics *meters, thin *thinWatch) *loop {
 	return &loop{
 		options:   options,
 		ctx:       ctx,
@@ -76,7 +76,7 @@
 		knowledge: query.NewKnowledge(),
 		budgets:   budget.NewGroup(budget.GroupConfig{}),
 		metrics:   metrics,
-		thin:      thinWatch{problems: options.Problems, reported: map[string]bool{}},
+		thin:      thin,
 	}
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -54,11 +57,24 @@
 	}
 }
 
+// thinQuiet is how long a thin service stays reported when no question shows
+// that it still is, or no longer is.
+const thinQuiet = 10 * time.Minute
+
 // thinWatch reports services whose shards are missing from answers, and clears
-// the report once an answer has them all again.
+// the report once an answer has them all again. It is one for all loops of the
+// node: with one for each, a whole answer on another loop than the thin one's
+// cleared nothing, and the problem stood long after it was over.
 type thinWatch struct {
 	problems *observe.Problems
+	mutex    sync.Mutex
 	reported map[string]bool
+	// count is the size of reported: whole answers of a healthy node take no lock.
+	count atomic.Int64
+}
+
+func newThinWatch(problems *observe.Problems) *thinWatch {
+	return &thinWatch{problems: problems, reported: map[string]bool{}}
 }
 
 // answered takes in one answer to a question by the plan. hasty says that the
@@ -67,30 +83,38 @@
 	if answer.Reason == core.ReasonCancelled {
 		return
 	}
-	if len(answer.Coverage.Missing) == 0 && len(w.reported) == 0 {
+	if len(answer.Coverage.Missing) == 0 && w.count.Load() == 0 {
 		return
 	}
 	missing := map[string]query.Missing{}
 	for _, one := range answer.Coverage.Missing {
 		missing[one.Ref.Service] = one
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	for i := range plan.Services {
 		w.service(plan.Services[i].Name, missing, hasty)
 	}
+	w.count.Store(int64(len(w.reported)))
 }
 
 func (w *thinWatch) service(name string, missing map[string]query.Missing, hasty bool) {
 	one, thin := missing[name]
 	switch {
 	case !thin && w.reported[name]:
-		delete(w.reported, name)
-		w.problems.Clear(observe.KindThinService, name)
+		w.clear(name)
 	case thin && !chosen(one.Reason, hasty):
 		w.reported[name] = true
-		w.problems.Report(observe.KindThinService, name, fmt.Sprintf("shard %d is missing from answers: %s", one.Ref.Shard, one.Reason))
+		detail := fmt.Sprintf("shard %d is missing from answers: %s", one.Ref.Shard, one.Reason)
+		w.problems.ReportFor(observe.KindThinService, name, detail, thinQuiet)
 	}
 }
 
+func (w *thinWatch) clear(name string) {
+	delete(w.reported, name)
+	w.problems.Clear(observe.KindThinService, name)
+}
+
 // chosen reports whether the caller's own choice left the shard out: no fault
 // of the service, and nothing that an operator should be woken for.
 func chosen(reason core.Reason, hasty bool) bool {
@@ -106,10 +130,12 @@
 
 // retain clears the reports on services that the text no longer lists.
 func (w *thinWatch) retain(listed func(string) bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	for name := range w.reported {
 		if !listed(name) {
-			delete(w.reported, name)
-			w.problems.Clear(observe.KindThinService, name)
+			w.clear(name)
 		}
 	}
+	w.count.Store(int64(len(w.reported)))
 }
--- a/internal/observe/problems.go
+++ b/internal/observe/problems.go
@@ -5,6 +5,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
@@ -42,8 +43,12 @@
 	First core.Time `json:"first_ns"`
 	Last  core.Time `json:"last_ns"`
 	Count int       `json:"count"`
+	// lapses is when the problem ends by itself; 0 is never.
+	lapses core.Time
 }
 
+func (p *Problem) lapsed(at core.Time) bool { return p.lapses != 0 && at >= p.lapses }
+
 const maxProblems = 1024
 
 type problemKey struct {
@@ -65,13 +70,31 @@
 	return &Problems{now: now, present: map[problemKey]*Problem{}}
 }
 
-// Report adds a problem or renews it.
+// Report adds a problem or renews it. It stands until it is cleared.
 func (p *Problems) Report(kind Kind, subject, detail string) {
+	p.report(kind, subject, detail, 0)
+}
+
+// ReportFor adds a problem or renews it. It stands until it is cleared, or until
+// it was not renewed for the quiet time: it suits what only traffic shows, since
+// without traffic nothing would ever show that it is over.
+func (p *Problems) ReportFor(kind Kind, subject, detail string, quiet time.Duration) {
+	p.report(kind, subject, detail, quiet)
+}
+
+func (p *Problems) report(kind Kind, subject, detail string, quiet time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	at := p.now()
 	key := problemKey{kind, subject}
 	existing := p.present[key]
+	if existing != nil && existing.lapsed(at) {
+		delete(p.present, key)
+		existing = nil
+	}
+	if existing == nil && len(p.present) >= maxProblems {
+		p.dropLapsed(at)
+	}
 	if existing == nil && len(p.present) >= maxProblems {
 		p.overflow++
 		return
@@ -83,6 +106,18 @@
 	existing.Detail = detail
 	existing.Last = at
 	existing.Count++
+	existing.lapses = 0
+	if quiet > 0 {
+		existing.lapses = at + quiet
+	}
+}
+
+func (p *Problems) dropLapsed(at core.Time) {
+	for key, one := range p.present {
+		if one.lapsed(at) {
+			delete(p.present, key)
+		}
+	}
 }
 
 // Clear removes a problem that is over.
@@ -96,6 +131,7 @@
 func (p *Problems) List() []Problem {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.dropLapsed(p.now())
 	list := make([]Problem, 0, len(p.present))
 	for _, one := range p.present {
 		list = append(list, *one)
