Count the connections of a former share in the new one

Cause: a change of an upstream's share made a new transport that counted its connections from zero while requests still ran on the former one; dropping an address and taking it up again did the same. A share of 0 was never set, so the former share stayed in force; net/http takes 0 for no limit. Ruled out: closing what runs, which would turn work into an unknown outcome. Change: the connections to an address take slots that all its transports share. A smaller share closes none in use; none is opened until fewer than the share are open. 0 is no connection. What a request leaves idle on a replaced transport is closed, or it would hold a slot for 30 s.

--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -64,11 +64,10 @@
 	return config
 }
 
-// limit sets the connections to one replica. A share of 0 is never set: the
-// HTTP library takes it for no limit at all.
+// limit sets the connections to one replica. With a share of 0 it is not used.
 func (l *loop) limit(address string, share int) {
+	l.options.Upstream.Limit(address, share)
 	if share > 0 {
-		l.options.Upstream.Limit(address, share)
 		return
 	}
 	l.options.Problems.Report(observe.KindReplicaDown, address, "its connection limit is too small to be shared between nodes")
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,8 +69,10 @@
 
 // Client holds the connections to replicas, each within its share.
 type Client struct {
-	mutex      sync.Mutex
-	transports map[string]*http.Transport
+	mutex sync.Mutex
+	hosts map[string]*host
+	// forgotten are the addresses of hosts that may be dropped.
+	forgotten  map[string]struct{}
 	dropped    atomic.Int64
 	suspects   suspects
 	submitIdle time.Duration
@@ -79,68 +81,12 @@
 
 // NewClient makes a client without connections.
 func NewClient() *Client {
-	return &Client{transports: map[string]*http.Transport{}, submitIdle: maxSubmitIdle}
-}
-
-// Limit sets how many connections the client may hold to an address.
-func (c *Client) Limit(address string, connections int) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	existing := c.transports[address]
-	if existing != nil && existing.MaxConnsPerHost == connections {
-		return
-	}
-	if existing != nil {
-		existing.CloseIdleConnections()
-	}
-	c.transports[address] = newTransport(connections)
-}
-
-// Forget closes the idle connections to an address that has left the text.
-func (c *Client) Forget(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if transport := c.transports[address]; transport != nil {
-		transport.CloseIdleConnections()
-		delete(c.transports, address)
-		c.suspects.forget(address)
-	}
-}
-
-// Close closes all idle connections.
-func (c *Client) Close() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, transport := range c.transports {
-		transport.CloseIdleConnections()
-	}
+	return &Client{hosts: map[string]*host{}, forgotten: map[string]struct{}{}, submitIdle: maxSubmitIdle}
 }
 
 // DroppedReplies counts crossed or cut replies.
 func (c *Client) DroppedReplies() int64 { return c.dropped.Load() }
 
-func newTransport(connections int) *http.Transport {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:        connections,
-		MaxIdleConnsPerHost:    connections,
-		IdleConnTimeout:        idleConnection,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-}
-
-func (c *Client) transport(address string) *http.Transport {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	existing := c.transports[address]
-	if existing == nil {
-		existing = newTransport(1)
-		c.transports[address] = existing
-	}
-	return existing
-}
-
 // Do sends the call once and waits for its end. It never returns NotRun unless
 // no connection was had or the upstream refused the work itself.
 func (c *Client) Do(ctx context.Context, call Call) Result {
@@ -174,6 +120,7 @@
 		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}, false
 	}
 	transport := c.transport(call.Address)
+	defer c.done(call.Address, transport)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		c.checkSilence(ctx, call.Address, transport, wire)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -28,7 +28,9 @@
 	if err != nil {
 		return "", err
 	}
-	response, err := c.transport(address).RoundTrip(request)
+	transport := c.transport(address)
+	defer c.done(address, transport)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return "", err
 	}
