Report crossed and cut replies by upstream address

Cause: the problem kind crossed_reply was defined and documented, and nothing reported it; only one counter for the whole node showed dropped replies. Ruled out: clearing it with the next whole reply, as such replies come now and then and the problem would flicker. Change: the upstream client tells the node of each dropped reply; the problem names the address and why, counts, and lapses 30 minutes after the last one.

--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -33,6 +34,16 @@
 	n.problems.Report(observe.KindSilentConnection, subject, "a request timed out on an open connection, which was closed")
 }
 
+// crossedQuiet is how long an address stays reported after its last crossed or
+// cut reply. A whole reply does not end it: such replies come now and then.
+const crossedQuiet = 30 * time.Minute
+
+// droppedReply takes the evidence that a replica, or something on the way to it,
+// mixes replies up or cuts them.
+func (n *Node) droppedReply(address, why string) {
+	n.problems.ReportFor(observe.KindCrossedReply, "upstream "+address, why, crossedQuiet)
+}
+
 // known lists the nodes of the view and of the VM list: also those that do not
 // answer, which operators must not miss.
 func (n *Node) known() []route.Node {
--- a/internal/app/operate.go
+++ b/internal/app/operate.go
@@ -44,6 +44,7 @@
 		InFlight:     n.settings.Probing.InFlight,
 	})
 	n.upstream.Observe(n.prober.Observe)
+	n.upstream.OnDropped(n.droppedReply)
 	n.expiry = watchExpiry(n.problems, n.metrics, certificates, n.settings.TLS.WarnBefore)
 	n.watchMetrics()
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -77,6 +77,7 @@
 	suspects   suspects
 	submitIdle time.Duration
 	observer   Observer
+	onDropped  func(address, why string)
 }
 
 // NewClient makes a client without connections.
@@ -84,6 +85,10 @@
 	return &Client{hosts: map[string]*host{}, forgotten: map[string]struct{}{}, submitIdle: maxSubmitIdle}
 }
 
+// OnDropped sets who is told of each crossed or cut reply. It must not block and
+// must be set before the first call.
+func (c *Client) OnDropped(listener func(address, why string)) { c.onDropped = listener }
+
 // DroppedReplies counts crossed or cut replies.
 func (c *Client) DroppedReplies() int64 { return c.dropped.Load() }
 
@@ -240,17 +245,17 @@
 	defer func() { _ = response.Body.Close() }()
 	result := headerResult(response)
 	if response.Header.Get(HeaderRequestID) != call.RequestID {
-		return c.dropReply(wire, "the reply carries another request's id")
+		return c.dropReply(call.Address, wire, "the reply carries another request's id")
 	}
 	if !framed(response) {
-		return c.dropReply(wire, "the reply has no length")
+		return c.dropReply(call.Address, wire, "the reply has no length")
 	}
 	payload, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil && ctx.Err() != nil {
 		return failure(ctx, wire, err, 0)
 	}
 	if err != nil || len(payload) > maxReplyBytes {
-		return c.dropReply(wire, "the reply was cut short or is too long")
+		return c.dropReply(call.Address, wire, "the reply was cut short or is too long")
 	}
 	if response.StatusCode != http.StatusOK {
 		return notOK(result, response)
@@ -266,9 +271,12 @@
 	return response.ProtoMajor >= 2 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-func (c *Client) dropReply(wire *wire, why string) Result {
+func (c *Client) dropReply(address string, wire *wire, why string) Result {
 	c.dropped.Add(1)
 	wire.close()
+	if c.onDropped != nil {
+		c.onDropped(address, why)
+	}
 	return Result{Outcome: core.Unknown, Reason: core.ReasonCrossedReply, Load: -1, Cause: errors.New(why)}
 }
 
