List one dead replica once

Cause: the owner reported replica_down by address, the probes of idle replicas by "shard at address", so one dead replica was two problems. Ruled out: one kind for each reporter, which would still be two lines. Change: observe.ReplicaSubject names a replica for both. Whichever sees it answer clears the problem; if it is still dead, the next failed probe, within the reporting time, reports it again. Before: TestADeadReplicaIsListedOnce found 2 problems.

--- a/internal/fleet/evidence_test.go
+++ b/internal/fleet/evidence_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
@@ -48,3 +51,20 @@
 		}
 	}
 }
+
+// One replica is gone; both the owner, by its requests, and the probes of idle
+// replicas find out. Each named it in its own way, and an operator who counted
+// problems saw two dead replicas.
+func TestADeadReplicaIsListedOnce(t *testing.T) {
+	upstreams := startUpstreams(t, 2)
+	var log safeBuffer
+	f := startWith(t, Options{Nodes: 1, LogTo: &log, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }}, testText(upstreams))
+	require.NoError(t, upstreams[0].Close())
+	require.Eventually(t, func() bool {
+		askTop(t, f)
+		text := log.String()
+		return strings.Contains(text, `"to":"down"`) && strings.Contains(text, `"event":"replica_down"`)
+	}, awaitLimit, awaitPause, "both have found out")
+	report := get[api.ProblemsReport](t, f.Members()[0].Addresses.Operator, "/v1/problems")
+	require.Equal(t, 1, kinds(report)[observe.KindReplicaDown], "%v", report)
+}
--- a/internal/night/night.go
+++ b/internal/night/night.go
@@ -238,7 +238,9 @@
 	return nil
 }
 
-func replicaSubject(target night.Target) string { return target.Ref.String() + " at " + target.Address }
+func replicaSubject(target night.Target) string {
+	return observe.ReplicaSubject(target.Ref, target.Address)
+}
 
 func (p *Prober) logReplica(target night.Target, event string) {
 	p.options.Log.WithFields(logrus.Fields{"event": event, "shard": target.Ref.String(), "address": target.Address, "detail": p.details[target]}).Warn("idle replica")
--- a/internal/observe/problems.go
+++ b/internal/observe/problems.go
@@ -34,6 +34,12 @@
 	KindCertificate      Kind = "certificate_expiry"
 )
 
+// ReplicaSubject is the subject of problems of one replica. Whoever reports on a
+// replica uses it, so that one dead replica is listed once.
+func ReplicaSubject(ref core.ShardRef, address string) string {
+	return ref.String() + " at " + address
+}
+
 // Problem is one condition of one subject.
 type Problem struct {
 	Kind    Kind   `json:"kind"`
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -157,8 +157,8 @@
 	}).Info("replica changed state")
 	switch {
 	case a.To == stateDown:
-		l.options.Problems.Report(observe.KindReplicaDown, a.Address, "replica of "+s.ref.String()+" does not answer")
+		l.options.Problems.Report(observe.KindReplicaDown, observe.ReplicaSubject(s.ref, a.Address), "it does not answer requests")
 	case a.From == stateDown:
-		l.options.Problems.Clear(observe.KindReplicaDown, a.Address)
+		l.options.Problems.Clear(observe.KindReplicaDown, observe.ReplicaSubject(s.ref, a.Address))
 	}
 }
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -58,19 +58,19 @@
 		Jitter:     l.jitter,
 	}
 	for _, replica := range written.Replicas {
-		l.limit(replica.Address, share)
+		l.limit(s.ref, replica.Address, share)
 		config.Replicas = append(config.Replicas, admit.ReplicaConfig{Address: replica.Address, DataCentre: replica.DataCentre, Draining: replica.Draining || l.options.Belief.Drained(replica.Address)})
 	}
 	return config
 }
 
 // limit sets the connections to one replica. With a share of 0 it is not used.
-func (l *loop) limit(address string, share int) {
+func (l *loop) limit(ref core.ShardRef, address string, share int) {
 	l.options.Upstream.Limit(address, share)
 	if share > 0 {
 		return
 	}
-	l.options.Problems.Report(observe.KindReplicaDown, address, "its connection limit is too small to be shared between nodes")
+	l.options.Problems.Report(observe.KindReplicaDown, observe.ReplicaSubject(ref, address), "its connection limit is too small to be shared between nodes")
 }
 
 func (l *loop) role(text *catalog.Catalog, id core.BundleID) admit.Role {
@@ -146,7 +146,7 @@
 // needs. An address that the text has moved to another shard is left alone: its
 // connections are that shard's by now.
 func (l *loop) forgetReplica(s *shard, address string) {
-	l.options.Problems.Clear(observe.KindReplicaDown, address)
+	l.options.Problems.Clear(observe.KindReplicaDown, observe.ReplicaSubject(s.ref, address))
 	config := l.options.Belief.Config()
 	if config != nil && !has(config.Catalog.Shard(s.ref), address) && listed(config.Catalog, address) {
 		return
