Give full rings of the entry an explicit policy

Cause: an event that met a full ring got a goroutine of its own. Their number was not bounded, and they overtook each other: a last part that arrived first made the others of its message look cut. Ruled out: waiting in every case, since a send that fails at once is answered by the loop's own goroutine, which would wait for itself. Change: events made while the loop calls Ask are kept in a list that the loop handles next; later ones wait in the peer's reader until the question's deadline, and are then dropped and counted (entry_events_undelivered_total).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,8 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
+	// ringDepth is the depth of each loop's ring, in events; 0 takes the default.
+	ringDepth int
 }
 
 // Entry runs the entry's duty on a fixed number of goroutines.
@@ -87,6 +89,9 @@
 
 // New starts an entry; Close ends it.
 func New(options Options) *Entry {
+	if options.ringDepth == 0 {
+		options.ringDepth = ringDepth
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	shared := newShared(options)
 	entry := &Entry{options: options, stop: stop, limiter: newLimiter(), metrics: shared.metrics}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -93,7 +93,7 @@
 	metrics  observe.Registry
 }
 
-func start(t *testing.T, first *belief.Config, peers peer.Asker) *fixture {
+func start(t *testing.T, first *belief.Config, peers peer.Asker, alter ...func(*Options)) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -102,7 +102,11 @@
 	f := &fixture{belief: belief.NewStore(), problems: observe.NewProblems(now), metrics: observe.NewRegistry()}
 	f.belief.SetConfig(first)
 	f.belief.SetView(route.NewView([]route.Node{{ID: "vm-1"}}))
-	f.Entry = New(Options{Self: "vm-1", Belief: f.belief, Peers: peers, Now: now, Log: log, Problems: f.problems, Metrics: f.metrics})
+	options := Options{Self: "vm-1", Belief: f.belief, Peers: peers, Now: now, Log: log, Problems: f.problems, Metrics: f.metrics}
+	for _, one := range alter {
+		one(&options)
+	}
+	f.Entry = New(options)
 	t.Cleanup(f.Close)
 	return f
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -73,6 +73,8 @@
 	alarms  *alarm.Alarms[uint64]
 	open    map[uint64]*open
 	plans   plans
+	// own are events that this goroutine made itself; see replies.
+	own []stepped
 }
 
 // open is one question being answered.
@@ -87,7 +89,7 @@
 		shared:  shared,
 		options: options,
 		ctx:     ctx,
-		events:  ring.New[event](ringDepth),
+		events:  ring.New[event](options.ringDepth),
 		alarms:  alarm.New[uint64](),
 		open:    map[uint64]*open{},
 	}
@@ -110,9 +112,19 @@
 		for _, id := range l.alarms.Pop(l.options.Now()) {
 			l.step(id, query.Woken{})
 		}
+		l.drainOwn()
 	}
 }
 
+// drainOwn handles the loop's own events, and those that they lead to, in order.
+func (l *loop) drainOwn() {
+	for i := 0; i < len(l.own); i++ {
+		l.handle(l.own[i])
+	}
+	clear(l.own)
+	l.own = l.own[:0]
+}
+
 func (l *loop) handle(e event) {
 	switch e := e.(type) {
 	case begun:
@@ -242,7 +254,7 @@
 func (l *loop) send(q *open, a query.Send) {
 	node, ok := l.node(q.config.Catalog, a)
 	if !ok {
-		l.put(stepped{id: q.id, event: query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached}})
+		l.own = append(l.own, stepped{id: q.id, event: query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached}})
 		return
 	}
 	message := &peerpb.BundleRequest{
@@ -261,7 +273,9 @@
 	}
 	target := peer.Target{Node: node.ID, Address: node.PeerAddress}
 	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_BundleRequest{BundleRequest: message}}
-	q.tickets[a.ID] = l.options.Peers.Ask(target, envelope, l.sink(q, a))
+	replies := &replies{loop: l, deadline: q.deadline, asking: true}
+	q.tickets[a.ID] = l.options.Peers.Ask(target, envelope, l.sink(q, a, replies))
+	l.own = append(l.own, replies.asked()...)
 }
 
 // node finds the node at the send's place of the bundle's order. With direct
@@ -293,12 +307,3 @@
 	}
 	return ask
 }
-
-// put queues an event. The loop's own goroutine uses it too, and must not wait
-// for itself: a full ring is then emptied by another goroutine's wait.
-func (l *loop) put(e stepped) {
-	if l.events.TryPut(e) {
-		return
-	}
-	go func() { _ = l.events.Put(l.ctx, e) }()
-}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -12,13 +12,12 @@
 // noShard stands for a shard that the send did not ask for.
 const noShard = -1
 
-// sink turns the replies to a send into events. It is called from the peer's
-// reading goroutine, which waits when the ring is full.
-func (l *loop) sink(q *open, a query.Send) peer.Sink {
+// sink turns the replies to a send into events.
+func (l *loop) sink(q *open, a query.Send, replies *replies) peer.Sink {
 	id, plan := q.id, q.machine.Plan()
 	return func(reply *peerpb.Envelope, failure *peer.LinkError) {
 		if event := replyEvent(plan, a, reply, failure); event != nil {
-			l.put(stepped{id: id, event: event, plan: plan})
+			replies.put(stepped{id: id, event: event, plan: plan})
 		}
 	}
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -19,6 +19,8 @@
 	thin, belowLeast                 metrics.Counter
 	sends, retries, fallbacks        metrics.Counter
 	dropped, switches, replans, lost metrics.Counter
+	// undelivered are events that met a full ring until their question's deadline.
+	undelivered metrics.Counter
 }
 
 func newMeters(registry observe.Registry) *meters {
@@ -35,6 +37,8 @@
 		switches:   counter("version_switches"),
 		replans:    counter("replans"),
 		lost:       counter("questions_cancelled"),
+
+		undelivered: counter("events_undelivered"),
 	}
 }
 
