--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -198,7 +198,7 @@
 	n.ready.Store(true)
 	n.pool.OnLink(n.linkNews)
 	n.upstream.OnSilent(n.silentUpstream)
-	n.log.WithField("event", "node_started").Info("node started")
+	n.logStarted()
 	return nil
 }
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -76,6 +76,7 @@
 		settingsCommand(),
 		keysCommand(),
 		demoCommand(),
+		standInCommand(),
 		loadCommand(),
 		experimentCommand(),
 	}
