Make the entry's places and headroom settings

Cause: the 1,024 places and the headroom of 4 were constants, so an entry on a small VM could not be bounded; refusals had one counter for all causes. Ruled out: a share per customer in the settings, which the text's in_flight is. Change: limits.in_flight and limits.headroom, with entry_in_flight and entry_refused_{customer_limit,share,full}_total. Before: the settings test's new keys were not known, and the entry took no limits.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -172,6 +173,7 @@
 		Log:         n.log,
 		Problems:    n.problems,
 		Metrics:     n.metrics,
+		Limits:      entrylimit.Config{Places: n.settings.Limits.InFlight, Headroom: n.settings.Limits.Headroom},
 	})
 	if err := n.startHTTP(); err != nil {
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -72,6 +73,8 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
+	// Limits bound the questions in work; zero values take the defaults.
+	Limits entrylimit.Config
 	// ringDepth is the depth of each loop's ring, in events; 0 takes the default.
 	ringDepth int
 }
@@ -94,7 +97,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	shared := newShared(options)
-	entry := &Entry{options: options, stop: stop, limiter: newLimiter(), metrics: shared.metrics}
+	entry := &Entry{options: options, stop: stop, limiter: newLimiter(options.Limits, options.Metrics), metrics: shared.metrics}
 	for range defaultLoops {
 		l := newLoop(ctx, options, shared)
 		entry.loops = append(entry.loops, l)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -274,6 +276,37 @@
 	require.Zero(t, f.InFlight())
 }
 
+// An operator gives a small VM room for two questions. One customer may hold no
+// more than its share of them, a second one takes the last place, and a third is
+// refused at once; each refusal is counted by its cause.
+func TestThePlacesAreThoseOfTheSettings(t *testing.T) {
+	asks, release := make(chan *peerpb.BundleRequest, 2), make(chan peer.Sink, 2)
+	f := start(t, config(t, 1, 1), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		asks <- request
+		release <- sink
+	}), func(o *Options) { o.Limits = entrylimit.Config{Places: 2, Headroom: 1} })
+	var held sync.WaitGroup
+	hold := func(customer core.Customer) *peerpb.BundleRequest {
+		held.Go(func() { _, _ = f.Ask(context.Background(), Question{Service: "prices", Customer: customer}) })
+		return <-asks
+	}
+	refused := func(customer core.Customer) {
+		_, err := f.Ask(context.Background(), Question{Service: "prices", Customer: customer})
+		require.Equal(t, fault.CodeOverloaded, fault.As(err).Code)
+	}
+	request := hold("import")
+	refused("import")
+	require.EqualValues(t, 1, f.count("entry_refused_share_total"))
+	hold("waiter")
+	refused("other")
+	require.EqualValues(t, 1, f.count("entry_refused_full_total"))
+	for range 2 {
+		(<-release)(part(request.GetAsks()[0], true), nil)
+	}
+	held.Wait()
+	require.Zero(t, f.InFlight())
+}
+
 // The owner of a shard has just handed it over. The question must follow to the
 // new owner by the view in force now, not by the one it was planned with.
 func TestNotOwnerIsAskedAgainByTheNewestView(t *testing.T) {
--- a/internal/entry/limiter.go
+++ b/internal/entry/limiter.go
@@ -5,25 +5,42 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
 )
 
 // limiter shares the entry's places between the callers' goroutines.
 type limiter struct {
 	mutex sync.Mutex
 	core  *entrylimit.Limiter
+	// refused counts the refusals by verdict.
+	refused map[entrylimit.Verdict]metrics.Counter
 }
 
-func newLimiter() *limiter { return &limiter{core: entrylimit.New(entrylimit.Config{})} }
+func newLimiter(config entrylimit.Config, registry observe.Registry) *limiter {
+	l := &limiter{core: entrylimit.New(config), refused: map[entrylimit.Verdict]metrics.Counter{
+		entrylimit.CustomerLimit: observe.Counter(registry, "entry_refused_customer_limit_total"),
+		entrylimit.UnfairShare:   observe.Counter(registry, "entry_refused_share_total"),
+		entrylimit.Full:          observe.Counter(registry, "entry_refused_full_total"),
+	}}
+	observe.Watch(registry, "entry_in_flight", func() int64 { return int64(l.total()) })
+	return l
+}
 
 // enter takes a place, or says what to do instead. leave must follow a nil.
 func (l *limiter) enter(customer catalog.Customer) error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	switch l.core.Enter(customer.Name, customer.InFlight) {
+	verdict := l.core.Enter(customer.Name, customer.InFlight)
+	if counter := l.refused[verdict]; counter != nil {
+		counter.Inc(1)
+	}
+	switch verdict {
 	case entrylimit.CustomerLimit:
 		return l.overloaded("the customer has "+strconv.Itoa(customer.InFlight)+" requests in flight here, its limit", "come back later or raise in_flight in the text")
 	case entrylimit.UnfairShare:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
@@ -68,6 +69,10 @@
 	Connections   int           `yaml:"connections"`
 	// Entries is how many addresses the address answer holds at most.
 	Entries int `yaml:"entries"`
+	// InFlight is how many callers' requests this entry has in work at once.
+	InFlight int `yaml:"in_flight"`
+	// Headroom is how many times the free places one customer may hold.
+	Headroom int `yaml:"headroom"`
 }
 
 // Probing sets how idle replicas are probed.
@@ -137,6 +142,8 @@
 	setDefault(&s.Limits.IdleTimeout, DefaultIdleWait)
 	setDefault(&s.Limits.Connections, DefaultConnections)
 	setDefault(&s.Limits.Entries, DefaultEntries)
+	setDefault(&s.Limits.InFlight, entrylimit.DefaultPlaces)
+	setDefault(&s.Limits.Headroom, entrylimit.DefaultHeadroom)
 	setDefault(&s.TLS.WarnBefore, DefaultWarnBefore)
 	setDefault(&s.Probing.ReportWithin, DefaultReport)
 	setDefault(&s.Probing.InFlight, DefaultProbes)
@@ -216,6 +223,8 @@
 		{"limits.max_body_bytes", s.Limits.MaxBodyBytes},
 		{"limits.connections", s.Limits.Connections},
 		{"limits.entries", s.Limits.Entries},
+		{"limits.in_flight", s.Limits.InFlight},
+		{"limits.headroom", s.Limits.Headroom},
 		{"probing.in_flight", s.Probing.InFlight},
 		{"once.entries", s.Once.Entries},
 		{"once.bytes", s.Once.Bytes},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -46,8 +46,8 @@
 	for _, part := range []string{"nights", "line 4"} {
 		require.ErrorContains(t, err, part)
 	}
-	_, err = Parse([]byte("node: a\ncaller_address: here\nlimits: {connections: -1, body_timeout: -1s}\n"))
-	for _, part := range []string{"caller_address", "is not IP:PORT", "limits.connections", "limits.body_timeout", "data_centre"} {
+	_, err = Parse([]byte("node: a\ncaller_address: here\nlimits: {connections: -1, body_timeout: -1s, in_flight: -1, headroom: -1}\n"))
+	for _, part := range []string{"caller_address", "is not IP:PORT", "limits.connections", "limits.body_timeout", "limits.in_flight", "limits.headroom", "data_centre"} {
 		require.ErrorContains(t, err, part)
 	}
 }
