Count submits at the entry as queries are

Cause: the limiter of an entry counted queries only, so one customer's submits could hold any number of the entry's goroutines and bodies. Ruled out: calling the key not run, since another entry may have let an earlier try of it run; only this try is called not run, as with a body that is cut. Change: a submit takes a place before it goes to its home; without one it ends unknown with this_try not_run, overloaded, and the time to come back.

--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -39,7 +39,7 @@
 	body, err := readBody(c, p.Body.MaxBytes)
 	if err != nil {
 		p.count(err)
-		p.failUnread(c, err)
+		p.failTry(c, err)
 		return
 	}
 	var request SubmitRequest
@@ -52,6 +52,12 @@
 		p.failSubmit(c, err)
 		return
 	}
+	leave, err := p.Entry.Admit(submit.Customer)
+	if err != nil {
+		p.failTry(c, err)
+		return
+	}
+	defer leave()
 	reply := p.Home.Submit(c.Request.Context(), submit)
 	if reply.Outcome == core.Done {
 		c.JSON(http.StatusOK, toSubmitReply(submit, reply))
@@ -95,12 +101,13 @@
 	p.writeRefused(c, once.Reply{Outcome: typed.Outcome, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter})
 }
 
-// failUnread writes the failure of a body that is too large, late or cut. This
-// try did not run, but an earlier one with the same key may have: its body may
-// have arrived whole, or another entry's settings may have let it in.
-func (p CallerParts) failUnread(c *gin.Context, err error) {
+// failTry writes the failure of a try that went no further than this entry: its
+// body is too large, late or cut, or no place is free. It did not run, but an
+// earlier one with the same key may have: its body may have arrived whole, or
+// another entry may have let it in.
+func (p CallerParts) failTry(c *gin.Context, err error) {
 	typed := fault.As(err)
-	p.writeRefused(c, once.Reply{Outcome: core.Unknown, ThisTry: core.NotRun, Code: typed.Code, Message: typed.Message})
+	p.writeRefused(c, once.Reply{Outcome: core.Unknown, ThisTry: core.NotRun, Code: typed.Code, Message: typed.Message, RetryAfter: typed.RetryAfter})
 }
 
 // writeRefused writes an outcome other than done. A caller whose key is not run
@@ -130,6 +137,8 @@
 		return "use /v1/query for this service"
 	case reply.Outcome == core.NotRun:
 		return "to try again, append a new id to key_prefix"
+	case reply.ThisTry == core.NotRun && reply.Code == fault.CodeOverloaded:
+		return "ask again with the same key and body, after retry_after_ms or at another entry"
 	case reply.ThisTry == core.NotRun:
 		return "if no other try was made with this key, nothing ran: use a new key"
 	case reply.Code == fault.CodeLost:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -73,7 +74,7 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
-	// Limits bound the questions in work; zero values take the defaults.
+	// Limits bound the requests in work; zero values take the defaults.
 	Limits entrylimit.Config
 	// ringDepth is the depth of each loop's ring, in events; 0 takes the default.
 	ringDepth int
@@ -116,7 +117,7 @@
 	e.done.Wait()
 }
 
-// InFlight is the number of questions being answered.
+// InFlight is the number of callers' requests in work.
 func (e *Entry) InFlight() int { return e.limiter.total() }
 
 // Rings reports the depth of each loop's ring.
@@ -162,6 +163,25 @@
 	return e.run(ctx, config, service.Index, question)
 }
 
+// Admit takes a place for a request that another duty of this node runs, such as
+// a submit; leave must be called at its end. The error is that of a query which
+// finds no place. A customer that this node's text does not list is only bound
+// to its share of the places: whoever runs the request judges it.
+func (e *Entry) Admit(name core.Customer) (leave func(), err error) {
+	customer := catalog.Customer{Name: name, InFlight: math.MaxInt}
+	if config := e.options.Belief.Config(); config != nil {
+		if listed, known := config.Catalog.Customer(name); known {
+			customer = listed
+		}
+	}
+	if err := e.limiter.enter(customer); err != nil {
+		e.metrics.refused.Inc(1)
+		return nil, err
+	}
+	started := e.options.Now()
+	return func() { e.limiter.leave(customer.Name, e.options.Now()-started) }, nil
+}
+
 // pausedRetryAfter is when a node that confirms its beliefs is likely done.
 const pausedRetryAfter = 100 * time.Millisecond
 
--- a/internal/fleet/submit_test.go
+++ b/internal/fleet/submit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -260,3 +262,41 @@
 		}
 	}
 }
+
+// An import fills an entry with invoices that an upstream does not answer, and
+// each holds a goroutine and a body of the entry. Submits must take places as
+// queries do. The one too many is told that its try did not run, yet not that
+// its key did not: another entry may have taken the key before.
+func TestASubmitThatFindsNoPlaceDidNotRun(t *testing.T) {
+	upstreams := startUpstreams(t, 3)
+	f := startWith(t, Options{Nodes: 1, LogTo: io.Discard, Alter: func(s *settings.Settings) { s.Limits.InFlight = 1 }}, submitText(upstreams))
+	for _, u := range upstreams {
+		u.Change(func(b *standin.Behaviour) { b.Silent = true })
+	}
+	address := f.Members()[0].Addresses.Caller
+	caller := client.New()
+	defer caller.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	var held sync.WaitGroup
+	first := invoice(freshKey(t, caller, address))
+	held.Go(func() { caller.Submit(ctx, address, "invoices", first) })
+	require.Eventually(t, func() bool { return upstreams[0].Received()+upstreams[1].Received() == 1 }, awaitLimit, awaitPause)
+
+	key := freshKey(t, caller, address)
+	_, refusal := caller.Submit(context.Background(), address, "invoices", invoice(key))
+	require.Equal(t, fault.CodeOverloaded, refusal.Code)
+	require.Equal(t, core.Unknown.String(), refusal.Outcome)
+	require.Equal(t, core.NotRun.String(), refusal.ThisTry)
+	require.Positive(t, refusal.RetryAfterMs)
+	require.Equal(t, 1, upstreams[0].Received()+upstreams[1].Received())
+
+	leave()
+	held.Wait()
+	for _, u := range upstreams {
+		u.Change(func(b *standin.Behaviour) { b.Silent = false })
+	}
+	require.Eventually(t, func() bool {
+		reply, _ := caller.Submit(context.Background(), address, "invoices", invoice(key))
+		return reply.Outcome == core.Done.String()
+	}, awaitLimit, awaitPause, "the same key runs once a place is free")
+}
