--- a/internal/fleet/submit_test.go
+++ b/internal/fleet/submit_test.go
@@ -299,4 +299,8 @@
 		reply, _ := caller.Submit(context.Background(), address, "invoices", invoice(key))
 		return reply.Outcome == core.Done.String()
 	}, awaitLimit, awaitPause, "the same key runs once a place is free")
+	for _, u := range upstreams {
+		// Or the planned stop waits for the submit that is held upstream.
+		require.NoError(t, u.Close())
+	}
 }
