--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -97,3 +97,19 @@
 	require.Equal(t, ExitOK, code, errors)
 	require.Contains(t, out, `"outcome":"done"`)
 }
+
+// The first entry's VM has stood still: its kernel still takes the connection and
+// nothing answers. The other entry must be asked within the caller's time.
+func TestQueryDoesNotWaitForASilentEntry(t *testing.T) {
+	f, _ := startLook(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	caller := client.New()
+	defer caller.Close()
+	options := queryOptions{service: "mood", customer: "operator", question: "null", timeout: defaultQueryTimeout}
+	entries := []api.EntryAddress{{Address: silent.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
+	reply, err := askInTurn(context.Background(), caller, entries, options)
+	require.NoError(t, err)
+	require.False(t, reply.Coverage.Thin)
+}
--- a/internal/command/query.go
+++ b/internal/command/query.go
@@ -12,7 +12,6 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
-	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
@@ -72,31 +71,6 @@
 	return nil
 }
 
-// askInTurn asks one entry after the other while time is left. A query may be
-// repeated, so that the next entry is also asked when one gave no answer. A
-// refusal that every entry would give ends it.
-func askInTurn(ctx context.Context, caller *client.Client, entries []api.EntryAddress, options queryOptions) (api.QueryReply, error) {
-	deadline := time.Now().Add(options.timeout)
-	var reply api.QueryReply
-	var err error = fault.NotRun(fault.CodeNotReady, "the node knows no entries yet", "try again")
-	for _, entry := range entries {
-		left := time.Until(deadline).Milliseconds()
-		if left <= 0 {
-			break
-		}
-		reply, err = caller.Query(ctx, entry.Address, options.service, api.QueryRequest{
-			Customer:  core.Customer(options.customer),
-			Question:  json.RawMessage(options.question),
-			TimeoutMs: &left,
-			Prefer:    options.prefer,
-		})
-		if err == nil || !elsewhere(fault.As(err)) {
-			break
-		}
-	}
-	return reply, err
-}
-
 // elsewhere reports whether another entry may answer after this failure.
 func elsewhere(failure *fault.Error) bool {
 	switch failure.Code {
