--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -85,7 +85,7 @@
 	caller := client.New()
 	defer caller.Close()
 	entries := []api.EntryAddress{{Address: gone.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
-	options := queryOptions{service: "mood", customer: "agency", question: "null", timeout: awaitLimit}
+	options := queryOptions{callerOptions: callerOptions{service: "mood", customer: "agency", timeout: awaitLimit}, question: "null"}
 	reply, err := askInTurn(context.Background(), caller, entries, options)
 	require.NoError(t, err)
 	require.False(t, reply.Coverage.Thin)
@@ -107,7 +107,7 @@
 	t.Cleanup(func() { _ = silent.Close() })
 	caller := client.New()
 	defer caller.Close()
-	options := queryOptions{service: "mood", customer: "operator", question: "null", timeout: defaultQueryTimeout}
+	options := queryOptions{callerOptions: callerOptions{service: "mood", customer: "operator", timeout: defaultCallerTimeout}, question: "null"}
 	entries := []api.EntryAddress{{Address: silent.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
 	reply, err := askInTurn(context.Background(), caller, entries, options)
 	require.NoError(t, err)
