--- a/internal/app/start.go
+++ b/internal/app/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -119,6 +120,7 @@
 		Log:         n.log,
 		Problems:    n.problems,
 		Metrics:     n.metrics,
+		Limits:      entrylimit.Config{Places: n.settings.Limits.InFlight, Headroom: n.settings.Limits.Headroom},
 	})
 }
 
--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -115,3 +115,19 @@
 	require.Equal(t, ExitTrouble, code, errors)
 	require.Contains(t, out, "starting")
 }
+
+// The first entry's VM has stood still: its kernel still takes the connection and
+// nothing answers. The other entry must be asked within the caller's time.
+func TestQueryDoesNotWaitForASilentEntry(t *testing.T) {
+	f, _ := startLook(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	caller := client.New()
+	defer caller.Close()
+	options := queryOptions{callerOptions: callerOptions{service: "mood", customer: "operator", timeout: defaultCallerTimeout}, question: "null"}
+	entries := []api.EntryAddress{{Address: silent.Addr().String()}, {Address: f.Members()[0].Addresses.Caller}}
+	reply, err := askInTurn(context.Background(), caller, entries, options)
+	require.NoError(t, err)
+	require.False(t, reply.Coverage.Thin)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +16,8 @@
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/budget"
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -92,7 +95,7 @@
 	metrics  observe.Registry
 }
 
-func start(t *testing.T, first *belief.Config, peers peer.Asker) *fixture {
+func start(t *testing.T, first *belief.Config, peers peer.Asker, alter ...func(*Options)) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -101,7 +104,11 @@
 	f := &fixture{belief: belief.NewStore(), problems: observe.NewProblems(now), metrics: observe.NewRegistry()}
 	f.belief.SetConfig(first)
 	f.belief.SetView(route.NewView([]route.Node{{ID: "vm-1"}}))
-	f.Entry = New(Options{Self: "vm-1", Belief: f.belief, Peers: peers, Now: now, Log: log, Problems: f.problems, Metrics: f.metrics})
+	options := Options{Self: "vm-1", Belief: f.belief, Peers: peers, Now: now, Log: log, Problems: f.problems, Metrics: f.metrics}
+	for _, one := range alter {
+		one(&options)
+	}
+	f.Entry = New(options)
 	t.Cleanup(f.Close)
 	return f
 }
@@ -172,6 +179,29 @@
 	require.Empty(t, f.problems.List())
 }
 
+// An operator mends the shard, sees whole answers and still finds the problem
+// listed: the questions went to other loops than the thin one's, and each loop
+// knew only its own reports. One whole answer must clear it, on whichever loop.
+func TestOneWholeAnswerClearsAThinService(t *testing.T) {
+	var broken atomic.Bool
+	f := start(t, config(t, 1, 3), answerAll(func(ask *peerpb.ShardAsk) core.Reason {
+		if broken.Load() && ask.GetShard() == 2 {
+			return core.ReasonNoReplica
+		}
+		return core.ReasonNone
+	}))
+	for thin := 1; thin <= defaultLoops; thin++ {
+		broken.Store(true)
+		for range thin {
+			f.ask(t)
+		}
+		require.Len(t, f.problems.List(), 1)
+		broken.Store(false)
+		f.ask(t)
+		require.Empty(t, f.problems.List(), "after %d thin answers", thin)
+	}
+}
+
 // An owner ends its reply after the first of two shards. Without a guard the
 // other shard is waited for until the deadline although nothing can come.
 func TestACutReplyIsAskedAgainAtOnce(t *testing.T) {
@@ -189,6 +219,38 @@
 	require.Less(t, result.Elapsed, 5*time.Second)
 }
 
+// Every shard fails and each question is tried again. The retries that the node
+// adds must stay under one bound, not under one for each of its loops: the sick
+// upstreams would get the floor four times over from every node.
+func TestRetriesOfANodeStayUnderOneBound(t *testing.T) {
+	const questions = 60
+	f := start(t, config(t, 1, 1), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		failed := refusal(request.GetAsks()[0], core.ReasonUpstreamFailed, true)
+		failed.GetPart().Outcome = uint32(core.Unknown)
+		sink(failed, nil)
+	}))
+	extra := 0
+	for range questions {
+		extra += f.ask(t).Retries
+	}
+	require.LessOrEqual(t, extra, questions/10+budget.DefaultFloor)
+	require.GreaterOrEqual(t, extra, budget.DefaultFloor)
+}
+
+// A new version was learnt by one loop. The next question, on another loop, must
+// ask for it at once.
+func TestAVersionIsLearntForTheWholeNode(t *testing.T) {
+	var asked []uint64
+	whole := answerAll(func(*peerpb.ShardAsk) core.Reason { return core.ReasonNone })
+	f := start(t, config(t, 1, 1), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		asked = append(asked, request.GetVersion())
+		whole(request, sink)
+	}))
+	f.ask(t)
+	f.ask(t)
+	require.Equal(t, []uint64{0, 7}, asked)
+}
+
 // A customer over its limit is told so at once, with when to come back.
 func TestOverTheLimitIsRefusedWithAWayBack(t *testing.T) {
 	release := make(chan peer.Sink, 1)
@@ -214,6 +276,37 @@
 	require.Zero(t, f.InFlight())
 }
 
+// An operator gives a small VM room for two questions. One customer may hold no
+// more than its share of them, a second one takes the last place, and a third is
+// refused at once; each refusal is counted by its cause.
+func TestThePlacesAreThoseOfTheSettings(t *testing.T) {
+	asks, release := make(chan *peerpb.BundleRequest, 2), make(chan peer.Sink, 2)
+	f := start(t, config(t, 1, 1), owners(func(request *peerpb.BundleRequest, sink peer.Sink) {
+		asks <- request
+		release <- sink
+	}), func(o *Options) { o.Limits = entrylimit.Config{Places: 2, Headroom: 1} })
+	var held sync.WaitGroup
+	hold := func(customer core.Customer) *peerpb.BundleRequest {
+		held.Go(func() { _, _ = f.Ask(context.Background(), Question{Service: "prices", Customer: customer}) })
+		return <-asks
+	}
+	refused := func(customer core.Customer) {
+		_, err := f.Ask(context.Background(), Question{Service: "prices", Customer: customer})
+		require.Equal(t, fault.CodeOverloaded, fault.As(err).Code)
+	}
+	request := hold("import")
+	refused("import")
+	require.EqualValues(t, 1, f.count("entry_refused_share_total"))
+	hold("waiter")
+	refused("other")
+	require.EqualValues(t, 1, f.count("entry_refused_full_total"))
+	for range 2 {
+		(<-release)(part(request.GetAsks()[0], true), nil)
+	}
+	held.Wait()
+	require.Zero(t, f.InFlight())
+}
+
 // The owner of a shard has just handed it over. The question must follow to the
 // new owner by the view in force now, not by the one it was planned with.
 func TestNotOwnerIsAskedAgainByTheNewestView(t *testing.T) {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
+	"github.com/pistachiopier/pistachiopier/internal/sharedbudget"
 )
 
 // event is what a loop's ring carries.
@@ -45,18 +46,35 @@
 func (begun) isEvent()   {}
 func (stepped) isEvent() {}
 
+// shared is what a node's loops have in common; each part is safe for
+// concurrent use.
+type shared struct {
+	metrics   *meters
+	thin      *thinWatch
+	budget    *sharedbudget.Group
+	knowledge *knowledge
+}
+
+func newShared(options Options) *shared {
+	return &shared{
+		metrics:   newMeters(options.Metrics),
+		thin:      newThinWatch(options.Problems),
+		budget:    sharedbudget.New(budget.GroupConfig{}),
+		knowledge: newKnowledge(),
+	}
+}
+
 // loop is one goroutine's share of the questions.
 type loop struct {
-	options   Options
-	ctx       context.Context
-	events    *ring.Ring[event]
-	alarms    *alarm.Alarms[uint64]
-	open      map[uint64]*open
-	knowledge *query.Knowledge
-	plans     plans
-	budgets   *budget.Group
-	metrics   *meters
-	thin      thinWatch
+	*shared
+	options Options
+	ctx     context.Context
+	events  *ring.Ring[event]
+	alarms  *alarm.Alarms[uint64]
+	open    map[uint64]*open
+	plans   plans
+	// own are events that this goroutine made itself; see replies.
+	own []stepped
 }
 
 // open is one question being answered.
@@ -66,17 +84,14 @@
 	tickets map[query.SendID]peer.Ticket
 }
 
-func newLoop(ctx context.Context, options Options, metrics *meters) *loop {
+func newLoop(ctx context.Context, options Options, shared *shared) *loop {
 	return &loop{
-		options:   options,
-		ctx:       ctx,
-		events:    ring.New[event](ringDepth),
-		alarms:    alarm.New[uint64](),
-		open:      map[uint64]*open{},
-		knowledge: query.NewKnowledge(),
-		budgets:   budget.NewGroup(budget.GroupConfig{}),
-		metrics:   metrics,
-		thin:      thinWatch{problems: options.Problems, reported: map[string]bool{}},
+		shared:  shared,
+		options: options,
+		ctx:     ctx,
+		events:  ring.New[event](options.ringDepth),
+		alarms:  alarm.New[uint64](),
+		open:    map[uint64]*open{},
 	}
 }
 
@@ -97,9 +112,19 @@
 		for _, id := range l.alarms.Pop(l.options.Now()) {
 			l.step(id, query.Woken{})
 		}
+		l.drainOwn()
 	}
 }
 
+// drainOwn handles the loop's own events, and those that they lead to, in order.
+func (l *loop) drainOwn() {
+	for i := 0; i < len(l.own); i++ {
+		l.handle(l.own[i])
+	}
+	clear(l.own)
+	l.own = l.own[:0]
+}
+
 func (l *loop) handle(e event) {
 	switch e := e.(type) {
 	case begun:
@@ -118,7 +143,7 @@
 			Deadline:      e.deadline,
 			LeastCoverage: e.question.LeastCoverage,
 			Preference:    e.question.Preference,
-			Preferred:     l.knowledge.Preferred(plan),
+			Preferred:     l.knowledge.preferred(plan),
 			RetryPause:    retryPause,
 			MaxTries:      maxTries,
 			MaxReroutes:   maxReroutes,
@@ -126,16 +151,16 @@
 			SwitchReserve: e.question.Timeout / reserveShare,
 			MaxReplans:    maxReplans,
 			FallbackAfter: e.question.Timeout / fallbackShare,
-			Budget:        customerBudget{group: l.budgets, customer: e.question.Customer},
+			Budget:        customerBudget{group: l.budget, customer: e.question.Customer},
 		}),
 		tickets: map[query.SendID]peer.Ticket{},
 	}
 	l.step(e.id, query.Started{})
 }
 
-// customerBudget is one customer's view of the loop's budgets.
+// customerBudget is one customer's view of the node's budgets.
 type customerBudget struct {
-	group    *budget.Group
+	group    *sharedbudget.Group
 	customer core.Customer
 }
 
@@ -149,7 +174,7 @@
 // one alone listed.
 func (l *loop) plan(config *belief.Config, service string) *query.Plan {
 	if l.plans.config != config {
-		l.knowledge.Retain(func(ref core.ShardRef) bool { return config.Catalog.Shard(ref) != nil })
+		l.knowledge.retain(config)
 		l.thin.retain(func(name string) bool { return config.Catalog.Services[name] != nil })
 	}
 	return l.plans.get(config, service)
@@ -222,14 +247,14 @@
 
 func (l *loop) learnShard(plan *query.Plan, need int, serves []core.Version) {
 	if need != noShard {
-		l.knowledge.Learn(plan.Needs[need].Ref, serves)
+		l.knowledge.learn(plan.Needs[need].Ref, serves)
 	}
 }
 
 func (l *loop) send(q *open, a query.Send) {
 	node, ok := l.node(q.config.Catalog, a)
 	if !ok {
-		l.put(stepped{id: q.id, event: query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached}})
+		l.own = append(l.own, stepped{id: q.id, event: query.SendFailed{Send: a.ID, Outcome: core.NotRun, Reason: core.ReasonPeerUnreached}})
 		return
 	}
 	message := &peerpb.BundleRequest{
@@ -248,7 +273,9 @@
 	}
 	target := peer.Target{Node: node.ID, Address: node.PeerAddress}
 	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_BundleRequest{BundleRequest: message}}
-	q.tickets[a.ID] = l.options.Peers.Ask(target, envelope, l.sink(q, a))
+	replies := &replies{loop: l, deadline: q.deadline, asking: true}
+	q.tickets[a.ID] = l.options.Peers.Ask(target, envelope, l.sink(q, a, replies))
+	l.own = append(l.own, replies.asked()...)
 }
 
 // node finds the node at the send's place of the bundle's order. With direct
@@ -280,12 +307,3 @@
 	}
 	return ask
 }
-
-// put queues an event. The loop's own goroutine uses it too, and must not wait
-// for itself: a full ring is then emptied by another goroutine's wait.
-func (l *loop) put(e stepped) {
-	if l.events.TryPut(e) {
-		return
-	}
-	go func() { _ = l.events.Put(l.ctx, e) }()
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/entrylimit"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
@@ -68,6 +69,10 @@
 	Connections   int           `yaml:"connections"`
 	// Entries is how many addresses the address answer holds at most.
 	Entries int `yaml:"entries"`
+	// InFlight is how many callers' requests this entry has in work at once.
+	InFlight int `yaml:"in_flight"`
+	// Headroom is how many times the free places one customer may hold.
+	Headroom int `yaml:"headroom"`
 }
 
 // Probing sets how idle replicas are probed.
@@ -137,6 +142,8 @@
 	setDefault(&s.Limits.IdleTimeout, DefaultIdleWait)
 	setDefault(&s.Limits.Connections, DefaultConnections)
 	setDefault(&s.Limits.Entries, DefaultEntries)
+	setDefault(&s.Limits.InFlight, entrylimit.DefaultPlaces)
+	setDefault(&s.Limits.Headroom, entrylimit.DefaultHeadroom)
 	setDefault(&s.TLS.WarnBefore, DefaultWarnBefore)
 	setDefault(&s.Probing.ReportWithin, DefaultReport)
 	setDefault(&s.Probing.InFlight, DefaultProbes)
@@ -194,6 +201,8 @@
 	notNegative(doc, "limits.max_body_bytes", s.Limits.MaxBodyBytes, count)
 	notNegative(doc, "limits.connections", s.Limits.Connections, count)
 	notNegative(doc, "limits.entries", s.Limits.Entries, count)
+	notNegative(doc, "limits.in_flight", s.Limits.InFlight, count)
+	notNegative(doc, "limits.headroom", s.Limits.Headroom, count)
 	notNegative(doc, "probing.report_within", s.Probing.ReportWithin, duration)
 	notNegative(doc, "probing.in_flight", s.Probing.InFlight, count)
 	notNegative(doc, "once.accept", s.Once.Accept, duration)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,78 +69,29 @@
 
 // Client holds the connections to replicas, each within its share.
 type Client struct {
-	mutex      sync.Mutex
-	transports map[string]*http.Transport
+	mutex sync.Mutex
+	hosts map[string]*host
+	// forgotten are the addresses of hosts that may be dropped.
+	forgotten  map[string]struct{}
 	dropped    atomic.Int64
 	suspects   suspects
 	submitIdle time.Duration
 	observer   Observer
+	onDropped  func(address, why string)
 }
 
 // NewClient makes a client without connections.
 func NewClient() *Client {
-	return &Client{transports: map[string]*http.Transport{}, submitIdle: maxSubmitIdle}
+	return &Client{hosts: map[string]*host{}, forgotten: map[string]struct{}{}, submitIdle: maxSubmitIdle}
 }
 
-// Limit sets how many connections the client may hold to an address.
-func (c *Client) Limit(address string, connections int) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	existing := c.transports[address]
-	if existing != nil && existing.MaxConnsPerHost == connections {
-		return
-	}
-	if existing != nil {
-		existing.CloseIdleConnections()
-	}
-	c.transports[address] = newTransport(connections)
-}
-
-// Forget closes the idle connections to an address that has left the text.
-func (c *Client) Forget(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if transport := c.transports[address]; transport != nil {
-		transport.CloseIdleConnections()
-		delete(c.transports, address)
-		c.suspects.forget(address)
-	}
-}
-
-// Close closes all idle connections.
-func (c *Client) Close() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, transport := range c.transports {
-		transport.CloseIdleConnections()
-	}
-}
+// OnDropped sets who is told of each crossed or cut reply. It must not block and
+// must be set before the first call.
+func (c *Client) OnDropped(listener func(address, why string)) { c.onDropped = listener }
 
 // DroppedReplies counts crossed or cut replies.
 func (c *Client) DroppedReplies() int64 { return c.dropped.Load() }
 
-func newTransport(connections int) *http.Transport {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:        connections,
-		MaxIdleConnsPerHost:    connections,
-		IdleConnTimeout:        idleConnection,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-}
-
-func (c *Client) transport(address string) *http.Transport {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	existing := c.transports[address]
-	if existing == nil {
-		existing = newTransport(1)
-		c.transports[address] = existing
-	}
-	return existing
-}
-
 // Do sends the call once and waits for its end. It never returns NotRun unless
 // no connection was had or the upstream refused the work itself.
 func (c *Client) Do(ctx context.Context, call Call) Result {
@@ -174,6 +125,7 @@
 		return Result{Outcome: core.NotRun, Reason: core.ReasonUpstreamFailed, Cause: err}, false
 	}
 	transport := c.transport(call.Address)
+	defer c.done(call.Address, transport)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		c.checkSilence(ctx, call.Address, transport, wire)
@@ -293,17 +245,17 @@
 	defer func() { _ = response.Body.Close() }()
 	result := headerResult(response)
 	if response.Header.Get(HeaderRequestID) != call.RequestID {
-		return c.dropReply(wire, "the reply carries another request's id")
+		return c.dropReply(call.Address, wire, "the reply carries another request's id")
 	}
 	if !framed(response) {
-		return c.dropReply(wire, "the reply has no length")
+		return c.dropReply(call.Address, wire, "the reply has no length")
 	}
 	payload, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil && ctx.Err() != nil {
 		return failure(ctx, wire, err, 0)
 	}
 	if err != nil || len(payload) > maxReplyBytes {
-		return c.dropReply(wire, "the reply was cut short or is too long")
+		return c.dropReply(call.Address, wire, "the reply was cut short or is too long")
 	}
 	if response.StatusCode != http.StatusOK {
 		return notOK(result, response)
@@ -319,9 +271,12 @@
 	return response.ProtoMajor >= 2 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-func (c *Client) dropReply(wire *wire, why string) Result {
+func (c *Client) dropReply(address string, wire *wire, why string) Result {
 	c.dropped.Add(1)
 	wire.close()
+	if c.onDropped != nil {
+		c.onDropped(address, why)
+	}
 	return Result{Outcome: core.Unknown, Reason: core.ReasonCrossedReply, Load: -1, Cause: errors.New(why)}
 }
 
