Followers see that both relays are silent in half the time

Cause: a node judged each of its two polls alone. When both relays of a data centre went silent at once without their links breaking, it held on for the poll of 5 s and 1 s of grace before it read the service, so a change took up to 6 s there; 3 s is the aim. Change: the polls end by turns, half a poll apart, and a pause of 2.5 s in the answers of both makes the node read the service. Polls are held for 4 s. The follower's test names the wait of each poll now; it is as strict.

--- a/internal/confwatch/asks.go
+++ b/internal/confwatch/asks.go
@@ -43,13 +43,16 @@
 }
 
 // ask sends a request. Its answer comes as an event.
-func (w *Watcher) ask(kind askKind, node route.Node) {
+func (w *Watcher) ask(kind askKind, node route.Node) { w.askFor(kind, node, 0) }
+
+// askFor sends a request that the peer may hold for the wait.
+func (w *Watcher) askFor(kind askKind, node route.Node, wait time.Duration) {
 	w.lastAsk++
 	one := &ask{id: w.lastAsk, kind: kind, node: node, have: w.machine.InForce(), at: w.Now()}
 	request := &peerpb.ConfigRequest{MarkOnly: kind == askMark}
 	if kind == askPoll {
 		one.have = w.machine.PollAfter()
-		request.WaitMs = uint64(config.PollWait.Milliseconds())
+		request.WaitMs = uint64(wait.Milliseconds())
 	}
 	if kind != askWhole {
 		request.HaveRevision, request.HaveDigest = one.have.Revision, one.have.Digest
--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -221,7 +221,7 @@
 	for _, next := range actions {
 		switch a := next.(type) {
 		case config.Poll:
-			w.ask(askPoll, a.Node)
+			w.askFor(askPoll, a.Node, a.Wait)
 		case config.CancelPoll:
 			w.cancelAsk(askPoll, a.Node)
 		case config.Watch:
--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -45,6 +46,10 @@
 	down    bool
 	// cut reports whether a node cannot reach another; "" is the service.
 	cut func(from, to core.NodeID) bool
+	// mute, when set, says which links are open and carry nothing.
+	mute func(from, to core.NodeID) bool
+	// shown, when set, is what the service shows a node in place of config.
+	shown func(to core.NodeID) platform.Config
 	// tamper, when set, changes the replies on their way.
 	tamper func(*peerpb.Envelope)
 	bytes  map[core.NodeID]int
@@ -176,6 +181,12 @@
 	return w.cut(from, to)
 }
 
+func (w *world) isMute(from, to core.NodeID) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.mute != nil && w.mute(from, to)
+}
+
 // await runs the world until the condition holds, and returns how long it took.
 func (w *world) await(what string, condition func() bool) time.Duration {
 	w.t.Helper()
@@ -219,6 +230,9 @@
 	for {
 		w.mutex.Lock()
 		present, changed, unreached := w.config, w.changed, w.down || w.cut(n.ID, "")
+		if w.shown != nil {
+			present = w.shown(n.ID)
+		}
 		w.mutex.Unlock()
 		if unreached {
 			return platform.Config{}, false, errUnreached
@@ -254,6 +268,9 @@
 	w := n.world
 	ctx, cancel := context.WithCancel(context.Background())
 	w.count(n.ID, request)
+	if w.isMute(n.ID, target.Node) {
+		return ticket{cancel}
+	}
 	if w.isCut(n.ID, target.Node) {
 		later(dialTimeout, func() {
 			if ctx.Err() == nil {
@@ -275,7 +292,7 @@
 			w.tamper(reply)
 		}
 		later(hop, func() {
-			if ctx.Err() == nil && !w.isCut(from.ID, to) {
+			if ctx.Err() == nil && !w.isCut(from.ID, to) && !w.isMute(from.ID, to) {
 				w.count(from.ID, reply)
 				sink(reply, nil)
 			}
@@ -314,3 +331,13 @@
 	}
 	return w.reads, total, most
 }
+
+// silence makes the links of the named nodes carry nothing, without breaking.
+func (w *world) silence(named func(core.NodeID) bool) {
+	w.set(func() {
+		w.mute = func(from, to core.NodeID) bool { return named(from) || named(to) }
+	})
+}
+
+// digest is how a text is marked.
+func digest(text string) uint64 { return xxhash.Sum64String(text) }
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -263,7 +263,7 @@
 	f := NewFollower(self, "dc0", func() float64 { return 0 })
 	assert.Equal(t, []FollowAction{Watch{}}, f.Turn(0, view, 0), "nothing in force")
 	f.Read(0, true)
-	assert.Equal(t, []FollowAction{Poll{relays[0]}, Poll{relays[1]}}, f.Turn(1, view, 5))
+	assert.Equal(t, []FollowAction{Poll{relays[0], PollWait}, Poll{relays[1], PollWait / 2}}, f.Turn(1, view, 5))
 	assert.Empty(t, f.Polled(time.Second, relays[0].ID, false))
 	assert.Equal(t, []FollowAction{Watch{Wait: WatchWait}}, f.Polled(time.Second, relays[1].ID, false))
 	f.Tick(3 * time.Second)
--- a/internal/core/config/follow.go
+++ b/internal/core/config/follow.go
@@ -9,8 +9,11 @@
 
 // Times of following.
 const (
-	// PollWait is how long a relay holds a poll that has nothing new.
-	PollWait = 5 * time.Second
+	// PollWait is the longest that a relay holds a poll that has nothing new.
+	PollWait = 4 * time.Second
+	// quietAfter is the time without an answer of any relay after which all
+	// count as silent. The polls at two relays end by turns, PollWait/2 apart.
+	quietAfter = PollWait/2 + 500*time.Millisecond
 	// pollOverdue is when a poll without an answer is given up: the relay or
 	// the connection to it is silent.
 	pollOverdue = PollWait + time.Second
@@ -28,8 +31,12 @@
 // FollowAction is something that a Follower wants done.
 type FollowAction interface{ followAction() }
 
-// Poll asks a relay to answer when it has a text above the one at hand.
-type Poll struct{ Node route.Node }
+// Poll asks a relay to answer when it has a text above the one at hand, or
+// after Wait.
+type Poll struct {
+	Node route.Node
+	Wait time.Duration
+}
 
 // CancelPoll withdraws a poll.
 type CancelPoll struct{ Node core.NodeID }
@@ -63,6 +70,10 @@
 	attempted bool
 	shown     bool
 	lastRead  core.Time
+	// heard is when a relay answered last, or when a new one was first asked.
+	heard core.Time
+	// quiet is set while no relay has answered for quietAfter.
+	quiet bool
 	// share is the part of the gap to keep before the next read, with jitter.
 	share float64
 }
@@ -72,7 +83,9 @@
 	node    route.Node
 	polling bool
 	since   core.Time
-	next    core.Time
+	// until is when a live relay answers the open poll at the latest.
+	until core.Time
+	next  core.Time
 	// failed is set from a failure to the next answer.
 	failed bool
 }
@@ -111,6 +124,7 @@
 		known := f.targets[node.ID]
 		if known == nil || known.node != node {
 			f.targets[node.ID] = &target{node: node, next: now}
+			f.heard = now
 		}
 	}
 	var actions []FollowAction
@@ -132,10 +146,12 @@
 		return nil
 	}
 	known.polling, known.failed = false, !ok
-	known.next = max(now, known.since+leastPoll)
 	if !ok {
 		known.next = now + f.spread(pollRetry)
+		return f.Tick(now)
 	}
+	known.next = max(now, known.since+leastPoll)
+	f.heard = now
 	return f.Tick(now)
 }
 
@@ -150,6 +166,7 @@
 // was asked before the pause may have been lost with their connections.
 func (f *Follower) Woke(now core.Time) []FollowAction {
 	var actions []FollowAction
+	f.heard = now
 	for _, id := range f.order {
 		if t := f.targets[id]; t.polling {
 			t.polling, t.next = false, now
@@ -165,6 +182,10 @@
 // Tick starts what is due.
 func (f *Follower) Tick(now core.Time) []FollowAction {
 	var actions []FollowAction
+	// Both relays of a data centre may go silent at once without their links
+	// breaking. Each poll alone shows it only when it is overdue; a pause in the
+	// answers of the two, which come by turns, shows it in half that time.
+	f.quiet = now-f.heard >= quietAfter
 	for _, id := range f.order {
 		actions = append(actions, f.poll(now, f.targets[id])...)
 	}
@@ -182,8 +203,36 @@
 	case t.polling || now < t.next:
 		return nil
 	}
-	t.polling, t.since = true, now
-	return []FollowAction{Poll{t.node}}
+	wait := f.pollWait(now, t)
+	t.polling, t.since, t.until = true, now, now+wait
+	return []FollowAction{Poll{t.node, wait}}
+}
+
+// pollWait makes the polls at the two relays of a follower end by turns: this
+// one ends PollWait/2 after the other, or before it when that is too far away.
+func (f *Follower) pollWait(now core.Time, t *target) time.Duration {
+	other := f.otherPoll(t)
+	if other == nil || other.until <= now {
+		return PollWait
+	}
+	wait := other.until + PollWait/2 - now
+	if wait > PollWait {
+		wait -= PollWait
+	}
+	return max(wait, leastPoll)
+}
+
+// otherPoll returns the one other target of a follower while it is polled.
+func (f *Follower) otherPoll(t *target) *target {
+	if f.relay || len(f.order) != activeRelays {
+		return nil
+	}
+	for _, id := range f.order {
+		if other := f.targets[id]; other != t && other.polling {
+			return other
+		}
+	}
+	return nil
 }
 
 // watch keeps one read of the service open while this node is a relay or
@@ -211,6 +260,9 @@
 
 // followed reports whether a relay is believed to answer.
 func (f *Follower) followed() bool {
+	if f.quiet {
+		return false
+	}
 	for _, t := range f.targets {
 		if !t.failed {
 			return true
