Hedge no later than half of the time left

Found by a test of silent connections beside a straggler. Cause: tries that go silent are learnt as long as their deadlines. When more than one in twenty does, the learnt 95th percentile is the deadline, so no request was hedged in time. Change: a try runs alone for half of its time left at most.

--- a/internal/core/admit/experiment_test.go
+++ b/internal/core/admit/experiment_test.go
@@ -22,7 +22,11 @@
 
 // service adds shards with the given number of replicas each to the world.
 func (w *world) service(plain bool, shards, replicas int, mean time.Duration) {
-	group, learnt := budget.NewGroup(budget.GroupConfig{}), &latency.Histogram{}
+	w.serviceWithin(plain, shards, replicas, mean, budget.NewGroup(budget.GroupConfig{}))
+}
+
+func (w *world) serviceWithin(plain bool, shards, replicas int, mean time.Duration, group *budget.Group) {
+	learnt := &latency.Histogram{}
 	for i := range shards {
 		var names []string
 		config := Config{Service: "s", Slots: modelSlots, Share: modelShare, MaxQueue: modelQueue, Budget: group, Latency: learnt, Jitter: rand.New(rand.NewPCG(7, uint64(i)))}
--- a/internal/core/admit/model_test.go
+++ b/internal/core/admit/model_test.go
@@ -32,13 +32,18 @@
 	lastDone bool
 	// failures is the share of all requests that end in an error.
 	failures float64
+	// refused, when set, hears of each request that is refused.
+	refused func(Refuse)
 }
 
-// modelReplica sheds above its slots, or always, or fails.
+// modelReplica sheds above its slots, or always, or fails. A lost one takes no
+// connection and loses what runs; of every silentOf requests the last meets a connection that has gone silent.
 type modelReplica struct {
 	slots, running int
 	mean           time.Duration
 	failing        bool
+	lost           bool
+	silentOf       int
 	received       int
 }
 
@@ -89,6 +94,9 @@
 		case Settle:
 			w.end(shard, a.Request, true, false)
 		case Refuse:
+			if w.refused != nil {
+				w.refused(a)
+			}
 			w.end(shard, a.Request, false, true)
 		case WakeAt:
 			w.wakeAt(shard, a.At)
@@ -129,6 +137,12 @@
 	reply := TryEnded{Try: a.Try, Outcome: core.Done, Load: -1}
 	took := modelHop
 	switch {
+	case r.lost:
+		reply.Outcome, reply.Reason, reply.Refused = core.NotRun, core.ReasonUpstreamFailed, true
+	case r.silentOf > 0 && r.received%r.silentOf == 0:
+		t.started = true
+		r.running++
+		took = a.TimeLeft + modelHop
 	case r.running >= r.slots:
 		reply.Outcome, reply.Reason = core.NotRun, core.ReasonOverloaded
 	case r.failing || w.failures > 0 && w.rand.Float64() < w.failures:
@@ -155,6 +169,9 @@
 	if t.started {
 		t.replica.running--
 	}
+	if t.started && t.replica.lost && reply.Outcome == core.Done {
+		reply.Outcome, reply.Reason = core.Unknown, core.ReasonUpstreamFailed
+	}
 	w.at(w.now, func() {
 		w.lastDone = reply.Outcome == core.Done
 		w.step(shard, reply)
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -14,6 +14,11 @@
 	maxTries = 3
 	// maxIdle bounds the customers remembered without a waiting request.
 	maxIdle = 64
+	// lastHedge is the part of the time left that a try runs alone at most. When
+	// more tries go silent than hedgeQuantile leaves out, they are learnt as long
+	// as their deadlines, and a hedge at that quantile would come too late for
+	// every request.
+	lastHedge = 2
 	// hedgeQuantile is the learnt latency after which a second replica is
 	// asked: of the first tries, one in twenty gets there.
 	hedgeQuantile = 0.95
@@ -587,7 +592,7 @@
 		s.config.Budget.FirstTry(s.config.Service, r.Customer, 1)
 	}
 	if delay, known := s.hedgeDelay(chosen); known && kind != KindHedge && !r.Once {
-		t.hedgeAt = now + delay
+		t.hedgeAt = now + min(delay, (r.Deadline-now)/lastHedge)
 		s.hedges.fix(t)
 	}
 	s.actions = append(s.actions, Dispatch{Try: t.id, Request: r.ID, Address: chosen.Address, TimeLeft: r.Deadline - now, Kind: kind})
