Refuse a submit of a former layout at its owner

Found by a test of a lost home during a repartition. Cause: a must-not-repeat request names its shard by number only. One that waited at the owner, or whose home had an older text, was sent to the replica that held that number in the new layout, and was recorded where nobody looks for it. It still ran at most once. Change: the home states the number of shards it chose by (SubmitRequest.shards, 0 from an older home); the owner takes another number for a shard that it does not own, when the request comes and when it is sent. The home then routes anew. Tests: the home dies, or lives, while invoices run and wait and the service goes from two shards to three; retries come through other entries. At most one run each, at the shard that the key's hash names, "unknown" when the home is lost.

--- a/internal/home/loop.go
+++ b/internal/home/loop.go
@@ -203,7 +203,7 @@
 
 // send asks the owner of the key's shard, exactly once for each Send.
 func (l *loop) send(a once.Send) {
-	target, shard, err := l.owner(a)
+	to, err := l.owner(a)
 	if err != nil {
 		l.put(notSent(a, err))
 		return
@@ -217,16 +217,17 @@
 		Customer:   string(a.Customer),
 		Key:        a.Key,
 		Service:    a.Service,
-		Shard:      uint32(shard.Ref.Shard),
+		Shard:      uint32(to.shard.Ref.Shard),
+		Shards:     uint32(to.shards),
 		Payload:    a.Payload,
 		TimeLeftUs: microseconds(left),
 		View:       l.options.Belief.View().ID(),
-		Bundle:     uint32(shard.Bundle),
+		Bundle:     uint32(to.shard.Bundle),
 		Rank:       uint32(a.Rank),
 		ToOwner:    true,
 	}
 	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_SubmitRequest{SubmitRequest: message}}
-	l.tickets[a.Send] = l.options.Peers.Ask(target, envelope, l.sink(a))
+	l.tickets[a.Send] = l.options.Peers.Ask(to.owner, envelope, l.sink(a))
 }
 
 func notSent(a once.Send, err error) once.Ended {
@@ -238,27 +239,37 @@
 	return ended
 }
 
+// destination is where a send goes: the owner of the shard, one of the service's
+// number of shards in the text in force.
+type destination struct {
+	owner  peer.Target
+	shard  *catalog.Shard
+	shards int
+}
+
 // owner finds the node to ask and the shard: the key's hash over the service's
 // shards. The error is a *fault.Error with outcome not run.
-func (l *loop) owner(a once.Send) (peer.Target, *catalog.Shard, error) {
+func (l *loop) owner(a once.Send) (destination, error) {
 	config := l.options.Belief.Config()
 	if config == nil {
-		return peer.Target{}, nil, fault.NotRun(fault.CodeNotReady, "no configuration is in force yet", "")
+		return destination{}, fault.NotRun(fault.CodeNotReady, "no configuration is in force yet", "")
 	}
 	service, err := submittable(config.Catalog, a)
 	if err != nil {
-		return peer.Target{}, nil, err
+		return destination{}, err
 	}
-	shard := &service.Shards[xxhash.Sum64String(a.Key)%uint64(len(service.Shards))]
+	to := destination{owner: peer.Target{Node: l.options.Self}, shards: len(service.Shards)}
+	to.shard = &service.Shards[xxhash.Sum64String(a.Key)%uint64(to.shards)]
 	if config.Catalog.Policy.Routing == catalog.RoutingDirect {
-		return peer.Target{Node: l.options.Self}, shard, nil
+		return to, nil
 	}
-	bundle := config.Catalog.Bundles[shard.Bundle]
+	bundle := config.Catalog.Bundles[to.shard.Bundle]
 	node, ok := l.options.Belief.View().Rank(bundle.ID, bundle.DataCentre, a.Rank)
 	if !ok {
-		return peer.Target{}, nil, fault.NotRun(fault.CodeRefused, "no node owns the shard "+shard.Ref.String(), "")
+		return destination{}, fault.NotRun(fault.CodeRefused, "no node owns the shard "+to.shard.Ref.String(), "")
 	}
-	return target(node), shard, nil
+	to.owner = target(node)
+	return to, nil
 }
 
 func submittable(text *catalog.Catalog, a once.Send) (*catalog.Service, error) {
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -82,7 +82,7 @@
 	message := inbound.Envelope.GetSubmitRequest()
 	at := o.options.Now()
 	ref := core.ShardRef{Service: message.GetService(), Shard: int(message.GetShard())}
-	bundle := o.bundleOf(ref)
+	bundle := o.bundleOf(message)
 	if bundle == nil || !o.ownsNow(bundle.ID, message.GetRank()) {
 		refuse(inbound, core.ReasonNotOwner, o.options.Belief.View().ID())
 		return
@@ -94,7 +94,7 @@
 	w := &submitWork{
 		inbound: inbound,
 		ref:     ref,
-		owns:    func() bool { return o.ownsNow(bundle.ID, message.GetRank()) },
+		owns:    func() bool { return o.ownsAsked(message, bundle.ID) },
 		now:     o.options.Now,
 		permit:  once.NewPermit(at + timeLeft(message.GetTimeLeftUs())),
 		leave:   o.submits.leave,
@@ -106,18 +106,34 @@
 	}
 }
 
-func (o *Owner) bundleOf(ref core.ShardRef) *catalog.Bundle {
+// bundleOf returns the bundle of the shard that a request is for, or nil when the
+// text in force has none. A service that was repartitioned counts as none: the
+// home chose the shard by the former number of shards, and its number stands for
+// other data now. A request that waited over the change would be recorded where
+// nobody looks for it; refused as not owned, its home routes it anew.
+func (o *Owner) bundleOf(message *peerpb.SubmitRequest) *catalog.Bundle {
 	config := o.options.Belief.Config()
 	if config == nil {
 		return nil
 	}
-	shard := config.Catalog.Shard(ref)
-	if shard == nil || config.Catalog.Services[ref.Service].Idempotent {
+	service := config.Catalog.Services[message.GetService()]
+	if service == nil || service.Idempotent || message.GetShards() != 0 && int(message.GetShards()) != len(service.Shards) {
+		return nil
+	}
+	shard := config.Catalog.Shard(core.ShardRef{Service: message.GetService(), Shard: int(message.GetShard())})
+	if shard == nil {
 		return nil
 	}
 	return config.Catalog.Bundles[shard.Bundle]
 }
 
+// ownsAsked reports whether the request's shard is in the bundle still, and the
+// bundle is this node's.
+func (o *Owner) ownsAsked(message *peerpb.SubmitRequest, id core.BundleID) bool {
+	bundle := o.bundleOf(message)
+	return bundle != nil && bundle.ID == id && o.ownsNow(id, message.GetRank())
+}
+
 // ownsNow checks ownership by what this node believes at the moment.
 func (o *Owner) ownsNow(id core.BundleID, rank uint32) bool {
 	config := o.options.Belief.Config()
