Test a lost data centre under a surge, and a drain known by hearsay only

The drain test now has a node take the shard over that never spoke to the drained upstream. Checked by breaking a scratch copy: drains that are not passed on, or not heeded by an owner, fail the drain test. For the tests of a woken home, an owner that sends in spite of the closed gate, and a broken link that is taken for "not run", each fail one.

--- a/internal/fleet/paired_test.go
+++ b/internal/fleet/paired_test.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/app"
 	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
@@ -171,7 +172,7 @@
 
 // An upstream drains and tells only the owner of its shard, which is stopped as
 // planned right then. The drain must outlive that node: no chef's question is cut
-// off or thin, and the successor gives the leaving upstream no work.
+// off or thin, and nodes that own the shard later give the upstream no work.
 func TestAPlannedStopOfTheOnlyWitnessOfADrain(t *testing.T) {
 	const callers = 4
 	upstreams := startUpstreams(t, 2)
@@ -211,11 +212,86 @@
 		}
 		return true
 	}, awaitLimit, pollPause)
-	before := upstreams[0].Received()
+	over.Store(true)
+	running.Wait()
+	// A node that never spoke to the upstream takes its shard over.
+	var fresh *Member
+	for range dataCentres {
+		var err error
+		fresh, err = f.Add()
+		require.NoError(t, err)
+		if fresh.vm.DataCentre == "dc3" {
+			break
+		}
+	}
+	require.Eventually(t, func() bool { return seenByAll(f, fresh) && fresh.Node.Status().Drained == 1 }, awaitLimit, pollPause)
+	before, answered := upstreams[0].Received(), upstreams[1].Received()
 	for range 50 {
 		ask(stays.Addresses.Caller)
 	}
-	over.Store(true)
-	running.Wait()
 	require.Equal(t, before, upstreams[0].Received(), "new work for the drained upstream")
+	require.Equal(t, answered+50, upstreams[1].Received())
+}
+
+// A data centre is lost, its node and a replica of every shard, while the large
+// customer sends ten times what it may have in work. What is over its limit is
+// refused at once, with the time to come back, and not held; chefs who ask while
+// its questions fill all slots that are left get whole answers.
+func TestALostDataCentreUnderASurgeStaysWhole(t *testing.T) {
+	const allowed, surge, chefs = 4, 40, 12
+	upstreams := startUpstreams(t, 6)
+	text := fmt.Sprintf("customers: [{name: large, in_flight: %d}, {name: chef, in_flight: %d}]\n", allowed, chefs) + testText(upstreams)
+	f := startFleet(t, 3, text)
+	entry := f.Members()[0]
+	f.Members()[1].Node.Kill()
+	held := gate{make(chan struct{})}
+	for i, u := range upstreams {
+		if i%2 == 1 {
+			require.NoError(t, u.Close())
+		}
+		u.Change(func(b *standin.Behaviour) { b.Draw = held.draw })
+	}
+	require.Eventually(t, func() bool { return entry.Node.Status().Nodes == 2 }, awaitLimit, pollPause)
+	caller := client.New()
+	defer caller.Close()
+	minute := time.Minute.Milliseconds()
+	ask := func(customer core.Customer) (api.QueryReply, error) {
+		return caller.Query(context.Background(), entry.Addresses.Caller, "top", api.QueryRequest{Customer: customer, TimeoutMs: &minute})
+	}
+	var refused, whole atomic.Int64
+	var asking sync.WaitGroup
+	for range surge {
+		asking.Go(func() {
+			reply, err := ask("large")
+			if err == nil {
+				assert.False(t, reply.Coverage.Thin, "missing: %v", reply.Coverage.Missing)
+				return
+			}
+			typed := fault.As(err)
+			assert.Equal(t, core.NotRun, typed.Outcome)
+			assert.Positive(t, typed.RetryAfter, "%v", err)
+			refused.Add(1)
+		})
+	}
+	require.Eventually(t, func() bool { return refused.Load() == surge-allowed }, awaitLimit, pollPause)
+	for range chefs {
+		asking.Go(func() {
+			reply, err := ask("chef")
+			if assert.NoError(t, err) && assert.False(t, reply.Coverage.Thin, "missing: %v", reply.Coverage.Missing) {
+				whole.Add(1)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return entry.Node.Status().InFlight == allowed+chefs }, awaitLimit, pollPause)
+	close(held.open)
+	asking.Wait()
+	require.EqualValues(t, surge-allowed, refused.Load())
+	require.EqualValues(t, chefs, whole.Load())
+	received, services := 0, len(upstreams)/2
+	for _, u := range upstreams {
+		received += u.Received()
+	}
+	first := services * (allowed + chefs)
+	t.Logf("%d requests reached upstreams for %d first tries", received, first)
+	require.LessOrEqual(t, received, first+first/10+budget.DefaultFloor)
 }
