--- /dev/null
+++ b/internal/app/started.go
@@ -0,0 +1,15 @@
+package app
+
+import "github.com/sirupsen/logrus"
+
+// logStarted tells the addresses, which settings with port 0 do not know.
+func (n *Node) logStarted() {
+	addresses := n.Addresses()
+	n.log.WithFields(logrus.Fields{
+		"event":            "node_started",
+		"incarnation":      n.identity.Incarnation,
+		"caller_address":   addresses.Caller,
+		"peer_address":     addresses.Peer,
+		"operator_address": addresses.Operator,
+	}).Info("node started")
+}
