Hold requests at a stand-in by a channel

The stand-in draws service times under its lock now, so tests that held requests back by a blocking draw stood still. Behaviour.Hold does it outside the lock.

--- a/internal/fleet/paired_test.go
+++ b/internal/fleet/paired_test.go
@@ -35,14 +35,6 @@
 	return b.String()
 }
 
-// gate holds service times back until it is opened.
-type gate struct{ open chan struct{} }
-
-func (g gate) draw() time.Duration {
-	<-g.open
-	return 0
-}
-
 // heldSubmits are invoices whose home is the first node, sent through the second.
 // Each shard of the former layout runs one, the others wait at the third.
 type heldSubmits struct {
@@ -70,9 +62,8 @@
 		release:   make(chan struct{}),
 	}
 	t.Cleanup(h.caller.Close)
-	held := gate{h.release}
 	for _, u := range h.upstreams {
-		u.Change(func(b *standin.Behaviour) { b.Slots, b.Draw = 0, held.draw })
+		u.Change(func(b *standin.Behaviour) { b.Slots, b.Hold = 0, h.release })
 	}
 	h.fleet = startFleet(t, 3, ledgerText(h.upstreams[:formerShards]))
 	for i := range h.keys {
@@ -244,12 +235,12 @@
 	f := startFleet(t, 3, text)
 	entry := f.Members()[0]
 	f.Members()[1].Node.Kill()
-	held := gate{make(chan struct{})}
+	release := make(chan struct{})
 	for i, u := range upstreams {
 		if i%2 == 1 {
 			require.NoError(t, u.Close())
 		}
-		u.Change(func(b *standin.Behaviour) { b.Draw = held.draw })
+		u.Change(func(b *standin.Behaviour) { b.Hold = release })
 	}
 	require.Eventually(t, func() bool { return entry.Node.Status().Nodes == 2 }, awaitLimit, pollPause)
 	caller := client.New()
@@ -283,7 +274,7 @@
 		})
 	}
 	require.Eventually(t, func() bool { return entry.Node.Status().InFlight == allowed+chefs }, awaitLimit, pollPause)
-	close(held.open)
+	close(release)
 	asking.Wait()
 	require.EqualValues(t, surge-allowed, refused.Load())
 	require.EqualValues(t, chefs, whole.Load())
--- a/internal/home/paired_test.go
+++ b/internal/home/paired_test.go
@@ -82,9 +82,9 @@
 	}
 }
 
-func startPair(t *testing.T, service func() time.Duration) *pair {
+func startPair(t *testing.T, hold <-chan struct{}) *pair {
 	t.Helper()
-	replica, err := standin.StartUpstream("127.0.0.1:0", standin.Behaviour{Versions: []uint64{7}, Draw: service})
+	replica, err := standin.StartUpstream("127.0.0.1:0", standin.Behaviour{Versions: []uint64{7}, Hold: hold})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = replica.Close() })
 	p := &pair{belief: belief.NewStore(), owners: map[core.NodeID]*owner.Owner{}, upstream: replica, asks: map[core.NodeID]int{}}
@@ -124,10 +124,7 @@
 // it has confirmed its beliefs, since the other side has; it says "unknown".
 func TestAWokenHomeThatIsCutOffRunsNothingTwice(t *testing.T) {
 	release := make(chan struct{})
-	p := startPair(t, func() time.Duration {
-		<-release
-		return 0
-	})
+	p := startPair(t, release)
 	key := p.home.Prefix() + ".a"
 	first := make(chan once.Reply, 1)
 	go func() { first <- p.home.Submit(context.Background(), request(key)) }()
--- a/internal/owner/paired_test.go
+++ b/internal/owner/paired_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,11 +17,7 @@
 func TestAWokenOwnerSendsNothingOfTheFormerVersion(t *testing.T) {
 	const waiting = 6
 	release := make(chan struct{})
-	held := func() time.Duration {
-		<-release
-		return 0
-	}
-	replica := startReplica(t, standin.Behaviour{Draw: held, Versions: []uint64{7}})
+	replica := startReplica(t, standin.Behaviour{Hold: release, Versions: []uint64{7}})
 	b := startBench(t, replica.Address())
 	for range 1 + waiting {
 		b.ask("chef")
--- a/internal/standin/behaviour.go
+++ b/internal/standin/behaviour.go
@@ -20,6 +20,8 @@
 	// Draw, when set, gives each request's time in place of Service. It can't be
 	// written as YAML or JSON and must not block.
 	Draw func() time.Duration `yaml:"-"`
+	// Hold, when set, keeps each request that has begun until it is closed.
+	Hold <-chan struct{} `yaml:"-"`
 	// Versions are the index versions it has; the last is the newest.
 	Versions []uint64 `yaml:"versions"`
 	Draining bool     `yaml:"draining"`
--- a/internal/standin/reply.go
+++ b/internal/standin/reply.go
@@ -88,6 +88,13 @@
 		<-r.Context().Done()
 		return false
 	}
+	if b.Hold != nil {
+		select {
+		case <-b.Hold:
+		case <-r.Context().Done():
+			return false
+		}
+	}
 	if p.late > 0 || b.IgnoreCancel {
 		time.Sleep(p.service + p.late)
 		return true
