A node that joins is told of drained upstreams

Found by the test of a drain that only a stopped node had seen. Cause: a mark is carried by ten messages of each node and then no more, so a node that joined later never had it, and as owner sent new work to the leaving upstream. Change: a node whose view gains a node spreads the marks that hold again.

--- a/internal/core/member/drain.go
+++ b/internal/core/member/drain.go
@@ -112,3 +112,21 @@
 	slices.Sort(addresses)
 	m.act(PublishDrains{Addresses: addresses})
 }
+
+// repeatDrains spreads the marks again that hold. A node that joins after they
+// were spread would not know of them, and send new work to a leaving upstream.
+func (m *Machine) repeatDrains() {
+	var again []string
+	for address, held := range m.drains {
+		if held.Draining {
+			held.sends = transmissions
+			again = append(again, address)
+		}
+	}
+	slices.Sort(again)
+	for _, address := range again {
+		if !slices.Contains(m.drainQueue, address) {
+			m.drainQueue = append(m.drainQueue, address)
+		}
+	}
+}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -76,6 +76,9 @@
 	}
 	next := route.NewView(nodes)
 	if m.started && (!m.published || !sameNodes(next.Nodes(), m.view.Nodes())) {
+		if gained(next.Nodes(), m.view) {
+			m.repeatDrains()
+		}
 		m.published = true
 		m.act(Publish{View: next})
 	}
@@ -146,3 +149,10 @@
 	m.unreached = lost
 	m.act(Unreached{Nodes: lost})
 }
+
+func gained(nodes []route.Node, former *route.View) bool {
+	return slices.ContainsFunc(nodes, func(node route.Node) bool {
+		_, known := former.Node(node.ID)
+		return !known
+	})
+}
--- a/internal/fleet/paired_test.go
+++ b/internal/fleet/paired_test.go
@@ -215,7 +215,8 @@
 			break
 		}
 	}
-	require.Eventually(t, func() bool { return seenByAll(f, fresh) && fresh.Node.Status().Drained == 1 }, awaitLimit, pollPause)
+	require.Eventually(t, func() bool { return seenByAll(f, fresh) }, awaitLimit, pollPause)
+	require.Eventually(t, func() bool { return fresh.Node.Status().Drained == 1 }, awaitLimit, pollPause, "a node that joins is told of drains")
 	before, answered := upstreams[0].Received(), upstreams[1].Received()
 	for range 50 {
 		ask(stays.Addresses.Caller)
