--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -19,7 +19,7 @@
 	spare bool
 }
 
-var healthChart = chart.Must(chart.Source("replica"), chart.Bindings[*incident]{
+var lifeCycle = chart.Must(chart.Source("replica"), chart.Bindings[*incident]{
 	Guards: map[string]func(*incident) bool{
 		"ramped":        func(i *incident) bool { return i.replica.ramped() },
 		"many_failures": func(i *incident) bool { return i.spare && i.replica.failures+1 >= failuresToDown },
@@ -39,23 +39,22 @@
 })
 
 var (
-	stateCold     = healthChart.State("cold")
-	stateLive     = healthChart.State("live")
-	stateSuspect  = healthChart.State("suspect")
-	stateDown     = healthChart.State("down")
-	stateDraining = healthChart.State("draining")
-	stateGone     = healthChart.State("gone")
-
-	eventSucceeded = healthChart.Event("succeeded")
-	eventFailed    = healthChart.Event("failed")
-	eventRefused   = healthChart.Event("refused")
-	eventShed      = healthChart.Event("shed")
-	eventDrainSeen = healthChart.Event("drain_seen")
-	eventUndrained = healthChart.Event("undrained")
-	eventHoldOver  = healthChart.Event("hold_over")
-	eventProbed    = healthChart.Event("probed")
-	eventRemoved   = healthChart.Event("removed")
-	eventRestored  = healthChart.Event("restored")
+	stateCold     = lifeCycle.State("cold")
+	stateLive     = lifeCycle.State("live")
+	stateSuspect  = lifeCycle.State("suspect")
+	stateDown     = lifeCycle.State("down")
+	stateDraining = lifeCycle.State("draining")
+	stateGone     = lifeCycle.State("gone")
+
+	eventSucceeded = lifeCycle.Event("succeeded")
+	eventFailed    = lifeCycle.Event("failed")
+	eventRefused   = lifeCycle.Event("refused")
+	eventShed      = lifeCycle.Event("shed")
+	eventDrainSeen = lifeCycle.Event("drain_seen")
+	eventUndrained = lifeCycle.Event("undrained")
+	eventHoldOver  = lifeCycle.Event("hold_over")
+	eventRemoved   = lifeCycle.Event("removed")
+	eventRestored  = lifeCycle.Event("restored")
 )
 
 func (i *incident) countFailure() {
@@ -70,9 +69,10 @@
 	i.replica.probeWait = 0
 }
 
-// lowerShed lowers the limit, unless the refusal is the first in its window. At a limit of 1 there is nothing to lower, and a
-// queue would be drained into refusals: the replica gets nothing for a growing
-// time, at least the one it asked for itself.
+// lowerShed lowers the limit, unless the refusal is the first in its window. At a
+// limit of 1 there is nothing to lower, and a queue would be drained into
+// refusals: the replica gets nothing for a growing time, at least the one it asked
+// for itself.
 func (i *incident) lowerShed() {
 	lowered := i.replica.shed(i.inFlight)
 	if !lowered || i.inFlight > 1 {
@@ -91,9 +91,9 @@
 func (s *Shard) fire(r *replica, event chart.Event, i incident) {
 	from := r.state
 	i.replica, i.jitter, i.spare = r, s.config.Jitter, s.canSpare()
-	r.state = healthChart.Fire(from, event, &i)
+	r.state = lifeCycle.Fire(from, event, &i)
 	if r.state != from {
-		s.actions = append(s.actions, HealthChanged{Address: r.Address, From: healthChart.Name(from), To: healthChart.Name(r.state)})
+		s.actions = append(s.actions, HealthChanged{Address: r.Address, From: lifeCycle.Name(from), To: lifeCycle.Name(r.state)})
 	}
 }
 
@@ -109,95 +109,3 @@
 	}
 	return 2*(usable-1) >= len(s.replicas)
 }
-
-// observe learns from the end of a request. What requests did outweighs what
-// the upstream says of its own load.
-func (s *Shard) observe(now core.Time, t *try, e TryEnded) {
-	r := t.replica
-	elapsed := now - t.started
-	i := incident{now: now, inFlight: t.inFlight, result: e}
-	if e.Load >= 0 {
-		r.load = min(e.Load, 1)
-	}
-	if e.Draining || e.Reason == core.ReasonDraining {
-		s.fire(r, eventDrainSeen, i)
-	}
-	switch s.verdict(t, e, elapsed) {
-	case verdictAnswered:
-		r.learn(now, elapsed, false)
-		s.learn(elapsed)
-		if r.state == stateLive {
-			r.answered(elapsed)
-		}
-		s.fire(r, eventSucceeded, i)
-	case verdictAlive:
-		s.fire(r, eventSucceeded, i)
-	case verdictCut:
-		r.learn(now, elapsed, true)
-		s.service.Record(elapsed)
-		if r.state == stateDown {
-			// A hedge overtook the probe: without this a silent replica would
-			// be probed by every request.
-			s.fire(r, eventFailed, i)
-		}
-	case verdictRefused:
-		s.fire(r, eventRefused, i)
-	case verdictShed:
-		s.fire(r, eventShed, i)
-	case verdictFailed:
-		s.fire(r, eventFailed, i)
-	case verdictTimedOut:
-		r.learn(now, elapsed, true)
-		s.service.Record(elapsed)
-		s.fire(r, eventFailed, i)
-	}
-}
-
-// verdict is what the end of a request says about its replica.
-type verdict uint8
-
-const (
-	verdictNothing verdict = iota
-	verdictAnswered
-	verdictAlive
-	verdictCut
-	verdictRefused
-	verdictShed
-	verdictFailed
-	verdictTimedOut
-)
-
-func (s *Shard) verdict(t *try, e TryEnded, elapsed core.Time) verdict {
-	switch {
-	case e.Outcome == core.Done:
-		return verdictAnswered
-	case e.Refused:
-		return verdictRefused
-	case e.Outcome == core.NotRun && e.Reason == core.ReasonOverloaded:
-		return verdictShed
-	case e.Outcome == core.NotRun && e.Reason == core.ReasonVersionGone:
-		return verdictAlive
-	case e.Reason == core.ReasonDraining:
-		return verdictNothing
-	case t.aborted || e.Reason == core.ReasonCancelled:
-		// The elapsed time is a lower bound. Leaving the losers of hedges out
-		// would make the learnt quantile sink and hedges grow.
-		return verdictCut
-	case e.Reason == core.ReasonDeadline && elapsed < s.patience():
-		// The caller left little time: that says nothing of the replica.
-		return verdictCut
-	case e.Reason == core.ReasonDeadline:
-		return verdictTimedOut
-	case byReplica(e):
-		return verdictFailed
-	default:
-		return verdictNothing
-	}
-}
-
-// patience is how long a silent replica is given before its silence counts as
-// a failure.
-func (s *Shard) patience() core.Time {
-	usual, _ := s.service.Quantile(slowQuantile)
-	return 2 * usual
-}
--- a/internal/membership/problems.go
+++ b/internal/membership/problems.go
@@ -13,11 +13,11 @@
 // pauseShown is how long a pause stays among the problems: over a night.
 const pauseShown = 12 * time.Hour
 
-// gate closes or opens this node to work around a pause. What it believed may
+// setPaused keeps work from this node after a pause. What it believed may
 // have been overtaken while it stood still.
-func (d *Duty) gate(a member.Gate) {
-	d.options.Belief.SetPaused(a.Closed)
-	if !a.Closed {
+func (d *Duty) setPaused(a member.SetPaused) {
+	d.options.Belief.SetPaused(a.Paused)
+	if !a.Paused {
 		d.options.Log.WithField("event", "beliefs_confirmed").Info("beliefs confirmed after a pause")
 		return
 	}
