--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -81,7 +81,7 @@
 		s.config.Budget.FirstTry(s.config.Service, r.Customer, 1)
 	}
 	if delay, known := s.hedgeDelay(chosen); known && kind != KindHedge && !r.Once {
-		t.hedgeAt = now + delay
+		t.hedgeAt = now + min(delay, (r.Deadline-now)/lastHedge)
 		s.hedges.fix(t)
 	}
 	s.actions = append(s.actions, Dispatch{Try: t.id, Request: r.ID, Address: chosen.Address, TimeLeft: r.Deadline - now, Kind: kind})
--- a/internal/core/admit/hedge.go
+++ b/internal/core/admit/hedge.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// lastHedge is the part of the time left that a try runs alone at most. When
+	// more tries go silent than hedgeQuantile leaves out, they are learnt as long
+	// as their deadlines, and a hedge at that quantile would come too late for
+	// every request.
+	lastHedge = 2
 	// hedgeQuantile is the learnt latency after which a second replica is
 	// asked: of the first tries, one in twenty gets there.
 	hedgeQuantile = 0.95
