--- a/internal/command/look_test.go
+++ b/internal/command/look_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fleet"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
@@ -131,3 +132,17 @@
 	require.NoError(t, err)
 	require.False(t, reply.Coverage.Thin)
 }
+
+// A VM is replaced and its address goes to a node of another fleet at once. The
+// lost node must show as lost, not with the other one's state.
+func TestStatusIsNotTakenFromAnotherNode(t *testing.T) {
+	operator := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"node":"vm-11","health":{"state":"ready"}}`)
+	}))
+	defer operator.Close()
+	nodes := []api.NodeAddress{{Node: "vm-2", OperatorAddress: operator.Listener.Addr().String()}}
+	list := lookAtAll(context.Background(), client.New(), nodes)
+	require.Nil(t, list[0].Status)
+	require.Equal(t, core.NodeID("vm-2"), list[0].Node)
+	require.Contains(t, list[0].Why, "vm-11")
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -118,6 +118,10 @@
 	if err := operator.Get(ctx, node.OperatorAddress, "/v1/status", &got); err != nil {
 		return nodeStatus{Node: node.Node, Why: err.Error()}
 	}
+	if node.Node != "" && got.Node != node.Node {
+		// The VM is gone and its address is another one's by now.
+		return nodeStatus{Node: node.Node, Why: "node " + string(got.Node) + " answers at " + node.OperatorAddress}
+	}
 	return nodeStatus{Node: got.Node, Status: &got}
 }
 
