--- a/test/session/machine.go
+++ b/test/session/machine.go
@@ -19,8 +19,9 @@
 
 // machines makes each machine by the name that sessions use.
 var machines = map[string]func() machine{
-	"query": newQuery,
-	"admit": newAdmit,
+	"query":  newQuery,
+	"admit":  newAdmit,
+	"config": newConfig,
 }
 
 // Run replays a session and returns its text with the actions after each event.
