A request whose hedge was shed is hedged again

Cause: when the second of two tries ended without an answer, the request was left to the first one, for good. Ruled out by reading: the budget, since a try without budget is looked at again at each step, and the wait for a slot likewise. Change: the try that is left is hedged again, within the budget and the bound of tries, on another replica than its own.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -178,3 +178,19 @@
 	require.True(t, above.shed(4), "above the text's slots the first refusal counts")
 	require.Equal(t, 2, above.slots())
 }
+
+// A replica goes silent and the hedge of its request is shed by the other one,
+// whose slot was just about to be free. The request must be sent there again: on
+// the silent replica it would end at its deadline, and the list would be thin.
+func TestAShedHedgeIsNotSentToTheSilentReplica(t *testing.T) {
+	shard := pair("a", "b")
+	for range 40 {
+		shard.learn(5 * time.Millisecond)
+	}
+	first := only[Dispatch](t, shard.Step(0, offer(1, 0)))
+	hedge := only[Dispatch](t, shard.Step(100*time.Millisecond, Woken{}))
+	require.Equal(t, KindHedge, hedge.Kind)
+	require.NotEqual(t, first.Address, hedge.Address)
+	again := only[Dispatch](t, shard.Step(101*time.Millisecond, TryEnded{Try: hedge.Try, Outcome: core.NotRun, Reason: core.ReasonOverloaded, Load: -1}))
+	require.Equal(t, hedge.Address, again.Address)
+}
--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -52,7 +52,7 @@
 		if !r.Once && r.tries == 0 && candidate.probeDue(now) {
 			return candidate
 		}
-		if !candidate.free(now) || slices.Contains(r.avoid, candidate) {
+		if !candidate.free(now) || slices.Contains(r.avoid, candidate) || r.runsOn(candidate) {
 			continue
 		}
 		wait := candidate.expectedWait(now)
@@ -86,3 +86,10 @@
 	}
 	s.actions = append(s.actions, Dispatch{Try: t.id, Request: r.ID, Address: chosen.Address, TimeLeft: r.Deadline - now, Kind: kind})
 }
+
+// runsOn reports whether a try of the request runs on the replica. A second one
+// there would wait for the same cause: a request whose first try went silent and
+// whose hedge was shed would have both on the silent replica until its deadline.
+func (r *request) runsOn(candidate *replica) bool {
+	return slices.ContainsFunc(r.live, func(t *try) bool { return t.replica == candidate })
+}
--- a/internal/core/admit/try.go
+++ b/internal/core/admit/try.go
@@ -43,6 +43,7 @@
 		s.settle(r)
 	case len(r.live) > 0:
 		// The other try may still answer.
+		s.hedgeAgain(t, e)
 	case s.again(now, t, e):
 		s.returned = append(s.returned, r)
 		s.deadlines.fix(r)
@@ -70,6 +71,30 @@
 	}
 }
 
+// hedgeAgain looks for another replica beside the try that is left. The one that
+// ended may have been the hedge of a try that went silent: without another one
+// the request would wait for the silent replica until its deadline.
+func (s *Shard) hedgeAgain(ended *try, e TryEnded) {
+	if !byReplica(e) {
+		return
+	}
+	r := ended.request
+	r.turnFrom(ended.replica, e)
+	left := r.live[0]
+	s.hedges.remove(left)
+	s.overdue = append(s.overdue, left)
+}
+
+// turnFrom steers the request's next try away from a replica: one that shed is
+// asked again when no other is free, one that failed is not.
+func (r *request) turnFrom(from *replica, e TryEnded) {
+	if e.Reason == core.ReasonOverloaded {
+		r.shedBy = from
+		return
+	}
+	r.avoid = append(r.avoid, from)
+}
+
 // again decides whether the request is tried on another replica.
 func (s *Shard) again(now core.Time, t *try, e TryEnded) bool {
 	r := t.request
@@ -79,11 +104,7 @@
 	if !byReplica(e) {
 		return false
 	}
-	if e.Reason == core.ReasonOverloaded {
-		r.shedBy = t.replica
-	} else {
-		r.avoid = append(r.avoid, t.replica)
-	}
+	r.turnFrom(t.replica, e)
 	if !s.hasOther(r) {
 		return false
 	}
