One wait for a time that a context ends, one way to open the links of the slopes

The load tool, the fault proxy, the upstream stand-in and the end of a peer server each had a timer and a select of their own beside internal/wait; they call it now. A wait without time left answers by the context alone, as two of them did. Two slopes set up their links by the same lines; openLinks does it for both.

--- a/internal/experiment/slopes_peer.go
+++ b/internal/experiment/slopes_peer.go
@@ -207,20 +207,31 @@
 	}, nil
 }
 
+// openLinks makes links to manyPeers peers and opens each by one request.
+func openLinks(handler peer.HandlerFunc) (*links, error) {
+	l, err := newLinks(handler)
+	if err != nil {
+		return nil, err
+	}
+	err = l.serve(manyPeers)
+	if err == nil {
+		err = fault.Step("open links", l.ask(l.targets, manyPeers, 1, 1))
+	}
+	if err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
 // hopSlopes is the cost of sub-requests between two nodes, with few and many
 // peers and with small and large bundles.
 func hopSlopes() ([]figure, error) {
-	l, err := newLinks(answerAll)
+	l, err := openLinks(answerAll)
 	if err != nil {
 		return nil, err
 	}
 	defer l.close()
-	if err := l.serve(manyPeers); err != nil {
-		return nil, err
-	}
-	if err := l.ask(l.targets, manyPeers, 1, 1); err != nil {
-		return nil, fault.Step("open links", err)
-	}
 	var figures []figure
 	for _, one := range []struct{ peers, bundle int }{{1, 1}, {1, targetBundle}, {manyPeers, 1}, {manyPeers, targetBundle}} {
 		cpu, _, err := cpuOf(func() error { return l.ask(l.targets[:one.peers], hopParts, one.bundle, hopInFlight) })
@@ -241,17 +252,11 @@
 // spreadHop is the cost when batches thin out: many peers, few messages on each
 // and parts that come one after the other.
 func spreadHop() ([]figure, error) {
-	l, err := newLinks(answerSpread)
+	l, err := openLinks(answerSpread)
 	if err != nil {
 		return nil, err
 	}
 	defer l.close()
-	if err := l.serve(manyPeers); err != nil {
-		return nil, err
-	}
-	if err := l.ask(l.targets, manyPeers, 1, 1); err != nil {
-		return nil, fault.Step("open links", err)
-	}
 	cpu, _, err := cpuOf(func() error { return l.ask(l.targets, hopParts, targetBundle, hopInFlight) })
 	name := fmt.Sprintf("peer hop: CPU of a part, both ends, bundle %d, %d peers, parts one by one", targetBundle, manyPeers)
 	return []figure{{name, "us", micros(cpu, hopParts)}}, fault.Step("ask peers", err)
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -5,7 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 const chunkBytes = 16 << 10
@@ -152,7 +153,7 @@
 // carry applies the faults to one chunk; false ends the flow.
 func (p *TCP) carry(ctx context.Context, flow *tcpFlow, direction Direction, to net.Conn, chunk []byte) bool {
 	faults, ok := p.awaitUncut(ctx, direction)
-	if !ok || !pause(ctx, faults.Delay+throttle(len(chunk), faults.BytesPerSecond)) {
+	if !ok || !wait.For(ctx, faults.Delay+throttle(len(chunk), faults.BytesPerSecond)) {
 		return false
 	}
 	if flow.silent.Load() {
@@ -183,21 +184,6 @@
 	}
 }
 
-// pause waits; false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tcpFlow is one forwarded connection. ends[d] is where bytes of direction d
 // are written.
 type tcpFlow struct {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 // Request is one question.
@@ -108,7 +109,7 @@
 	shares := newMix(r.profile.Shares, rand.New(rand.NewPCG(seed, seedMix)))
 	for range r.profile.MaxRequests {
 		offset := plan.offset()
-		if offset >= r.profile.Duration || !waitUntil(ctx, started.Add(offset)) {
+		if offset >= r.profile.Duration || !wait.For(ctx, time.Until(started.Add(offset))) {
 			return
 		}
 		r.send(ctx, shares.draw(), started.Add(offset))
@@ -130,19 +131,3 @@
 		<-r.slots
 	}()
 }
-
-// waitUntil waits for the time; false when the context ended first.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	left := time.Until(at)
-	if left <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 // finishPoll is how often Finish looks whether all streams have ended.
@@ -70,14 +71,7 @@
 // planned stop would be lost and its request's outcome unknown.
 func (s *Server) Finish(ctx context.Context) {
 	s.finishOnce.Do(func() { close(s.finish) })
-	ticker := time.NewTicker(finishPoll)
-	defer ticker.Stop()
-	for s.streams.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for s.streams.Load() > 0 && wait.For(ctx, finishPoll) {
 	}
 }
 
--- a/internal/standin/reply.go
+++ b/internal/standin/reply.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 const (
@@ -99,14 +100,7 @@
 		time.Sleep(p.service + p.late)
 		return true
 	}
-	timer := time.NewTimer(p.service)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+	return wait.For(r.Context(), p.service)
 }
 
 func (u *Upstream) writePart(w http.ResponseWriter, r *http.Request, b Behaviour, p plan, body upstream.Body) {
