--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
@@ -23,7 +24,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
@@ -43,7 +43,7 @@
 	home     *home.Home
 	pool     *peer.Pool
 	server   *peer.Server
-	platform *platform.Client
+	platform *confservice.Client
 	config   *confwatch.Watcher
 	members  *membership.Duty
 	caller   *httpServer
@@ -103,7 +103,7 @@
 		problems: observe.NewProblems(func() core.Time { return time.Since(started) }),
 		metrics:  observe.NewRegistry(),
 		upstream: upstream.NewClient(),
-		platform: platform.NewClient(s.Platform),
+		platform: confservice.NewClient(s.Platform),
 	}
 	return node, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/confservice/confservice.go
@@ -1,6 +1,6 @@
-// Package platform reads the configuration service and the VM list. Both can
+// Package confservice reads the configuration service and the VM list. Both can
 // only be read and watched; a waiting watch counts as one call.
-package platform
+package confservice
 
 import (
 	"context"
--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/config"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
@@ -32,7 +32,7 @@
 
 // Reader reads the configuration service.
 type Reader interface {
-	ReadConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Config, bool, error)
+	ReadConfig(ctx context.Context, after uint64, wait time.Duration) (confservice.Config, bool, error)
 }
 
 // Options are what a watcher needs of its node.
--- a/internal/confwatch/paired_test.go
+++ b/internal/confwatch/paired_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/config"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
 
 // An operator takes a replica out while both relays of a data centre have just
@@ -66,17 +66,17 @@
 		w.start(running...)
 		w.await("start", everywhere(running, 2, text("a")))
 		isFar := func(id core.NodeID) bool { return id >= "vm-010" }
-		shows := map[bool]platform.Config{false: {Revision: 4, Text: near}, true: {Revision: 1, Text: text("old")}}
+		shows := map[bool]confservice.Config{false: {Revision: 4, Text: near}, true: {Revision: 1, Text: text("old")}}
 		w.set(func() {
 			w.cut = func(from, to core.NodeID) bool { return to != "" && isFar(from) != isFar(to) }
-			w.shown = func(to core.NodeID) platform.Config { return shows[isFar(to)] }
+			w.shown = func(to core.NodeID) confservice.Config { return shows[isFar(to)] }
 		})
 		w.await("near", everywhere(running[:10], 4, near))
 		w.await("reported", func() bool { return reporting(running[10:], observe.KindConfigReverted) > 0 })
 		w.start(late)
 		time.Sleep(time.Minute)
 		assert.True(t, everywhere(w.nodes[10:], 2, text("a"))(), "the far side keeps its text, a node that starts there too")
-		w.set(func() { shows[true] = platform.Config{Revision: farRevision, Text: far} })
+		w.set(func() { shows[true] = confservice.Config{Revision: farRevision, Text: far} })
 		w.await("far", everywhere(w.nodes[10:], farRevision, far))
 		assert.True(t, everywhere(w.nodes[:10], 4, near)())
 		w.set(func() { w.down = true })
--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -16,13 +16,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/config"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
 
 const (
@@ -40,7 +40,7 @@
 type world struct {
 	t       *testing.T
 	mutex   sync.Mutex
-	config  platform.Config
+	config  confservice.Config
 	changed chan struct{}
 	reads   int
 	down    bool
@@ -49,7 +49,7 @@
 	// mute, when set, says which links are open and carry nothing.
 	mute func(from, to core.NodeID) bool
 	// shown, when set, is what the service shows a node in place of config.
-	shown func(to core.NodeID) platform.Config
+	shown func(to core.NodeID) confservice.Config
 	// tamper, when set, changes the replies on their way.
 	tamper func(*peerpb.Envelope)
 	bytes  map[core.NodeID]int
@@ -163,7 +163,7 @@
 }
 
 func (w *world) publish(revision uint64, text string) {
-	w.set(func() { w.config = platform.Config{Revision: revision, Text: text} })
+	w.set(func() { w.config = confservice.Config{Revision: revision, Text: text} })
 }
 
 // partition cuts the world in two: the named side and the rest.
@@ -220,7 +220,7 @@
 }
 
 // ReadConfig implements Reader in the manner of the platform's stand-in.
-func (n *node) ReadConfig(ctx context.Context, after uint64, wait time.Duration) (platform.Config, bool, error) {
+func (n *node) ReadConfig(ctx context.Context, after uint64, wait time.Duration) (confservice.Config, bool, error) {
 	w := n.world
 	over := make(chan struct{})
 	later(wait, func() { close(over) })
@@ -235,7 +235,7 @@
 		}
 		w.mutex.Unlock()
 		if unreached {
-			return platform.Config{}, false, errUnreached
+			return confservice.Config{}, false, errUnreached
 		}
 		if wait == 0 || present.Revision != after {
 			return present, true, nil
@@ -243,9 +243,9 @@
 		select {
 		case <-changed:
 		case <-over:
-			return platform.Config{}, false, nil
+			return confservice.Config{}, false, nil
 		case <-ctx.Done():
-			return platform.Config{}, false, ctx.Err()
+			return confservice.Config{}, false, ctx.Err()
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,11 +13,11 @@
 	"go.uber.org/fx"
 
 	"github.com/pistachiopier/pistachiopier/internal/app"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
 	"github.com/pistachiopier/pistachiopier/internal/logs"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
@@ -38,7 +38,7 @@
 	Node      *app.Node
 	Addresses app.Addresses
 	app       *fx.App
-	vm        platform.VM
+	vm        confservice.VM
 }
 
 // Fleet is a set of nodes with a stand-in platform.
@@ -50,7 +50,7 @@
 	// added counts the nodes started so far: an id is never used twice.
 	added       int
 	alter       func(*settings.Settings)
-	upstreamVMs []platform.VM
+	upstreamVMs []confservice.VM
 }
 
 // Options choose a fleet.
@@ -60,7 +60,7 @@
 	// Alter, when set, changes each node's settings before its start.
 	Alter func(*settings.Settings)
 	// UpstreamVMs are in the VM list beside the nodes.
-	UpstreamVMs []platform.VM
+	UpstreamVMs []confservice.VM
 }
 
 // Start runs a platform and nodes. The text is published by the caller.
@@ -128,10 +128,10 @@
 		return nil, fault.Step("start node "+string(id), err)
 	}
 	member.Addresses = member.Node.Addresses()
-	member.vm = platform.VM{
+	member.vm = confservice.VM{
 		ID:              id,
 		DataCentre:      s.DataCentre,
-		State:           platform.VMLive,
+		State:           confservice.VMLive,
 		PeerAddress:     member.Addresses.Peer,
 		CallerAddress:   member.Addresses.Caller,
 		OperatorAddress: member.Addresses.Operator,
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -162,8 +162,8 @@
 	leaving, err := standin.StartUpstream(leavingVM+":0", standin.Behaviour{Slots: 2, Versions: []uint64{7}})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = leaving.Close() })
-	f, err := Start(Options{Nodes: 2, LogTo: io.Discard, UpstreamVMs: []platform.VM{
-		{ID: "upstream-1", State: platform.VMLeaving, CallerAddress: leavingVM + ":1"},
+	f, err := Start(Options{Nodes: 2, LogTo: io.Discard, UpstreamVMs: []confservice.VM{
+		{ID: "upstream-1", State: confservice.VMLeaving, CallerAddress: leavingVM + ":1"},
 	}})
 	require.NoError(t, err)
 	t.Cleanup(f.Close)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -12,12 +12,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/member"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
@@ -27,7 +27,7 @@
 type Options struct {
 	Self        route.Node
 	Incarnation uint64
-	Client      *platform.Client
+	Client      *confservice.Client
 	Belief      *belief.Store
 	Peers       peer.Asker
 	// Now reads the node's monotonic clock.
@@ -50,7 +50,7 @@
 	seen    uint64
 	listed  atomic.Pointer[[]route.Node]
 	// list is the VM list last read.
-	list atomic.Pointer[platform.VMList]
+	list atomic.Pointer[confservice.VMList]
 
 	mutex   sync.Mutex
 	inbound map[member.Ticket]*peer.Inbound
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -11,13 +11,13 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/member"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -66,17 +66,17 @@
 	stand, err := standin.StartPlatform("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = stand.Close() })
-	stand.SetVMs([]platform.VM{
-		{ID: "vm-1", State: platform.VMLive, PeerAddress: "10.0.0.1:1"},
-		{ID: "vm-2", State: platform.VMLive, PeerAddress: "10.0.0.2:1"},
-		{ID: "vm-3", State: platform.VMLive, PeerAddress: "10.0.0.3:1"},
+	stand.SetVMs([]confservice.VM{
+		{ID: "vm-1", State: confservice.VMLive, PeerAddress: "10.0.0.1:1"},
+		{ID: "vm-2", State: confservice.VMLive, PeerAddress: "10.0.0.2:1"},
+		{ID: "vm-3", State: confservice.VMLive, PeerAddress: "10.0.0.3:1"},
 	})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	store := belief.NewStore()
 	time := &clock{began: time.Now()}
 	peers := &others{store: store}
-	client := platform.NewClient(stand.URL())
+	client := confservice.NewClient(stand.URL())
 	t.Cleanup(client.Close)
 	d := Start(Options{
 		Self:        route.Node{ID: "vm-1", PeerAddress: "10.0.0.1:1"},
@@ -140,9 +140,9 @@
 // upstream's: its replicas count as draining, whatever the text says.
 func TestLeavingUpstreamsAreFoundInTheList(t *testing.T) {
 	text := testCatalog(t)
-	list := platform.VMList{VMs: []platform.VM{
-		{ID: "up-1", State: platform.VMLeaving, CallerAddress: "10.0.1.1:0"},
-		{ID: "vm-1", State: platform.VMLeaving, CallerAddress: "10.0.1.2:7001", PeerAddress: "10.0.1.2:7002"},
+	list := confservice.VMList{VMs: []confservice.VM{
+		{ID: "up-1", State: confservice.VMLeaving, CallerAddress: "10.0.1.1:0"},
+		{ID: "vm-1", State: confservice.VMLeaving, CallerAddress: "10.0.1.2:7001", PeerAddress: "10.0.1.2:7002"},
 	}}
 	require.Equal(t, []string{"10.0.1.1:9000"}, leavingUpstreams(list, text))
 	require.Len(t, listedNodes(list).Nodes, 1)
--- a/internal/membership/vmlist.go
+++ b/internal/membership/vmlist.go
@@ -7,11 +7,11 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/member"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
@@ -65,7 +65,7 @@
 	}
 }
 
-func (d *Duty) adopt(list platform.VMList) {
+func (d *Duty) adopt(list confservice.VMList) {
 	listed := listedNodes(list)
 	nodes := make([]route.Node, 0, len(listed.Nodes))
 	for _, one := range listed.Nodes {
@@ -78,7 +78,7 @@
 
 // marking is what the marks of leaving upstreams were last made from, and when.
 type marking struct {
-	list   *platform.VMList
+	list   *confservice.VMList
 	config *belief.Config
 	at     core.Time
 }
@@ -104,7 +104,7 @@
 }
 
 // listedNodes picks the tier's own nodes: the VMs with a peer address.
-func listedNodes(list platform.VMList) member.Listed {
+func listedNodes(list confservice.VMList) member.Listed {
 	var listed member.Listed
 	for _, vm := range list.VMs {
 		if vm.PeerAddress == "" {
@@ -118,7 +118,7 @@
 				CallerAddress:   vm.CallerAddress,
 				OperatorAddress: vm.OperatorAddress,
 			},
-			Leaving: vm.State == platform.VMLeaving,
+			Leaving: vm.State == confservice.VMLeaving,
 		})
 	}
 	return listed
@@ -127,10 +127,10 @@
 // leavingUpstreams lists the replicas on VMs that the list shows leaving. Such
 // a VM is not one of the tier's nodes and is known by its IP, in any of its
 // addresses.
-func leavingUpstreams(list platform.VMList, text *catalog.Catalog) []string {
+func leavingUpstreams(list confservice.VMList, text *catalog.Catalog) []string {
 	hosts := map[string]bool{}
 	for _, vm := range list.VMs {
-		if vm.State == platform.VMLeaving && vm.PeerAddress == "" {
+		if vm.State == confservice.VMLeaving && vm.PeerAddress == "" {
 			hosts[host(vm.CallerAddress)] = true
 		}
 	}
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/strictyaml"
 )
 
@@ -127,13 +127,13 @@
 	mux.HandleFunc("GET "+PathBehaviour, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Behaviour()) })
 	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
 	mux.HandleFunc("PUT "+PathPublish, func(w http.ResponseWriter, r *http.Request) {
-		var config platform.Config
+		var config confservice.Config
 		if readJSON(w, r, &config) {
 			p.SetConfig(config)
 		}
 	})
 	mux.HandleFunc("PUT "+PathSetVMs, func(w http.ResponseWriter, r *http.Request) {
-		var vms []platform.VM
+		var vms []confservice.VM
 		if readJSON(w, r, &vms) {
 			p.SetVMs(vms)
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 )
 
 // DefaultReadsPerSecond is what the platform's service answers to all readers
@@ -46,8 +46,8 @@
 // only read and watch; tests publish by its methods or the control interface.
 type Platform struct {
 	mutex     sync.Mutex
-	config    state[platform.Config]
-	vms       state[platform.VMList]
+	config    state[confservice.Config]
+	vms       state[confservice.VMList]
 	changed   chan struct{}
 	behaviour PlatformBehaviour
 	counts    PlatformCounts
@@ -69,8 +69,8 @@
 		limiter: rate.NewLimiter(DefaultReadsPerSecond, DefaultReadsPerSecond),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathConfig, p.serveConfig)
-	mux.HandleFunc("GET "+platform.PathVMs, p.serveVMs)
+	mux.HandleFunc("GET "+confservice.PathConfig, p.serveConfig)
+	mux.HandleFunc("GET "+confservice.PathVMs, p.serveVMs)
 	var err error
 	p.server, p.address, err = serve(address, mux)
 	return p, err
@@ -89,13 +89,13 @@
 func (p *Platform) Publish(text string) uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.config.published = platform.Config{Revision: p.config.published.Revision + 1, Text: text}
+	p.config.published = confservice.Config{Revision: p.config.published.Revision + 1, Text: text}
 	p.show()
 	return p.config.published.Revision
 }
 
 // SetConfig sets a revision and text as they are, also an older one.
-func (p *Platform) SetConfig(config platform.Config) {
+func (p *Platform) SetConfig(config confservice.Config) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.config.published = config
@@ -103,10 +103,10 @@
 }
 
 // SetVMs sets the VM list.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []confservice.VM) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.vms.published = platform.VMList{Sequence: p.vms.published.Sequence + 1, VMs: vms}
+	p.vms.published = confservice.VMList{Sequence: p.vms.published.Sequence + 1, VMs: vms}
 	p.show()
 }
 
@@ -189,8 +189,8 @@
 
 // serveWatch answers at once, or with a wait when something else is there.
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, read func() (uint64, any)) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get(platform.ParamAfter), 10, 64)
-	waitMs, _ := strconv.Atoi(r.URL.Query().Get(platform.ParamWait))
+	after, _ := strconv.ParseUint(r.URL.Query().Get(confservice.ParamAfter), 10, 64)
+	waitMs, _ := strconv.Atoi(r.URL.Query().Get(confservice.ParamWait))
 	timeout := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timeout.Stop()
 	if !p.take() {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
@@ -164,7 +164,7 @@
 	c, err := ControlPlatform("127.0.0.1:0", p)
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
-	reader := platform.NewClient(p.URL())
+	reader := confservice.NewClient(p.URL())
 	defer reader.Close()
 	revision := func() uint64 {
 		config, _, err := reader.ReadConfig(t.Context(), 0, 0)
@@ -178,7 +178,7 @@
 	require.Equal(t, uint64(1), revision())
 	control(t, http.MethodPatch, c.Address(), PathBehaviour, `{"freeze_config":false}`, nil)
 	require.Equal(t, uint64(5), revision())
-	p.SetConfig(platform.Config{Revision: 2, Text: "two"})
+	p.SetConfig(confservice.Config{Revision: 2, Text: "two"})
 	require.Equal(t, uint64(2), revision())
 	p.Change(func(b *PlatformBehaviour) { b.ReadsPerSecond = 1 })
 	limited := func() bool {
--- a/test/e2e/harness/fleet.go
+++ b/test/e2e/harness/fleet.go
@@ -15,10 +15,10 @@
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
 
 const (
@@ -47,7 +47,7 @@
 	*Process
 	fleet *Fleet
 	// Stands in the VM list, unless a test lists the node otherwise.
-	VM       platform.VM
+	VM       confservice.VM
 	platform *Platform
 }
 
@@ -83,7 +83,7 @@
 	if n.platform == nil {
 		n.platform = f.Platform
 	}
-	n.VM = platform.VM{ID: core.NodeID(id), DataCentre: dataCentre, State: platform.VMLive}
+	n.VM = confservice.VM{ID: core.NodeID(id), DataCentre: dataCentre, State: confservice.VMLive}
 	path := filepath.Join(f.folder, id+".yaml")
 	require.NoError(f.t, os.WriteFile(path, []byte(f.settings(n, options)), 0o600))
 	n.Process = Start(f.t, f.binary, id, "serve", "--settings", path)
@@ -145,7 +145,7 @@
 // List publishes the VM list of the fleet's nodes.
 func (f *Fleet) List() {
 	f.t.Helper()
-	var vms []platform.VM
+	var vms []confservice.VM
 	for _, n := range f.nodes {
 		vms = append(vms, n.VM)
 	}
--- a/test/e2e/harness/split.go
+++ b/test/e2e/harness/split.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
-	"github.com/pistachiopier/pistachiopier/internal/platform"
 )
 
 // SplitFleet is a fleet of two sides. Each side reads a platform of its own,
@@ -55,8 +55,8 @@
 }
 
 // listed are the nodes' VMs, at their proxies' addresses when there are any.
-func listed(nodes []*Node, proxies []*faultproxy.UDP) []platform.VM {
-	var vms []platform.VM
+func listed(nodes []*Node, proxies []*faultproxy.UDP) []confservice.VM {
+	var vms []confservice.VM
 	for i, n := range nodes {
 		vm := n.VM
 		if proxies != nil {
--- a/test/e2e/harness/standins.go
+++ b/test/e2e/harness/standins.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
@@ -82,11 +82,11 @@
 // Publish sets the revision and text that the service answers, also older ones.
 func (p *Platform) Publish(revision uint64, text string) {
 	p.t.Helper()
-	p.put(standin.PathPublish, platform.Config{Revision: revision, Text: text})
+	p.put(standin.PathPublish, confservice.Config{Revision: revision, Text: text})
 }
 
 // List sets the VM list.
-func (p *Platform) List(vms []platform.VM) {
+func (p *Platform) List(vms []confservice.VM) {
 	p.t.Helper()
 	p.put(standin.PathSetVMs, vms)
 }
--- a/test/e2e/node_test.go
+++ b/test/e2e/node_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
@@ -129,7 +129,7 @@
 		fleet.Add(harness.NodeOptions{Settings: shortTTL})
 		fleet.List()
 		fleet.AwaitReady(1)
-		old.VM.State = platform.VMLeaving
+		old.VM.State = confservice.VMLeaving
 		fleet.List()
 		fleet.Remove(old)
 		load.Use(fleet.Callers()...)
@@ -160,7 +160,7 @@
 		fleet.Add(harness.NodeOptions{Settings: shortTTL})
 		fleet.List()
 		fleet.AwaitReady(1)
-		old.VM.State = platform.VMLeaving
+		old.VM.State = confservice.VMLeaving
 		fleet.List()
 		old.Signal(syscall.SIGTERM)
 		require.Zero(t, old.AwaitExit())
--- a/test/e2e/submit_test.go
+++ b/test/e2e/submit_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/platform"
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
@@ -85,7 +85,7 @@
 		fleet.Add(harness.NodeOptions{Settings: shortTTL})
 		fleet.List()
 		fleet.AwaitReady(1)
-		old.VM.State = platform.VMLeaving
+		old.VM.State = confservice.VMLeaving
 		fleet.List()
 		old.Signal(syscall.SIGTERM)
 		fleet.Remove(old)
