--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return standInStarted{}, err
 	}
-	return started(standInPlatform, []string{confservice.Address()}, control), nil
+	return started(standInPlatform, []string{platform.Address()}, control), nil
 }
 
 func startStandInUpstreams(options standInOptions) (standInStarted, error) {
