--- a/internal/app/start.go
+++ b/internal/app/start.go
@@ -143,7 +143,7 @@
 	return membership.Start(membership.Options{
 		Self:        n.belief.Self(),
 		Incarnation: n.identity.Incarnation,
-		Client:      n.platform,
+		List:        n.platform,
 		Belief:      n.belief,
 		Peers:       n.pool,
 		Now:         n.now,
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -65,6 +65,7 @@
 func all() []*command {
 	return []*command{
 		serveCommand(),
+		edgeCommand(),
 		checkCommand(),
 		diffCommand(),
 		queryCommand(),
--- /dev/null
+++ b/internal/command/edge.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"go.uber.org/fx"
+
+	"github.com/pistachiopier/pistachiopier/internal/edge"
+	"github.com/pistachiopier/pistachiopier/platform"
+)
+
+// settingsLook is how often the settings file is looked at for a change that came
+// without a signal. The platform has no notification of changed files.
+const settingsLook = time.Second
+
+func edgeCommand() *command {
+	parser := flaggy.NewSubcommand("edge")
+	parser.Description = "run a node of the forwarding tier until it is told to stop"
+	path := os.Getenv(platform.SettingsVariable)
+	parser.String(&path, "s", "settings", "the platform's settings file (default: "+platform.SettingsVariable+")")
+	return &command{
+		parser:  parser,
+		example: "pistachiopier edge --settings boot.conf",
+		run:     func(out io.Writer) error { return runEdge(path, out) },
+	}
+}
+
+func runEdge(path string, out io.Writer) error {
+	if path == "" {
+		return usage("edge needs --settings FILE or "+platform.SettingsVariable, "see docs/SETTINGS.md for what it holds")
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app, node := edge.New(s, out)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	if err := app.Start(signals); err != nil {
+		return err
+	}
+	watchSettings(signals, path, node)
+	return stopEdge(app, s.StopWait)
+}
+
+func stopEdge(app *fx.App, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+// watchSettings reloads the settings at SIGHUP and when the file is another one, until
+// the process is told to stop. A file that cannot be read leaves the former settings
+// in force.
+func watchSettings(ctx context.Context, path string, node *edge.Node) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsLook)
+	defer ticker.Stop()
+	seen, _ := os.ReadFile(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(path)
+		if err != nil || string(text) == string(seen) {
+			continue
+		}
+		seen = text
+		s, err := platform.ParseSettings(string(text))
+		if err != nil {
+			node.SettingsRefused(err)
+			continue
+		}
+		node.Reload(s)
+	}
+}
--- /dev/null
+++ b/internal/core/extra/extra_test.go
@@ -0,0 +1,66 @@
+package extra
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Every replica of a service fails and each failure is retried on several nodes
+// that do not hear each other. Without the bound the replicas get several times
+// their load and never recover.
+func TestNodesThatDoNotHearEachOtherKeepTheSharedBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		bound := Bound{Window: 10 * time.Second, Ratio: 0.2, Allowance: 6}
+		type arrival struct {
+			at    core.Time
+			extra bool
+		}
+		var budgets []*Budget
+		for range nodes {
+			budgets = append(budgets, New(bound))
+		}
+		var seen []arrival
+		now := core.Time(0)
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 999), 1, 400).Draw(t, "steps") {
+			now += time.Duration(step) * time.Millisecond
+			node := budgets[step%nodes]
+			if step%2 == 0 {
+				node.Request("prices", now)
+				seen = append(seen, arrival{at: now})
+				continue
+			}
+			for node.Take("prices", now) {
+				seen = append(seen, arrival{at: now, extra: true})
+			}
+		}
+		for end, last := range seen {
+			requests, extras := 0, 0
+			for _, one := range seen[:end+1] {
+				// A node counts up to one piece more than the window.
+				if one.at > last.at-bound.Window-bound.Window/spans && !one.extra {
+					requests++
+				}
+				if one.at > last.at-bound.Window && one.extra {
+					extras++
+				}
+			}
+			require.LessOrEqual(t, float64(extras), bound.Ratio*float64(requests)+nodes*bound.Allowance)
+		}
+	})
+}
+
+func TestWhatWasSpentReturnsAfterTheWindow(t *testing.T) {
+	b := New(Bound{Window: 10 * time.Second, Allowance: 2})
+	require.True(t, b.Take("s", 0))
+	require.True(t, b.Take("s", 0))
+	require.False(t, b.Take("s", 9*time.Second))
+	require.True(t, b.Take("s", 11*time.Second))
+	b.Forget(func(string) bool { return false }, 30*time.Second)
+	require.Empty(t, b.services)
+}
--- a/internal/core/member/gossip.go
+++ b/internal/core/member/gossip.go
@@ -93,7 +93,9 @@
 		}
 		p = m.peer(u.Node)
 	}
-	if !p.listed && u.Node.PeerAddress != "" && u.Incarnation >= p.incarnation {
+	// A list made of bare addresses does not know the nodes' data centres.
+	unplaced := p.node.DataCentre == ""
+	if (!p.listed || unplaced) && u.Node.PeerAddress != "" && u.Incarnation >= p.incarnation {
 		p.node = u.Node
 	}
 	m.apply(p, u)
--- /dev/null
+++ b/internal/core/replica/replica.go
@@ -0,0 +1,225 @@
+// Package replica is what a node believes of the replicas of each service: which
+// there are, how each has answered lately, and which one the next request is
+// best sent to.
+package replica
+
+import (
+	"math"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Replica is one incarnation of a replica as the registry lists it.
+type Replica struct {
+	// ID is new at each start of the replica.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Draining replicas get no new request.
+	Draining bool
+}
+
+// Weights of Book.cost, in units of one usual answer time of the route. They were
+// chosen so that a replica of the own data centre is preferred unless it is twice
+// as slow as usual or all its slots hold requests of this node.
+const (
+	remoteCost  = 1.0
+	overdueCost = 4.0
+	failureCost = 8.0
+	refusedCost = 4.0
+)
+
+// Times after which what was seen of a replica no longer counts.
+const (
+	// slownessLife is the time in which half of a measured slowness is forgotten
+	// while no answer comes: a replica that became fast again is then tried.
+	slownessLife = 3 * time.Second
+	// overdueLife bounds how long a request without an answer counts against a
+	// replica.
+	overdueLife = time.Second
+	// refusedLife is how long a refusal for want of room counts.
+	refusedLife = 100 * time.Millisecond
+	// failureLife halves the rate of failures.
+	failureLife = 1500 * time.Millisecond
+)
+
+// learning is the weight of a new answer in a replica's slowness and failures.
+const learning = 0.25
+
+// state is what was seen of one replica.
+type state struct {
+	Replica
+	outstanding int
+	// slowness is the mean of answer times over the usual one; 1 is usual.
+	slowness   float64
+	slownessAt core.Time
+	// failures is the mean share of requests that failed.
+	failures   float64
+	failuresAt core.Time
+	overdueAt  core.Time
+	refusedAt  core.Time
+	// lapsedAt is when the registry lost the entry, 0 while it is listed.
+	lapsedAt core.Time
+}
+
+// Book holds the replicas of all services. It is not safe for concurrent use.
+type Book struct {
+	dataCentre string
+	byID       map[string]*state
+	byService  map[string][]*state
+	random     func() float64
+}
+
+// NewBook makes an empty book for a node of the given data centre. The random
+// source, 0 to 1, breaks ties.
+func NewBook(dataCentre string, random func() float64) *Book {
+	return &Book{dataCentre: dataCentre, byID: map[string]*state{}, byService: map[string][]*state{}, random: random}
+}
+
+// Put adds a replica or takes its new particulars. What was seen of it stays.
+func (b *Book) Put(replica Replica) {
+	known := b.byID[replica.ID]
+	if known != nil && known.Service == replica.Service {
+		known.Replica = replica
+		known.lapsedAt = 0
+		return
+	}
+	b.Remove(replica.ID)
+	added := &state{Replica: replica, slowness: 1}
+	b.byID[replica.ID] = added
+	b.byService[replica.Service] = append(b.byService[replica.Service], added)
+}
+
+// Remove forgets a replica.
+func (b *Book) Remove(id string) {
+	known := b.byID[id]
+	if known == nil {
+		return
+	}
+	delete(b.byID, id)
+	kept := make([]*state, 0, len(b.byService[known.Service]))
+	for _, one := range b.byService[known.Service] {
+		if one != known {
+			kept = append(kept, one)
+		}
+	}
+	b.byService[known.Service] = kept
+	if len(kept) == 0 {
+		delete(b.byService, known.Service)
+	}
+}
+
+// Get finds a replica by its id.
+func (b *Book) Get(id string) (Replica, bool) {
+	known := b.byID[id]
+	if known == nil {
+		return Replica{}, false
+	}
+	return known.Replica, true
+}
+
+// All calls visit for each replica.
+func (b *Book) All(visit func(Replica)) {
+	for _, known := range b.byID {
+		visit(known.Replica)
+	}
+}
+
+// Usable counts the replicas of a service that may get requests.
+func (b *Book) Usable(service string) int {
+	count := 0
+	for _, known := range b.byService[service] {
+		if !known.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// Choice is a replica for a request.
+type Choice struct {
+	Replica
+	// Doubtful is set when the replica is overdue, failing or out of room: good
+	// enough for a first try where there is no other, not for a hedge.
+	Doubtful bool
+}
+
+// Pick chooses the replica of a service with the least cost, leaving out those
+// with an id in tried. It reports false when there is none.
+func (b *Book) Pick(service string, tried []string, now core.Time) (Choice, bool) {
+	var best *state
+	bestCost := math.Inf(1)
+	for _, one := range b.byService[service] {
+		if one.Draining || contains(tried, one.ID) {
+			continue
+		}
+		if cost := b.cost(one, now); cost < bestCost {
+			best, bestCost = one, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now)}, true
+}
+
+func contains(ids []string, id string) bool {
+	for _, one := range ids {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// cost estimates how long a request would take there, in usual answer times.
+func (b *Book) cost(s *state, now core.Time) float64 {
+	const tieBreak = 0.1
+	cost := s.slownessNow(now) * (1 + s.queued())
+	if s.DataCentre != b.dataCentre {
+		cost += remoteCost
+	}
+	if s.overdue(now) {
+		cost += overdueCost
+	}
+	if s.refused(now) {
+		cost += refusedCost
+	}
+	cost += failureCost * s.failuresNow(now)
+	return cost + tieBreak*b.random()
+}
+
+// queued is how many rounds of its slots this node's own requests fill.
+func (s *state) queued() float64 {
+	slots := max(s.Slots, 1)
+	return float64(max(s.outstanding+1-slots, 0)) / float64(slots)
+}
+
+func (s *state) slownessNow(now core.Time) float64 {
+	return 1 + (s.slowness-1)*halved(now-s.slownessAt, slownessLife)
+}
+
+func (s *state) failuresNow(now core.Time) float64 {
+	return s.failures * halved(now-s.failuresAt, failureLife)
+}
+
+func halved(age, half time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(half))
+}
+
+func (s *state) overdue(now core.Time) bool {
+	return s.overdueAt > 0 && now-s.overdueAt < overdueLife
+}
+
+func (s *state) refused(now core.Time) bool {
+	return s.refusedAt > 0 && now-s.refusedAt < refusedLife
+}
+
+func (s *state) doubtful(now core.Time) bool {
+	const manyFailures = 0.5
+	return s.overdue(now) || s.refused(now) || s.failuresNow(now) > manyFailures
+}
--- /dev/null
+++ b/internal/core/replica/replica_test.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+const usual = 10 * time.Millisecond
+
+func bookOfTwo() *Book {
+	b := NewBook("east", func() float64 { return 0 })
+	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
+	b.Put(Replica{ID: "far", Service: "s", DataCentre: "west", Slots: 2})
+	return b
+}
+
+func pick(t *testing.T, b *Book, now core.Time, tried ...string) Choice {
+	t.Helper()
+	choice, ok := b.Pick("s", tried, now)
+	require.True(t, ok)
+	return choice
+}
+
+func TestTheNearReplicaIsPreferredUntilItsSlotsAreFull(t *testing.T) {
+	b := bookOfTwo()
+	for range 3 {
+		require.Equal(t, "near", pick(t, b, 0).ID)
+		b.Sent("near")
+	}
+	b.Sent("near")
+	require.Equal(t, "far", pick(t, b, 0).ID)
+	b.Ended("near")
+	b.Ended("near")
+	require.Equal(t, "near", pick(t, b, 0).ID)
+}
+
+// A replica pauses for 150 ms, as each does every few seconds. A question finds out
+// at its hedge; the ones that follow meet the pause again unless the first one's
+// finding is shared.
+func TestAnOverdueReplicaIsAvoidedUntilItAnswers(t *testing.T) {
+	b := bookOfTwo()
+	b.Overdue("near", time.Second)
+	require.Equal(t, "far", pick(t, b, time.Second).ID)
+	only := pick(t, b, time.Second, "far")
+	require.True(t, only.Doubtful, "a hedge must not go to it")
+	b.Answered("near", usual, usual, time.Second+150*time.Millisecond)
+	require.Equal(t, "near", pick(t, b, time.Second+150*time.Millisecond).ID)
+}
+
+// A replica that is overdue dies and never answers. It must not be shunned for
+// ever by that alone, as it may have come back meanwhile.
+func TestAnOverdueMarkEnds(t *testing.T) {
+	b := bookOfTwo()
+	b.Overdue("near", time.Second)
+	require.Equal(t, "near", pick(t, b, time.Second+overdueLife).ID)
+}
+
+// A replica fails 40 in 100 of its requests while its health endpoint says all is
+// well. Requests must leave it by what they see themselves, and come back.
+func TestAReplicaThatFailsIsLeftAndTriedAgain(t *testing.T) {
+	b := bookOfTwo()
+	b.Failed("near", time.Second)
+	b.Answered("near", usual, usual, time.Second)
+	b.Failed("near", time.Second)
+	require.Equal(t, "far", pick(t, b, time.Second).ID)
+	require.Equal(t, "near", pick(t, b, 10*time.Second).ID)
+}
+
+func TestASlowReplicaIsLeftAndTriedAgain(t *testing.T) {
+	b := bookOfTwo()
+	for range 6 {
+		b.Answered("near", 8*usual, usual, time.Second)
+	}
+	require.Equal(t, "far", pick(t, b, time.Second).ID)
+	require.Equal(t, "near", pick(t, b, 20*time.Second).ID)
+}
+
+func TestDrainingReplicasGetNothing(t *testing.T) {
+	b := bookOfTwo()
+	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2, Draining: true})
+	require.Equal(t, "far", pick(t, b, 0).ID)
+	require.Equal(t, 1, b.Usable("s"))
+	_, ok := b.Pick("s", []string{"far"}, 0)
+	require.False(t, ok)
+}
+
+// The registry is down and loses the entries of live replicas. They go on serving
+// for a while; an entry that then is back stays, one that is not is gone.
+func TestALapsedReplicaServesOnForAWhile(t *testing.T) {
+	b := bookOfTwo()
+	b.Lapse("near", time.Second)
+	b.Lapse("far", time.Second)
+	require.Empty(t, b.Expire(2*time.Second, 2*time.Second))
+	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
+	require.Equal(t, []string{"far"}, b.Expire(2*time.Second, 3*time.Second))
+	require.Equal(t, "near", pick(t, b, 0).ID)
+	b.Remove("near")
+	_, ok := b.Pick("s", nil, 0)
+	require.False(t, ok)
+}
--- /dev/null
+++ b/internal/core/replica/seen.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// Sent notes that a request was sent to a replica.
+func (b *Book) Sent(id string) {
+	if known := b.byID[id]; known != nil {
+		known.outstanding++
+	}
+}
+
+// Ended notes that a request to a replica came to its end, whatever that was.
+func (b *Book) Ended(id string) {
+	if known := b.byID[id]; known != nil {
+		known.outstanding = max(known.outstanding-1, 0)
+	}
+}
+
+// maxSlowness bounds what one answer teaches: after a stall of a second a replica
+// is not to be shunned for half a minute.
+const maxSlowness = 10
+
+// Answered notes a whole answer. Usual is the route's usual answer time, 0 while
+// it is not known.
+func (b *Book) Answered(id string, took, usual time.Duration, now core.Time) {
+	known := b.byID[id]
+	if known == nil {
+		return
+	}
+	known.overdueAt = 0
+	known.failures = known.failuresNow(now) * (1 - learning)
+	known.failuresAt = now
+	if usual <= 0 {
+		return
+	}
+	ratio := min(float64(took)/float64(usual), maxSlowness)
+	known.slowness = known.slownessNow(now)*(1-learning) + ratio*learning
+	known.slownessAt = now
+}
+
+// Failed notes a request that brought no whole answer. Outcomes count, health
+// endpoints do not: those say "healthy" while requests fail, and the reverse.
+func (b *Book) Failed(id string, now core.Time) {
+	known := b.byID[id]
+	if known == nil {
+		return
+	}
+	known.failures = known.failuresNow(now)*(1-learning) + learning
+	known.failuresAt = now
+}
+
+// Unreached notes a replica that took no connection.
+func (b *Book) Unreached(id string, now core.Time) {
+	if known := b.byID[id]; known != nil {
+		known.failures = 1
+		known.failuresAt = now
+	}
+}
+
+// Refused notes that a replica had no room for a request.
+func (b *Book) Refused(id string, now core.Time) {
+	if known := b.byID[id]; known != nil {
+		known.refusedAt = now
+	}
+}
+
+// Overdue notes that an answer takes longer than usual. Replicas pause for moments
+// that are several times a usual answer; the requests that follow within the pause
+// go elsewhere at once instead of each finding out by itself.
+func (b *Book) Overdue(id string, now core.Time) {
+	if known := b.byID[id]; known != nil && known.overdueAt == 0 || known != nil && !known.overdue(now) {
+		known.overdueAt = now
+	}
+}
+
+// Lapse notes that the registry no longer lists a replica, for a reason that may
+// be the registry's own: it keeps getting requests until Expire.
+func (b *Book) Lapse(id string, now core.Time) {
+	if known := b.byID[id]; known != nil && known.lapsedAt == 0 {
+		known.lapsedAt = max(now, 1)
+	}
+}
+
+// Expire removes the replicas that lapsed longer than the given time ago and
+// returns their ids.
+func (b *Book) Expire(after time.Duration, now core.Time) []string {
+	var gone []string
+	for id, known := range b.byID {
+		if known.lapsedAt > 0 && now-known.lapsedAt >= after {
+			gone = append(gone, id)
+		}
+	}
+	for _, id := range gone {
+		b.Remove(id)
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/core/scatter/scatter.go
@@ -0,0 +1,410 @@
+// Package scatter decides the sends of one caller's request: to one replica of
+// one service, or to one replica of each shard. It chooses when to hedge, when to
+// try another replica, and when to answer with what is there.
+package scatter
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+)
+
+// Plan says what the request needs. A plain forward is a plan with one service.
+type Plan struct {
+	// Services are the shards, or the one service.
+	Services []string
+	// Least is the number of parts below which the answer is a failure.
+	Least int
+	// Idempotent requests may be sent again although they may have run.
+	Idempotent bool
+	// MaxReplicas bounds the replicas of each service that the request is sent to.
+	MaxReplicas int
+	// Deadline is when the caller is told the outcome at the latest.
+	Deadline core.Time
+	// PartialAt is when the least number of parts is enough; 0 is never.
+	PartialAt core.Time
+	// Hedge is how long an answer may take before another replica is asked too;
+	// 0 is never.
+	Hedge time.Duration
+}
+
+// Chooser is what the machine asks of the node's beliefs.
+type Chooser interface {
+	// Pick chooses a replica that is not among tried.
+	Pick(service string, tried []string, now core.Time) (replica.Choice, bool)
+	// Extra spends one arrival beyond the first, or reports that the bound on
+	// those is reached.
+	Extra(service string, now core.Time) bool
+}
+
+// Verdict is how a send ended.
+type Verdict uint8
+
+// The ends of a send.
+const (
+	// Whole is an answer that counts: for a part, a success with all its bytes.
+	Whole Verdict = iota
+	// Failed may have run.
+	Failed
+	// Refused reached the replica, which proved that it did not run it.
+	Refused
+	// Unreached never left this node.
+	Unreached
+)
+
+// refusedPause is the wait before a replica that had no room is asked again when
+// there is no other: about one answer time of a fast route.
+const refusedPause = 20 * time.Millisecond
+
+// Event is what the machine is told.
+type Event interface{ isEvent() }
+
+// Begin starts the request.
+type Begin struct{}
+
+// Tick says that a time asked for by Wake has come.
+type Tick struct{}
+
+// Ended tells the end of a send.
+type Ended struct {
+	Send    int
+	Verdict Verdict
+}
+
+func (Begin) isEvent() {}
+func (Tick) isEvent()  {}
+func (Ended) isEvent() {}
+
+// Action is what the machine wants done.
+type Action interface{ isAction() }
+
+// Send sends the request to a replica. The ids of sends count from 0.
+type Send struct {
+	ID      int
+	Service int
+	Replica replica.Replica
+	Cause   Cause
+}
+
+// Withdraw ends a send whose answer is no longer wanted.
+type Withdraw struct{ ID int }
+
+// Late says that a replica's answer takes longer than usual.
+type Late struct{ ReplicaID string }
+
+// Wake asks for a Tick at a time; it replaces the former one.
+type Wake struct{ At core.Time }
+
+// Finish ends the request. Nothing is sent after it.
+type Finish struct{ Result Result }
+
+func (Send) isAction()     {}
+func (Withdraw) isAction() {}
+func (Late) isAction()     {}
+func (Wake) isAction()     {}
+func (Finish) isAction()   {}
+
+// Cause is why a send was made.
+type Cause string
+
+// The causes of sends.
+const (
+	First Cause = "first"
+	Hedge Cause = "hedge"
+	Retry Cause = "retry"
+)
+
+// Result is the end of a request.
+type Result struct {
+	// Parts holds for each service the id of the send that brought its answer, or
+	// -1.
+	Parts []int
+	// Got is the number of parts.
+	Got int
+	// Enough is set when Got reaches the plan's least number.
+	Enough bool
+	// MayHaveRun is set when any replica may have worked on the request.
+	MayHaveRun bool
+	// NoReplica is set when a service had no replica at all to try.
+	NoReplica bool
+	// BudgetSpent is set when a retry or hedge was held back by the bound on
+	// extra arrivals.
+	BudgetSpent bool
+	// PastDeadline is set when the time ran out.
+	PastDeadline bool
+}
+
+// send is one request to a replica.
+type send struct {
+	service   int
+	replicaID string
+	live      bool
+}
+
+// service is one shard of the request.
+type service struct {
+	tried   []string
+	sent    int
+	live    int
+	part    int
+	failed  bool
+	arrived bool
+	// hedgeAt is when the running send is late, 0 for never; retryAt is when a
+	// refused one is tried again, 0 for none.
+	hedgeAt core.Time
+	retryAt core.Time
+}
+
+func (s *service) settled() bool { return s.part >= 0 || s.failed }
+
+// Machine decides one request. It is not safe for concurrent use.
+type Machine struct {
+	plan     Plan
+	chooser  Chooser
+	services []service
+	sends    []send
+	result   Result
+	finished bool
+	now      core.Time
+	actions  []Action
+}
+
+// New makes the machine of one request.
+func New(plan Plan, chooser Chooser) *Machine {
+	m := &Machine{plan: plan, chooser: chooser, services: make([]service, len(plan.Services))}
+	for i := range m.services {
+		m.services[i].part = -1
+	}
+	return m
+}
+
+// Step takes one event and returns what to do. The slice is valid until the next
+// Step.
+func (m *Machine) Step(now core.Time, event Event) []Action {
+	m.actions = m.actions[:0]
+	m.now = now
+	if m.finished {
+		return nil
+	}
+	switch e := event.(type) {
+	case Begin:
+		for i := range m.services {
+			m.begin(i)
+		}
+	case Ended:
+		m.ended(e)
+	case Tick:
+		m.tick()
+	}
+	m.conclude()
+	if !m.finished {
+		m.wake()
+	}
+	return m.actions
+}
+
+func (m *Machine) act(action Action) { m.actions = append(m.actions, action) }
+
+func (m *Machine) begin(i int) {
+	choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
+	if !ok {
+		m.result.NoReplica = true
+		m.services[i].failed = true
+		return
+	}
+	m.send(i, choice.Replica, First)
+}
+
+func (m *Machine) send(i int, to replica.Replica, cause Cause) {
+	s := &m.services[i]
+	s.tried = append(s.tried, to.ID)
+	s.sent++
+	s.live++
+	s.arrived = true
+	s.hedgeAt = 0
+	if m.plan.Hedge > 0 {
+		s.hedgeAt = m.now + m.plan.Hedge
+	}
+	m.sends = append(m.sends, send{service: i, replicaID: to.ID, live: true})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to, Cause: cause})
+}
+
+func (m *Machine) ended(e Ended) {
+	one := &m.sends[e.Send]
+	if !one.live {
+		return
+	}
+	one.live = false
+	s := &m.services[one.service]
+	s.live--
+	if e.Verdict == Failed {
+		m.result.MayHaveRun = true
+	}
+	if s.settled() {
+		return
+	}
+	if e.Verdict == Whole {
+		m.settle(one.service, e.Send)
+		return
+	}
+	if e.Verdict == Unreached {
+		// It was no arrival and uses up no try.
+		s.sent--
+		s.arrived = s.sent > 0
+	}
+	m.afterFailure(one.service, e.Verdict)
+}
+
+func (m *Machine) settle(i, sendID int) {
+	m.services[i].part = sendID
+	m.result.Got++
+	for id := range m.sends {
+		if m.sends[id].live && m.sends[id].service == i {
+			m.act(Withdraw{ID: id})
+		}
+	}
+}
+
+// afterFailure tries another replica, or gives the service up when there is none
+// and nothing of it is on its way.
+func (m *Machine) afterFailure(i int, verdict Verdict) {
+	s := &m.services[i]
+	if verdict == Failed && !m.plan.Idempotent {
+		s.failed = true
+		return
+	}
+	if m.again(i, Retry) || s.live > 0 {
+		return
+	}
+	if verdict == Refused && s.sent <= m.plan.MaxReplicas && m.now+refusedPause < m.plan.Deadline {
+		s.retryAt = m.now + refusedPause
+		return
+	}
+	s.failed = true
+}
+
+// again sends to a further replica where the plan and the bound on extra arrivals
+// allow it.
+func (m *Machine) again(i int, cause Cause) bool {
+	s := &m.services[i]
+	if s.sent >= m.plan.MaxReplicas {
+		return false
+	}
+	choice, ok := m.chooser.Pick(m.plan.Services[i], s.tried, m.now)
+	if !ok || cause == Hedge && choice.Doubtful {
+		return false
+	}
+	if !m.spend(i) {
+		return false
+	}
+	m.send(i, choice.Replica, cause)
+	return true
+}
+
+// spend takes an extra arrival out of the bound, unless nothing has arrived yet.
+func (m *Machine) spend(i int) bool {
+	if !m.services[i].arrived {
+		return true
+	}
+	if m.chooser.Extra(m.plan.Services[i], m.now) {
+		return true
+	}
+	m.result.BudgetSpent = true
+	return false
+}
+
+func (m *Machine) tick() {
+	for i := range m.services {
+		s := &m.services[i]
+		switch {
+		case s.settled():
+		case s.retryAt > 0 && m.now >= s.retryAt:
+			s.retryAt = 0
+			m.retryRefused(i)
+		case s.live > 0 && s.hedgeAt > 0 && m.now >= s.hedgeAt:
+			m.late(i)
+		}
+	}
+}
+
+// retryRefused asks a replica again that had no room; all of them were tried.
+func (m *Machine) retryRefused(i int) {
+	choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
+	if !ok || !m.spend(i) {
+		m.services[i].failed = true
+		return
+	}
+	m.send(i, choice.Replica, Retry)
+}
+
+// late marks the replicas that keep a service waiting and hedges. Where the hedge
+// is not possible now, it is looked at again after the same time.
+func (m *Machine) late(i int) {
+	s := &m.services[i]
+	for _, one := range m.sends {
+		if one.live && one.service == i {
+			m.act(Late{ReplicaID: one.replicaID})
+		}
+	}
+	s.hedgeAt = m.now + m.plan.Hedge
+	if m.plan.Idempotent {
+		m.again(i, Hedge)
+	}
+}
+
+// conclude ends the request when it is whole, when no more can come, when what is
+// there is enough for now, or when the time is up.
+func (m *Machine) conclude() {
+	open := 0
+	for i := range m.services {
+		if !m.services[i].settled() {
+			open++
+		}
+	}
+	enough := m.result.Got >= m.plan.Least
+	late := m.now >= m.plan.Deadline
+	partial := m.plan.PartialAt > 0 && m.now >= m.plan.PartialAt && enough
+	hopeless := m.result.Got+open < m.plan.Least
+	if open > 0 && !late && !partial && !hopeless {
+		return
+	}
+	m.finished = true
+	m.result.Enough = enough
+	m.result.PastDeadline = late && open > 0
+	m.withdrawAll()
+	m.result.Parts = make([]int, len(m.services))
+	for i := range m.services {
+		m.result.Parts[i] = m.services[i].part
+	}
+	m.act(Finish{Result: m.result})
+}
+
+func (m *Machine) withdrawAll() {
+	for id := range m.sends {
+		if m.sends[id].live {
+			m.result.MayHaveRun = true
+			m.act(Withdraw{ID: id})
+		}
+	}
+}
+
+func (m *Machine) wake() {
+	at := m.plan.Deadline
+	if m.plan.PartialAt > m.now {
+		at = min(at, m.plan.PartialAt)
+	}
+	for i := range m.services {
+		s := &m.services[i]
+		if s.settled() {
+			continue
+		}
+		if s.hedgeAt > 0 && s.live > 0 {
+			at = min(at, s.hedgeAt)
+		}
+		if s.retryAt > 0 {
+			at = min(at, s.retryAt)
+		}
+	}
+	m.act(Wake{At: at})
+}
--- /dev/null
+++ b/internal/core/topk/topk_test.go
@@ -0,0 +1,68 @@
+package topk
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// sortAll is the plain way that the heap must agree with.
+func sortAll(parts [][]byte, limit int) []byte {
+	var all [][]byte
+	for _, part := range parts {
+		for ; len(part) >= RecordBytes; part = part[RecordBytes:] {
+			all = append(all, part[:RecordBytes])
+		}
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return slices.Concat(all[:min(limit, len(all))]...)
+}
+
+func TestTheHeapAgreesWithASortOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 30).Draw(t, "limit")
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 100), 0, 8).Draw(t, "parts")
+		merger := New(limit)
+		for _, part := range parts {
+			merger.Add(part)
+		}
+		require.Equal(t, string(sortAll(parts, limit)), string(merger.Bytes()))
+	})
+}
+
+func randomParts() [][]byte {
+	source := rand.New(rand.NewPCG(1, 2))
+	parts := make([][]byte, 110)
+	for i := range parts {
+		parts[i] = make([]byte, 400)
+		for j := range parts[i] {
+			parts[i][j] = byte(source.Uint32())
+		}
+	}
+	return parts
+}
+
+// BenchmarkMerge reports the time of the heap as a share of a sort of all
+// records, for 110 parts of 25 records.
+func BenchmarkMerge(b *testing.B) {
+	parts := randomParts()
+	var sorting time.Duration
+	for b.Loop() {
+		b.StopTimer()
+		started := time.Now()
+		sortAll(parts, 20)
+		sorting += time.Since(started)
+		b.StartTimer()
+		merger := New(20)
+		for _, part := range parts {
+			merger.Add(part)
+		}
+		_ = merger.Bytes()
+	}
+	b.ReportMetric(float64(b.Elapsed())/float64(sorting), "of-a-sort")
+}
--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,49 @@
+package decisionlog
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLinesAreJSONWithEventAndBase(t *testing.T) {
+	var out strings.Builder
+	l := New(&out, Fields{"node": "vm-1"})
+	l.Decision("request_answered", Fields{"request": "r1"})
+	l.Calm()
+	l.Close(time.Minute)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	var first, last map[string]any
+	require.NoError(t, json.Unmarshal([]byte(lines[0]), &first))
+	require.NoError(t, json.Unmarshal([]byte(lines[1]), &last))
+	require.Equal(t, "request_answered", first["event"])
+	require.Equal(t, "vm-1", first["node"])
+	require.EqualValues(t, 1, last["answered_well"])
+}
+
+// Whoever reads the logs stops reading. Requests must not wait for it: lines are
+// dropped and counted instead.
+func TestAReaderThatStopsHoldsNobody(t *testing.T) {
+	reader, writer := io.Pipe()
+	l := New(writer, nil)
+	for range 2 * ringDepth {
+		l.Life("replica_seen", nil)
+	}
+	require.Positive(t, l.Dropped())
+	_ = reader.Close()
+	l.Close(time.Minute)
+}
+
+func TestAStormOfDecisionsIsHeldToTheRate(t *testing.T) {
+	l := New(io.Discard, nil)
+	for range 3 * burst {
+		l.Decision("send_ended", nil)
+	}
+	l.Close(time.Minute)
+	require.Greater(t, l.Dropped(), int64(burst))
+}
--- /dev/null
+++ b/internal/edge/listen.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+// Limits towards callers before a configuration is known.
+const (
+	firstHeaderTimeout = 3 * time.Second
+	firstIdleTimeout   = 60 * time.Second
+	firstHeaderBytes   = 16 << 10
+)
+
+// callerServer takes callers' connections. net/http fixes its limits when a server
+// starts, while ours come with each configuration: connections are handed to a
+// server made for the limits in force, and those of a former one go on under its
+// limits until they end.
+type callerServer struct {
+	handler  http.Handler
+	listener net.Listener
+	mutex    sync.Mutex
+	limits   policy.Limits
+	current  *handover
+	servers  []*http.Server
+	closing  bool
+	done     sync.WaitGroup
+}
+
+func listenCallers(address string, handler http.Handler) (*callerServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+	}
+	s := &callerServer{handler: handler, listener: listener}
+	s.setLimits(policy.Limits{MaxHeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout})
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.accept()
+	}()
+	return s, nil
+}
+
+// setLimits makes the limits of the connections that come from now on.
+func (s *callerServer) setLimits(limits policy.Limits) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closing || s.current != nil && limits == s.limits {
+		return
+	}
+	s.limits = limits
+	server := &http.Server{
+		Handler:           s.handler,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return withCallerConn(ctx) },
+	}
+	next := &handover{address: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
+	s.current = next
+	s.servers = append(s.servers, server)
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		_ = server.Serve(next)
+	}()
+}
+
+func (s *callerServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of descriptors, or a caller that left at once.
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.mutex.Lock()
+		current := s.current
+		s.mutex.Unlock()
+		current.give(conn)
+	}
+}
+
+// acceptPause follows an accept that failed for want of descriptors.
+const acceptPause = 5 * time.Millisecond
+
+// stopAccepting takes no further connections; open ones go on.
+func (s *callerServer) stopAccepting() { _ = s.listener.Close() }
+
+// shutdown ends idle connections and waits for the requests in work.
+func (s *callerServer) shutdown(ctx context.Context) error {
+	s.stopAccepting()
+	s.mutex.Lock()
+	s.closing = true
+	servers := s.servers
+	s.mutex.Unlock()
+	var failures []error
+	for _, server := range servers {
+		failures = append(failures, server.Shutdown(ctx))
+	}
+	return errors.Join(failures...)
+}
+
+// handover is a listener that gets its connections from another one.
+type handover struct {
+	address net.Addr
+	conns   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (h *handover) give(conn net.Conn) {
+	select {
+	case h.conns <- conn:
+	case <-h.closed:
+		_ = conn.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (h *handover) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handover) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handover) Addr() net.Addr { return h.address }
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,356 @@
+// Package edge is a node of the forwarding tier: it takes callers' requests, sends
+// each to one replica of a service or of every shard, and answers. All nodes are
+// alike; none writes anything anywhere.
+package edge
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/pistachiopier/pistachiopier/internal/belief"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/extra"
+	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
+	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
+	"github.com/pistachiopier/pistachiopier/internal/membership"
+	"github.com/pistachiopier/pistachiopier/internal/mirror"
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
+)
+
+// storeDialTimeout bounds the opening of a connection to the store, which answers
+// in milliseconds.
+const storeDialTimeout = 500 * time.Millisecond
+
+// logCloseLimit bounds the wait for the log's reader at the stop.
+const logCloseLimit = 200 * time.Millisecond
+
+// Node is a running node.
+type Node struct {
+	settings atomic.Pointer[settings.Edge]
+	started  time.Time
+	identity peer.Identity
+	log      *decisionlog.Log
+	quiet    logrus.FieldLogger
+	metrics  nodeMetrics
+	beliefs  *beliefs
+	registry *registry
+	views    *belief.Store
+	replicas *replicaconn.Client
+	copied   *mirror.Copy
+	mirror   *mirror.Server
+	follower *mirror.Follower
+	pool     *peer.Pool
+	server   *peer.Server
+	members  *membership.Duty
+	callers  *callerServer
+	others   []*http.Server
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	ready    atomic.Bool
+	// preferredNodes counts the nodes that callers are sent to; it is renewed by
+	// the housekeeping.
+	preferredNodes atomic.Int64
+	ctx            context.Context
+	cancel         context.CancelFunc
+	done           sync.WaitGroup
+}
+
+// New describes a node as an fx application; Start it and Stop it.
+func New(s *settings.Edge, out io.Writer) (*fx.App, *Node) {
+	n := newNode(s, out)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(n.quiet) }),
+		fx.Invoke(func(lifecycle fx.Lifecycle) {
+			lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+		}),
+		fx.StopTimeout(s.StopWait),
+	)
+	return app, n
+}
+
+func newNode(s *settings.Edge, out io.Writer) *Node {
+	started := time.Now()
+	n := &Node{
+		started:  started,
+		identity: peer.Identity{Node: core.NodeID(s.PeerAddress), Incarnation: uint64(started.UnixNano())},
+		log:      decisionlog.New(out, decisionlog.Fields{"node": s.Node}),
+		quiet:    logs.Discard(),
+		metrics:  newNodeMetrics(),
+		views:    belief.NewStore(),
+		replicas: replicaconn.NewClient(platform.Wire{}),
+		copied:   mirror.NewCopy(),
+	}
+	n.settings.Store(s)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.beliefs = newBeliefs(s.DataCentre, extra.Bound{}, n.now)
+	n.registry = &registry{beliefs: n.beliefs, log: n.log, onConfig: n.configInForce}
+	n.mirror = mirror.NewServer(n.copied, n.age)
+	return n
+}
+
+func (n *Node) now() core.Time { return time.Since(n.started) }
+
+func (n *Node) view() *route.View { return n.views.View() }
+
+// age is how long ago the node's beliefs were confirmed by the store.
+func (n *Node) age() (time.Duration, bool) {
+	if n.follower == nil {
+		return 0, false
+	}
+	return n.follower.Age()
+}
+
+func (n *Node) start(context.Context) error {
+	s := n.settings.Load()
+	n.log.Life("node_started", decisionlog.Fields{"data_centre": s.DataCentre, "callers": s.CallerAddress, "peers": s.PeerAddress, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
+	tlsConfig, err := keys.Ephemeral(s.PeerAddress, time.Now())
+	if err != nil {
+		return fault.Step("make the node's key", err)
+	}
+	if err := n.startPeers(s, tlsConfig); err != nil {
+		return err
+	}
+	n.setBound()
+	store := platform.NewStore(s.StoreAddress, storeDialTimeout)
+	n.follower = mirror.Follow(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
+	n.ready.Store(true)
+	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
+		return err
+	}
+	if err := n.startOthers(s); err != nil {
+		return err
+	}
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		n.housekeep()
+	}()
+	return nil
+}
+
+func (n *Node) startPeers(s *settings.Edge, tlsConfig *tls.Config) error {
+	var err error
+	if n.pool, err = peer.NewPool(tlsConfig, n.identity, n); err != nil {
+		return fault.Step("open peer pool", err)
+	}
+	if n.server, err = peer.Listen(s.PeerAddress, tlsConfig, n.identity, n); err != nil {
+		return fault.Step("listen for peers", err)
+	}
+	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress}
+	n.views.SetSelf(self)
+	n.members = membership.Start(membership.Options{
+		Self:        self,
+		Incarnation: n.identity.Incarnation,
+		List:        membership.Seeds(s.Seeds),
+		Belief:      n.views,
+		Peers:       n.pool,
+		Now:         n.now,
+		Log:         n.quiet,
+		Problems:    observe.NewProblems(n.now),
+	})
+	n.pool.OnLink(n.linkNews)
+	return nil
+}
+
+// linkNews takes the evidence of data traffic about the node behind a link.
+func (n *Node) linkNews(news peer.LinkNews) {
+	if news.State == peer.LinkAnswers {
+		n.members.Answered(news.Peer.Node)
+		return
+	}
+	n.members.Lost(news.Peer.Node)
+}
+
+// startOthers opens the addresses besides the callers'.
+func (n *Node) startOthers(s *settings.Edge) error {
+	for _, one := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.DirectoryAddress, n.directory()},
+		{s.ReadyAddress, n.readiness()},
+		{s.MetricsAddress, n.operator()},
+	} {
+		if one.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + one.address, Fix: "choose a free address of this VM in the settings", Cause: err}
+		}
+		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
+		n.others = append(n.others, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	return nil
+}
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(inbound *peer.Inbound) {
+	switch {
+	case !n.ready.Load():
+		inbound.Reply(peer.Refused(core.ReasonPeerUnreached), true)
+	case inbound.Envelope.GetHeartbeat() != nil:
+		n.members.HandleHeartbeat(inbound)
+	case inbound.Envelope.GetMirrorRequest() != nil:
+		n.mirror.Handle(inbound)
+	default:
+		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
+	}
+}
+
+// configInForce adapts what depends on the configuration.
+func (n *Node) configInForce() {
+	config := n.beliefs.config.Load()
+	if n.callers != nil {
+		n.callers.setLimits(config.Limits)
+	}
+	n.beliefs.mutex.Lock()
+	defer n.beliefs.mutex.Unlock()
+	n.beliefs.budget.Forget(func(service string) bool { return n.beliefs.book.Usable(service) > 0 }, n.now())
+}
+
+// housekeeping is how often beliefs that age are looked at.
+const housekeeping = 200 * time.Millisecond
+
+func (n *Node) housekeep() {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.registry.expire()
+		n.setBound()
+		n.preferredNodes.Store(int64(len(n.preferred())))
+		if config := n.beliefs.config.Load(); config != nil {
+			n.callers.setLimits(config.Limits)
+		}
+		n.replicas.Forget(func(id string) bool {
+			n.beliefs.mutex.Lock()
+			defer n.beliefs.mutex.Unlock()
+			one, ok := n.beliefs.book.Get(id)
+			return ok && !one.Draining
+		})
+	}
+}
+
+// Shares of the bound on extra arrivals that this node uses. The rest is for what
+// the nodes cannot know of each other: requests that are counted a moment apart,
+// and processes that restart and forget what they spent.
+const (
+	ratioUsed     = 0.8
+	allowanceUsed = 0.4
+)
+
+// setBound shares the fixed allowance among the nodes that are live.
+func (n *Node) setBound() {
+	s := n.settings.Load()
+	nodes := max(len(n.view().Nodes()), len(s.Seeds), 1)
+	bound := extra.Bound{
+		Window:    s.ExtraWindow,
+		Ratio:     s.ExtraRatio * ratioUsed,
+		Allowance: s.ExtraAllowance * allowanceUsed / float64(nodes),
+	}
+	n.beliefs.mutex.Lock()
+	defer n.beliefs.mutex.Unlock()
+	n.beliefs.budget.SetBound(bound)
+}
+
+// Shares of a replica's connections. Nodes that callers are not sent to still get
+// requests of callers with old answers, and keep one connection each.
+const (
+	connectionsUsed   = 0.85
+	defaultConnection = 8
+)
+
+// connectionShare is how many connections this node may hold to a replica of a
+// service. The shares of all live nodes stay below the replica's limit.
+func (n *Node) connectionShare(config *policy.Config, service string) int {
+	limit := config.Services[service].MaxConnections
+	if limit <= 0 {
+		limit = defaultConnection
+	}
+	all := len(n.view().Nodes())
+	preferred := int(n.preferredNodes.Load())
+	usable := int(connectionsUsed*float64(limit)) - (all - preferred)
+	return max(usable/max(preferred, 1), 1)
+}
+
+// Reload takes new settings. Addresses of a running process do not change.
+func (n *Node) Reload(s *settings.Edge) {
+	n.settings.Store(s)
+	n.setBound()
+	n.log.Life("settings_reloaded", decisionlog.Fields{"seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
+}
+
+// copies names the nodes whose copies of the store can be read.
+type copies struct {
+	node *Node
+	mirror.Links
+}
+
+// Sources implements mirror.Peers: the nodes that read the store are the first in
+// one order of all nodes by a hash, so that nodes with the same view agree on them.
+func (c copies) Sources(readers int) ([]peer.Target, int) {
+	const mirrorBundle = 0
+	view := c.node.view()
+	var sources []peer.Target
+	self := -1
+	for rank := range len(view.Nodes()) {
+		one, ok := view.Rank(core.BundleID(mirrorBundle), "", rank)
+		switch {
+		case !ok:
+			continue
+		case one.ID == c.node.identity.Node:
+			self = rank
+		case len(sources) < readers+1:
+			sources = append(sources, peer.Target{Node: one.ID, Address: one.PeerAddress})
+		}
+	}
+	return sources, self
+}
+
+// dump is the node's state for operators.
+func (n *Node) dump() any {
+	s := n.settings.Load()
+	state := map[string]any{
+		"node": s.Node, "data_centre": s.DataCentre, "stopping": n.stopping.Load(), "in_flight": n.inFlight.Load(),
+		"nodes": n.view().Nodes(), "store_revision": n.copied.UpTo(), "connections": n.replicas.Open(),
+	}
+	if config := n.beliefs.config.Load(); config != nil {
+		state["config_version"] = config.Version
+	}
+	var replicas []replica.Replica
+	n.beliefs.note(func(book *replica.Book, _ core.Time) {
+		book.All(func(one replica.Replica) { replicas = append(replicas, one) })
+	})
+	state["replicas"] = replicas
+	return state
+}
+
+// SettingsRefused notes new settings that cannot be used; the former stay in force.
+func (n *Node) SettingsRefused(cause error) {
+	n.log.Life("settings_refused", decisionlog.Fields{"error": cause.Error(), "outcome": "the former stay in force"})
+}
--- /dev/null
+++ b/internal/edge/settings/settings.go
@@ -0,0 +1,79 @@
+// Package settings is what one process of the forwarding tier is told at its
+// start and at each reload.
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+)
+
+// Edge are the settings of one node.
+type Edge struct {
+	// Node is the VM's name, for people; nodes know each other by PeerAddress.
+	Node       string
+	DataCentre string
+	// CallerAddress takes callers' requests, ReadyAddress says whether it does,
+	// DirectoryAddress tells callers which addresses to use.
+	CallerAddress    string
+	ReadyAddress     string
+	DirectoryAddress string
+	OperatorAddress  string
+	MetricsAddress   string
+	// PeerAddress is the UDP address for other nodes.
+	PeerAddress string
+	// Seeds are peer addresses of a few nodes; they may be stale.
+	Seeds        []string
+	StoreAddress string
+	// Cores, LinkMegabits and MemoryBytes are what the VM has; 0 is not known.
+	Cores        float64
+	LinkMegabits float64
+	MemoryBytes  int64
+	// StopWait is the time from the signal to stop until the process is killed.
+	StopWait time.Duration
+	// MaxKeep is the longest that callers keep an address answer.
+	MaxKeep time.Duration
+	// ConfigApply is the time within which an acknowledged configuration is to
+	// be in force.
+	ConfigApply time.Duration
+	// DrainWait is how long a replica that leaves still takes requests.
+	DrainWait time.Duration
+	// ExtraRatio, ExtraWindow and ExtraAllowance bound the arrivals at a service
+	// beyond the first of each request, over all nodes.
+	ExtraRatio     float64
+	ExtraWindow    time.Duration
+	ExtraAllowance float64
+}
+
+// Defaults of settings that may be missing.
+const (
+	DefaultStopWait    = 6 * time.Second
+	DefaultExtraRatio  = 0.1
+	DefaultExtraWindow = 10 * time.Second
+)
+
+// Validate fills defaults and refuses settings that a node cannot run with.
+func (e *Edge) Validate() error {
+	for _, one := range []struct{ name, value string }{
+		{"the node's name", e.Node},
+		{"the address for callers", e.CallerAddress},
+		{"the address of the directory", e.DirectoryAddress},
+		{"the address of the metadata store", e.StoreAddress},
+		{"the address for peers", e.PeerAddress},
+	} {
+		if one.value == "" {
+			return &fault.Error{Code: fault.CodeSettingsInvalid, Message: one.name + " is missing", Fix: "give it in the settings file"}
+		}
+	}
+	if e.ExtraRatio < 0 || e.ExtraRatio > 1 {
+		return &fault.Error{Code: fault.CodeSettingsInvalid, Message: fmt.Sprintf("the share of extra arrivals is %g", e.ExtraRatio), Fix: "give a number from 0 to 1"}
+	}
+	if e.StopWait <= 0 {
+		e.StopWait = DefaultStopWait
+	}
+	if e.ExtraWindow <= 0 {
+		e.ExtraWindow, e.ExtraRatio = DefaultExtraWindow, DefaultExtraRatio
+	}
+	return nil
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -217,3 +217,30 @@
 func tlsFault(message string, cause error) error {
 	return &fault.Error{Code: fault.CodeTLS, Message: message, Fix: "make new ones with pistachiopier keys", Cause: cause}
 }
+
+// ephemeralLife is the validity of an ephemeral certificate, in both directions
+// of the clock: the time of day may jump, and nothing but the process's life ends
+// the key.
+const ephemeralLife = 10 * 365 * 24 * time.Hour
+
+// Ephemeral builds the TLS configuration of a node where no operator issues
+// certificates. Each process signs its own, and any is accepted. This keeps the
+// links' contents from who only listens and ties a link to one process; it does
+// not tell a node from an intruder who can reach its port.
+func Ephemeral(id string, now time.Time) (*tls.Config, error) {
+	authority, err := NewAuthority(now.Add(-ephemeralLife), 2*ephemeralLife)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := authority.Issue(id, now.Add(-ephemeralLife), 2*ephemeralLife)
+	if err != nil {
+		return nil, err
+	}
+	config, err := Config(authority.Certificate, pair)
+	if err != nil {
+		return nil, err
+	}
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.InsecureSkipVerify = true
+	return config, nil
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -23,13 +23,20 @@
 
 const ringDepth = 1024
 
+// Lister reads a list of VMs. A read with a wait returns after it when nothing has
+// changed behind the given sequence.
+type Lister interface {
+	ReadVMs(ctx context.Context, after uint64, wait time.Duration) (list confservice.VMList, changed bool, err error)
+}
+
 // Options are the parts of a Duty.
 type Options struct {
 	Self        route.Node
 	Incarnation uint64
-	Client      *confservice.Client
-	Belief      *belief.Store
-	Peers       peer.Asker
+	// List is read for the nodes that there may be.
+	List   Lister
+	Belief *belief.Store
+	Peers  peer.Asker
 	// Now reads the node's monotonic clock.
 	Now      func() core.Time
 	Log      logrus.FieldLogger
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -81,7 +81,7 @@
 	d := Start(Options{
 		Self:        route.Node{ID: "vm-1", PeerAddress: "10.0.0.1:1"},
 		Incarnation: 1,
-		Client:      client,
+		List:        client,
 		Belief:      store,
 		Peers:       peers,
 		Now:         time.now,
--- /dev/null
+++ b/internal/membership/seeds.go
@@ -0,0 +1,29 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
+)
+
+// Seeds is a list of nodes' peer addresses where there is no VM list. A node's id
+// then is its peer address. Seeds may be stale: the other nodes, and what the
+// seeds' own particulars are, come by heartbeat.
+type Seeds []string
+
+// ReadVMs implements Lister. The list never changes.
+func (s Seeds) ReadVMs(ctx context.Context, after uint64, timeout time.Duration) (confservice.VMList, bool, error) {
+	const sequence = 1
+	if after >= sequence {
+		wait.For(ctx, timeout)
+		return confservice.VMList{}, false, nil
+	}
+	list := confservice.VMList{Sequence: sequence}
+	for _, address := range s {
+		list.VMs = append(list.VMs, confservice.VM{ID: core.NodeID(address), State: confservice.VMLive, PeerAddress: address})
+	}
+	return list, true, nil
+}
--- a/internal/membership/vmlist.go
+++ b/internal/membership/vmlist.go
@@ -38,7 +38,7 @@
 		if d.seen == 0 {
 			timeout = 0
 		}
-		list, changed, err := d.options.Client.ReadVMs(d.ctx, d.seen, timeout)
+		list, changed, err := d.options.List.ReadVMs(d.ctx, d.seen, timeout)
 		switch {
 		case d.ctx.Err() != nil:
 			return
--- /dev/null
+++ b/internal/mirror/follow.go
@@ -0,0 +1,245 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
+)
+
+// Config sets the pace of a Follower.
+type Config struct {
+	// Readers is the number of nodes that watch the store; the others follow
+	// them. Each watch is one call at least every WatchWait.
+	Readers int
+	// WatchWait is how long a watch waits for a change. A connection that went
+	// silent is noticed WatchWait + Slack after the last answer, which must stay
+	// well below the time in which changes are to be in force.
+	WatchWait time.Duration
+	// Slack is how much longer than asked for an answer may take.
+	Slack time.Duration
+	// Gather is how long a watch pauses after a change, so that changes that come
+	// together cost one call.
+	Gather time.Duration
+	// Retry is the pause after a failed call to the store.
+	Retry time.Duration
+	// Stale is the age from which on a copy is no longer followed.
+	Stale time.Duration
+	// Outage is the time without an answer after which removals may be the
+	// store's own doing: entries lapse when replicas cannot renew them.
+	Outage time.Duration
+	// Return is how long after an outage entries may take to come back.
+	Return time.Duration
+}
+
+// DefaultConfig is the pace for changes that are to be in force within 3 s.
+func DefaultConfig() Config {
+	return Config{
+		Readers:   3,
+		WatchWait: 1200 * time.Millisecond,
+		Slack:     500 * time.Millisecond,
+		Gather:    60 * time.Millisecond,
+		Retry:     400 * time.Millisecond,
+		Stale:     2500 * time.Millisecond,
+		Outage:    2200 * time.Millisecond,
+		Return:    2200 * time.Millisecond,
+	}
+}
+
+// Change is what a reading brought.
+type Change struct {
+	Items []Item
+	// AfterOutage is set when removals among the items may not mean that a
+	// replica is gone.
+	AfterOutage bool
+}
+
+// Listener takes what happens to a copy. Its calls come from one goroutine.
+type Listener interface {
+	// Changed is told each change.
+	Changed(Change)
+	// SourceFailed and SourceBack tell that the store, or a peer that was
+	// followed, does not answer or answers again.
+	SourceFailed(source string, cause error)
+	SourceBack(source string, after time.Duration)
+}
+
+// Follower keeps a Copy up to date from the store or from peers.
+type Follower struct {
+	config   Config
+	copy     *Copy
+	store    Store
+	peers    Peers
+	listener Listener
+	now      func() core.Time
+
+	// confirmed is when the copy was last known to be the store's newest state,
+	// on this node's clock; 0 is never.
+	confirmed atomic.Int64
+	calls     atomic.Int64
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+
+	// The rest is used by the following goroutine alone.
+	failedSince  core.Time
+	storeRetryAt core.Time
+	returnUntil  core.Time
+	followed     string
+}
+
+// Follow starts to keep a copy up to date; Close ends it.
+func Follow(config Config, copied *Copy, store Store, peers Peers, listener Listener, now func() core.Time) *Follower {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &Follower{config: config, copy: copied, store: store, peers: peers, listener: listener, now: now, stop: stop}
+	f.done.Add(1)
+	go func() {
+		defer f.done.Done()
+		f.run(ctx)
+	}()
+	return f
+}
+
+// Close ends the following.
+func (f *Follower) Close() {
+	f.stop()
+	f.done.Wait()
+	f.store.Close()
+}
+
+// Age is how long ago the copy was confirmed; false when it never was.
+func (f *Follower) Age() (time.Duration, bool) {
+	confirmed := core.Time(f.confirmed.Load())
+	if confirmed == 0 {
+		return 0, false
+	}
+	return f.now() - confirmed, true
+}
+
+// Calls counts the calls to the store.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
+// run reads again and again. A node that is not a reader follows peers, and turns
+// to the store itself when none of them has a fresh copy; a reader that the store
+// turns away follows peers until it may try again.
+func (f *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sources, self := f.peers.Sources(f.config.Readers)
+		reader := self >= 0 && self < f.config.Readers || len(sources) == 0
+		if reader && f.now() >= f.storeRetryAt {
+			f.readStore(ctx)
+			continue
+		}
+		if f.readPeers(ctx, sources, reader) {
+			continue
+		}
+		if f.now() >= f.storeRetryAt {
+			f.readStore(ctx)
+			continue
+		}
+		wait.For(ctx, f.storeRetryAt-f.now())
+	}
+}
+
+// readStore makes one call, or those of a whole reading.
+func (f *Follower) readStore(ctx context.Context) {
+	delta, err := f.fromStore(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.storeFailed(err)
+		return
+	}
+	f.storeBack()
+	f.take(delta, f.now())
+	if len(delta.Items) > 0 {
+		wait.For(ctx, f.config.Gather)
+	}
+}
+
+func (f *Follower) fromStore(ctx context.Context) (Delta, error) {
+	timeout := f.config.WatchWait + f.config.Slack
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	f.calls.Add(1)
+	after := f.copy.UpTo()
+	if after == 0 {
+		return readAll(ctx, f.store)
+	}
+	delta, err := f.store.Watch(ctx, after, f.config.WatchWait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.calls.Add(1)
+		return readAll(ctx, f.store)
+	}
+	return delta, err
+}
+
+func (f *Follower) storeFailed(cause error) {
+	f.store.Close()
+	f.storeRetryAt = f.now() + f.config.Retry
+	if f.failedSince == 0 {
+		f.failedSince = max(f.now(), 1)
+		f.listener.SourceFailed("store", cause)
+	}
+}
+
+func (f *Follower) storeBack() {
+	if f.failedSince == 0 {
+		return
+	}
+	f.listener.SourceBack("store", f.now()-f.failedSince)
+	f.failedSince = 0
+}
+
+// readPeers reads from the first peer whose copy is fresh. A reader of the store
+// asks without waiting long, since it is to try the store again.
+func (f *Follower) readPeers(ctx context.Context, sources []peer.Target, reader bool) bool {
+	waiting := f.config.WatchWait
+	if reader {
+		waiting = min(waiting, max(f.storeRetryAt-f.now(), 0))
+	}
+	for _, source := range sources {
+		if f.readPeer(ctx, source, waiting) {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+func (f *Follower) readPeer(ctx context.Context, source peer.Target, waiting time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, waiting+f.config.Slack)
+	defer cancel()
+	delta, age, err := f.peers.Fetch(ctx, source, f.copy.UpTo(), waiting)
+	if err != nil {
+		return false
+	}
+	f.take(delta, f.now()-age)
+	if age > f.config.Stale {
+		return false
+	}
+	if f.followed != string(source.Node) {
+		f.followed = string(source.Node)
+	}
+	return true
+}
+
+// take takes up a delta that was the store's newest state at a time.
+func (f *Follower) take(delta Delta, confirmed core.Time) {
+	before := core.Time(f.confirmed.Load())
+	if before > 0 && confirmed-before > f.config.Outage {
+		f.returnUntil = f.now() + f.config.Return
+	}
+	changed := f.copy.Apply(delta)
+	f.confirmed.Store(int64(max(confirmed, before, 1)))
+	if len(changed) > 0 {
+		f.listener.Changed(Change{Items: changed, AfterOutage: f.now() < f.returnUntil})
+	}
+}
--- /dev/null
+++ b/internal/mirror/peers.go
@@ -0,0 +1,123 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+var errRefused = errors.New("the peer does not give its copy")
+
+// maxServed bounds the peers' questions that are held at once.
+const maxServed = 1024
+
+// unconfirmed is the age told of a copy that was never confirmed.
+const unconfirmed = time.Hour
+
+// Links asks peers for their copies.
+type Links struct{ Asker peer.Asker }
+
+// Fetch is Peers.Fetch over the links between nodes.
+func (l Links) Fetch(ctx context.Context, from peer.Target, after uint64, waiting time.Duration) (Delta, time.Duration, error) {
+	request := &peerpb.Envelope{Body: &peerpb.Envelope_MirrorRequest{MirrorRequest: &peerpb.MirrorRequest{
+		After:  after,
+		WaitMs: uint64(waiting.Milliseconds()),
+	}}}
+	type answer struct {
+		reply   *peerpb.Envelope
+		failure *peer.LinkError
+	}
+	answers := make(chan answer, 1)
+	ticket := l.Asker.Ask(from, request, func(reply *peerpb.Envelope, failure *peer.LinkError) {
+		select {
+		case answers <- answer{reply, failure}:
+		default:
+		}
+	})
+	select {
+	case got := <-answers:
+		if got.failure != nil {
+			return Delta{}, 0, got.failure
+		}
+		if got.reply.GetMirrorReply() == nil {
+			return Delta{}, 0, errRefused
+		}
+		return decode(got.reply.GetMirrorReply())
+	case <-ctx.Done():
+		ticket.Cancel()
+		return Delta{}, 0, ctx.Err()
+	}
+}
+
+func decode(reply *peerpb.MirrorReply) (Delta, time.Duration, error) {
+	delta := Delta{After: reply.GetAfter(), UpTo: reply.GetUpTo(), Whole: reply.GetWhole()}
+	for _, one := range reply.GetItems() {
+		delta.Items = append(delta.Items, Item{Key: one.GetKey(), Value: one.GetValue(), Revision: one.GetRevision(), Removed: one.GetRemoved()})
+	}
+	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
+}
+
+// Server answers peers from a copy.
+type Server struct {
+	Copy *Copy
+	// Age is how long ago the copy was confirmed; false is never.
+	Age   func() (time.Duration, bool)
+	slots chan struct{}
+}
+
+// NewServer makes a server of a copy.
+func NewServer(copied *Copy, age func() (time.Duration, bool)) *Server {
+	return &Server{Copy: copied, Age: age, slots: make(chan struct{}, maxServed)}
+}
+
+// Handle answers a request, held back while there is nothing new.
+func (s *Server) Handle(inbound *peer.Inbound) {
+	select {
+	case s.slots <- struct{}{}:
+		go func() {
+			defer func() { <-s.slots }()
+			s.answer(inbound)
+		}()
+	default:
+		inbound.Reply(peer.Refused(core.ReasonOverloaded), true)
+	}
+}
+
+func (s *Server) answer(inbound *peer.Inbound) {
+	request := inbound.Envelope.GetMirrorRequest()
+	ctx, cancel := context.WithTimeout(inbound.Context, time.Duration(request.GetWaitMs())*time.Millisecond)
+	defer cancel()
+	for {
+		changed := s.Copy.Changed()
+		if s.Copy.UpTo() > request.GetAfter() {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	if inbound.Context.Err() != nil {
+		return
+	}
+	inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_MirrorReply{MirrorReply: s.reply(request.GetAfter())}}, true)
+}
+
+func (s *Server) reply(after uint64) *peerpb.MirrorReply {
+	age, known := s.Age()
+	if !known {
+		age = unconfirmed
+	}
+	delta := s.Copy.Since(after)
+	reply := &peerpb.MirrorReply{After: delta.After, UpTo: delta.UpTo, Whole: delta.Whole && delta.UpTo > 0, AgeMs: uint64(age.Milliseconds())}
+	for _, item := range delta.Items {
+		reply.Items = append(reply.Items, &peerpb.MirrorItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/mirror/source.go
@@ -0,0 +1,65 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+)
+
+// ErrHistoryGone says that the store no longer knows the changes asked for: the
+// copy has to be read anew.
+var ErrHistoryGone = errors.New("the store has dropped the history that was asked for")
+
+// Page is a part of all items.
+type Page struct {
+	Items []Item
+	// More is set when further items come after the last one.
+	More bool
+	// Revision is the store's revision at the reading of the page.
+	Revision uint64
+}
+
+// Store is where items are published.
+type Store interface {
+	// Page reads the items behind a key; "" is the start.
+	Page(ctx context.Context, after string) (Page, error)
+	// Watch waits for changes behind a revision, at most for the given time.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Delta, error)
+	// Close ends the connections that are idle.
+	Close()
+}
+
+// Peers are the other nodes' copies.
+type Peers interface {
+	// Sources lists the nodes to read from, those that read the store first. self
+	// is this node's own place among the readers of the store; it is negative when
+	// the node is not one of them.
+	Sources(readers int) (sources []peer.Target, self int)
+	// Fetch reads what changed behind a revision in a node's copy and how long ago
+	// that copy was confirmed by the store. It waits for changes at most for the
+	// given time.
+	Fetch(ctx context.Context, from peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error)
+}
+
+// readAll reads every item. Pages are not a snapshot: what changes between them is
+// brought by the watch from the first page's revision, which the result bears.
+func readAll(ctx context.Context, store Store) (Delta, error) {
+	delta := Delta{Whole: true}
+	after := ""
+	for {
+		page, err := store.Page(ctx, after)
+		if err != nil {
+			return Delta{}, err
+		}
+		if after == "" {
+			delta.UpTo = page.Revision
+		}
+		delta.Items = append(delta.Items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return delta, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/replicaconn/client.go
@@ -0,0 +1,189 @@
+// Package replicaconn holds the connections to replicas and sends requests over
+// them: HTTP/1.1, one request at a time on a connection, each request exactly
+// once.
+//
+// net/http's own client is not used for the exchange, only its parser: it sends
+// a request again by itself when a reused connection breaks, which would be an
+// arrival that nobody counts and, for what must not run twice, a second run.
+package replicaconn
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits and times of the connections.
+const (
+	// maxBodyBytes bounds an answer; a longer one is a failure.
+	maxBodyBytes = 8 << 20
+	// dialTimeout bounds the opening of a connection. A replica answers it within
+	// ten milliseconds or so; one that is dark never does.
+	dialTimeout = 300 * time.Millisecond
+	// linger is how long an exchange whose answer is no longer wanted may still
+	// come to its end, so that its connection can be used again. A replica drops
+	// the work when the connection closes, and callers that left may keep a
+	// replica busy for half a second at most.
+	linger = 250 * time.Millisecond
+	// freshIdle is how long a connection may have been idle and still carry a
+	// request that must not be repeated: if the replica or something between has
+	// forgotten the connection, whether that request ran cannot be known.
+	freshIdle = 2 * time.Second
+	// defaultIdle is used where a replica does not state its idle timeout.
+	defaultIdle = 20 * time.Second
+	// idleMargin is kept below the idle timeout that a replica states, in whole
+	// seconds, so that a request does not cross the replica's close.
+	idleMargin = time.Second
+	// userTimeout is the TCP_USER_TIMEOUT: bytes that nobody acknowledges for this
+	// long end the connection.
+	userTimeout = 2 * time.Second
+)
+
+// Request is one request to one replica.
+type Request struct {
+	// Replica is the incarnation meant, Address where it listens.
+	Replica string
+	Address string
+	// MaxConnections bounds this node's connections to the replica.
+	MaxConnections int
+	Method         string
+	// Target is the path and query exactly as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is what the replica echoes; an answer with another id belongs to another
+	// request. It is not checked when empty.
+	ID string
+	// Once requests must not run twice: they use fresh connections only.
+	Once bool
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error is an exchange that brought no whole answer.
+type Error struct {
+	Step string
+	// Sent is set when any byte of the request may have left.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Step + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+var (
+	errOtherAnswer = errors.New("the answer belongs to another request")
+	errUnasked     = errors.New("bytes came that no request asked for")
+	errTooLong     = errors.New("the answer is longer than this node takes")
+	errClosed      = errors.New("the client is closed")
+	errReplaced    = errors.New("the connection was given up")
+)
+
+// Wire writes the headers of the replicas' protocol and reads them.
+type Wire interface {
+	// Mark adds to a copied header the replica meant and the time left.
+	Mark(header http.Header, replica string, left time.Duration)
+	// EchoedID reads the request id that an answer belongs to.
+	EchoedID(header http.Header) string
+}
+
+// Client holds the connections to all replicas. Close ends them.
+type Client struct {
+	wire   Wire
+	mutex  sync.Mutex
+	hosts  map[string]*host
+	closed bool
+	opened int64
+}
+
+// NewClient makes a client without connections.
+func NewClient(wire Wire) *Client { return &Client{wire: wire, hosts: map[string]*host{}} }
+
+// Opened counts the connections opened since the start.
+func (c *Client) Opened() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.opened
+}
+
+// Open counts the connections that are open now.
+func (c *Client) Open() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	total := 0
+	for _, h := range c.hosts {
+		total += h.open
+	}
+	return total
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closed = true
+	for _, h := range c.hosts {
+		h.closeIdle(errClosed)
+	}
+}
+
+// Forget closes the idle connections to replicas that are not wanted any more.
+func (c *Client) Forget(wanted func(replica string) bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for replica, h := range c.hosts {
+		if wanted(replica) {
+			continue
+		}
+		h.closeIdle(errReplaced)
+		if h.open == 0 {
+			delete(c.hosts, replica)
+		}
+	}
+}
+
+// Do sends the request once and waits for its whole answer. When the context ends
+// it returns at once; the exchange itself then has a moment to end by itself.
+func (c *Client) Do(ctx context.Context, request *Request) (*Response, error) {
+	call := &call{request: request, done: make(chan outcome, 1)}
+	conn, err := c.connect(ctx, call)
+	if err != nil {
+		return nil, &Error{Step: "connect", Cause: err}
+	}
+	if err := conn.write(ctx, call); err != nil {
+		conn.close(err)
+		return nil, &Error{Step: "send", Sent: true, Cause: err}
+	}
+	select {
+	case end := <-call.done:
+		return end.response, end.err
+	case <-ctx.Done():
+		conn.lingerFor(call)
+		return nil, &Error{Step: "await answer", Sent: true, Cause: context.Cause(ctx)}
+	}
+}
+
+// connect gets a connection that carries the call. An idle connection may have
+// ended just now; nothing was sent on it, so that the next one is taken.
+func (c *Client) connect(ctx context.Context, call *call) (*conn, error) {
+	for {
+		conn, err := c.acquire(ctx, call.request)
+		if err != nil {
+			return nil, err
+		}
+		if conn.begin(call) {
+			return conn, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/replicaconn/host.go
@@ -0,0 +1,203 @@
+package replicaconn
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is the number of the TCP_USER_TIMEOUT option on Linux, which the
+// syscall package does not name.
+const tcpUserTimeout = 0x12
+
+// host is the connections to one incarnation of a replica. Its fields are guarded
+// by the client's mutex.
+type host struct {
+	open    int
+	idle    []*conn
+	waiters []chan struct{}
+}
+
+// acquire takes an idle connection, opens one within the bound, or waits until one
+// is free.
+func (c *Client) acquire(ctx context.Context, request *Request) (*conn, error) {
+	for {
+		conn, wait, err := c.take(request)
+		if err != nil || conn != nil {
+			return conn, err
+		}
+		if wait == nil {
+			return c.dial(ctx, request)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			c.leave(request.Replica, wait)
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// take returns an idle connection, or neither a connection nor a wait when the
+// caller may open one, or the wait for a free one.
+func (c *Client) take(request *Request) (*conn, <-chan struct{}, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return nil, nil, errClosed
+	}
+	h := c.hosts[request.Replica]
+	if h == nil {
+		h = &host{}
+		c.hosts[request.Replica] = h
+	}
+	if found := h.takeIdle(request, time.Now()); found != nil {
+		return found, nil, nil
+	}
+	if h.open < max(request.MaxConnections, 1) {
+		h.open++
+		return nil, nil, nil
+	}
+	wait := make(chan struct{}, 1)
+	h.waiters = append(h.waiters, wait)
+	return nil, wait, nil
+}
+
+// takeIdle takes the connection that was used last. Those idle for too long are
+// closed on the way. A connection that carried the same request before is left
+// out: a late second answer to that try could be taken for this one's.
+func (h *host) takeIdle(request *Request, now time.Time) *conn {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		one := h.idle[i]
+		idle := now.Sub(one.idleSince)
+		if idle >= one.idleLimit || request.Once && idle >= freshIdle {
+			h.dropIdle(i)
+			one.abandon(errReplaced)
+			continue
+		}
+		if request.ID != "" && one.lastID == request.ID {
+			continue
+		}
+		h.dropIdle(i)
+		return one
+	}
+	return nil
+}
+
+func (h *host) dropIdle(i int) { h.idle = append(h.idle[:i], h.idle[i+1:]...) }
+
+func (h *host) closeIdle(cause error) {
+	for _, one := range h.idle {
+		one.abandon(cause)
+	}
+	h.idle = nil
+}
+
+// wakeOne lets one waiter look again.
+func (h *host) wakeOne() {
+	if len(h.waiters) == 0 {
+		return
+	}
+	h.waiters[0] <- struct{}{}
+	h.waiters = h.waiters[1:]
+}
+
+// leave takes a waiter back. Where it was woken meanwhile, the next one is.
+func (c *Client) leave(replica string, wait <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.hosts[replica]
+	if h == nil {
+		return
+	}
+	for i, one := range h.waiters {
+		if one == wait {
+			h.waiters = append(h.waiters[:i], h.waiters[i+1:]...)
+			return
+		}
+	}
+	h.wakeOne()
+}
+
+// dial opens a connection for which take has counted a place.
+func (c *Client) dial(ctx context.Context, request *Request) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := net.Dialer{Control: limitSilence}
+	stream, err := dialer.DialContext(ctx, "tcp", request.Address)
+	if err != nil {
+		c.ended(request.Replica, nil)
+		return nil, err
+	}
+	c.mutex.Lock()
+	c.opened++
+	c.mutex.Unlock()
+	return newConn(c, request.Replica, stream), nil
+}
+
+// limitSilence makes the kernel end a connection whose bytes nobody acknowledges:
+// a replica that lost power or is cut off sends no reset.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// free makes a connection idle.
+func (c *Client) free(conn *conn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.hosts[conn.replica]
+	if c.closed || h == nil {
+		conn.abandon(errClosed)
+		return
+	}
+	conn.idleSince = time.Now()
+	h.idle = append(h.idle, conn)
+	h.wakeOne()
+}
+
+// ended takes a connection out of the books; nil is one that did not open.
+func (c *Client) ended(replica string, conn *conn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.hosts[replica]
+	if h == nil {
+		return
+	}
+	for i, one := range h.idle {
+		if one == conn {
+			h.dropIdle(i)
+			break
+		}
+	}
+	h.open--
+	h.wakeOne()
+}
+
+// suspect closes the idle connections to a replica on which nothing was heard
+// since the given time: when a request on one connection sees no answer at all,
+// something between may have lost track of the others too.
+func (c *Client) suspect(replica string, since time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.hosts[replica]
+	if h == nil {
+		return
+	}
+	kept := h.idle[:0]
+	for _, one := range h.idle {
+		if one.idleSince.Before(since) {
+			one.abandon(errReplaced)
+			continue
+		}
+		kept = append(kept, one)
+	}
+	h.idle = kept
+}
