--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,8 @@
 	// preferredNodes counts the nodes that callers are sent to; it is renewed by
 	// the housekeeping.
 	preferredNodes atomic.Int64
+	// preferredNames is used by the housekeeping alone.
+	preferredNames []string
 	ctx            context.Context
 	cancel         context.CancelFunc
 	done           sync.WaitGroup
@@ -243,7 +246,7 @@
 		}
 		n.registry.expire()
 		n.setBound()
-		n.preferredNodes.Store(int64(len(n.preferred())))
+		n.lookAtPreferred()
 		if config := n.beliefs.config.Load(); config != nil {
 			n.callers.setLimits(config.Limits)
 		}
@@ -256,6 +259,21 @@
 	}
 }
 
+// lookAtPreferred notes which nodes callers are sent to.
+func (n *Node) lookAtPreferred() {
+	nodes := n.preferred()
+	names := make([]string, 0, len(nodes))
+	for _, one := range nodes {
+		names = append(names, one.DataCentre+" "+one.CallerAddress)
+	}
+	n.preferredNodes.Store(int64(len(nodes)))
+	if slices.Equal(names, n.preferredNames) {
+		return
+	}
+	n.preferredNames = names
+	n.log.Life("entries_changed", decisionlog.Fields{"entries": names, "live": len(n.view().Nodes())})
+}
+
 // Shares of the bound on extra arrivals that this node uses. The rest is for what
 // the nodes cannot know of each other: requests that are counted a moment apart,
 // and processes that restart and forget what they spent.
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -71,7 +71,7 @@
 		known, had = book.Get(id)
 		book.Put(listed)
 	})
-	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "revision": item.Revision}
+	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
 	case !had:
 		r.log.Decision("replica_listed", fields)
