Late answers clear a replica's overdue mark; callers enter in their own data centre

Cause: marks of paused replicas outlived their pauses by up to a second, so that both replicas of a shard counted as overdue and hedges were withheld.

--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -57,6 +57,11 @@
 // there is no other: about one answer time of a fast route.
 const refusedPause = 20 * time.Millisecond
 
+// doubtfulAfter is how often a send must be found late before the hedge may go to a
+// replica that is itself overdue or failing: at first the hedge would most likely
+// be wasted, later it is the only chance left.
+const doubtfulAfter = 2
+
 // Event is what the machine is told.
 type Event interface{ isEvent() }
 
@@ -150,6 +155,8 @@
 	part    int
 	failed  bool
 	arrived bool
+	// lates counts how often the running send was found late.
+	lates int
 	// hedgeAt is when the running send is late, 0 for never; retryAt is when a
 	// refused one is tried again, 0 for none.
 	hedgeAt core.Time
@@ -292,7 +299,7 @@
 		return false
 	}
 	choice, ok := m.chooser.Pick(m.plan.Services[i], s.tried, m.now)
-	if !ok || cause == Hedge && choice.Doubtful {
+	if !ok || cause == Hedge && choice.Doubtful && s.lates < doubtfulAfter {
 		return false
 	}
 	if !m.spend(i) {
@@ -348,6 +355,7 @@
 		}
 	}
 	s.hedgeAt = m.now + m.plan.Hedge
+	s.lates++
 	if m.plan.Idempotent {
 		m.again(i, Hedge)
 	}
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -148,6 +148,15 @@
 	b.book.Answered(id, took, usual, b.now())
 }
 
+// answeredLate notes an answer that nobody waited for any more. It says how fast the
+// replica is, but not how long answers take that are waited for.
+func (b *beliefs) answeredLate(route *policy.Route, id string, took time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	usual, _ := b.routeLearnt(route.Name).times.Quantile(usualQuantile)
+	b.book.Answered(id, took, usual, b.now())
+}
+
 // note changes the book under the mutex.
 func (b *beliefs) note(change func(book *replica.Book, now core.Time)) {
 	b.mutex.Lock()
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -66,9 +66,6 @@
 	nodes := n.preferred()
 	var own, all []string
 	for _, node := range nodes {
-		if node.CallerAddress == "" {
-			continue
-		}
 		all = append(all, node.CallerAddress)
 		if node.DataCentre == dataCentre {
 			own = append(own, node.CallerAddress)
@@ -81,14 +78,15 @@
 }
 
 // leastOwn is the number of nodes in a caller's own data centre from which on it is
-// sent to these alone; with fewer, the loss of one would leave it without.
-const leastOwn = 2
+// sent to these alone. The answer is kept for a second, so that a caller whose only
+// node is lost soon learns of the others.
+const leastOwn = 1
 
 // preferred lists the live nodes in the data centres with the most replicas of
 // shards: a question that enters there reaches most of its parts without crossing
 // between data centres. It lists all live nodes where no data centre stands out.
 func (n *Node) preferred() []route.Node {
-	nodes := n.view().Nodes()
+	nodes := n.placed()
 	counts := n.shardReplicas()
 	most := 0
 	for _, count := range counts {
@@ -106,6 +104,18 @@
 	return near
 }
 
+// placed lists the live nodes whose addresses are known: a seed is known by its peer
+// address alone until it has answered.
+func (n *Node) placed() []route.Node {
+	var placed []route.Node
+	for _, node := range n.view().Nodes() {
+		if node.CallerAddress != "" {
+			placed = append(placed, node)
+		}
+	}
+	return placed
+}
+
 // shardReplicas counts the replicas of gathered services in each data centre.
 func (n *Node) shardReplicas() map[string]int {
 	config := n.beliefs.config.Load()
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -36,9 +36,9 @@
 const (
 	// onTheWay is the time that an answer takes to a caller and its request took
 	// from there, with a little for timers that fire late.
-	onTheWay = 8 * time.Millisecond
+	onTheWay = 9 * time.Millisecond
 	// firstOnTheWay is that with the opening of a connection before the request.
-	firstOnTheWay = 14 * time.Millisecond
+	firstOnTheWay = 16 * time.Millisecond
 	// defaultTimeout bounds a request whose caller and route set no limit.
 	defaultTimeout = 30 * time.Second
 )
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -130,6 +130,7 @@
 	wire := q.template
 	wire.Replica = one.send.Replica.ID
 	wire.Address = one.send.Replica.Address
+	wire.Late = func(response *replicaconn.Response) { q.lateAnswer(one, response) }
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica.Service)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
 	one.verdict = q.judge(one)
@@ -180,9 +181,18 @@
 	}
 }
 
+// lateAnswer learns from an answer that came after another replica's. Without it a
+// replica that paused for a moment would count as overdue long after its pause.
+func (q *request) lateAnswer(one *exchange, response *replicaconn.Response) {
+	if platform.Stamp(response.Header) == "" || response.Status >= 500 {
+		return
+	}
+	q.node.beliefs.answeredLate(q.route, one.send.Replica.ID, q.node.now()-one.startAt)
+}
+
 // noteEnd keeps the ends that are no plain success for the request's story.
 func (q *request) noteEnd(one *exchange) {
-	if one.verdict == scatter.Whole {
+	if one.verdict == scatter.Whole || errors.Is(one.err, errAnswered) {
 		return
 	}
 	s := step{Event: "send_failed", Replica: one.send.Replica.ID, Service: one.send.Replica.Service, TookMs: (q.node.now() - one.startAt).Milliseconds()}
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -59,6 +59,9 @@
 	ID string
 	// Once requests must not run twice: they use fresh connections only.
 	Once bool
+	// Late, when set, is told a whole answer that came after the context had ended:
+	// the replica is slow, not dead. It must not block.
+	Late func(*Response)
 }
 
 // Response is a whole answer.
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -51,7 +51,8 @@
 	request *Request
 	done    chan outcome
 	sentAt  time.Time
-	timer   *time.Timer
+	// timer runs when nobody waits for the answer any more.
+	timer *time.Timer
 }
 
 type outcome struct {
@@ -218,10 +219,11 @@
 	c.pending = nil
 	writing := c.writing
 	c.writing = nil
-	if one.timer != nil {
-		one.timer.Stop()
-	}
+	late := one.timer != nil && one.timer.Stop()
 	c.mutex.Unlock()
+	if late && one.request.Late != nil {
+		one.request.Late(response)
+	}
 	if writing != nil {
 		select {
 		case <-writing:
