--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -146,6 +146,8 @@
 	// Doubtful is set when the replica is overdue, failing or out of room: good
 	// enough for a first try where there is no other, not for a hedge.
 	Doubtful bool
+	// Far is set when the replica is in another data centre.
+	Far bool
 }
 
 // Pick chooses the replica of a service with the least cost, leaving out those
@@ -164,7 +166,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now)}, true
+	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now), Far: best.DataCentre != b.dataCentre}, true
 }
 
 func contains(ids []string, id string) bool {
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -27,6 +27,8 @@
 	// Hedge is how long an answer may take before another replica is asked too;
 	// 0 is never.
 	Hedge time.Duration
+	// FarExtra is how much longer that is for a replica in another data centre.
+	FarExtra time.Duration
 }
 
 // Chooser is what the machine asks of the node's beliefs.
@@ -89,14 +91,16 @@
 	ID      int
 	Service int
 	Replica replica.Replica
-	Cause   Cause
+	// Far is set when the replica is in another data centre.
+	Far   bool
+	Cause Cause
 }
 
 // Withdraw ends a send whose answer is no longer wanted.
 type Withdraw struct{ ID int }
 
-// Late says that a replica's answer takes longer than usual.
-type Late struct{ ReplicaID string }
+// Late says that the answer to a send takes longer than usual.
+type Late struct{ Send int }
 
 // Wake asks for a Tick at a time; it replaces the former one.
 type Wake struct{ At core.Time }
@@ -142,9 +146,8 @@
 
 // send is one request to a replica.
 type send struct {
-	service   int
-	replicaID string
-	live      bool
+	service int
+	live    bool
 }
 
 // service is one shard of the request.
@@ -196,9 +199,7 @@
 	}
 	switch e := event.(type) {
 	case Begin:
-		for i := range m.services {
-			m.begin(i)
-		}
+		m.begin()
 	case Ended:
 		m.ended(e)
 	case Tick:
@@ -213,17 +214,32 @@
 
 func (m *Machine) act(action Action) { m.actions = append(m.actions, action) }
 
-func (m *Machine) begin(i int) {
-	choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
-	if !ok {
-		m.result.NoReplica = true
-		m.services[i].failed = true
+// begin sends to every service that has a replica. When too few have one, nothing is
+// sent at all: the request then truthfully has not run.
+func (m *Machine) begin() {
+	choices := make([]*replica.Choice, len(m.services))
+	found := 0
+	for i := range m.services {
+		choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
+		if !ok {
+			m.result.NoReplica = true
+			m.services[i].failed = true
+			continue
+		}
+		choices[i] = &choice
+		found++
+	}
+	if found < m.plan.Least {
 		return
 	}
-	m.send(i, choice.Replica, First)
+	for i, choice := range choices {
+		if choice != nil {
+			m.send(i, *choice, First)
+		}
+	}
 }
 
-func (m *Machine) send(i int, to replica.Replica, cause Cause) {
+func (m *Machine) send(i int, to replica.Choice, cause Cause) {
 	s := &m.services[i]
 	s.tried = append(s.tried, to.ID)
 	s.sent++
@@ -233,8 +249,11 @@
 	if m.plan.Hedge > 0 {
 		s.hedgeAt = m.now + m.plan.Hedge
 	}
-	m.sends = append(m.sends, send{service: i, replicaID: to.ID, live: true})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to, Cause: cause})
+	if to.Far && s.hedgeAt > 0 {
+		s.hedgeAt += m.plan.FarExtra
+	}
+	m.sends = append(m.sends, send{service: i, live: true})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause})
 }
 
 func (m *Machine) ended(e Ended) {
@@ -305,7 +324,7 @@
 	if !m.spend(i) {
 		return false
 	}
-	m.send(i, choice.Replica, cause)
+	m.send(i, choice, cause)
 	return true
 }
 
@@ -342,16 +361,16 @@
 		m.services[i].failed = true
 		return
 	}
-	m.send(i, choice.Replica, Retry)
+	m.send(i, choice, Retry)
 }
 
 // late marks the replicas that keep a service waiting and hedges. Where the hedge
 // is not possible now, it is looked at again after the same time.
 func (m *Machine) late(i int) {
 	s := &m.services[i]
-	for _, one := range m.sends {
+	for id, one := range m.sends {
 		if one.live && one.service == i {
-			m.act(Late{ReplicaID: one.replicaID})
+			m.act(Late{Send: id})
 		}
 	}
 	s.hedgeAt = m.now + m.plan.Hedge
--- a/internal/core/scatter/scatter_test.go
+++ b/internal/core/scatter/scatter_test.go
@@ -83,7 +83,7 @@
 		m.Step(5*ms, whole(i))
 	}
 	actions := m.Step(15*ms, Tick{})
-	require.Contains(t, actions, Action(Late{ReplicaID: "d-0"}))
+	require.Contains(t, actions, Action(Late{Send: 3}))
 	hedge := sends(actions)
 	require.Len(t, hedge, 1)
 	require.Equal(t, "d-1", hedge[0].Replica.ID)
--- /dev/null
+++ b/internal/edge/delegate.go
@@ -0,0 +1,231 @@
+package edge
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
+)
+
+// A gathered request needs parts from replicas in several data centres. Sends to
+// another one go together, in one message, to a node there, which asks the replicas
+// next to it and merges their records before they travel: a part costs its signature
+// in place of a whole exchange over HTTP. The entry keeps every decision; the other
+// node only carries the sends out. Where no node can be had, the entry sends itself.
+
+const (
+	// maxDelegatedBody is the longest body that goes with delegated sends.
+	maxDelegatedBody = 4 << 10
+	// helperAvoid is how long a node that was not heard is not delegated to.
+	helperAvoid = time.Second
+	// delegateLinger is how long replies are still learnt from after the answer.
+	delegateLinger = 250 * time.Millisecond
+	// flushShare is the part of the hedge delay, one in so many, that a helper may
+	// wait for more parts before its first reply.
+	flushShare = 2
+	// farExtra is how much longer a delegated send may take before it is hedged: a
+	// round trip between data centres and the pause of a helper between replies.
+	farExtra = 6 * time.Millisecond
+)
+
+// group is the sends of one request that go through one node.
+type group struct {
+	helper  peer.Target
+	members map[uint32]*exchange
+	// heard is set once the helper has replied.
+	heard  atomic.Bool
+	ticket peer.Ticket
+}
+
+// batch is the records of parts that came merged. They count together or not at all.
+type batch struct {
+	records []byte
+	members []*exchange
+}
+
+// helpers remembers which nodes were not heard lately.
+type helpers struct {
+	mutex   sync.Mutex
+	avoided map[core.NodeID]core.Time
+	turn    uint64
+}
+
+func (h *helpers) avoid(node core.NodeID, now core.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.avoided == nil {
+		h.avoided = map[core.NodeID]core.Time{}
+	}
+	h.avoided[node] = now + helperAvoid
+}
+
+// choose takes the nodes of a list in turn, leaving out those to avoid.
+func (h *helpers) choose(nodes []peer.Target, now core.Time) (peer.Target, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.turn++
+	for i := range nodes {
+		one := nodes[(h.turn+uint64(i))%uint64(len(nodes))]
+		if now >= h.avoided[one.Node] {
+			return one, true
+		}
+	}
+	return peer.Target{}, false
+}
+
+// helper chooses a node of a data centre to delegate to.
+func (n *Node) helper(dataCentre string) (peer.Target, bool) {
+	var nodes []peer.Target
+	for _, one := range n.placed() {
+		if one.DataCentre == dataCentre && one.ID != n.identity.Node {
+			nodes = append(nodes, peer.Target{Node: one.ID, Address: one.PeerAddress})
+		}
+	}
+	return n.helpers.choose(nodes, n.now())
+}
+
+// delegate hands the first sends to other data centres to nodes there and returns the
+// exchanges that are left. Hedges and retries are not delegated: they are single, and
+// the node in between may be what the first send waits for.
+func (q *request) delegate(started []*exchange) []*exchange {
+	if q.route.Gather == nil || len(q.template.Body) > maxDelegatedBody {
+		return started
+	}
+	var direct []*exchange
+	far := map[string][]*exchange{}
+	for _, one := range started {
+		if !one.send.Far || one.send.Cause != scatter.First {
+			direct = append(direct, one)
+			continue
+		}
+		far[one.send.Replica.DataCentre] = append(far[one.send.Replica.DataCentre], one)
+	}
+	for dataCentre, members := range far {
+		helper, ok := q.node.helper(dataCentre)
+		if !ok {
+			direct = append(direct, members...)
+			continue
+		}
+		q.ask(helper, members)
+	}
+	return direct
+}
+
+// ask sends a group to a helper.
+func (q *request) ask(helper peer.Target, members []*exchange) {
+	g := &group{helper: helper, members: map[uint32]*exchange{}}
+	message := &peerpb.DelegateRequest{
+		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
+		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
+		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), TopK: uint32(q.route.Gather.TopK),
+	}
+	for name, values := range q.template.Header {
+		for _, value := range values {
+			message.Headers = append(message.Headers, &peerpb.HeaderField{Name: name, Value: value})
+		}
+	}
+	for _, one := range members {
+		one.group = g
+		g.members[uint32(one.send.ID)] = one
+		to := one.send.Replica
+		message.Sends = append(message.Sends, &peerpb.DelegatedSend{Id: uint32(one.send.ID), Service: to.Service, Replica: to.ID, Address: to.Address})
+	}
+	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_DelegateRequest{DelegateRequest: message}}
+	g.ticket = q.node.pool.Ask(helper, envelope, func(reply *peerpb.Envelope, failure *peer.LinkError) {
+		q.helperReplied(g, reply, failure)
+	})
+	go q.endGroup(g)
+}
+
+// endGroup withdraws what is left of a group some time after the request's end.
+func (q *request) endGroup(g *group) {
+	<-q.over
+	if !q.left.Load() {
+		time.Sleep(delegateLinger)
+	}
+	g.ticket.Cancel()
+}
+
+// helperReplied takes a reply; it runs on the link's goroutine, one reply at a time.
+func (q *request) helperReplied(g *group, reply *peerpb.Envelope, failure *peer.LinkError) {
+	parts := reply.GetDelegateReply()
+	switch {
+	case failure != nil && failure.Outcome != core.NotRun:
+		q.node.helpers.avoid(g.helper.Node, q.node.now())
+		q.tellEnds(g.fail(failure))
+		return
+	case failure != nil || parts == nil:
+		// Nothing was sent on: this node does it itself.
+		q.node.helpers.avoid(g.helper.Node, q.node.now())
+		q.sendGroup(g)
+		return
+	}
+	g.heard.Store(true)
+	ends := g.take(parts)
+	for _, one := range ends {
+		q.learnDelegated(one)
+	}
+	q.tellEnds(ends)
+}
+
+// sendGroup sends a group from this node, unless the request is over.
+func (q *request) sendGroup(g *group) {
+	select {
+	case <-q.over:
+		return
+	default:
+	}
+	for id, one := range g.members {
+		delete(g.members, id)
+		go q.direct(one)
+	}
+}
+
+// fail ends what is open of a group: it may have run.
+func (g *group) fail(cause error) []*exchange {
+	var ends []*exchange
+	for id, one := range g.members {
+		delete(g.members, id)
+		one.err, one.verdict = cause, scatter.Failed
+		ends = append(ends, one)
+	}
+	return ends
+}
+
+// take reads the ends of sends out of a reply.
+func (g *group) take(reply *peerpb.DelegateReply) []*exchange {
+	merged := &batch{records: reply.GetRecords()}
+	var ends []*exchange
+	for _, part := range reply.GetParts() {
+		one := g.members[part.GetId()]
+		if one == nil {
+			continue
+		}
+		delete(g.members, part.GetId())
+		one.verdict = scatter.Verdict(part.GetVerdict())
+		one.took = time.Duration(part.GetTookUs()) * time.Microsecond
+		if one.verdict == scatter.Whole {
+			one.response = &replicaconn.Response{Status: int(part.GetStatus()), Header: http.Header{}}
+			platform.SetStamp(one.response.Header, part.GetStamp())
+			one.batch = merged
+			merged.members = append(merged.members, one)
+		} else {
+			one.err = &replicaconn.Error{Step: "delegated send", Sent: one.verdict != scatter.Unreached, Cause: delegatedError(part.GetCause())}
+		}
+		ends = append(ends, one)
+	}
+	return ends
+}
+
+// delegatedError is what another node says of a failed send.
+type delegatedError string
+
+// Error implements error.
+func (e delegatedError) Error() string { return string(e) }
--- /dev/null
+++ b/internal/edge/delegated.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/core/topk"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/platform"
+)
+
+const (
+	// maxDelegated bounds the delegated groups in work here; further ones are
+	// refused and their entries send by themselves.
+	maxDelegated = 512
+	// flushPause is the least time between two replies to one group, so that parts
+	// that come close together travel together.
+	flushPause = 3 * time.Millisecond
+)
+
+// handleDelegate takes the sends of another node.
+func (n *Node) handleDelegate(inbound *peer.Inbound) {
+	if n.delegated.Add(1) > maxDelegated {
+		n.delegated.Add(-1)
+		inbound.Reply(peer.Refused(core.ReasonOverloaded), true)
+		return
+	}
+	go func() {
+		defer n.delegated.Add(-1)
+		n.serveDelegate(inbound)
+	}()
+}
+
+// serveDelegate carries the sends out and replies as they end.
+func (n *Node) serveDelegate(inbound *peer.Inbound) {
+	message := inbound.Envelope.GetDelegateRequest()
+	q := n.delegatedRequest(message)
+	if q == nil {
+		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
+		return
+	}
+	ctx, cancel := context.WithDeadline(inbound.Context, time.Now().Add(q.plan.Deadline-n.now()))
+	defer cancel()
+	q.ended = make(chan []*exchange, len(message.GetSends()))
+	q.over = make(chan struct{})
+	defer close(q.over)
+	for _, send := range message.GetSends() {
+		n.startDelegated(ctx, q, send)
+	}
+	replies := &replies{inbound: inbound, limit: int(message.GetTopK())}
+	replies.run(ctx, q, time.Duration(message.GetFlushUs())*time.Microsecond, len(message.GetSends()))
+}
+
+// delegatedRequest makes the request that the sends belong to, or nil when this node
+// has no such route.
+func (n *Node) delegatedRequest(message *peerpb.DelegateRequest) *request {
+	config := n.beliefs.config.Load()
+	if config == nil {
+		return nil
+	}
+	route := config.Find(message.GetHost(), message.GetTarget())
+	if route == nil || route.Gather == nil {
+		return nil
+	}
+	q := &request{node: n, route: route, config: config, id: message.GetRequestId(), arrived: n.now()}
+	q.plan.Deadline = n.now() + time.Duration(message.GetTimeLeftUs())*time.Microsecond
+	header := http.Header{}
+	for _, field := range message.GetHeaders() {
+		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
+	}
+	q.template.Method, q.template.Target, q.template.Host = message.GetMethod(), message.GetTarget(), message.GetHost()
+	q.template.Header, q.template.Body, q.template.ID = header, message.GetBody(), q.id
+	return q
+}
+
+// startDelegated sends to one replica. One that is known here to leave is not sent to:
+// the other node may not have heard of it yet.
+func (n *Node) startDelegated(ctx context.Context, q *request, send *peerpb.DelegatedSend) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	one := &exchange{ctx: ctx, cancel: cancel, startAt: n.now()}
+	one.send = scatter.Send{ID: int(send.GetId())}
+	one.send.Replica.ID, one.send.Replica.Service, one.send.Replica.Address = send.GetReplica(), send.GetService(), send.GetAddress()
+	n.beliefs.mutex.Lock()
+	known, ok := n.beliefs.book.Get(send.GetReplica())
+	n.beliefs.mutex.Unlock()
+	if ok && known.Draining {
+		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving")
+		cancel(nil)
+		q.ended <- []*exchange{one}
+		return
+	}
+	n.beliefs.sent(send.GetReplica())
+	go q.direct(one)
+}
+
+// replies sends what has ended back to the entry.
+type replies struct {
+	inbound *peer.Inbound
+	limit   int
+	pending []*exchange
+}
+
+// run collects ends until all are there. The first reply waits a while for most of the
+// parts; later ones are stragglers and go soon.
+func (r *replies) run(ctx context.Context, q *request, first time.Duration, left int) {
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+	waiting := true
+	for left > 0 {
+		select {
+		case ends := <-q.ended:
+			left -= len(ends)
+			r.pending = append(r.pending, ends...)
+			if left > 0 && !waiting {
+				timer.Reset(flushPause)
+				waiting = true
+			}
+		case <-timer.C:
+			waiting = false
+			r.flush(false)
+		case <-ctx.Done():
+			return
+		}
+	}
+	r.flush(true)
+}
+
+func (r *replies) flush(last bool) {
+	if len(r.pending) == 0 {
+		return
+	}
+	reply := &peerpb.DelegateReply{}
+	merger := topk.New(r.limit)
+	for _, one := range r.pending {
+		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds())}
+		switch {
+		case one.verdict == scatter.Whole:
+			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
+			merger.Add(one.response.Body)
+		case one.err != nil:
+			part.Cause = one.err.Error()
+		default:
+			part.Cause = http.StatusText(one.response.Status)
+		}
+		reply.Parts = append(reply.Parts, part)
+	}
+	reply.Records = merger.Bytes()
+	r.pending = nil
+	r.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_DelegateReply{DelegateReply: reply}}, last)
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -125,6 +125,7 @@
 	}
 	if route.Idempotent {
 		q.plan.Hedge = n.beliefs.hedgeAfter(route)
+		q.plan.FarExtra = farExtra
 	}
 	if route.Gather != nil {
 		q.plan.Least = route.Gather.Least()
@@ -237,25 +238,16 @@
 
 // answerGathered merges the parts.
 func (q *request) answerGathered(w http.ResponseWriter, result scatter.Result) {
-	merger := topk.New(q.route.Gather.TopK)
-	var stamps []string
-	missing := 0
-	for _, send := range result.Parts {
-		if send < 0 {
-			missing++
-			continue
-		}
-		part := q.sends[send].response
-		merger.Add(part.Body)
-		stamps = append(stamps, platform.Stamp(part.Header))
-	}
+	merged, stamps := q.merge(result)
+	missing := len(q.services) - len(stamps)
 	outcome := outcomeWhole
 	if missing > 0 {
 		outcome = outcomePartial
 		q.noteMissing(result)
 	}
+	result.Got = len(stamps)
 	q.tell(outcome, http.StatusOK, result)
-	body := merger.Bytes()
+	body := merged.Bytes()
 	platform.SetCoverage(w.Header(), stamps, missing)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -263,6 +255,36 @@
 	_, _ = w.Write(body)
 }
 
+// merge joins the parts. The parts of a batch cannot be told apart any more, so that
+// each batch counts as a whole, and a part of the same shard that came by itself, from
+// a hedge, does not.
+func (q *request) merge(result scatter.Result) (*topk.Merger, []string) {
+	merger := topk.New(q.route.Gather.TopK)
+	var stamps []string
+	taken := make([]bool, len(q.services))
+	seen := map[*batch]bool{}
+	for _, one := range q.sends {
+		if !one.over || one.batch == nil || seen[one.batch] {
+			continue
+		}
+		seen[one.batch] = true
+		merger.Add(one.batch.records)
+		for _, member := range one.batch.members {
+			taken[member.send.Service] = true
+			stamps = append(stamps, platform.Stamp(member.response.Header))
+		}
+	}
+	for i, send := range result.Parts {
+		if taken[i] || send < 0 {
+			continue
+		}
+		part := q.sends[send].response
+		merger.Add(part.Body)
+		stamps = append(stamps, platform.Stamp(part.Header))
+	}
+	return merger, stamps
+}
+
 func (q *request) noteMissing(result scatter.Result) {
 	for i, send := range result.Parts {
 		if send < 0 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,7 +66,10 @@
 	others   []*http.Server
 	stopping atomic.Bool
 	inFlight atomic.Int64
-	ready    atomic.Bool
+	helpers  helpers
+	// delegated counts the groups of sends in work for other nodes.
+	delegated atomic.Int64
+	ready     atomic.Bool
 	// preferredNodes counts the nodes that callers are sent to; it is renewed by
 	// the housekeeping.
 	preferredNodes atomic.Int64
@@ -216,6 +219,8 @@
 		n.members.HandleHeartbeat(inbound)
 	case inbound.Envelope.GetMirrorRequest() != nil:
 		n.mirror.Handle(inbound)
+	case inbound.Envelope.GetDelegateRequest() != nil:
+		n.handleDelegate(inbound)
 	default:
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -29,51 +30,73 @@
 	arrived  core.Time
 	// sends are the exchanges by their id; ended brings their ends.
 	sends []*exchange
-	ended chan *exchange
+	ended chan []*exchange
 	// over is closed when nobody waits for the ends of sends any more.
-	over  chan struct{}
+	over chan struct{}
+	// left is set when the caller went away.
+	left  atomic.Bool
 	trail []step
 }
 
 // exchange is one send and how it ended.
 type exchange struct {
-	send     scatter.Send
-	cancel   context.CancelCauseFunc
-	startAt  core.Time
+	send    scatter.Send
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	startAt core.Time
+	// group is set when another node sends on this one's behalf.
+	group *group
+	// batch is set when the part came merged with others.
+	batch    *batch
 	response *replicaconn.Response
 	err      error
 	verdict  scatter.Verdict
-	over     bool
+	// took is how long the replica took, without the way through another node.
+	took time.Duration
+	over bool
 }
 
 // run carries out the machine's actions until it finishes or the caller leaves. The
 // second result is false when the caller left.
 func (q *request) run(ctx context.Context) (scatter.Result, bool) {
 	machine := scatter.New(q.plan, q.node.beliefs)
-	q.ended = make(chan *exchange, len(q.services))
+	q.ended = make(chan []*exchange, len(q.services))
 	q.over = make(chan struct{})
 	defer close(q.over)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	result := q.perform(ctx, machine.Step(q.node.now(), scatter.Begin{}), timer)
 	for result == nil {
-		var event scatter.Event
 		select {
-		case one := <-q.ended:
-			one.over = true
-			q.noteEnd(one)
-			event = scatter.Ended{Send: one.send.ID, Verdict: one.verdict}
+		case ends := <-q.ended:
+			result = q.takeEnds(ctx, machine, ends, timer)
 		case <-timer.C:
-			event = scatter.Tick{}
+			result = q.perform(ctx, machine.Step(q.node.now(), scatter.Tick{}), timer)
 		case <-ctx.Done():
+			q.left.Store(true)
 			q.withdraw(context.Cause(ctx))
 			return scatter.Result{MayHaveRun: true}, false
 		}
-		result = q.perform(ctx, machine.Step(q.node.now(), event), timer)
 	}
 	return *result, true
 }
 
+// takeEnds tells the machine of ends that came together. All are noted first: the
+// machine may finish at the first of them.
+func (q *request) takeEnds(ctx context.Context, machine *scatter.Machine, ends []*exchange, timer *time.Timer) *scatter.Result {
+	for _, one := range ends {
+		one.over = true
+		q.noteEnd(one)
+	}
+	for _, one := range ends {
+		result := q.perform(ctx, machine.Step(q.node.now(), scatter.Ended{Send: one.send.ID, Verdict: one.verdict}), timer)
+		if result != nil {
+			return result
+		}
+	}
+	return nil
+}
+
 func (q *request) withdraw(cause error) {
 	for _, one := range q.sends {
 		one.cancel(cause)
@@ -82,45 +105,74 @@
 
 // perform carries out actions and returns the result once there is one.
 func (q *request) perform(ctx context.Context, actions []scatter.Action, timer *time.Timer) *scatter.Result {
+	var started []*exchange
 	for _, action := range actions {
 		switch a := action.(type) {
 		case scatter.Send:
-			q.send(ctx, a)
+			started = append(started, q.prepare(ctx, a))
 		case scatter.Withdraw:
 			q.sends[a.ID].cancel(errAnswered)
 		case scatter.Late:
-			q.node.beliefs.note(func(book *replica.Book, now core.Time) { book.Overdue(a.ReplicaID, now) })
-			q.note(step{Event: "replica_late", Replica: a.ReplicaID})
+			q.late(a.Send)
 		case scatter.Wake:
 			timer.Reset(max(a.At-q.node.now(), 0))
 		case scatter.Finish:
 			return &a.Result
 		}
 	}
+	q.dispatch(started)
 	return nil
 }
 
-// send starts an exchange on a goroutine of its own. It may outlive the request for
-// a moment when its answer is no longer wanted.
-func (q *request) send(ctx context.Context, a scatter.Send) {
-	// The exchange outlives the caller's context by choice: its end is still to
-	// be learnt from, and its connection to be kept.
+// late marks what keeps the request waiting: the replica, and the node that sends to
+// it on this one's behalf when that has not been heard at all.
+func (q *request) late(send int) {
+	one := q.sends[send]
+	q.node.beliefs.note(func(book *replica.Book, now core.Time) { book.Overdue(one.send.Replica.ID, now) })
+	q.note(step{Event: "replica_late", Replica: one.send.Replica.ID, Service: one.send.Replica.Service})
+	if one.group != nil && !one.group.heard.Load() {
+		q.node.helpers.avoid(one.group.helper.Node, q.node.now())
+	}
+}
+
+// prepare makes the exchange of a send. It may outlive the request for a moment when
+// its answer is no longer wanted: its end is still to be learnt from, and its
+// connection to be kept.
+func (q *request) prepare(ctx context.Context, a scatter.Send) *exchange {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	one := &exchange{send: a, cancel: cancel, startAt: q.node.now()}
+	one := &exchange{send: a, ctx: ctx, cancel: cancel, startAt: q.node.now()}
 	q.sends = append(q.sends, one)
-	q.node.beliefs.sent(a.Replica.ID)
 	if a.Cause != scatter.First {
 		q.node.metrics.extra(a.Cause)
 		q.note(step{Event: "sent_again", Cause: string(a.Cause), Replica: a.Replica.ID, Service: a.Replica.Service})
 	}
-	go func() {
-		defer cancel(nil)
-		q.exchange(ctx, one)
-		select {
-		case q.ended <- one:
-		case <-q.over:
-		}
-	}()
+	return one
+}
+
+// dispatch sends the exchanges: those to another data centre together, through a node
+// there, the others directly.
+func (q *request) dispatch(started []*exchange) {
+	for _, one := range started {
+		q.node.beliefs.sent(one.send.Replica.ID)
+	}
+	for _, one := range q.delegate(started) {
+		go q.direct(one)
+	}
+}
+
+// direct sends an exchange from this node.
+func (q *request) direct(one *exchange) {
+	defer one.cancel(nil)
+	q.exchange(one.ctx, one)
+	q.tellEnds([]*exchange{one})
+}
+
+// tellEnds hands ends to the request unless that is over.
+func (q *request) tellEnds(ends []*exchange) {
+	select {
+	case q.ended <- ends:
+	case <-q.over:
+	}
 }
 
 func (q *request) exchange(ctx context.Context, one *exchange) {
@@ -134,6 +186,7 @@
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica.Service)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
 	one.verdict = q.judge(one)
+	one.took = q.node.now() - one.startAt
 	q.learn(one)
 }
 
@@ -163,7 +216,6 @@
 // up teaches nothing more than the lateness noted before.
 func (q *request) learn(one *exchange) {
 	id := one.send.Replica.ID
-	took := q.node.now() - one.startAt
 	b := q.node.beliefs
 	b.note(func(book *replica.Book, _ core.Time) { book.Ended(id) })
 	if errors.Is(one.err, errAnswered) || errors.Is(one.err, context.Canceled) {
@@ -171,7 +223,7 @@
 	}
 	switch one.verdict {
 	case scatter.Whole:
-		b.answered(q.route, id, took)
+		b.answered(q.route, id, one.took)
 	case scatter.Failed:
 		b.note(func(book *replica.Book, now core.Time) { book.Failed(id, now) })
 	case scatter.Refused:
@@ -181,6 +233,20 @@
 	}
 }
 
+// learnDelegated takes the end of a delegated send into the beliefs. After the
+// request's end the answer was waited for no more.
+func (q *request) learnDelegated(one *exchange) {
+	select {
+	case <-q.over:
+		q.node.beliefs.note(func(book *replica.Book, _ core.Time) { book.Ended(one.send.Replica.ID) })
+		if one.verdict == scatter.Whole {
+			q.node.beliefs.answeredLate(q.route, one.send.Replica.ID, one.took)
+		}
+	default:
+		q.learn(one)
+	}
+}
+
 // lateAnswer learns from an answer that came after another replica's. Without it a
 // replica that paused for a moment would count as overdue long after its pause.
 func (q *request) lateAnswer(one *exchange, response *replicaconn.Response) {
