--- /dev/null
+++ b/internal/replicaconn/client_test.go
@@ -0,0 +1,164 @@
+package replicaconn_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+func start(t *testing.T) (*replicaconn.Client, *platformtest.Replica) {
+	t.Helper()
+	replica, err := platformtest.StartReplica("i-1", "prices", []byte(strings.Repeat("0123456789abcdef", 4)))
+	require.NoError(t, err)
+	client := replicaconn.NewClient(platform.Wire{})
+	t.Cleanup(func() {
+		client.Close()
+		replica.Close()
+	})
+	return client, replica
+}
+
+func request(r *platformtest.Replica, id string) *replicaconn.Request {
+	return &replicaconn.Request{
+		Replica: r.ID, Address: r.Address(), MaxConnections: 1, Method: http.MethodGet, Target: "/a%2fb?q=1", Host: "search.example",
+		Header: http.Header{"Pistachiopier-Request-Id": {id}, "Accept": {"*/*"}}, ID: id,
+	}
+}
+
+func do(t *testing.T, client *replicaconn.Client, one *replicaconn.Request) (*replicaconn.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return client.Do(ctx, one)
+}
+
+func always(act platformtest.Act) func(platformtest.Seen) platformtest.Act {
+	return func(platformtest.Seen) platformtest.Act { return act }
+}
+
+func TestRequestsShareAConnectionAndArriveUnchanged(t *testing.T) {
+	client, replica := start(t)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		response, err := do(t, client, request(replica, id))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.Status)
+		require.Len(t, response.Body, 64)
+	}
+	require.EqualValues(t, 1, client.Opened())
+	seen := replica.Arrivals()[0]
+	require.Equal(t, "/a%2fb?q=1", seen.Target)
+	require.Equal(t, "i-1", seen.Header.Get("Pistachiopier-Target-Instance"))
+	require.Greater(t, seen.TimeLeft, 5*time.Second)
+}
+
+// A replica breaks an answer off, spoils it, or resets the connection within an answer
+// that has no length. A caller that took it for whole would show half a list.
+func TestAnswersThatAreNotWholeAreErrors(t *testing.T) {
+	for _, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset, platformtest.Garbage, platformtest.Lose} {
+		client, replica := start(t)
+		replica.SetAct(always(act))
+		_, err := do(t, client, request(replica, "r1"))
+		var failed *replicaconn.Error
+		require.ErrorAs(t, err, &failed, "act %d", act)
+		require.True(t, failed.Sent, "it may have run")
+		require.Len(t, replica.Arrivals(), 1, "nothing is sent again behind the back of the budget")
+	}
+}
+
+func TestAnAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	client, replica := start(t)
+	replica.SetAct(always(platformtest.Unframed))
+	response, err := do(t, client, request(replica, "r1"))
+	require.NoError(t, err)
+	require.Len(t, response.Body, 64)
+}
+
+// A replica sends a second answer to one request. It lies in the connection where the
+// next request's answer is expected, and the next caller would get another's answer.
+func TestAnExtraAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	client, replica := start(t)
+	replica.SetAct(always(platformtest.Extra))
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		response, err := do(t, client, request(replica, id))
+		if err != nil {
+			continue
+		}
+		require.Equal(t, id, response.Header.Get("Pistachiopier-Request-Id"))
+	}
+}
+
+// The replica closes an idle connection. The next request must not meet it and count
+// as sent: for an invoice that would mean "unknown".
+func TestAClosedIdleConnectionIsNotUsed(t *testing.T) {
+	client, replica := start(t)
+	_, err := do(t, client, request(replica, "r1"))
+	require.NoError(t, err)
+	replica.Close()
+	require.Eventually(t, func() bool { return client.Open() == 0 }, 10*time.Second, time.Millisecond)
+	_, err = do(t, client, request(replica, "r2"))
+	var failed *replicaconn.Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent, "no connection was had, so it has not run")
+}
+
+// Two requests want the one connection that the node may hold. The second waits for it
+// and is sent once, with the time that is then left.
+func TestRequestsBeyondTheConnectionsWait(t *testing.T) {
+	client, replica := start(t)
+	replica.SetWork(30 * time.Millisecond)
+	errs := make(chan error, 3)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		one := request(replica, id)
+		go func() {
+			_, err := client.Do(t.Context(), one)
+			errs <- err
+		}()
+	}
+	for range 3 {
+		require.NoError(t, <-errs)
+	}
+	require.EqualValues(t, 1, client.Opened())
+}
+
+// Another replica answered first. The loser's answer comes a moment later: it keeps the
+// connection usable and says that the replica is alive.
+func TestALateAnswerIsToldAndItsConnectionKept(t *testing.T) {
+	client, replica := start(t)
+	replica.SetWork(20 * time.Millisecond)
+	late := make(chan *replicaconn.Response, 1)
+	one := request(replica, "r1")
+	one.Late = func(response *replicaconn.Response) { late <- response }
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for len(replica.Arrivals()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := client.Do(ctx, one)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Equal(t, http.StatusOK, (<-late).Status)
+	_, err = do(t, client, request(replica, "r2"))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, client.Opened())
+}
+
+// A caller leaves while a replica hangs. The replica must be released: it drops the work
+// when the connection closes.
+func TestAHangingExchangeIsClosedAfterItsCallerLeft(t *testing.T) {
+	client, replica := start(t)
+	replica.SetAct(always(platformtest.Hang))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, request(replica, "r1"))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Eventually(t, func() bool { return replica.Abandoned() == 1 }, 10*time.Second, time.Millisecond)
+}
