End-to-end tests of the edge on stand-ins; two faults they found

A node that is itself a seed lost its own addresses and left the address answers; an answer without a request id held a request to its deadline.

--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,244 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+func always(act platformtest.Act) func(platformtest.Seen) platformtest.Act {
+	return func(platformtest.Seen) platformtest.Act { return act }
+}
+
+func TestAForwardChangesNothing(t *testing.T) {
+	w := newWorld(t)
+	notes := w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	response, body := w.ask(w.nodes[0], http.MethodPut, "/plain/a%2Fb//c?x=%20&y", "r1", "the body")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, fmt.Sprintf("%-16s", "a note"), body)
+	require.Equal(t, notes.Stamp("r1"), response.Header.Get("Pistachiopier-Server-Stamp"))
+	seen := notes.Arrivals()[0]
+	require.Equal(t, "PUT /plain/a%2Fb//c?x=%20&y the body", seen.Method+" "+seen.Target+" "+seen.Body)
+	require.Equal(t, "r1", seen.ID)
+	require.Equal(t, notes.ID, seen.Header.Get("Pistachiopier-Target-Instance"))
+	require.LessOrEqual(t, seen.TimeLeft, 1500*time.Millisecond, "the route's time limit is shorter than the caller's")
+}
+
+func TestAGatherGivesTheGreatestRecordsAndItsCoverage(t *testing.T) {
+	w := newWorld(t)
+	w.replica("s1", "east", "b", "d", "f")
+	w.replica("s2", "east", "a", "f", "c")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	response, body := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, []string{"f", "f", "d"}, strings.Fields(body))
+	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
+	require.Len(t, strings.Split(response.Header.Get("Pistachiopier-Part-Stamps"), ","), 2)
+}
+
+// Half of the shards have lost all their replicas. An answer from the others would look
+// like the whole list; and as nothing was sent, "not run" with the time to come back is
+// the truth.
+func TestATooThinAnswerIsRefusedWithoutRunning(t *testing.T) {
+	w := newWorld(t)
+	s1 := w.replica("s1", "east", "b")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, s1.Arrivals())
+}
+
+// Two data centres hold the parts. The node in the other one merges its parts before they
+// travel; the answer must be the same as from parts that came one by one.
+func TestPartsOfAnotherDataCentreAreMergedThere(t *testing.T) {
+	w := newWorld(t)
+	w.replica("s1", "east", "a", "h", "c")
+	w.replica("s2", "west", "g", "b", "i")
+	w.replica("s3", "west", "e", "j", "d")
+	w.configure(1)
+	w.start("east", "west")
+	w.ready()
+	for i := range 5 {
+		response, body := w.ask(w.nodes[0], http.MethodGet, "/all/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, []string{"j", "i", "h"}, strings.Fields(body))
+		require.Equal(t, "0", response.Header.Get("Pistachiopier-Missing-Parts"))
+	}
+	require.Len(t, w.replicas[1].Arrivals(), 5)
+}
+
+// A replica runs an invoice and its answer is lost. A second send would count the invoice
+// twice, and "not run" would make the caller send it again.
+func TestALostAnswerIsNeitherRepeatedNorCalledNotRun(t *testing.T) {
+	w := newWorld(t)
+	first := w.replica("invoices", "east", "done")
+	second := w.replica("invoices", "east", "done")
+	for _, one := range []*platformtest.Replica{first, second} {
+		one.SetAct(always(platformtest.Lose))
+	}
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	for i := range 6 {
+		id := fmt.Sprint("r", i)
+		response, _ := w.ask(w.nodes[0], http.MethodPost, "/once/x", id, "total=120")
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+		require.Equal(t, 1, first.Runs(id)+second.Runs(id))
+	}
+}
+
+// Whatever replicas send that is not a whole, signed answer to the request itself must not
+// reach a caller as success.
+func TestSpoiledAnswersAreNeverSuccess(t *testing.T) {
+	for _, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset, platformtest.NoStamp, platformtest.Garbage, platformtest.Lose, platformtest.Fail} {
+		w := newWorld(t)
+		w.replica("notes", "east", "a note").SetAct(always(act))
+		w.configure(1)
+		w.start("east")
+		w.ready()
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
+		require.GreaterOrEqual(t, response.StatusCode, 500, "act %d", act)
+		require.NotContains(t, []int{http.StatusServiceUnavailable}, response.StatusCode, "it may have run")
+	}
+}
+
+func TestARequestThatOneReplicaFailsIsServedByAnother(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note").SetAct(always(platformtest.Fail))
+	w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	for i := range 4 {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
+
+// All replicas fail everything. Each request may be tried again, but the replicas must not
+// get a multiple of their load for it.
+func TestRetriesOfAFailingServiceKeepTheBound(t *testing.T) {
+	w := newWorld(t)
+	for range 2 {
+		w.replica("notes", "east", "a note").SetAct(always(platformtest.Fail))
+	}
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	const requests = 150
+	for i := range requests {
+		w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+	}
+	arrivals := len(w.replicas[0].Arrivals()) + len(w.replicas[1].Arrivals())
+	require.Greater(t, arrivals, requests)
+	require.LessOrEqual(t, arrivals, requests+requests/5+50)
+}
+
+// A node starts while the store is down. It knows no route, which is not the same as the
+// caller being wrong: 404 would end the request for good.
+func TestANodeThatKnowsNothingRefusesAndDoesNotDeny(t *testing.T) {
+	w := newWorld(t)
+	w.store.SetTrouble(func(string) platformtest.Trouble { return platformtest.Busy })
+	w.start("east")
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	status, _ := w.get("http://"+w.nodes[0].settings.ReadyAddress+"/pistachiopier/ready", nil)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.store.SetTrouble(nil)
+	w.ready()
+	response, _ = w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r2", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	response, _ = w.ask(w.nodes[0], http.MethodGet, "/none/x", "r3", "")
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+}
+
+func TestAReplicaThatDrainsGetsNothingMore(t *testing.T) {
+	w := newWorld(t)
+	leaving := w.replica("notes", "east", "a note")
+	w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	w.store.Put(leaving.Key(), leaving.Entry("east", "draining"))
+	require.Eventually(t, func() bool { return strings.Contains(w.nodes[0].log.String(), "replica_draining") }, patience, time.Millisecond)
+	before := len(leaving.Arrivals())
+	for i := range 20 {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Len(t, leaving.Arrivals(), before)
+}
+
+// An address is given to a replica of another service. The request names the incarnation
+// that it means, the new one refuses it, and that is a proof that it has not run.
+func TestARequestToAnAddressUsedAgainIsTriedElsewhere(t *testing.T) {
+	w := newWorld(t)
+	other := w.replica("other", "east", "another service")
+	w.replica("invoices", "east", "done")
+	gone := other.Entry("east", "ready")
+	gone["service"] = "invoices"
+	w.store.Put("servers/i-gone", gone)
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	for i := range 6 {
+		response, _ := w.ask(w.nodes[0], http.MethodPost, "/once/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Zero(t, other.Runs(fmt.Sprint("r", i)))
+	}
+}
+
+func TestLimitsOfTheConfigurationBindCallers(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	response, _ := w.ask(w.nodes[0], http.MethodPost, "/plain/x", "r1", strings.Repeat("x", 1001))
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	response, _ = w.ask(w.nodes[0], http.MethodPost, "/plain/x", "r2", strings.Repeat("x", 1000))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// A node is told to stop while requests run on connections that callers keep open. Each of
+// them gets its whole answer, and the connection is closed with an answer, not under one.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note").SetWork(20 * time.Millisecond)
+	w.configure(1)
+	w.start("east", "east")
+	w.ready()
+	leaving := w.nodes[1]
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		w.stop(leaving)
+	}()
+	closed := false
+	for i := 0; !closed; i++ {
+		response, body := w.ask(leaving, http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Len(t, body, 16)
+		closed = response.Close
+	}
+	require.Eventually(t, func() bool { return !strings.Contains(w.resolve(w.nodes[0], ""), leaving.settings.CallerAddress) }, patience, time.Millisecond)
+	<-stopped
+	require.Contains(t, leaving.log.String(), "node_stopped")
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -137,14 +137,15 @@
 	}
 	n.setBound()
 	store := platform.NewStore(s.StoreAddress, storeDialTimeout)
-	n.follower = mirror.Follow(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
-	n.ready.Store(true)
+	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
 	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
 		return err
 	}
 	if err := n.startOthers(s); err != nil {
 		return err
 	}
+	n.follower.Start()
+	n.ready.Store(true)
 	n.done.Add(1)
 	go func() {
 		defer n.done.Done()
@@ -166,7 +167,7 @@
 	n.members = membership.Start(membership.Options{
 		Self:        self,
 		Incarnation: n.identity.Incarnation,
-		List:        membership.Seeds(s.Seeds),
+		List:        membership.Seeds{Self: s.PeerAddress, Addresses: s.Seeds},
 		Belief:      n.views,
 		Peers:       n.pool,
 		Now:         n.now,
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -92,16 +92,20 @@
 	followed     string
 }
 
-// Follow starts to keep a copy up to date; Close ends it.
-func Follow(config Config, copied *Copy, store Store, peers Peers, listener Listener, now func() core.Time) *Follower {
+// NewFollower makes a follower; Start begins to keep the copy up to date.
+func NewFollower(config Config, copied *Copy, store Store, peers Peers, listener Listener, now func() core.Time) *Follower {
+	return &Follower{config: config, copy: copied, store: store, peers: peers, listener: listener, now: now, stop: func() {}}
+}
+
+// Start begins the following; Close ends it.
+func (f *Follower) Start() {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &Follower{config: config, copy: copied, store: store, peers: peers, listener: listener, now: now, stop: stop}
+	f.stop = stop
 	f.done.Add(1)
 	go func() {
 		defer f.done.Done()
 		f.run(ctx)
 	}()
-	return f
 }
 
 // Close ends the following.
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -99,6 +99,8 @@
 	Mark(header http.Header, replica string, left time.Duration)
 	// EchoedID reads the request id that an answer belongs to.
 	EchoedID(header http.Header) string
+	// NotRun reports whether an answer proves that the request did not run.
+	NotRun(status int, header http.Header) bool
 }
 
 // Client holds the connections to all replicas. Close ends them.
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -32,6 +32,8 @@
 	replica string
 	stream  net.Conn
 	reader  *bufio.Reader
+	// answers counts the answers read; it belongs to the reading goroutine.
+	answers int
 
 	// idleSince, idleLimit and lastID are guarded by the client's mutex while
 	// the connection is idle and belong to its call otherwise.
@@ -144,7 +146,12 @@
 		if err != nil {
 			return err
 		}
-		if !c.belongs(one.request, response) {
+		c.answers++
+		belongs, err := c.belongs(one.request, response)
+		if err != nil {
+			return err
+		}
+		if !belongs {
 			stray++
 			if !reusable || stray > maxStrayAnswers {
 				return errOtherAnswer
@@ -164,9 +171,22 @@
 }
 
 // belongs reports whether an answer is to the request. A replica may send a second
-// answer to an earlier request late, in the place of this one's.
-func (c *conn) belongs(request *Request, response *Response) bool {
-	return request.ID == "" || c.client.wire.EchoedID(response.Header) == request.ID
+// answer to an earlier request late, in the place of this one's. Refusals may come
+// without an id. On a connection that has carried nothing else it can only be this
+// request's; on another one a stray refusal would make "not run" a lie, which only a
+// request that may run twice can stand.
+func (c *conn) belongs(request *Request, response *Response) (bool, error) {
+	echoed := c.client.wire.EchoedID(response.Header)
+	switch {
+	case request.ID == "" || echoed == request.ID:
+		return true, nil
+	case echoed != "":
+		return false, nil
+	case c.answers == 1 || !request.Once && c.client.wire.NotRun(response.Status, response.Header):
+		return true, nil
+	default:
+		return false, errOtherAnswer
+	}
 }
 
 // readAnswer reads one whole answer. An answer that ends before its length or its
