--- a/internal/core/member/gossip.go
+++ b/internal/core/member/gossip.go
@@ -93,12 +93,21 @@
 		}
 		p = m.peer(u.Node)
 	}
-	// A list made of bare addresses does not know the nodes' data centres.
-	unplaced := p.node.DataCentre == ""
-	if (!p.listed || unplaced) && u.Node.PeerAddress != "" && u.Incarnation >= p.incarnation {
+	m.place(p, u)
+	m.apply(p, u)
+}
+
+// place takes up a node's particulars. Those of the VM list go before what nodes say,
+// unless the list holds bare addresses only, as seeds do.
+func (m *Machine) place(p *peer, u Update) {
+	told := u.Node.PeerAddress != "" && u.Incarnation >= p.incarnation
+	if !told || p.listed && !p.bare || p.bare && u.Node.DataCentre == "" {
+		return
+	}
+	if p.node != u.Node {
 		p.node = u.Node
+		m.changed = true
 	}
-	m.apply(p, u)
 }
 
 // refute answers a claim that this node is lost: a higher version overrides it.
--- a/internal/core/member/listed.go
+++ b/internal/core/member/listed.go
@@ -19,7 +19,10 @@
 			continue
 		}
 		p := m.peer(written.Node)
-		p.node = written.Node
+		p.bare = written.DataCentre == ""
+		if !p.bare || p.node.DataCentre == "" {
+			p.node = written.Node
+		}
 		p.listed = true
 		p.listedLeaving = written.Leaving && trusted
 		p.presumed = p.presumed || first
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -70,6 +70,8 @@
 	version       uint32
 	listed        bool
 	listedLeaving bool
+	// bare is set when the list gives no more than the node's peer address.
+	bare bool
 	// presumed is set for nodes in the first reading of the VM list: they are
 	// routed to before they have answered.
 	presumed bool
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -76,7 +76,7 @@
 		Standing:    standing(p.state),
 		Witnesses:   p.witnesses,
 	}
-	if !p.listed || p.is(stateUnknown) {
+	if !p.listed || p.bare || p.is(stateUnknown) {
 		update.Node = p.node
 	}
 	return update
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -4,7 +4,9 @@
 package replica
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -27,7 +29,10 @@
 // chosen so that a replica of the own data centre is preferred unless it is twice
 // as slow as usual or all its slots hold requests of this node.
 const (
-	remoteCost  = 1.0
+	remoteCost = 1.0
+	// rankCost makes a node prefer one other data centre to the next, so that the
+	// parts it lacks come from few of them.
+	rankCost    = 0.4
 	overdueCost = 4.0
 	failureCost = 8.0
 	refusedCost = 4.0
@@ -72,12 +77,28 @@
 	byID       map[string]*state
 	byService  map[string][]*state
 	random     func() float64
+	// ranks orders the data centres by preference: 0 is the node's own, the others
+	// follow in a ring by name, which spreads the preferences of all nodes evenly.
+	ranks map[string]int
 }
 
 // NewBook makes an empty book for a node of the given data centre. The random
 // source, 0 to 1, breaks ties.
 func NewBook(dataCentre string, random func() float64) *Book {
-	return &Book{dataCentre: dataCentre, byID: map[string]*state{}, byService: map[string][]*state{}, random: random}
+	return &Book{dataCentre: dataCentre, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}}
+}
+
+// rank takes a data centre that may be new into the ring.
+func (b *Book) rank(dataCentre string) {
+	if _, known := b.ranks[dataCentre]; known {
+		return
+	}
+	b.ranks[dataCentre] = 0
+	names := slices.Sorted(maps.Keys(b.ranks))
+	own := slices.Index(names, b.dataCentre)
+	for i, name := range names {
+		b.ranks[name] = (i - own + len(names)) % len(names)
+	}
 }
 
 // Put adds a replica or takes its new particulars. What was seen of it stays.
@@ -89,6 +110,7 @@
 		return
 	}
 	b.Remove(replica.ID)
+	b.rank(replica.DataCentre)
 	added := &state{Replica: replica, slowness: 1}
 	b.byID[replica.ID] = added
 	b.byService[replica.Service] = append(b.byService[replica.Service], added)
@@ -182,8 +204,8 @@
 func (b *Book) cost(s *state, now core.Time) float64 {
 	const tieBreak = 0.1
 	cost := s.slownessNow(now) * (1 + s.queued())
-	if s.DataCentre != b.dataCentre {
-		cost += remoteCost
+	if rank := b.ranks[s.DataCentre]; rank > 0 {
+		cost += remoteCost + rankCost*float64(rank-1)
 	}
 	if s.overdue(now) {
 		cost += overdueCost
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -19,6 +19,8 @@
 	PeerAddress     string
 	CallerAddress   string
 	OperatorAddress string
+	// Weight is what the VM can do, in thousandths of a core; 0 is not known.
+	Weight uint32
 }
 
 // View is an immutable set of live nodes. Two nodes with equal views agree on
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -83,7 +83,7 @@
 // helper chooses a node of a data centre to delegate to.
 func (n *Node) helper(dataCentre string) (peer.Target, bool) {
 	var nodes []peer.Target
-	for _, one := range n.placed() {
+	for _, one := range n.chosen() {
 		if one.DataCentre == dataCentre && one.ID != n.identity.Node {
 			nodes = append(nodes, peer.Target{Node: one.ID, Address: one.PeerAddress})
 		}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
 	"github.com/gin-gonic/gin"
 
@@ -63,7 +65,7 @@
 
 // addresses lists the nodes that callers of a data centre are to use.
 func (n *Node) addresses(dataCentre string) []string {
-	nodes := n.preferred()
+	nodes := n.chosen()
 	var own, all []string
 	for _, node := range nodes {
 		all = append(all, node.CallerAddress)
@@ -82,9 +84,9 @@
 // node is lost soon learns of the others.
 const leastOwn = 1
 
-// preferred lists the live nodes in the data centres with the most replicas of
-// shards: a question that enters there reaches most of its parts without crossing
-// between data centres. It lists all live nodes where no data centre stands out.
+// preferred lists the nodes that callers are sent to. Few strong nodes are better than
+// many weak ones: each keeps its connections to replicas warm and knows from its own
+// requests how the replicas do. Data centres without replicas of shards are left out.
 func (n *Node) preferred() []route.Node {
 	nodes := n.placed()
 	counts := n.shardReplicas()
@@ -98,10 +100,39 @@
 			near = append(near, node)
 		}
 	}
-	if most == 0 || len(near) < leastOwn {
-		return nodes
+	if most == 0 || len(near) == 0 {
+		near = nodes
 	}
-	return near
+	return strongest(near)
+}
+
+const (
+	// strongShare is the weight, as a share of the greatest, from which on a node
+	// counts as strong.
+	strongShare = 0.5
+	// leastShare is the share of the weight of all nodes that those chosen have at
+	// least, so that the loss of strong nodes does not overload the last of them.
+	leastShare = 0.15
+)
+
+// strongest takes the strong nodes, and further ones in the order of their weight and
+// id while the chosen are too weak for the whole.
+func strongest(nodes []route.Node) []route.Node {
+	sorted := slices.Clone(nodes)
+	slices.SortStableFunc(sorted, func(a, b route.Node) int { return cmp.Compare(b.Weight, a.Weight) })
+	total := 0.0
+	for _, node := range sorted {
+		total += float64(node.Weight)
+	}
+	chosen := 0.0
+	for i, node := range sorted {
+		strong := float64(node.Weight) >= strongShare*float64(sorted[0].Weight)
+		if !strong && chosen >= leastShare*total {
+			return sorted[:i]
+		}
+		chosen += float64(node.Weight)
+	}
+	return sorted
 }
 
 // placed lists the live nodes whose addresses are known: a seed is known by its peer
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -41,6 +41,9 @@
 // in milliseconds.
 const storeDialTimeout = 500 * time.Millisecond
 
+// milli is the number of thousandths of a core in one.
+const milli = 1000
+
 // logCloseLimit bounds the wait for the log's reader at the stop.
 const logCloseLimit = 200 * time.Millisecond
 
@@ -70,14 +73,12 @@
 	// delegated counts the groups of sends in work for other nodes.
 	delegated atomic.Int64
 	ready     atomic.Bool
-	// preferredNodes counts the nodes that callers are sent to; it is renewed by
-	// the housekeeping.
-	preferredNodes atomic.Int64
-	// preferredNames is used by the housekeeping alone.
-	preferredNames []string
-	ctx            context.Context
-	cancel         context.CancelFunc
-	done           sync.WaitGroup
+	// entries are the nodes that callers are sent to. The housekeeping renews them:
+	// to choose them for each request would cost a walk over all replicas.
+	entries atomic.Pointer[[]route.Node]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // New describes a node as an fx application; Start it and Stop it.
@@ -162,7 +163,7 @@
 	if n.server, err = peer.Listen(s.PeerAddress, tlsConfig, n.identity, n); err != nil {
 		return fault.Step("listen for peers", err)
 	}
-	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress}
+	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, Weight: uint32(s.Cores * milli)}
 	n.views.SetSelf(self)
 	n.members = membership.Start(membership.Options{
 		Self:        self,
@@ -252,7 +253,7 @@
 		}
 		n.registry.expire()
 		n.setBound()
-		n.lookAtPreferred()
+		n.renewEntries()
 		if config := n.beliefs.config.Load(); config != nil {
 			n.callers.setLimits(config.Limits)
 		}
@@ -265,19 +266,27 @@
 	}
 }
 
-// lookAtPreferred notes which nodes callers are sent to.
-func (n *Node) lookAtPreferred() {
-	nodes := n.preferred()
-	names := make([]string, 0, len(nodes))
-	for _, one := range nodes {
-		names = append(names, one.DataCentre+" "+one.CallerAddress)
-	}
-	n.preferredNodes.Store(int64(len(nodes)))
-	if slices.Equal(names, n.preferredNames) {
+// renewEntries chooses anew which nodes callers are sent to.
+func (n *Node) renewEntries() {
+	former := n.entries.Load()
+	chosen := n.preferred()
+	if former != nil && slices.Equal(*former, chosen) {
 		return
 	}
-	n.preferredNames = names
-	n.log.Life("entries_changed", decisionlog.Fields{"entries": names, "live": len(n.view().Nodes())})
+	n.entries.Store(&chosen)
+	addresses := make([]string, 0, len(chosen))
+	for _, one := range chosen {
+		addresses = append(addresses, one.CallerAddress)
+	}
+	n.log.Life("entries_changed", decisionlog.Fields{"entries": addresses, "live": len(n.view().Nodes())})
+}
+
+// chosen lists the nodes that callers are sent to.
+func (n *Node) chosen() []route.Node {
+	if entries := n.entries.Load(); entries != nil {
+		return *entries
+	}
+	return nil
 }
 
 // Shares of the bound on extra arrivals that this node uses. The rest is for what
@@ -317,7 +326,7 @@
 		limit = defaultConnection
 	}
 	all := len(n.view().Nodes())
-	preferred := int(n.preferredNodes.Load())
+	preferred := len(n.chosen())
 	usable := int(connectionsUsed*float64(limit)) - (all - preferred)
 	return max(usable/max(preferred, 1), 1)
 }
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -29,6 +29,7 @@
 		PeerAddress:     message.From.PeerAddress,
 		CallerAddress:   message.From.CallerAddress,
 		OperatorAddress: message.From.OperatorAddress,
+		Weight:          message.From.Weight,
 	}
 	for _, update := range message.Updates {
 		out.Suspects = append(out.Suspects, encodeUpdate(update))
@@ -50,6 +51,7 @@
 		PeerAddress:     update.Node.PeerAddress,
 		CallerAddress:   update.Node.CallerAddress,
 		OperatorAddress: update.Node.OperatorAddress,
+		Weight:          update.Node.Weight,
 	}
 	for _, witness := range update.Witnesses {
 		if witness.Node != 0 {
@@ -90,6 +92,7 @@
 	GetPeerAddress() string
 	GetCallerAddress() string
 	GetOperatorAddress() string
+	GetWeight() uint32
 }
 
 func decodeNode(in nodeMessage) route.Node {
@@ -99,6 +102,7 @@
 		PeerAddress:     in.GetPeerAddress(),
 		CallerAddress:   in.GetCallerAddress(),
 		OperatorAddress: in.GetOperatorAddress(),
+		Weight:          in.GetWeight(),
 	}
 }
 
