--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -66,6 +66,7 @@
 	return []*command{
 		serveCommand(),
 		edgeCommand(),
+		explainCommand(),
 		checkCommand(),
 		diffCommand(),
 		queryCommand(),
--- /dev/null
+++ b/internal/command/explain_test.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const twoLogs = `
+collector 1 {"event":"config_in_force","node":"vm-1","time":"2030-01-01T00:00:01Z","version":7}
+{"event":"config_in_force","node":"vm-1","time":"2030-01-01T00:00:02Z","version":9}
+{"event":"config_in_force","node":"vm-2","time":"2030-01-01T00:00:02Z","version":8}
+not a line of ours
+{"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"failed","status":502}
+{"event":"send_failed","node":"vm-1","time":"2030-01-01T00:00:03Z","request":"r1","replica":"i-7","cause":"unexpected EOF","status":0}
+{"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:05Z","request":"r2","outcome":"partial"}
+{"event":"config_in_force","node":"vm-1","time":"2030-01-01T00:00:06Z","version":10}
+`
+
+// A user complains about one request. Its lines lie among those of others, out of order,
+// and what the node believed then is not what it believes now.
+func TestExplainTellsOneRequestWithTheBeliefsOfItsTime(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(twoLogs), 0o600))
+	code, out, errors := run("explain", "r1", path)
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, "version=9")
+	for _, absent := range []string{"version=7", "version=8", "version=10", "r2", "partial"} {
+		require.NotContains(t, out, absent)
+	}
+	require.Less(t, strings.Index(out, "unexpected EOF"), strings.Index(out, "outcome=failed"))
+	code, out, _ = run("explain", "r9", path)
+	require.Equal(t, ExitTrouble, code)
+	require.Contains(t, out, "no line on request r9")
+	code, _, _ = run("explain", "r1", path+".missing")
+	require.Equal(t, ExitUsage, code)
+}
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -143,3 +143,38 @@
 func (l *Log) write(one line) {
 	l.out.WithTime(one.at).WithFields(l.base).WithFields(one.fields).WithField(logs.FieldEvent, one.event).Info()
 }
+
+// Logger is a logrus logger whose lines, which name their event, go through this log.
+// Duties that other kinds of nodes run too write by it.
+func (l *Log) Logger() logrus.FieldLogger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.AddHook(forward{log: l})
+	return logger
+}
+
+// forward hands logrus entries on.
+type forward struct{ log *Log }
+
+// Levels implements logrus.Hook.
+func (f forward) Levels() []logrus.Level {
+	return []logrus.Level{logrus.InfoLevel, logrus.WarnLevel, logrus.ErrorLevel}
+}
+
+// Fire implements logrus.Hook. Lines without an event are not ours to keep.
+func (f forward) Fire(entry *logrus.Entry) error {
+	event, ok := entry.Data[logs.FieldEvent].(string)
+	if !ok {
+		return nil
+	}
+	fields := Fields{}
+	for name, value := range entry.Data {
+		if err, isError := value.(error); isError {
+			value = err.Error()
+		}
+		fields[name] = value
+	}
+	delete(fields, logs.FieldEvent)
+	f.log.Life(event, fields)
+	return nil
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -172,7 +172,7 @@
 		Belief:      n.views,
 		Peers:       n.pool,
 		Now:         n.now,
-		Log:         n.quiet,
+		Log:         n.log.Logger(),
 		Problems:    observe.NewProblems(n.now),
 	})
 	n.pool.OnLink(n.linkNews)
@@ -252,8 +252,8 @@
 		case <-ticker.C:
 		}
 		n.registry.expire()
-		n.setBound()
 		n.renewEntries()
+		n.setBound()
 		if config := n.beliefs.config.Load(); config != nil {
 			n.callers.setLimits(config.Limits)
 		}
@@ -289,23 +289,26 @@
 	return nil
 }
 
-// Shares of the bound on extra arrivals that this node uses. The rest is for what
-// the nodes cannot know of each other: requests that are counted a moment apart,
-// and processes that restart and forget what they spent.
+// Shares of the bound on extra arrivals that the nodes use. The rest is for what they
+// cannot know of each other: requests that are counted a moment apart, and processes
+// that restart and forget what they spent.
 const (
-	ratioUsed     = 0.8
-	allowanceUsed = 0.4
+	ratioUsed = 0.85
+	// entriesAllowance is the part of the fixed allowance for the nodes that callers
+	// are sent to, othersAllowance that for all nodes: callers may keep old addresses.
+	entriesAllowance = 0.45
+	othersAllowance  = 0.15
 )
 
 // setBound shares the fixed allowance among the nodes that are live.
 func (n *Node) setBound() {
 	s := n.settings.Load()
-	nodes := max(len(n.view().Nodes()), len(s.Seeds), 1)
-	bound := extra.Bound{
-		Window:    s.ExtraWindow,
-		Ratio:     s.ExtraRatio * ratioUsed,
-		Allowance: s.ExtraAllowance * allowanceUsed / float64(nodes),
+	allowance := othersAllowance / float64(max(len(n.view().Nodes()), len(s.Seeds), 1))
+	chosen := n.chosen()
+	if slices.ContainsFunc(chosen, func(one route.Node) bool { return one.ID == n.identity.Node }) {
+		allowance += entriesAllowance / float64(len(chosen))
 	}
+	bound := extra.Bound{Window: s.ExtraWindow, Ratio: s.ExtraRatio * ratioUsed, Allowance: s.ExtraAllowance * allowance}
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
 	n.beliefs.budget.SetBound(bound)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -144,7 +144,9 @@
 	q.sends = append(q.sends, one)
 	if a.Cause != scatter.First {
 		q.node.metrics.extra(a.Cause)
-		q.note(step{Event: "sent_again", Cause: string(a.Cause), Replica: a.Replica.ID, Service: a.Replica.Service})
+	}
+	if a.Cause != scatter.First || q.route.Gather == nil {
+		q.note(step{Event: "sent", Cause: string(a.Cause), Replica: a.Replica.ID, Service: a.Replica.Service})
 	}
 	return one
 }
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -120,20 +120,42 @@
 	h.wakeOne()
 }
 
-// dial opens a connection for which take has counted a place.
+// dialed is the end of an attempt to open a connection.
+type dialed struct {
+	conn *conn
+	err  error
+}
+
+// dial opens a connection for which take has counted a place. When the context ends
+// first the connection is opened all the same and kept for the next request: its
+// opening has cost the replica something already.
 func (c *Client) dial(ctx context.Context, request *Request) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	dialer := net.Dialer{Control: limitSilence}
-	stream, err := dialer.DialContext(ctx, "tcp", request.Address)
+	ends := make(chan dialed, 1)
+	go func() { ends <- c.open(request.Replica, request.Address) }()
+	select {
+	case end := <-ends:
+		return end.conn, end.err
+	case <-ctx.Done():
+		go func() {
+			if end := <-ends; end.err == nil {
+				c.free(end.conn)
+			}
+		}()
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (c *Client) open(replica, address string) dialed {
+	dialer := net.Dialer{Control: limitSilence, Timeout: dialTimeout}
+	stream, err := dialer.Dial("tcp", address)
 	if err != nil {
-		c.ended(request.Replica, nil)
-		return nil, err
+		c.ended(replica, nil)
+		return dialed{err: err}
 	}
 	c.mutex.Lock()
 	c.opened++
 	c.mutex.Unlock()
-	return newConn(c, request.Replica, stream), nil
+	return dialed{conn: newConn(c, replica, stream)}
 }
 
 // limitSilence makes the kernel end a connection whose bytes nobody acknowledges:
