--- a/internal/edge/copies_test.go
+++ b/internal/edge/copies_test.go
@@ -44,3 +44,13 @@
 	require.Empty(t, targets)
 	require.True(t, reader)
 }
+
+// All nodes lose power and start again. The replicas still count the former connections:
+// were these more than half of the limit, the new ones would be reset for many seconds.
+func TestConnectionsOfAllNodesLeaveRoomForTheirSuccessors(t *testing.T) {
+	for _, one := range []struct{ limit, nodes, near int }{{26, 7, 2}, {26, 8, 3}, {26, 7, 1}, {60, 8, 2}, {100, 7, 2}, {520, 8, 2}} {
+		usable := int(connectionsUsed * float64(one.limit))
+		sum := one.near*shareConnections(usable, one.nodes, one.near, true) + (one.nodes-one.near)*shareConnections(usable, one.nodes, one.near, false)
+		require.LessOrEqual(t, 2*sum, one.limit, "%+v", one)
+	}
+}
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -84,6 +84,7 @@
 	one := &exchange{ctx: ctx, cancel: cancel, startAt: n.now()}
 	one.send = scatter.Send{ID: int(send.GetId())}
 	one.send.Replica.ID, one.send.Replica.Service, one.send.Replica.Address = send.GetReplica(), send.GetService(), send.GetAddress()
+	one.send.Replica.DataCentre = n.settings.Load().DataCentre
 	n.beliefs.mutex.Lock()
 	known, ok := n.beliefs.book.Get(send.GetReplica())
 	n.beliefs.mutex.Unlock()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -314,24 +314,39 @@
 	n.beliefs.budget.SetBound(bound)
 }
 
-// Shares of a replica's connections. Nodes that callers are not sent to still get
-// requests of callers with old answers, and keep one connection each.
-const (
-	connectionsUsed   = 0.85
-	defaultConnection = 8
-)
+// connectionsUsed is the part of a replica's connections that all nodes use together. A
+// replica counts the connections of processes that lost power until it closes them for
+// being idle, many seconds later: with half of them free, the processes that start again
+// can connect at once.
+const connectionsUsed = 0.45
+
+// defaultConnections is the limit of a service that states none.
+const defaultConnections = 16
 
-// connectionShare is how many connections this node may hold to a replica of a
-// service. The shares of all live nodes stay below the replica's limit.
-func (n *Node) connectionShare(config *policy.Config, service string) int {
-	limit := config.Services[service].MaxConnections
+// connectionShare is how many connections this node may hold to a replica. Nodes next to
+// the replica carry the requests of the others too; those further away hedge and retry.
+func (n *Node) connectionShare(config *policy.Config, to replica.Replica) int {
+	limit := config.Services[to.Service].MaxConnections
 	if limit <= 0 {
-		limit = defaultConnection
+		limit = defaultConnections
+	}
+	chosen := n.chosen()
+	near := 0
+	for _, one := range chosen {
+		if one.DataCentre == to.DataCentre {
+			near++
+		}
+	}
+	return shareConnections(int(connectionsUsed*float64(limit)), len(chosen), near, n.settings.Load().DataCentre == to.DataCentre)
+}
+
+// shareConnections divides connections among nodes of which some are near the replica.
+func shareConnections(usable, nodes, near int, isNear bool) int {
+	far := max(usable/(2*max(nodes, 1)), 1)
+	if !isNear || near == 0 {
+		return far
 	}
-	all := len(n.view().Nodes())
-	preferred := len(n.chosen())
-	usable := int(connectionsUsed*float64(limit)) - (all - preferred)
-	return max(usable/max(preferred, 1), 1)
+	return max((usable-far*(nodes-near))/near, 1)
 }
 
 // Reload takes new settings. Addresses of a running process do not change.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -185,7 +185,7 @@
 	wire.Replica = one.send.Replica.ID
 	wire.Address = one.send.Replica.Address
 	wire.Late = func(response *replicaconn.Response) { q.lateAnswer(one, response) }
-	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica.Service)
+	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
 	one.verdict = q.judge(one)
 	one.took = q.node.now() - one.startAt
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -90,6 +90,7 @@
 	errUnasked     = errors.New("bytes came that no request asked for")
 	errTooLong     = errors.New("the answer is longer than this node takes")
 	errClosed      = errors.New("the client is closed")
+	errRefusing    = errors.New("the replica ends new connections without an answer")
 	errReplaced    = errors.New("the connection was given up")
 )
 
@@ -166,9 +167,9 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Cause: err}
 	}
-	if err := conn.write(ctx, call); err != nil {
+	if written, err := conn.write(ctx, call); err != nil {
 		conn.close(err)
-		return nil, &Error{Step: "send", Sent: true, Cause: err}
+		return nil, &Error{Step: "send", Sent: written > 0, Cause: err}
 	}
 	select {
 	case end := <-call.done:
--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -162,3 +162,23 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.Eventually(t, func() bool { return replica.Abandoned() == 1 }, 10*time.Second, time.Millisecond)
 }
+
+// A replica resets connections beyond its limit, which processes that lost power still
+// fill. Each request would open another one, be reset and be sent again: 38,000 resets in
+// ten seconds were seen. After a refusal nothing is opened for a moment, and a request
+// that finds none open has truthfully not run.
+func TestAReplicaThatEndsNewConnectionsIsLeftAlone(t *testing.T) {
+	client, replica := start(t)
+	replica.SetAct(always(platformtest.Lose))
+	refused := 0
+	for range 200 {
+		_, err := do(t, client, request(replica, "r"))
+		var failed *replicaconn.Error
+		require.ErrorAs(t, err, &failed)
+		if !failed.Sent {
+			refused++
+		}
+	}
+	require.Equal(t, 200, refused+len(replica.Arrivals()))
+	require.Less(t, len(replica.Arrivals()), 100)
+}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -81,9 +81,9 @@
 	return true
 }
 
-// write sends head and body. The head carries the time that is left now: waiting
+// write sends head and body and returns how many bytes may have left. The head carries the time that is left now: waiting
 // for the connection may have used some of it.
-func (c *conn) write(ctx context.Context, one *call) error {
+func (c *conn) write(ctx context.Context, one *call) (int, error) {
 	request := one.request
 	header := request.Header.Clone()
 	if header == nil {
@@ -99,18 +99,18 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	if err := header.Write(&head); err != nil {
-		return err
+		return 0, err
 	}
 	head.WriteString("\r\n")
 	if len(request.Body) <= inlineBody {
 		head.Write(request.Body)
-		_, err := c.stream.Write(head.Bytes())
-		return err
+		return c.stream.Write(head.Bytes())
 	}
-	return c.writeLong(head.Bytes(), request.Body)
+	c.writeLong(head.Bytes(), request.Body)
+	return head.Len(), nil
 }
 
-func (c *conn) writeLong(head, body []byte) error {
+func (c *conn) writeLong(head, body []byte) {
 	written := make(chan struct{})
 	c.mutex.Lock()
 	c.writing = written
@@ -122,7 +122,6 @@
 			c.close(err)
 		}
 	}()
-	return nil
 }
 
 // read reads answers until the connection ends.
@@ -147,6 +146,9 @@
 			return err
 		}
 		c.answers++
+		if c.answers == 1 {
+			c.client.answered(c.replica)
+		}
 		belongs, err := c.belongs(one.request, response)
 		if err != nil {
 			return err
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -17,6 +17,24 @@
 	open    int
 	idle    []*conn
 	waiters []chan struct{}
+	// refusals counts new connections in a row that ended without any answer; until
+	// closedUntil no further one is opened.
+	refusals    int
+	closedUntil time.Time
+}
+
+// Pauses after a replica ended a new connection without an answer. It resets those beyond
+// its limit: opening more at once would only cost it more.
+const (
+	firstRefusalPause = 20 * time.Millisecond
+	maxRefusalPause   = 320 * time.Millisecond
+)
+
+// refused notes a new connection that ended without an answer.
+func (h *host) refused(now time.Time) {
+	pause := min(firstRefusalPause<<min(h.refusals, 8), maxRefusalPause)
+	h.refusals++
+	h.closedUntil = now.Add(pause)
 }
 
 // acquire takes an idle connection, opens one within the bound, or waits until one
@@ -55,7 +73,10 @@
 	if found := h.takeIdle(request, time.Now()); found != nil {
 		return found, nil, nil
 	}
-	if h.open < max(request.MaxConnections, 1) {
+	if h.open == 0 && time.Now().Before(h.closedUntil) {
+		return nil, nil, errRefusing
+	}
+	if h.open < max(request.MaxConnections, 1) && !time.Now().Before(h.closedUntil) {
 		h.open++
 		return nil, nil, nil
 	}
@@ -185,6 +206,16 @@
 	h.wakeOne()
 }
 
+// answered notes that a replica answers on its connections.
+func (c *Client) answered(replica string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if h := c.hosts[replica]; h != nil {
+		h.refusals = 0
+		h.closedUntil = time.Time{}
+	}
+}
+
 // ended takes a connection out of the books; nil is one that did not open.
 func (c *Client) ended(replica string, conn *conn) {
 	c.mutex.Lock()
@@ -200,6 +231,9 @@
 		}
 	}
 	h.open--
+	if conn == nil || conn.answers == 0 {
+		h.refused(time.Now())
+	}
 	h.wakeOne()
 }
 
