--- /dev/null
+++ b/internal/mirror/follow_test.go
@@ -0,0 +1,262 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+)
+
+// fakeStore is a store in memory. While it is silent, calls last until they are given up.
+type fakeStore struct {
+	mutex     sync.Mutex
+	state     *Copy
+	silent    bool
+	busy      bool
+	forgotten uint64
+	calls     int
+}
+
+var errBusy = errors.New("busy")
+
+func (s *fakeStore) call(ctx context.Context) error {
+	s.mutex.Lock()
+	s.calls++
+	silent, busy := s.silent, s.busy
+	s.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if busy {
+		return errBusy
+	}
+	return nil
+}
+
+func (s *fakeStore) Page(ctx context.Context, _ string) (Page, error) {
+	if err := s.call(ctx); err != nil {
+		return Page{}, err
+	}
+	delta := s.state.Since(0)
+	return Page{Items: delta.Items, Revision: delta.UpTo}, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Delta, error) {
+	if err := s.call(ctx); err != nil {
+		return Delta{}, err
+	}
+	s.mutex.Lock()
+	gone := after < s.forgotten
+	s.mutex.Unlock()
+	if gone {
+		return Delta{}, ErrHistoryGone
+	}
+	changed := s.state.Changed()
+	if s.state.UpTo() <= after {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return Delta{}, ctx.Err()
+		}
+	}
+	return s.state.Since(after), nil
+}
+
+func (s *fakeStore) Close() {}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+// put changes an item in the store.
+func (s *fakeStore) put(key string, removed bool) {
+	at := s.state.UpTo()
+	s.state.Apply(Delta{After: at, UpTo: at + 1, Items: []Item{{Key: key, Revision: at + 1, Removed: removed}}})
+}
+
+// fakePeers is one peer with a copy of its own.
+type fakePeers struct {
+	reader bool
+	copied *Copy
+	mutex  sync.Mutex
+	age    time.Duration
+}
+
+func alone() *fakePeers { return &fakePeers{} }
+
+func (p *fakePeers) setAge(age time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.age = age
+}
+
+func (p *fakePeers) Sources(int) ([]peer.Target, bool) {
+	if p.copied == nil {
+		return nil, true
+	}
+	return []peer.Target{{Node: "peer"}}, p.reader
+}
+
+func (p *fakePeers) Fetch(ctx context.Context, _ peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error) {
+	if p.copied.UpTo() <= after {
+		select {
+		case <-p.copied.Changed():
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return Delta{}, 0, ctx.Err()
+		}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.copied.Since(after), p.age, nil
+}
+
+// heard collects what a listener is told.
+type heard struct {
+	mutex   sync.Mutex
+	changes []Change
+	lost    int
+	back    int
+}
+
+func (h *heard) Changed(change Change) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.changes = append(h.changes, change)
+}
+
+func (h *heard) SourceFailed(string, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.lost++
+}
+
+func (h *heard) SourceBack(string, time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.back++
+}
+
+func (h *heard) last() Change {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.changes[len(h.changes)-1]
+}
+
+type following struct {
+	*Follower
+	store    *fakeStore
+	peers    *fakePeers
+	listener *heard
+}
+
+// follow runs a scenario in virtual time. The peers are made within it: a wait on a channel
+// from outside would stop the clock.
+func follow(t *testing.T, makePeers func() *fakePeers, scenario func(f following)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		peers := makePeers()
+		store := &fakeStore{state: NewCopy()}
+		store.state.Apply(Delta{Whole: true, UpTo: 1})
+		started := time.Now()
+		f := following{store: store, peers: peers, listener: &heard{}}
+		now := func() core.Time { return time.Since(started) + 1 }
+		f.Follower = NewFollower(DefaultConfig(), NewCopy(), store, peers, f.listener, now)
+		store.put("a", false)
+		f.Start()
+		defer f.Close()
+		time.Sleep(time.Second)
+		scenario(f)
+	})
+}
+
+func TestAChangeIsTakenUpAtOnce(t *testing.T) {
+	follow(t, alone, func(f following) {
+		f.store.put("b", false)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, f.store.state.UpTo(), f.copy.UpTo())
+	})
+}
+
+// The store is silent for four seconds and drops the entries of replicas that could not
+// renew them. Their removal says nothing of them; a removal later on does.
+func TestRemovalsAfterAnOutageAreMarked(t *testing.T) {
+	follow(t, alone, func(f following) {
+		f.store.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(4 * time.Second)
+		f.store.put("a", true)
+		f.store.put("b", false)
+		f.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(3 * time.Second)
+		require.True(t, f.listener.last().AfterOutage)
+		require.Equal(t, 1, f.listener.lost)
+		require.Equal(t, 1, f.listener.back)
+		f.store.put("b", true)
+		time.Sleep(time.Second)
+		require.False(t, f.listener.last().AfterOutage)
+	})
+}
+
+// A store that dropped its history is read anew, and what vanished meanwhile is noticed.
+func TestADroppedHistoryIsReadAnew(t *testing.T) {
+	follow(t, alone, func(f following) {
+		f.store.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(time.Second)
+		f.store.put("a", true)
+		f.store.put("b", false)
+		f.store.set(func(s *fakeStore) { s.silent, s.forgotten = false, 100 })
+		time.Sleep(3 * time.Second)
+		_, held := f.copy.Get("a")
+		require.False(t, held)
+		_, held = f.copy.Get("b")
+		require.True(t, held)
+	})
+}
+
+// The store turns this node away and serves the others. Changes come from their copies,
+// and the store is asked again at a bounded pace.
+func TestANodeThatIsTurnedAwayFollowsAPeer(t *testing.T) {
+	makePeers := func() *fakePeers { return &fakePeers{reader: true, copied: NewCopy()} }
+	follow(t, makePeers, func(f following) {
+		f.store.set(func(s *fakeStore) { s.busy = true })
+		before := f.store.calls
+		f.store.put("b", false)
+		f.peers.copied.Apply(f.store.state.Since(0))
+		time.Sleep(5 * time.Second)
+		_, held := f.copy.Get("b")
+		require.True(t, held)
+		require.LessOrEqual(t, f.store.calls-before, 5*3)
+		age, _ := f.Age()
+		require.Less(t, age, 3*time.Second)
+	})
+}
+
+// A node that is not a reader leaves the store alone while its peers are fresh. When the
+// readers are cut off from the store it reads itself.
+func TestAFollowerReadsTheStoreOnlyWhenItsPeersAreStale(t *testing.T) {
+	makePeers := func() *fakePeers {
+		copied := NewCopy()
+		copied.Apply(Delta{Whole: true, UpTo: 2, Items: []Item{{Key: "a", Revision: 2}}})
+		return &fakePeers{copied: copied}
+	}
+	follow(t, makePeers, func(f following) {
+		time.Sleep(10 * time.Second)
+		require.Zero(t, f.store.calls)
+		f.peers.setAge(time.Minute)
+		f.store.put("b", false)
+		time.Sleep(3 * time.Second)
+		_, held := f.copy.Get("b")
+		require.True(t, held)
+	})
+}
