--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -24,14 +24,16 @@
 	parser.Description = "run a node of the forwarding tier until it is told to stop"
 	path := os.Getenv(platform.SettingsVariable)
 	parser.String(&path, "s", "settings", "the platform's settings file (default: "+platform.SettingsVariable+")")
+	var metricsPort int
+	parser.Int(&metricsPort, "m", "metrics-port", "port for metrics and the state dump (default: the last of the nodes' own range)")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier edge --settings boot.conf",
-		run:     func(out io.Writer) error { return runEdge(path, out) },
+		run:     func(out io.Writer) error { return runEdge(path, metricsPort, out) },
 	}
 }
 
-func runEdge(path string, out io.Writer) error {
+func runEdge(path string, metricsPort int, out io.Writer) error {
 	if path == "" {
 		return usage("edge needs --settings FILE or "+platform.SettingsVariable, "see docs/SETTINGS.md for what it holds")
 	}
@@ -39,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	s.SetMetricsPort(metricsPort)
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	app, node := edge.New(s, out)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -22,10 +22,10 @@
 	// ringDepth holds a burst of about twenty failed requests with all their
 	// sends; 4,096 lines of about 300 bytes are 1.2 MB.
 	ringDepth = 4096
-	// linesPerSecond and burst bound the volume: 200 lines of 300 bytes a second
-	// are 60 KB/s.
-	linesPerSecond = 200
-	burst          = 1000
+	// linesPerSecond and burst bound the volume to 200 lines in any second: 60 KB/s
+	// at 300 bytes a line.
+	linesPerSecond = 110
+	burst          = 90
 	// reportEvery is how often dropped lines and calm requests are summed up.
 	reportEvery = 10 * time.Second
 )
@@ -90,6 +90,25 @@
 	l.Life(event, fields)
 }
 
+// Line is one line of a story.
+type Line struct {
+	Event  string
+	Fields Fields
+}
+
+// Story writes the lines on one request, all of them within the rate or none: half a
+// story misleads whoever reads it.
+func (l *Log) Story(lines []Line) {
+	lines = lines[:min(len(lines), burst)]
+	if !l.limiter.AllowN(time.Now(), len(lines)) {
+		l.dropped.Add(int64(len(lines)))
+		return
+	}
+	for _, one := range lines {
+		l.Life(one.Event, one.Fields)
+	}
+}
+
 // Life writes a line on the process's own life or beliefs; these are few and not
 // held to the rate.
 func (l *Log) Life(event string, fields Fields) {
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -41,9 +41,12 @@
 
 func TestAStormOfDecisionsIsHeldToTheRate(t *testing.T) {
 	l := New(io.Discard, nil)
-	for range 3 * burst {
-		l.Decision("send_ended", nil)
+	for range 6 * burst {
+		l.Decision("send_failed", nil)
 	}
+	require.Greater(t, l.Dropped(), int64(4*burst))
+	dropped := l.Dropped()
+	l.Story(make([]Line, burst))
 	l.Close(time.Minute)
-	require.Greater(t, l.Dropped(), int64(burst))
+	require.Equal(t, dropped+burst, l.Dropped(), "a story is written whole or not at all")
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -188,27 +188,31 @@
 	n.members.Lost(news.Peer.Node)
 }
 
-// startOthers opens the addresses besides the callers'.
+// startOthers opens the addresses besides the callers'. Metrics are no condition of
+// serving: a node goes on where their port is taken.
 func (n *Node) startOthers(s *settings.Edge) error {
-	for _, one := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.DirectoryAddress, n.directory()},
-		{s.ReadyAddress, n.readiness()},
-		{s.MetricsAddress, n.operator()},
-	} {
-		if one.address == "" {
-			continue
+	for address, handler := range map[string]http.Handler{s.DirectoryAddress: n.directory(), s.ReadyAddress: n.readiness()} {
+		if err := n.serveOther(address, handler); err != nil {
+			return err
 		}
-		listener, err := net.Listen("tcp", one.address)
-		if err != nil {
-			return &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + one.address, Fix: "choose a free address of this VM in the settings", Cause: err}
-		}
-		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
-		n.others = append(n.others, server)
-		go func() { _ = server.Serve(listener) }()
 	}
+	if err := n.serveOther(s.MetricsAddress, n.operator()); err != nil {
+		n.log.Life("metrics_unavailable", decisionlog.Fields{"error": err.Error()})
+	}
+	return nil
+}
+
+func (n *Node) serveOther(address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
+	n.others = append(n.others, server)
+	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -303,8 +303,11 @@
 		q.node.log.Calm()
 		return
 	}
+	var lines []decisionlog.Line
 	for _, s := range q.trail {
-		q.node.log.Decision(s.Event, decisionlog.Fields{"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs})
+		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs,
+		}})
 	}
 	fields := decisionlog.Fields{
 		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
@@ -315,5 +318,5 @@
 	if age, known := q.node.follower.Age(); known {
 		fields["beliefs_age_ms"] = age.Milliseconds()
 	}
-	q.node.log.Decision("request_ended", fields)
+	q.node.log.Story(append(lines, decisionlog.Line{Event: "request_ended", Fields: fields}))
 }
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -46,6 +48,15 @@
 	ExtraAllowance float64
 }
 
+// SetMetricsPort moves the metrics to a fixed port; 0 leaves them where they are.
+func (e *Edge) SetMetricsPort(port int) {
+	host, _, err := net.SplitHostPort(e.MetricsAddress)
+	if port == 0 || err != nil {
+		return
+	}
+	e.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(port))
+}
+
 // Defaults of settings that may be missing.
 const (
 	DefaultStopWait    = 6 * time.Second
