--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -29,8 +29,11 @@
 	// Gather is how long a watch pauses after a change, so that changes that come
 	// together cost one call.
 	Gather time.Duration
-	// Retry is the pause after a failed call to the store.
-	Retry time.Duration
+	// Retry is the longest pause after failed calls to the store, FirstRetry the
+	// shortest; it doubles with each failure. A store that turned one call away often
+	// takes the next, and a process without a configuration refuses every request.
+	Retry      time.Duration
+	FirstRetry time.Duration
 	// Stale is the age from which on a copy is no longer followed.
 	Stale time.Duration
 	// Outage is the time without an answer after which removals may be the
@@ -43,18 +46,22 @@
 // DefaultConfig is the pace for changes that are to be in force within 3 s.
 func DefaultConfig() Config {
 	return Config{
-		Readers:   3,
-		WatchWait: 1200 * time.Millisecond,
-		PeerWait:  400 * time.Millisecond,
-		Slack:     500 * time.Millisecond,
-		Gather:    60 * time.Millisecond,
-		Retry:     400 * time.Millisecond,
-		Stale:     2500 * time.Millisecond,
-		Outage:    2200 * time.Millisecond,
-		Return:    2200 * time.Millisecond,
+		Readers:    3,
+		WatchWait:  1200 * time.Millisecond,
+		PeerWait:   400 * time.Millisecond,
+		Slack:      500 * time.Millisecond,
+		Gather:     60 * time.Millisecond,
+		Retry:      600 * time.Millisecond,
+		FirstRetry: 40 * time.Millisecond,
+		Stale:      2500 * time.Millisecond,
+		Outage:     2200 * time.Millisecond,
+		Return:     2200 * time.Millisecond,
 	}
 }
 
+// maxDoublings bounds the doubling of the pause, which its longest value ends earlier.
+const maxDoublings = 8
+
 // Change is what a reading brought.
 type Change struct {
 	Items []Item
@@ -91,6 +98,7 @@
 
 	// The rest is used by the following goroutine alone.
 	failedSince  core.Time
+	failures     int
 	storeRetryAt core.Time
 	returnUntil  core.Time
 }
@@ -136,7 +144,10 @@
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sources, reader := f.peers.Sources(f.config.Readers)
-		reader = reader || len(sources) == 0
+		// A process that has just started reads the store itself: after the loss of
+		// all nodes its peers know as little, and asking them in turn took 0.7 s in
+		// which every request was refused.
+		reader = reader || len(sources) == 0 || f.copy.UpTo() == 0
 		if reader && f.now() >= f.storeRetryAt {
 			f.readStore(ctx)
 			continue
@@ -188,7 +199,8 @@
 
 func (f *Follower) storeFailed(cause error) {
 	f.store.Close()
-	f.storeRetryAt = f.now() + f.config.Retry
+	f.storeRetryAt = f.now() + min(f.config.FirstRetry<<min(f.failures, maxDoublings), f.config.Retry)
+	f.failures++
 	if f.failedSince == 0 {
 		f.failedSince = max(f.now(), 1)
 		f.listener.SourceFailed("store", cause)
@@ -201,6 +213,7 @@
 	}
 	f.listener.SourceBack("store", f.now()-f.failedSince)
 	f.failedSince = 0
+	f.failures = 0
 }
 
 // readPeers reads from the first peer whose copy is fresh. A reader of the store
