--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -90,3 +90,10 @@
 		require.Contains(t, table, "`"+entry.Name()+"`", "the package table of DESIGN.md")
 	}
 }
+
+// An engineer on call meets an event in the logs and looks it up.
+func TestTheLogsPageListsEveryDecision(t *testing.T) {
+	source := sources(t)
+	requireListed(t, source, `(?:\.Life|\.Decision)\("([a-z_]+)"`, "LOGS.md")
+	requireListed(t, source, `(?:step|Line)\{Event: "([a-z_]+)"`, "LOGS.md")
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -242,10 +242,7 @@
 		return false
 	}
 	f.take(delta, f.now()-age)
-	if age > f.config.Stale {
-		return false
-	}
-	return true
+	return age <= f.config.Stale
 }
 
 // take takes up a delta that was the store's newest state at a time.
