A node whose incarnation is below its former one's goes above it

Cause: incarnations come from the time of day; after a step back and a restart the node's heartbeats counted as those of a process long gone. Found by reading; TestARestartBehindASteppedClockIsBelieved failed before (20 s without it in any view).

--- a/internal/core/member/gossip.go
+++ b/internal/core/member/gossip.go
@@ -110,8 +110,16 @@
 	}
 }
 
-// refute answers a claim that this node is lost: a higher version overrides it.
+// refute answers a claim that this node is lost: a higher version overrides it. A claim
+// about a higher incarnation than this one's is about a former process: incarnations are
+// made from the time of day, which may have stepped back in between. This process then
+// goes above it, since otherwise its heartbeats would count as the former one's.
 func (m *Machine) refute(u Update) {
+	if u.Incarnation > m.config.Incarnation {
+		m.config.Incarnation = u.Incarnation + 1
+		m.version = 0
+		return
+	}
 	claimed := u.Standing == StandingSuspect || u.Standing == StandingDead
 	if claimed && u.Incarnation == m.config.Incarnation && u.Version >= m.version {
 		m.version = u.Version + 1
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -245,6 +245,24 @@
 	require.Equal(t, 8, w.views(8, w.nodes...))
 }
 
+// The time of day steps back on a VM, and the process there is killed and starts again: its
+// incarnation, made from the time of day, is below the former one's. The others took its
+// heartbeats for those of a process long gone, and it got no work for as long as it ran.
+func TestARestartBehindASteppedClockIsBelieved(t *testing.T) {
+	w := newMesh(9, 8)
+	w.run(settle)
+	w.nodes[4].stopped = true
+	rest := append(append([]*node(nil), w.nodes[:4]...), w.nodes[5:]...)
+	require.Less(t, w.runUntil(20*time.Second, w.all(7, rest)), 10*time.Second)
+	fresh := w.add(4, 0)
+	w.nodes[4] = fresh
+	w.nodes = w.nodes[:8]
+	w.list(w.nodes)
+	require.Less(t, w.runUntil(20*time.Second, w.all(8, w.nodes)), 10*time.Second)
+	w.run(30 * time.Second)
+	require.Equal(t, 8, w.views(8, w.nodes...))
+}
+
 // An upstream says "draining" to one owner. Within 3 seconds no node may give
 // it new work; and once it is back, the old mark must not return.
 func TestADrainSpreadsAndDoesNotStick(t *testing.T) {
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -105,10 +104,7 @@
 // Find returns the route with the longest prefix of the path among those of the
 // host, or nil. A port in host is ignored.
 func (c *Config) Find(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, route := range c.byHost[strings.ToLower(host)] {
+	for _, route := range c.byHost[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -116,6 +112,16 @@
 	return nil
 }
 
+// withoutPort cuts the port off a Host header's value; the colons of an IPv6 number lie
+// within brackets.
+func withoutPort(host string) string {
+	colon := strings.LastIndexByte(host, ':')
+	if colon < 0 || strings.HasSuffix(host, "]") {
+		return host
+	}
+	return host[:colon]
+}
+
 // GatheredServices lists the services that are shards of any route.
 func (c *Config) GatheredServices() map[string]bool {
 	shards := map[string]bool{}
--- a/internal/core/policy/policy_test.go
+++ b/internal/core/policy/policy_test.go
@@ -17,6 +17,8 @@
 	require.Equal(t, long, config.Find("Search.Example:8104", "/a/b/"))
 	require.Equal(t, short, config.Find("search.example", "/a/bc"))
 	require.Nil(t, config.Find("search.example", "/a"))
+	require.Equal(t, "[::1]", withoutPort("[::1]:80"))
+	require.Equal(t, "[::1]", withoutPort("[::1]"))
 	require.Nil(t, config.Find("nobody.example", "/a/b/"))
 }
 
