A fault soak of real processes; the test of a link with slow replies waits for the check itself

Trace: it took the answer to the link's opening for that to the check, which was never made, and hung when that answer came before its first look. It now opens the link first; the check is as strict.

--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -134,11 +134,16 @@
 	arrived := make(chan *Inbound, 1)
 	server := startServer(t, authority, "b", HandlerFunc(func(inbound *Inbound) { arrived <- inbound }))
 	pool := startPool(t, authority, "a")
+	// The opening of the link is over with the first answer; what is heard silentAfter
+	// after the second request can only be the answer to the check.
+	opening, _ := ask(pool, Target{Node: "b", Address: server.Address()})
+	echo(<-arrived)
+	require.Nil(t, await(t, opening).failure)
+	started := time.Now()
 	replies, _ := ask(pool, Target{Node: "b", Address: server.Address()})
 	inbound := <-arrived
 	l := pool.snapshot()[0]
-	first := l.heardAt()
-	require.Eventually(t, func() bool { return l.heardAt().After(first) }, awaitLimit, watchEvery, "the check was answered")
+	require.Eventually(t, func() bool { return l.heardAt().Sub(started) >= silentAfter }, awaitLimit, watchEvery, "the check was answered")
 	echo(inbound)
 	require.Nil(t, await(t, replies).failure)
 	require.Same(t, l, pool.snapshot()[0])
--- /dev/null
+++ b/test/soak/callers_test.go
@@ -0,0 +1,252 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// callers send checked requests until the context ends.
+type callers struct {
+	w      *world
+	served atomic.Int64
+	asked  atomic.Int64
+	next   atomic.Int64
+	mutex  sync.Mutex
+	// posts are the requests that must run at most once, with the status that the
+	// caller got; 0 is none.
+	posts map[string]int
+}
+
+const (
+	callerCount = 6
+	// keptAnswer is how long callers keep an address answer, three times what they are told.
+	keptAnswer = 3 * time.Second
+	pause      = 15 * time.Millisecond
+)
+
+func (c *callers) run(ctx context.Context) {
+	var running sync.WaitGroup
+	for i := range callerCount {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			c.one(ctx, rand.New(rand.NewPCG(c.w.seed, uint64(i))))
+		}()
+	}
+	running.Wait()
+}
+
+// one is a caller: it asks for addresses, keeps them and its connections, and asks.
+func (c *callers) one(ctx context.Context, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 3 * time.Second}
+	defer client.CloseIdleConnections()
+	var addresses []string
+	var askedAt time.Time
+	for ctx.Err() == nil {
+		time.Sleep(pause)
+		if time.Since(askedAt) > keptAnswer || len(addresses) == 0 {
+			addresses, askedAt = c.resolve(ctx, client, random), time.Now()
+			continue
+		}
+		address := addresses[random.IntN(len(addresses))]
+		if !c.ask(ctx, client, address, random.IntN(3)) {
+			addresses = slices.DeleteFunc(slices.Clone(addresses), func(one string) bool { return one == address })
+		}
+	}
+}
+
+func (c *callers) resolve(ctx context.Context, client *http.Client, random *rand.Rand) []string {
+	node := c.w.nodes[random.IntN(nodeCount)]
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/pistachiopier/resolve?zone=dc%d", node.ip, directoryPort, random.IntN(2)), nil)
+	response, err := client.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addrs []string `json:"addrs"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.Addrs
+}
+
+// ask sends one request and checks the answer. It reports whether the node answered.
+func (c *callers) ask(ctx context.Context, client *http.Client, address string, kind int) bool {
+	c.asked.Add(1)
+	id := fmt.Sprintf("%x-%d", c.w.seed, c.next.Add(1))
+	path, method := []string{"/plain/x?y=%2F", "/all/x", "/once/x"}[kind], http.MethodGet
+	if kind == 2 {
+		method = http.MethodPost
+	}
+	request, _ := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	request.Host = "search.example"
+	request.Header.Set("Pistachiopier-Request-Id", id)
+	request.Header.Set("Pistachiopier-Deadline-Ms", "1500")
+	sentAt := time.Now()
+	node := c.node(address)
+	response, err := client.Do(request)
+	if err != nil {
+		c.noAnswer(ctx, node, id, kind, err)
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.noAnswer(ctx, node, id, kind, err)
+		return false
+	}
+	c.check(kind, id, sentAt, node, response, body)
+	return true
+}
+
+func (c *callers) node(address string) *vm {
+	host, _, _ := net.SplitHostPort(address)
+	for _, one := range c.w.nodes {
+		if one.ip == host {
+			return one
+		}
+	}
+	return nil
+}
+
+// noAnswer is a request without an answer. One that was read by a node which only stops as
+// planned must have one.
+func (c *callers) noAnswer(ctx context.Context, node *vm, id string, kind int, err error) {
+	c.remember(id, kind, 0)
+	node.mutex.Lock()
+	planned := node.planned
+	node.mutex.Unlock()
+	var operation *net.OpError
+	refused := errors.As(err, &operation) && operation.Op == "dial"
+	if planned && ctx.Err() == nil && !refused && kind != 2 {
+		c.w.fail("request %s got no answer from %s, which only stops: %v", id, node.ip, err)
+	}
+}
+
+func (c *callers) remember(id string, kind, status int) {
+	if kind == 2 {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.posts[id] = status
+	}
+}
+
+func (c *callers) check(kind int, id string, sentAt time.Time, node *vm, response *http.Response, body []byte) {
+	c.remember(id, kind, response.StatusCode)
+	switch {
+	case response.StatusCode == http.StatusOK && kind == 1:
+		c.checkGathered(id, response, body)
+	case response.StatusCode == http.StatusOK:
+		c.checkForwarded(kind, id, sentAt, node, response, body)
+	case response.StatusCode < 500:
+		c.w.fail("request %s got status %d, though each configuration allows it", id, response.StatusCode)
+	}
+	if response.StatusCode == http.StatusOK {
+		c.served.Add(1)
+	}
+}
+
+// signer finds the replica that a signature is of; it must be to this request.
+func (c *callers) signer(id, stamp string) string {
+	c.w.mutex.Lock()
+	defer c.w.mutex.Unlock()
+	for _, one := range c.w.replicas {
+		if one.Stamp(id) == stamp {
+			return one.Service
+		}
+	}
+	return ""
+}
+
+func (c *callers) checkForwarded(kind int, id string, sentAt time.Time, node *vm, response *http.Response, body []byte) {
+	service := c.signer(id, response.Header.Get("Pistachiopier-Server-Stamp"))
+	if service == "" || string(body) != string(records(service)) {
+		c.w.fail("request %s: a success with a body or signature that is not the replica's", id)
+		return
+	}
+	c.w.mutex.Lock()
+	changed, former, calm := c.w.changedAt, c.w.former, c.w.storeCalm
+	c.w.mutex.Unlock()
+	due := sentAt.Sub(changed) > applyWait+slack && sentAt.Sub(calm) > stable+applyWait+slack && node.calmFor(stable+applyWait+slack)
+	if kind == 0 && service == former && due {
+		c.w.fail("request %s was handled by the former configuration", id)
+	}
+}
+
+func (c *callers) checkGathered(id string, response *http.Response, body []byte) {
+	var parts []byte
+	seen := map[string]bool{}
+	for _, stamp := range strings.Split(response.Header.Get("Pistachiopier-Part-Stamps"), ",") {
+		service := c.signer(id, strings.TrimSpace(stamp))
+		if !strings.HasPrefix(service, "shard") || seen[service] {
+			c.w.fail("request %s: signature %q is of no shard, or of one twice", id, stamp)
+			return
+		}
+		seen[service] = true
+		parts = append(parts, records(service)...)
+	}
+	if missing := response.Header.Get("Pistachiopier-Missing-Parts"); missing != fmt.Sprint(shardCount-len(seen)) || 2*len(seen) < shardCount {
+		c.w.fail("request %s: %d parts and %s missing", id, len(seen), missing)
+	}
+	var all []string
+	for ; len(parts) >= 16; parts = parts[16:] {
+		all = append(all, string(parts[:16]))
+	}
+	slices.Sort(all)
+	slices.Reverse(all)
+	if string(body) != strings.Join(all[:min(3, len(all))], "") {
+		c.w.fail("request %s: the records are not the greatest of the parts named", id)
+	}
+}
+
+// checkLedgers compares what callers were told with what replicas ran.
+func (c *callers) checkLedgers() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for id, status := range c.posts {
+		runs := 0
+		for _, one := range c.w.replicas {
+			runs += one.Runs(id)
+		}
+		switch {
+		case runs > 1:
+			c.w.fail("request %s ran %d times", id, runs)
+		case status == http.StatusServiceUnavailable && runs != 0:
+			c.w.fail("request %s ran and was called not run", id)
+		case status == http.StatusOK && runs != 1:
+			c.w.fail("request %s was answered and did not run", id)
+		}
+	}
+}
+
+// checkExtra compares the arrivals beyond the first of each request with the bound.
+func (c *callers) checkExtra(length time.Duration) {
+	arrivals, requests := map[string]int{}, map[string]map[string]bool{}
+	for _, one := range c.w.replicas {
+		for _, seen := range one.Arrivals() {
+			if requests[one.Service] == nil {
+				requests[one.Service] = map[string]bool{}
+			}
+			arrivals[one.Service]++
+			requests[one.Service][seen.ID] = true
+		}
+	}
+	windows := int(length/(10*time.Second)) + 1
+	for service, count := range arrivals {
+		first := len(requests[service])
+		if bound := first + first/5 + 50*windows; count > bound {
+			c.w.fail("service %s got %d arrivals for %d requests, over %d", service, count, first, bound)
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,209 @@
+package soak_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+// fault is one entry of a schedule: it begins at a time and lasts for a while.
+type fault struct {
+	at, lasts time.Duration
+	kind      int
+	node      int
+	draw      uint64
+}
+
+// The kinds of faults.
+const (
+	killNode = iota
+	stopNode
+	pauseNode
+	storeBusy
+	storeSilent
+	storeCut
+	storeForgets
+	replicaActs
+	replicaDrains
+	configChanges
+	kinds
+)
+
+// schedule draws the faults of a seed. They come in series and overlap.
+func schedule(random *rand.Rand, length time.Duration) []fault {
+	var faults []fault
+	for at := time.Second; at < length; at += time.Duration(100+random.IntN(900)) * time.Millisecond {
+		faults = append(faults, fault{
+			at: at, lasts: time.Duration(200+random.IntN(2500)) * time.Millisecond,
+			kind: random.IntN(kinds), node: random.IntN(nodeCount), draw: random.Uint64(),
+		})
+	}
+	return faults
+}
+
+// play carries a schedule out and returns when all of it is over.
+func (w *world) play(faults []fault) {
+	var running sync.WaitGroup
+	for _, one := range faults {
+		time.Sleep(time.Until(w.began.Add(one.at)))
+		w.note("fault %d at node %d for %v", one.kind, one.node, one.lasts)
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			w.carryOut(one)
+		}()
+	}
+	running.Wait()
+}
+
+func (w *world) carryOut(f fault) {
+	one := w.nodes[f.node]
+	switch f.kind {
+	case killNode, stopNode, pauseNode:
+		w.disturb(one, f)
+	case storeBusy:
+		w.store.SetTrouble(func(string) platformtest.Trouble { return platformtest.Busy })
+		w.storeTrouble(f.lasts)
+	case storeSilent:
+		w.store.SetTrouble(func(string) platformtest.Trouble { return platformtest.Silent })
+		w.storeTrouble(f.lasts)
+	case storeCut:
+		// One node alone is cut off; the others are to tell it.
+		one.proxy.SetBoth(faultproxy.Faults{Cut: true})
+		time.Sleep(f.lasts)
+		one.proxy.SetBoth(faultproxy.Faults{})
+		one.proxy.Reset()
+		if one.calmFor(0) {
+			one.becomesCalm()
+		}
+	case storeForgets:
+		w.store.Forget()
+	case replicaActs:
+		w.misbehave(f)
+	case replicaDrains:
+		w.drain(f)
+	case configChanges:
+		w.configure()
+	}
+}
+
+// disturb kills, stops or pauses a process that nothing else happens to.
+func (w *world) disturb(one *vm, f fault) {
+	if !one.calmFor(0) {
+		return
+	}
+	switch f.kind {
+	case killNode:
+		_ = one.signal(syscall.SIGKILL).Wait()
+		time.Sleep(f.lasts / 4)
+		w.launch(one)
+	case stopNode:
+		one.mutex.Lock()
+		one.planned = true
+		one.mutex.Unlock()
+		cmd := one.signal(syscall.SIGTERM)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = cmd.Wait()
+		}()
+		select {
+		case <-ended:
+		case <-time.After(graceSeconds*time.Second + slack):
+			w.fail("vm %s did not stop within its time", one.ip)
+			_ = cmd.Process.Kill()
+			<-ended
+		}
+		w.launch(one)
+	case pauseNode:
+		one.signal(syscall.SIGSTOP)
+		time.Sleep(f.lasts)
+		one.signal(syscall.SIGCONT)
+		one.becomesCalm()
+	}
+}
+
+// storeTrouble ends a trouble of the whole store after a while. Troubles overlap: the store
+// is calm when the last one has ended.
+func (w *world) storeTrouble(lasts time.Duration) {
+	w.mutex.Lock()
+	w.troubled++
+	w.storeCalm = time.Now().Add(time.Hour)
+	w.mutex.Unlock()
+	time.Sleep(lasts)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.troubled--
+	if w.troubled == 0 {
+		w.store.SetTrouble(nil)
+		w.storeCalm = time.Now()
+	}
+}
+
+// pick draws a replica that is not draining.
+func (w *world) pick(draw uint64) *upstream {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	services := w.services()
+	service := services[draw%uint64(len(services))]
+	for _, one := range w.replicas {
+		if one.Service == service && one.drainedAt.IsZero() {
+			return one
+		}
+	}
+	return nil
+}
+
+// misbehave makes a replica answer wrongly now and then for a while.
+func (w *world) misbehave(f fault) {
+	one := w.pick(f.draw)
+	if one == nil {
+		return
+	}
+	act := platformtest.Act(f.draw >> 8 % uint64(platformtest.Hang+1))
+	every := 1 + f.draw>>16%4
+	var mutex sync.Mutex
+	var count uint64
+	one.SetAct(func(platformtest.Seen) platformtest.Act {
+		mutex.Lock()
+		defer mutex.Unlock()
+		count++
+		if count%every == 0 {
+			return act
+		}
+		return platformtest.Answer
+	})
+	time.Sleep(f.lasts)
+	one.SetAct(func(platformtest.Seen) platformtest.Act { return platformtest.Answer })
+}
+
+// drain lets another replica start, drains one, and ends it later.
+func (w *world) drain(f fault) {
+	one := w.pick(f.draw)
+	if one == nil {
+		return
+	}
+	w.addReplica(one.Service)
+	w.mutex.Lock()
+	one.drainedAt = time.Now()
+	w.mutex.Unlock()
+	w.store.Put(one.Key(), one.Entry("dc0", "draining"))
+	time.Sleep(drainWait + slack)
+	w.mutex.Lock()
+	calm := time.Since(w.storeCalm) >= stable+drainWait+slack
+	w.mutex.Unlock()
+	for _, node := range w.nodes {
+		calm = calm && node.calmFor(stable+drainWait+slack)
+	}
+	before := len(one.Arrivals())
+	time.Sleep(time.Second)
+	if after := len(one.Arrivals()); calm && after > before {
+		w.fail("replica %s got %d requests later than its drain allows", one.ID, after-before)
+	}
+	w.store.Remove(one.Key())
+	one.Close()
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,119 @@
+// Package soak_test runs the built program as processes on loopback and injects faults from
+// outside, drawn from a seed: the same seed gives the same schedule. It checks the promises
+// from what callers and replicas see.
+//
+//	go test ./test/soak -soak.seeds 50          fifty fresh seeds
+//	go test ./test/soak -soak.seed 12345        one seed again
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
+)
+
+var (
+	seeds  = flag.Int("soak.seeds", 1, "fresh seeds to play")
+	seed   = flag.Uint64("soak.seed", 0, "play this seed only")
+	length = flag.Duration("soak.length", 8*time.Second, "how long faults come")
+)
+
+// servedAgain is the time within which all is well after the last fault.
+const servedAgain = 12 * time.Second
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes real processes and half a minute")
+	}
+	binary, folder, err := harness.Build()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	for number, one := range toPlay(t) {
+		t.Run(strconv.FormatUint(one, 10), func(t *testing.T) {
+			t.Parallel()
+			soak(t, binary, one, number)
+		})
+	}
+}
+
+// toPlay are the seeds that ever failed and the fresh ones.
+func toPlay(t *testing.T) []uint64 {
+	if *seed != 0 {
+		return []uint64{*seed}
+	}
+	file, err := os.Open("seeds")
+	require.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	var list []uint64
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		text, _, _ := strings.Cut(lines.Text(), " ")
+		if one, err := strconv.ParseUint(text, 10, 64); err == nil {
+			list = append(list, one)
+		}
+	}
+	for range *seeds {
+		list = append(list, rand.Uint64()>>1)
+	}
+	return list
+}
+
+func soak(t *testing.T, binary string, seed uint64, number int) {
+	w := newWorld(t, binary, seed, number%200)
+	defer w.close()
+	c := &callers{w: w, posts: map[string]int{}}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(ctx)
+	}()
+	w.play(schedule(w.random, *length))
+	w.note("the last fault is over")
+	c.awaitService()
+	stop()
+	<-ended
+	c.checkLedgers()
+	c.checkExtra(time.Since(w.began))
+	t.Logf("seed %d: %d requests, %d served", seed, c.asked.Load(), c.served.Load())
+	if len(w.broken) > 0 {
+		t.Errorf("seed %d broke a promise:\n%s\nschedule:\n%s", seed, strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+		keepLogs(t, w)
+	}
+}
+
+// awaitService waits until nearly all requests of a second are served.
+func (c *callers) awaitService() {
+	const enough = 0.95
+	for deadline := time.Now().Add(servedAgain); time.Now().Before(deadline); {
+		asked, served := c.asked.Load(), c.served.Load()
+		time.Sleep(time.Second)
+		if asked = c.asked.Load() - asked; asked > 0 && float64(c.served.Load()-served) >= enough*float64(asked) {
+			return
+		}
+	}
+	c.w.fail("%v after the last fault requests are still not served", servedAgain)
+}
+
+// keepLogs copies the nodes' logs of a failed seed to a place that outlives the test.
+func keepLogs(t *testing.T, w *world) {
+	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", w.seed))
+	require.NoError(t, err)
+	for i, one := range w.nodes {
+		text, err := os.ReadFile(one.out.Name())
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(fmt.Sprintf("%s/vm-%d.log", folder, i), text, 0o600))
+	}
+	t.Logf("logs kept in %s", folder)
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,230 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+// Ports are the same on all VMs of a world; worlds that run side by side differ in the
+// second last number of their loopback addresses.
+const (
+	callerPort, readyPort, controlPort, directoryPort, peerPort = 8104, 8108, 8106, 8100, 7380
+
+	nodeCount  = 4
+	shardCount = 4
+	// stable is how long things must have been calm for a promise with a time bound.
+	stable = 4 * time.Second
+	// drainWait and applyWait are such bounds; slack is for a busy machine.
+	drainWait, applyWait, slack = 3 * time.Second, 3 * time.Second, 1500 * time.Millisecond
+	graceSeconds                = 3
+)
+
+// world is one run: a store behind a proxy for each node, replicas, and nodes as processes.
+type world struct {
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	binary string
+	store  *platformtest.Store
+	nodes  []*vm
+
+	mutex    sync.Mutex
+	replicas map[string]*upstream
+	made     int
+	version  int
+	// current and former are the plain route's services, changedAt when current came.
+	current, former string
+	changedAt       time.Time
+	// storeCalm is since when the store has been without trouble.
+	storeCalm time.Time
+	troubled  int
+	broken    []string
+	log       []string
+	began     time.Time
+}
+
+// vm is one node's place; its process comes and goes.
+type vm struct {
+	ip    string
+	proxy *faultproxy.TCP
+	path  string
+	out   *os.File
+
+	mutex sync.Mutex
+	cmd   *exec.Cmd
+	// calm is since when the process has run without a fault on it.
+	calm time.Time
+	// planned is set while the only thing that happens to it is a planned stop.
+	planned bool
+}
+
+// upstream is a replica and its place in the registry.
+type upstream struct {
+	*platformtest.Replica
+	drainedAt time.Time
+	// atDrain is the number of arrivals when the bound on its drain was over.
+	atDrain int
+}
+
+func newWorld(t *testing.T, binary string, seed uint64, number int) *world {
+	store, err := platformtest.StartStore()
+	require.NoError(t, err)
+	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, store: store, replicas: map[string]*upstream{}, storeCalm: time.Now(), began: time.Now(), current: "notes-a", former: "notes-b"}
+	for _, service := range w.services() {
+		for range 2 {
+			w.addReplica(service)
+		}
+	}
+	w.configure()
+	for i := range nodeCount {
+		w.addNode(number, i)
+	}
+	for _, one := range w.nodes {
+		w.launch(one)
+	}
+	return w
+}
+
+func (w *world) services() []string {
+	names := []string{"notes-a", "notes-b", "invoices"}
+	for i := range shardCount {
+		names = append(names, fmt.Sprint("shard", i))
+	}
+	return names
+}
+
+// records are those of a service; they do not depend on the replica.
+func records(service string) []byte {
+	var b strings.Builder
+	for i := range 5 {
+		fmt.Fprintf(&b, "%-16.16s", fmt.Sprintf("%c%s", 'a'+(len(service)*7+i*11+int(service[len(service)-1]))%26, service))
+	}
+	return []byte(b.String())
+}
+
+func (w *world) addReplica(service string) *upstream {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.made++
+	one, err := platformtest.StartReplica(fmt.Sprintf("i-%s-%d", service, w.made), service, records(service))
+	require.NoError(w.t, err)
+	one.SetWork(3 * time.Millisecond)
+	added := &upstream{Replica: one}
+	w.replicas[one.ID] = added
+	w.store.Put(one.Key(), one.Entry(fmt.Sprint("dc", w.made%2), "ready"))
+	return added
+}
+
+// configure publishes the next version, with the plain route at its current service.
+func (w *world) configure() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.version += 3
+	w.current, w.former = w.former, w.current
+	route := func(name, kind string) map[string]any {
+		return map[string]any{"name": name, "host": "search.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 200, "maxAttempts": 2}
+	}
+	plain, once, all := route("plain", "idempotent"), route("once", "non_idempotent"), route("all", "idempotent")
+	plain["service"], once["service"] = w.current, "invoices"
+	var shards []string
+	var services []map[string]any
+	for _, name := range w.services() {
+		services = append(services, map[string]any{"name": name, "maxConns": 40})
+		if strings.HasPrefix(name, "shard") {
+			shards = append(shards, name)
+		}
+	}
+	all["gather"], all["topK"], all["minCoverage"] = shards, 3, 0.5
+	w.store.Put("op/config", map[string]any{"version": w.version, "routes": []any{plain, once, all}, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+	w.changedAt = time.Now()
+}
+
+func (w *world) addNode(number, i int) {
+	proxy, err := faultproxy.StartTCP(w.store.Address(), w.seed+uint64(i))
+	require.NoError(w.t, err)
+	one := &vm{ip: fmt.Sprintf("127.0.%d.%d", number+10, i+1), proxy: proxy}
+	folder := w.t.TempDir()
+	one.path = filepath.Join(folder, "boot.conf")
+	one.out, err = os.Create(filepath.Join(folder, "log"))
+	require.NoError(w.t, err)
+	text := fmt.Sprintf("node=vm-%d\nzone=dc%d\nip=%s\nlistenAddrs.front=%s:%d\nlistenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\nlistenAddrs.directory=%s:%d\nportRange=%d,%d\nseeds=127.0.%d.1:%d,127.0.%d.2:%d\nlimits.cpuShare=0.4\nbounds.graceS=%d\nbounds.configApplyMs=3000\nbounds.retryBudgetRatio=0.2\nbounds.retryWindowS=10\nbounds.retrySlack=50\nplatform.address=%s\n",
+		i, i%2, one.ip, one.ip, callerPort, one.ip, readyPort, one.ip, controlPort, one.ip, directoryPort, peerPort, peerPort+15, number+10, controlPort, number+10, controlPort, graceSeconds, proxy.Address())
+	require.NoError(w.t, os.WriteFile(one.path, []byte(text), 0o600))
+	w.nodes = append(w.nodes, one)
+}
+
+// launch starts a node's process.
+func (w *world) launch(one *vm) {
+	cmd := exec.Command(w.binary, "edge", "--settings", one.path)
+	cmd.Stdout, cmd.Stderr = one.out, one.out
+	require.NoError(w.t, cmd.Start())
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.cmd, one.calm, one.planned = cmd, time.Now(), false
+}
+
+// signal sends a signal to a node's process, by its id.
+func (one *vm) signal(what os.Signal) *exec.Cmd {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.calm = time.Now().Add(time.Hour)
+	_ = one.cmd.Process.Signal(what)
+	return one.cmd
+}
+
+// calmFor reports whether a node has run without a fault for so long.
+func (one *vm) calmFor(d time.Duration) bool {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return time.Since(one.calm) >= d
+}
+
+func (one *vm) becomesCalm() {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.calm = time.Now()
+}
+
+// close ends every process and stand-in that this world started.
+func (w *world) close() {
+	for _, one := range w.nodes {
+		cmd := one.signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = one.proxy.Close()
+		_ = one.out.Close()
+	}
+	for _, one := range w.replicas {
+		one.Close()
+	}
+	w.store.Close()
+}
+
+// fail notes a broken promise; the first ones are told with the schedule.
+func (w *world) fail(format string, values ...any) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.broken) < 5 {
+		w.broken = append(w.broken, fmt.Sprintf("%6.2f s ", time.Since(w.began).Seconds())+fmt.Sprintf(format, values...))
+	}
+}
+
+func (w *world) note(format string, values ...any) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.log = append(w.log, fmt.Sprintf("%6.2f s ", time.Since(w.began).Seconds())+fmt.Sprintf(format, values...))
+}
