--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -32,7 +32,9 @@
 	remoteCost = 1.0
 	// rankCost makes a node prefer one other data centre to the next, so that the
 	// parts it lacks come from few of them.
-	rankCost    = 0.4
+	rankCost = 0.4
+	// regionCost is added for another region, some ten milliseconds away.
+	regionCost  = 3.0
 	overdueCost = 4.0
 	failureCost = 8.0
 	refusedCost = 4.0
@@ -80,12 +82,14 @@
 	// ranks orders the data centres by preference: 0 is the node's own, the others
 	// follow in a ring by name, which spreads the preferences of all nodes evenly.
 	ranks map[string]int
+	// regions names the region of each data centre.
+	regions map[string]string
 }
 
 // NewBook makes an empty book for a node of the given data centre. The random
 // source, 0 to 1, breaks ties.
-func NewBook(dataCentre string, random func() float64) *Book {
-	return &Book{dataCentre: dataCentre, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}}
+func NewBook(dataCentre string, regions map[string]string, random func() float64) *Book {
+	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}}
 }
 
 // rank takes a data centre that may be new into the ring.
@@ -207,6 +211,9 @@
 	if rank := b.ranks[s.DataCentre]; rank > 0 {
 		cost += remoteCost + rankCost*float64(rank-1)
 	}
+	if b.regions[s.DataCentre] != b.regions[b.dataCentre] {
+		cost += regionCost
+	}
 	if s.overdue(now) {
 		cost += overdueCost
 	}
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -12,7 +12,7 @@
 const usual = 10 * time.Millisecond
 
 func bookOfTwo() *Book {
-	b := NewBook("east", func() float64 { return 0 })
+	b := NewBook("east", nil, func() float64 { return 0 })
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
 	b.Put(Replica{ID: "far", Service: "s", DataCentre: "west", Slots: 2})
 	return b
@@ -38,6 +38,15 @@
 	require.Equal(t, "near", pick(t, b, 0).ID)
 }
 
+func TestAnotherRegionIsTheLastChoice(t *testing.T) {
+	regions := map[string]string{"a": "north", "b": "south", "c": "north"}
+	b := NewBook("a", regions, func() float64 { return 0 })
+	b.Put(Replica{ID: "abroad", Service: "s", DataCentre: "b", Slots: 2})
+	b.Put(Replica{ID: "next door", Service: "s", DataCentre: "c", Slots: 2})
+	require.Equal(t, "next door", pick(t, b, 0).ID)
+	require.Equal(t, "abroad", pick(t, b, 0, "next door").ID)
+}
+
 // A replica pauses for 150 ms, as each does every few seconds. A question finds out
 // at its hedge; the ones that follow meet the pause again unless the first one's
 // finding is shared.
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -36,10 +36,10 @@
 	longest time.Duration
 }
 
-func newBeliefs(dataCentre string, bound extra.Bound, now func() core.Time) *beliefs {
+func newBeliefs(dataCentre string, regions map[string]string, bound extra.Bound, now func() core.Time) *beliefs {
 	return &beliefs{
 		now:      now,
-		book:     replica.NewBook(dataCentre, rand.Float64),
+		book:     replica.NewBook(dataCentre, regions, rand.Float64),
 		budget:   extra.New(bound),
 		splitter: policy.NewSplitter(),
 		learnt:   map[string]*learnt{},
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -17,9 +17,6 @@
 // as long, and a node that stops serves on for all of that.
 const keepSeconds = 1
 
-// maxAddresses bounds an address answer.
-const maxAddresses = 64
-
 // directory answers callers that ask where to connect.
 func (n *Node) directory() http.Handler {
 	router := newRouter()
@@ -63,27 +60,33 @@
 	return gin.New()
 }
 
-// addresses lists the nodes that callers of a data centre are to use.
+// maxAddresses bounds an address answer.
+const maxAddresses = 64
+
+// addresses lists the nodes that callers of a data centre are to use: those there, else
+// those of its region, else all. The answer is kept for a second, so that a caller whose
+// only node is lost soon learns of the others.
 func (n *Node) addresses(dataCentre string) []string {
 	nodes := n.chosen()
-	var own, all []string
-	for _, node := range nodes {
-		all = append(all, node.CallerAddress)
-		if node.DataCentre == dataCentre {
-			own = append(own, node.CallerAddress)
+	regions := n.settings.Load().Regions
+	for _, near := range []func(route.Node) bool{
+		func(one route.Node) bool { return one.DataCentre == dataCentre },
+		func(one route.Node) bool { return regions[one.DataCentre] == regions[dataCentre] },
+		func(route.Node) bool { return true },
+	} {
+		var addresses []string
+		for _, one := range nodes {
+			if near(one) {
+				addresses = append(addresses, one.CallerAddress)
+			}
+		}
+		if len(addresses) > 0 {
+			return addresses[:min(len(addresses), maxAddresses)]
 		}
 	}
-	if len(own) >= leastOwn {
-		return own[:min(len(own), maxAddresses)]
-	}
-	return all[:min(len(all), maxAddresses)]
+	return nil
 }
 
-// leastOwn is the number of nodes in a caller's own data centre from which on it is
-// sent to these alone. The answer is kept for a second, so that a caller whose only
-// node is lost soon learns of the others.
-const leastOwn = 1
-
 // preferred lists the nodes that callers are sent to. Few strong nodes are better than
 // many weak ones: each keeps its connections to replicas warm and knows from its own
 // requests how the replicas do. Data centres without replicas of shards are left out.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -114,7 +114,7 @@
 	}
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.beliefs = newBeliefs(s.DataCentre, extra.Bound{}, n.now)
+	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
 	n.registry = &registry{beliefs: n.beliefs, log: n.log, onConfig: n.configInForce}
 	n.mirror = mirror.NewServer(n.copied, n.age)
 	return n
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -16,6 +16,8 @@
 	// Node is the VM's name, for people; nodes know each other by PeerAddress.
 	Node       string
 	DataCentre string
+	// Regions names the region of each data centre; those not named are in one.
+	Regions map[string]string
 	// CallerAddress takes callers' requests, ReadyAddress says whether it does,
 	// DirectoryAddress tells callers which addresses to use.
 	CallerAddress    string
