--- /dev/null
+++ b/internal/core/scatter/event.go
@@ -0,0 +1,86 @@
+package scatter
+
+import (
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+)
+
+// Event is what the machine is told.
+type Event interface{ isEvent() }
+
+// Begin starts the request.
+type Begin struct{}
+
+// Tick says that a time asked for by Wake has come.
+type Tick struct{}
+
+// Ended tells the end of a send.
+type Ended struct {
+	Send    int
+	Verdict Verdict
+}
+
+func (Begin) isEvent() {}
+func (Tick) isEvent()  {}
+func (Ended) isEvent() {}
+
+// Action is what the machine wants done.
+type Action interface{ isAction() }
+
+// Send sends the request to a replica. The ids of sends count from 0.
+type Send struct {
+	ID      int
+	Service int
+	Replica replica.Replica
+	// Far is set when the replica is in another data centre.
+	Far   bool
+	Cause Cause
+}
+
+// Withdraw ends a send whose answer is no longer wanted.
+type Withdraw struct{ ID int }
+
+// Late says that the answer to a send takes longer than usual.
+type Late struct{ Send int }
+
+// Wake asks for a Tick at a time; it replaces the former one.
+type Wake struct{ At core.Time }
+
+// Finish ends the request. Nothing is sent after it.
+type Finish struct{ Result Result }
+
+func (Send) isAction()     {}
+func (Withdraw) isAction() {}
+func (Late) isAction()     {}
+func (Wake) isAction()     {}
+func (Finish) isAction()   {}
+
+// Cause is why a send was made.
+type Cause string
+
+// The causes of sends.
+const (
+	First Cause = "first"
+	Hedge Cause = "hedge"
+	Retry Cause = "retry"
+)
+
+// Result is the end of a request.
+type Result struct {
+	// Parts holds for each service the id of the send that brought its answer, or
+	// -1.
+	Parts []int
+	// Got is the number of parts.
+	Got int
+	// Enough is set when Got reaches the plan's least number.
+	Enough bool
+	// MayHaveRun is set when any replica may have worked on the request.
+	MayHaveRun bool
+	// NoReplica is set when a service had no replica at all to try.
+	NoReplica bool
+	// BudgetSpent is set when a retry or hedge was held back by the bound on
+	// extra arrivals.
+	BudgetSpent bool
+	// PastDeadline is set when the time ran out.
+	PastDeadline bool
+}
--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,156 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/core/topk"
+	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
+)
+
+// answer gives the caller what came of the request.
+func (q *request) answer(w http.ResponseWriter, result scatter.Result) {
+	if !result.Enough {
+		q.answerFailure(w, result)
+		return
+	}
+	if q.route.Gather != nil {
+		q.answerGathered(w, result)
+		return
+	}
+	response := q.sends[result.Parts[0]].response
+	q.tell(outcomeWhole, response.Status, result)
+	relay(w, response)
+}
+
+// relay passes a replica's answer on unchanged.
+func relay(w http.ResponseWriter, response *replicaconn.Response) {
+	header := w.Header()
+	for name, values := range forwardable(response.Header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		// A nil entry keeps net/http from guessing a type.
+		header["Content-Type"] = nil
+	}
+	if bodyAllowed(response.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// answerGathered merges the parts.
+func (q *request) answerGathered(w http.ResponseWriter, result scatter.Result) {
+	merged, stamps := q.merge(result)
+	missing := len(q.services) - len(stamps)
+	outcome := outcomeWhole
+	if missing > 0 {
+		outcome = outcomePartial
+		q.noteMissing(result)
+	}
+	result.Got = len(stamps)
+	q.tell(outcome, http.StatusOK, result)
+	body := merged.Bytes()
+	platform.SetCoverage(w.Header(), stamps, missing)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body)
+}
+
+// merge joins the parts. The parts of a batch cannot be told apart any more, so that
+// each batch counts as a whole, and a part of the same shard that came by itself, from
+// a hedge, does not.
+func (q *request) merge(result scatter.Result) (*topk.Merger, []string) {
+	merger := topk.New(q.route.Gather.TopK)
+	var stamps []string
+	taken := make([]bool, len(q.services))
+	seen := map[*batch]bool{}
+	for _, one := range q.sends {
+		if !one.over || one.batch == nil || seen[one.batch] {
+			continue
+		}
+		seen[one.batch] = true
+		merger.Add(one.batch.records)
+		for _, member := range one.batch.members {
+			taken[member.send.Service] = true
+			stamps = append(stamps, platform.Stamp(member.response.Header))
+		}
+	}
+	for i, send := range result.Parts {
+		if taken[i] || send < 0 {
+			continue
+		}
+		part := q.sends[send].response
+		merger.Add(part.Body)
+		stamps = append(stamps, platform.Stamp(part.Header))
+	}
+	return merger, stamps
+}
+
+func (q *request) noteMissing(result scatter.Result) {
+	for i, send := range result.Parts {
+		if send < 0 {
+			q.note(step{Event: "part_missing", Service: q.services[i]})
+		}
+	}
+}
+
+// answerFailure says what is certain: "not run" only when every send proved it.
+func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
+	if q.route.Gather != nil {
+		q.noteMissing(result)
+	}
+	if !result.MayHaveRun {
+		retryAfter := retryFull
+		if result.NoReplica {
+			retryAfter = retryNoReplica
+		}
+		q.tell(outcomeRefused, http.StatusServiceUnavailable, result)
+		writeRefusal(w, retryAfter)
+		return
+	}
+	if response := q.replicasFailure(); response != nil && !result.PastDeadline {
+		q.tell(outcomeFailed, response.Status, result)
+		relay(w, response)
+		return
+	}
+	status := http.StatusBadGateway
+	if result.PastDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	q.tell(outcomeFailed, status, result)
+	http.Error(w, http.StatusText(status), status)
+}
+
+// promises are the statuses that tell a caller that its request has not run.
+var promises = map[int]bool{
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+// replicasFailure finds a replica's own failure to pass on: the last one with its
+// signature. A failure of a part is not one of the whole, and a status that would
+// promise "not run" is not passed on without the replica's proof.
+func (q *request) replicasFailure() *replicaconn.Response {
+	if q.route.Gather != nil {
+		return nil
+	}
+	for i := len(q.sends) - 1; i >= 0; i-- {
+		one := q.sends[i]
+		if !one.over || one.response == nil || success(one.response.Status) {
+			continue
+		}
+		if platform.Stamp(one.response.Header) != "" && !promises[one.response.Status] {
+			return one.response
+		}
+	}
+	return nil
+}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -146,3 +146,23 @@
 
 // Addr implements net.Listener.
 func (h *handover) Addr() net.Addr { return h.address }
+
+// connKey marks a caller's connection in its requests' contexts.
+type connKey struct{}
+
+// callerConn counts the requests of one caller's connection.
+type callerConn struct{ requests int }
+
+func withCallerConn(ctx context.Context) context.Context {
+	return context.WithValue(ctx, connKey{}, &callerConn{})
+}
+
+// firstOnConnection reports whether a request is the first on its connection.
+func firstOnConnection(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return false
+	}
+	conn.requests++
+	return conn.requests == 1
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -10,7 +10,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
-	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
@@ -200,7 +199,7 @@
 		return scatter.Unreached
 	case one.err != nil:
 		return scatter.Failed
-	case platform.NotRun(one.response.Status, one.response.Header):
+	case platform.Wire{}.NotRun(one.response.Status, one.response.Header):
 		return scatter.Refused
 	case platform.Stamp(one.response.Header) == "":
 		// Without the replica's signature it is not the replica's answer.
@@ -271,52 +270,3 @@
 	}
 	q.note(s)
 }
-
-// step is one decision on a request, kept until its end.
-type step struct {
-	AtMs    int64
-	Event   string
-	Replica string
-	Service string
-	Cause   string
-	Status  int
-	TookMs  int64
-}
-
-// maxTrail bounds the steps kept of one request.
-const maxTrail = 64
-
-func (q *request) note(s step) {
-	if len(q.trail) >= maxTrail {
-		return
-	}
-	s.AtMs = (q.node.now() - q.arrived).Milliseconds()
-	q.trail = append(q.trail, s)
-}
-
-// tell writes the request's story, when it ended other than well, or counts it.
-func (q *request) tell(outcome string, status int, result scatter.Result) {
-	took := q.node.now() - q.arrived
-	q.node.metrics.request(q.route, outcome, took)
-	late := q.route.Aim > 0 && took > q.route.Aim
-	if outcome == outcomeWhole && !late {
-		q.node.log.Calm()
-		return
-	}
-	var lines []decisionlog.Line
-	for _, s := range q.trail {
-		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs,
-		}})
-	}
-	fields := decisionlog.Fields{
-		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
-		"took_ms": took.Milliseconds(), "aim_ms": q.route.Aim.Milliseconds(), "sends": len(q.sends),
-		"parts": result.Got, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica,
-		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(),
-	}
-	if age, known := q.node.follower.Age(); known {
-		fields["beliefs_age_ms"] = age.Milliseconds()
-	}
-	q.node.log.Story(append(lines, decisionlog.Line{Event: "request_ended", Fields: fields}))
-}
--- /dev/null
+++ b/internal/edge/shares.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"slices"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/extra"
+	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+)
+
+// Shares of the bound on extra arrivals that the nodes use. The rest is for what they
+// cannot know of each other: requests that are counted a moment apart, and processes
+// that restart and forget what they spent.
+const (
+	ratioUsed = 0.85
+	// entriesAllowance is the part of the fixed allowance for the nodes that callers
+	// are sent to, othersAllowance that for all nodes: callers may keep old addresses.
+	entriesAllowance = 0.45
+	othersAllowance  = 0.15
+)
+
+// setBound shares the fixed allowance among the nodes that are live.
+func (n *Node) setBound() {
+	s := n.settings.Load()
+	allowance := othersAllowance / float64(max(len(n.view().Nodes()), len(s.Seeds), 1))
+	chosen := n.chosen()
+	if slices.ContainsFunc(chosen, func(one route.Node) bool { return one.ID == n.identity.Node }) {
+		allowance += entriesAllowance / float64(len(chosen))
+	}
+	bound := extra.Bound{Window: s.ExtraWindow, Ratio: s.ExtraRatio * ratioUsed, Allowance: s.ExtraAllowance * allowance}
+	n.beliefs.mutex.Lock()
+	defer n.beliefs.mutex.Unlock()
+	n.beliefs.budget.SetBound(bound)
+}
+
+// connectionsUsed is the part of a replica's connections that all nodes use together. A
+// replica counts the connections of processes that lost power until it closes them for
+// being idle, many seconds later: with half of them free, the processes that start again
+// can connect at once.
+const connectionsUsed = 0.45
+
+// defaultConnections is the limit of a service that states none.
+const defaultConnections = 16
+
+// connectionShare is how many connections this node may hold to a replica. Nodes next to
+// the replica carry the requests of the others too; those further away hedge and retry.
+func (n *Node) connectionShare(config *policy.Config, to replica.Replica) int {
+	limit := config.Services[to.Service].MaxConnections
+	if limit <= 0 {
+		limit = defaultConnections
+	}
+	chosen := n.chosen()
+	near := 0
+	for _, one := range chosen {
+		if one.DataCentre == to.DataCentre {
+			near++
+		}
+	}
+	return shareConnections(int(connectionsUsed*float64(limit)), len(chosen), near, n.settings.Load().DataCentre == to.DataCentre)
+}
+
+// shareConnections divides connections among nodes of which some are near the replica.
+func shareConnections(usable, nodes, near int, isNear bool) int {
+	far := max(usable/(2*max(nodes, 1)), 1)
+	if !isNear || near == 0 {
+		return far
+	}
+	return max((usable-far*(nodes-near))/near, 1)
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -30,16 +30,22 @@
 	replicaActs
 	replicaDrains
 	configChanges
-	kinds
 )
 
+// drawn are the kinds that a schedule draws from, some of them several times: what replicas
+// do wrong shows only while requests meet it.
+var drawn = []int{
+	killNode, stopNode, pauseNode, storeBusy, storeSilent, storeCut, storeForgets,
+	replicaActs, replicaActs, replicaActs, replicaDrains, configChanges,
+}
+
 // schedule draws the faults of a seed. They come in series and overlap.
 func schedule(random *rand.Rand, length time.Duration) []fault {
 	var faults []fault
 	for at := time.Second; at < length; at += time.Duration(100+random.IntN(900)) * time.Millisecond {
 		faults = append(faults, fault{
 			at: at, lasts: time.Duration(200+random.IntN(2500)) * time.Millisecond,
-			kind: random.IntN(kinds), node: random.IntN(nodeCount), draw: random.Uint64(),
+			kind: drawn[random.IntN(len(drawn))], node: random.IntN(nodeCount), draw: random.Uint64(),
 		})
 	}
 	return faults
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -75,8 +75,6 @@
 type upstream struct {
 	*platformtest.Replica
 	drainedAt time.Time
-	// atDrain is the number of arrivals when the bound on its drain was over.
-	atDrain int
 }
 
 func newWorld(t *testing.T, binary string, seed uint64, number int) *world {
