--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// Running counts the requests that were sent and have not ended.
+func (b *Book) Running() int {
+	total := 0
+	for _, known := range b.byID {
+		total += known.outstanding
+	}
+	return total
+}
+
 // maxSlowness bounds what one answer teaches: after a stall of a second a replica
 // is not to be shunned for half a minute.
 const maxSlowness = 10
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
@@ -37,11 +40,32 @@
 
 // group is the sends of one request that go through one node.
 type group struct {
-	helper  peer.Target
-	members map[uint32]*exchange
+	helper peer.Target
 	// heard is set once the helper has replied.
 	heard  atomic.Bool
 	ticket peer.Ticket
+
+	mutex sync.Mutex
+	// members are the sends that have not ended, by id.
+	members map[uint32]*exchange
+}
+
+// end takes a send out of the group; nil is one that has ended before.
+func (g *group) end(id uint32) *exchange {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	one := g.members[id]
+	delete(g.members, id)
+	return one
+}
+
+// endAll takes out the sends that have not ended.
+func (g *group) endAll() []*exchange {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	left := slices.Collect(maps.Values(g.members))
+	clear(g.members)
+	return left
 }
 
 // batch is the records of parts that came merged. They count together or not at all.
@@ -151,6 +175,16 @@
 		time.Sleep(delegateLinger)
 	}
 	g.ticket.Cancel()
+	q.forget(g.endAll())
+}
+
+// forget notes that sends no longer run whose ends nobody will tell.
+func (q *request) forget(sends []*exchange) {
+	q.node.beliefs.note(func(book *replica.Book, _ core.Time) {
+		for _, one := range sends {
+			book.Ended(one.send.Replica.ID)
+		}
+	})
 }
 
 // helperReplied takes a reply; it runs on the link's goroutine, one reply at a time.
@@ -159,7 +193,9 @@
 	switch {
 	case failure != nil && failure.Outcome != core.NotRun:
 		q.node.helpers.avoid(g.helper.Node, q.node.now())
-		q.tellEnds(g.fail(failure))
+		ends := g.fail(failure)
+		q.forget(ends)
+		q.tellEnds(ends)
 		return
 	case failure != nil || parts == nil:
 		// Nothing was sent on: this node does it itself.
@@ -182,19 +218,16 @@
 		return
 	default:
 	}
-	for id, one := range g.members {
-		delete(g.members, id)
+	for _, one := range g.endAll() {
 		go q.direct(one)
 	}
 }
 
 // fail ends what is open of a group: it may have run.
 func (g *group) fail(cause error) []*exchange {
-	var ends []*exchange
-	for id, one := range g.members {
-		delete(g.members, id)
+	ends := g.endAll()
+	for _, one := range ends {
 		one.err, one.verdict = cause, scatter.Failed
-		ends = append(ends, one)
 	}
 	return ends
 }
@@ -204,11 +237,10 @@
 	merged := &batch{records: reply.GetRecords()}
 	var ends []*exchange
 	for _, part := range reply.GetParts() {
-		one := g.members[part.GetId()]
+		one := g.end(part.GetId())
 		if one == nil {
 			continue
 		}
-		delete(g.members, part.GetId())
 		one.verdict = scatter.Verdict(part.GetVerdict())
 		one.took = time.Duration(part.GetTookUs()) * time.Microsecond
 		if one.verdict == scatter.Whole {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -245,3 +245,21 @@
 	<-stopped
 	require.Contains(t, leaving.log.String(), "node_stopped")
 }
+
+// A helper hangs on one part and the answer is given without it. The sends that it was asked
+// for must not count as running for ever: their replicas would look full and be avoided.
+func TestSendsThatAHelperNeverEndsAreForgotten(t *testing.T) {
+	w := newWorld(t)
+	w.replica("s1", "east", "a")
+	w.replica("s2", "east", "b")
+	w.replica("s3", "west", "c").SetAct(always(platformtest.Hang))
+	w.configure(1)
+	w.start("east", "west")
+	w.ready()
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
+	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
+	require.Eventually(t, func() bool {
+		_, state := w.get("http://"+w.nodes[0].settings.MetricsAddress+"/dump", nil)
+		return strings.Contains(state, `"sends_running":0`)
+	}, patience, 5*time.Millisecond)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -319,6 +319,7 @@
 	var replicas []replica.Replica
 	n.beliefs.note(func(book *replica.Book, _ core.Time) {
 		book.All(func(one replica.Replica) { replicas = append(replicas, one) })
+		state["sends_running"] = book.Running()
 	})
 	state["replicas"] = replicas
 	return state
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -165,6 +165,7 @@
 
 // readStore makes one call, or those of a whole reading.
 func (f *Follower) readStore(ctx context.Context) {
+	started := f.now()
 	delta, err := f.fromStore(ctx)
 	if ctx.Err() != nil {
 		return
@@ -175,7 +176,9 @@
 	}
 	f.storeBack()
 	f.take(delta, f.now())
-	if len(delta.Items) > 0 {
+	if len(delta.Items) > 0 || f.now()-started < f.config.Gather {
+		// The second case is a watch that ends at once with nothing new: were it
+		// repeated at once, one node would use up what the store gives to all.
 		wait.For(ctx, f.config.Gather)
 	}
 }
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -16,10 +16,12 @@
 
 // fakeStore is a store in memory. While it is silent, calls last until they are given up.
 type fakeStore struct {
-	mutex     sync.Mutex
-	state     *Copy
-	silent    bool
-	busy      bool
+	mutex  sync.Mutex
+	state  *Copy
+	silent bool
+	busy   bool
+	// hasty watches end at once with nothing new.
+	hasty     bool
 	forgotten uint64
 	calls     int
 }
@@ -54,8 +56,11 @@
 		return Delta{}, err
 	}
 	s.mutex.Lock()
-	gone := after < s.forgotten
+	gone, hasty := after < s.forgotten, s.hasty
 	s.mutex.Unlock()
+	if hasty {
+		return Delta{After: after, UpTo: after}, nil
+	}
 	if gone {
 		return Delta{}, ErrHistoryGone
 	}
@@ -246,6 +251,17 @@
 	})
 }
 
+// Something between answers each watch at once with nothing new. The node must not use up the
+// reads that the store gives to all.
+func TestAWatchThatEndsAtOnceIsNotRepeatedAtOnce(t *testing.T) {
+	follow(t, alone, func(f following) {
+		f.store.set(func(s *fakeStore) { s.hasty = true })
+		before := f.store.count()
+		time.Sleep(3 * time.Second)
+		require.Less(t, f.store.count()-before, 3*20)
+	})
+}
+
 // The store turns this node away and serves the others. Changes come from their copies,
 // and the store is asked again at a bounded pace.
 func TestANodeThatIsTurnedAwayFollowsAPeer(t *testing.T) {
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -134,6 +134,17 @@
 	return total
 }
 
+// Waiting counts the requests that wait for a free connection.
+func (c *Client) Waiting() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	total := 0
+	for _, h := range c.hosts {
+		total += len(h.waiters)
+	}
+	return total
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -182,3 +182,28 @@
 	require.Equal(t, 200, refused+len(replica.Arrivals()))
 	require.Less(t, len(replica.Arrivals()), 100)
 }
+
+// Requests wait for the one connection to a replica, which dies under the first of them. All
+// must learn of it at once; one alone was told, and the others waited to their deadlines.
+func TestAllWhoWaitLearnThatAReplicaIsGone(t *testing.T) {
+	client, replica := start(t)
+	replica.SetAct(always(platformtest.Hang))
+	errs := make(chan error, 4)
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		one := request(replica, id)
+		go func() {
+			_, err := client.Do(t.Context(), one)
+			errs <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return client.Waiting() == 3 }, 10*time.Second, time.Millisecond)
+	replica.Close()
+	for range 4 {
+		select {
+		case err := <-errs:
+			require.Error(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "a request still waits")
+		}
+	}
+}
