--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -48,12 +48,12 @@
 
 // answerGathered merges the parts.
 func (q *request) answerGathered(w http.ResponseWriter, result scatter.Result) {
-	merged, stamps := q.merge(result)
+	merged, stamps, taken := q.merge(result)
 	missing := len(q.services) - len(stamps)
 	outcome := outcomeWhole
 	if missing > 0 {
 		outcome = outcomePartial
-		q.noteMissing(result)
+		q.noteMissing(taken)
 	}
 	result.Got = len(stamps)
 	q.tell(outcome, http.StatusOK, result)
@@ -68,7 +68,9 @@
 // merge joins the parts. The parts of a batch cannot be told apart any more, so that
 // each batch counts as a whole, and a part of the same shard that came by itself, from
 // a hedge, does not.
-func (q *request) merge(result scatter.Result) (*topk.Merger, []string) {
+//
+// It returns the records, the parts' signatures, and which services have a part.
+func (q *request) merge(result scatter.Result) (*topk.Merger, []string, []bool) {
 	merger := topk.New(q.route.Gather.TopK)
 	var stamps []string
 	taken := make([]bool, len(q.services))
@@ -90,14 +92,15 @@
 		}
 		part := q.sends[send].response
 		merger.Add(part.Body)
+		taken[i] = true
 		stamps = append(stamps, platform.Stamp(part.Header))
 	}
-	return merger, stamps
+	return merger, stamps, taken
 }
 
-func (q *request) noteMissing(result scatter.Result) {
-	for i, send := range result.Parts {
-		if send < 0 {
+func (q *request) noteMissing(taken []bool) {
+	for i, have := range taken {
+		if !have {
 			q.note(step{Event: "part_missing", Service: q.services[i]})
 		}
 	}
@@ -106,7 +109,8 @@
 // answerFailure says what is certain: "not run" only when every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
 	if q.route.Gather != nil {
-		q.noteMissing(result)
+		_, _, taken := q.merge(result)
+		q.noteMissing(taken)
 	}
 	if !result.MayHaveRun {
 		retryAfter := retryFull
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,7 +1,10 @@
 package edge_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -107,7 +110,7 @@
 // Whatever replicas send that is not a whole, signed answer to the request itself must not
 // reach a caller as success.
 func TestSpoiledAnswersAreNeverSuccess(t *testing.T) {
-	for _, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset, platformtest.NoStamp, platformtest.Garbage, platformtest.Lose, platformtest.Fail} {
+	for _, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset, platformtest.NoStamp, platformtest.Garbage, platformtest.Lose, platformtest.Fail, platformtest.FalsePromise} {
 		w := newWorld(t)
 		w.replica("notes", "east", "a note").SetAct(always(act))
 		w.configure(1)
@@ -220,6 +223,25 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
+// A caller sends half of its body and stops. The node must not hold it for ever, and since
+// nothing was sent on, "not run" is the truth.
+func TestABodyThatStopsIsGivenUpInTime(t *testing.T) {
+	w := newWorld(t)
+	notes := w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.start("east")
+	w.ready()
+	conn, err := net.Dial("tcp", w.nodes[0].settings.CallerAddress)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /plain/x HTTP/1.1\r\nHost: search.example\r\nPistachiopier-Deadline-Ms: 200\r\nContent-Length: 10\r\n\r\nhalf")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	require.Empty(t, notes.Arrivals())
+}
+
 // A node is told to stop while requests run on connections that callers keep open. Each of
 // them gets its whole answer, and the connection is closed with an answer, not under one.
 func TestAPlannedStopCutsNothing(t *testing.T) {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -107,7 +108,7 @@
 // a request that cannot be read, or 0.
 func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, config *policy.Config, route *policy.Route, target string) (*request, int) {
 	q := &request{node: n, route: route, config: config, id: platform.RequestID(r.Header), arrived: n.now()}
-	body, status := readBody(w, r, config.Limits.MaxBodyBytes)
+	body, status := readBody(w, r, config.Limits.MaxBodyBytes, n.patience(r, route))
 	if status != 0 {
 		return nil, status
 	}
@@ -132,11 +133,17 @@
 	return q, 0
 }
 
-// readBody reads the whole body, so that it can be sent again and its end is known.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
+// readBody reads the whole body, so that it can be sent again and its end is known. A
+// caller that stops within it is not waited for longer than it would wait itself. The time
+// limit is lifted afterwards: net/http reads on in the background to notice callers that
+// leave, and would take the expired limit for one.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, patience time.Duration) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(patience))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
@@ -145,6 +152,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -204,6 +204,9 @@
 	case platform.Stamp(one.response.Header) == "":
 		// Without the replica's signature it is not the replica's answer.
 		return scatter.Failed
+	case promises[one.response.Status]:
+		// The status promises "not run", which the replica has not proved.
+		return scatter.Failed
 	case one.response.Status >= 500 || q.route.Gather != nil && !success(one.response.Status):
 		return scatter.Failed
 	default:
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -162,8 +162,10 @@
 		served.items = append(served.items, &peerpb.MirrorItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
 	}
 	served.delta.Items = nil
-	if packed, err := pack(served.items); size >= packFrom && err == nil {
-		served.packed, served.items = packed, nil
+	if size >= packFrom {
+		if packed, err := pack(served.items); err == nil {
+			served.packed, served.items = packed, nil
+		}
 	}
 	s.last = served
 	return served
