--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -143,21 +143,25 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(patience))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, 0
+	}
+	// Without this net/http would read on for the rest of the body before it answers.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
-	case err != nil:
+	default:
 		return nil, http.StatusBadRequest
 	}
-	return body, 0
 }
 
 // patience is how long the caller is kept waiting at most.
