--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -69,6 +69,8 @@
 	failuresAt core.Time
 	overdueAt  core.Time
 	refusedAt  core.Time
+	// misdirected is set when another replica was found at its address.
+	misdirected bool
 	// lapsedAt is when the registry lost the entry, 0 while it is listed.
 	lapsedAt core.Time
 }
@@ -109,6 +111,7 @@
 func (b *Book) Put(replica Replica) {
 	known := b.byID[replica.ID]
 	if known != nil && known.Service == replica.Service {
+		known.misdirected = known.misdirected && known.Address == replica.Address
 		known.Replica = replica
 		known.lapsedAt = 0
 		return
@@ -159,13 +162,16 @@
 func (b *Book) Usable(service string) int {
 	count := 0
 	for _, known := range b.byService[service] {
-		if !known.Draining {
+		if known.usable() {
 			count++
 		}
 	}
 	return count
 }
 
+// usable reports whether a replica may get requests.
+func (s *state) usable() bool { return !s.Draining && !s.misdirected }
+
 // Choice is a replica for a request.
 type Choice struct {
 	Replica
@@ -182,7 +188,7 @@
 	var best *state
 	bestCost := math.Inf(1)
 	for _, one := range b.byService[service] {
-		if one.Draining || contains(tried, one.ID) {
+		if !one.usable() || contains(tried, one.ID) {
 			continue
 		}
 		if cost := b.cost(one, now); cost < bestCost {
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -88,6 +88,22 @@
 	require.Equal(t, "near", pick(t, b, 20*time.Second).ID)
 }
 
+// A replica is gone and its address belongs to one of another service, which refuses each
+// request by its name. Refusals count as arrivals there; the registry still lists the old
+// replica for many seconds when the store is down.
+func TestAReplicaWhoseAddressIsUsedAgainIsLeft(t *testing.T) {
+	b := bookOfTwo()
+	b.Misdirected("near")
+	require.Equal(t, "far", pick(t, b, time.Minute).ID)
+	_, ok := b.Pick("s", []string{"far"}, time.Minute)
+	require.False(t, ok)
+	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
+	_, ok = b.Pick("s", []string{"far"}, time.Minute)
+	require.False(t, ok, "the same entry again says nothing new")
+	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2, Address: "elsewhere"})
+	require.Equal(t, "near", pick(t, b, time.Minute).ID)
+}
+
 func TestDrainingReplicasGetNothing(t *testing.T) {
 	b := bookOfTwo()
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2, Draining: true})
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// Misdirected notes that another replica answered at a replica's address. The replica is
+// gone, whatever the registry still lists, until it is listed at another address.
+func (b *Book) Misdirected(id string) {
+	if known := b.byID[id]; known != nil {
+		known.misdirected = true
+	}
+}
+
 // Overdue notes that an answer takes longer than usual. Replicas pause for moments
 // that are several times a usual answer; the requests that follow within the pause
 // go elsewhere at once instead of each finding out by itself.
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -50,3 +50,27 @@
 	l.Close(time.Minute)
 	require.Equal(t, dropped+burst, l.Dropped(), "a story is written whole or not at all")
 }
+
+// BenchmarkCalmRequest is what the log costs a request that ends well; BenchmarkStory what it
+// costs one whose ten lines are written, the writing itself included.
+func BenchmarkCalmRequest(b *testing.B) {
+	l := New(io.Discard, nil)
+	defer l.Close(time.Minute)
+	for b.Loop() {
+		l.Calm()
+	}
+}
+
+func BenchmarkStory(b *testing.B) {
+	l := New(io.Discard, Fields{"node": "vm-1"})
+	defer l.Close(time.Minute)
+	lines := make([]Line, 10)
+	for i := range lines {
+		lines[i] = Line{Event: "send_failed", Fields: Fields{"request": "9c41d07be2a35f68", "at_ms": i, "replica": "i-7f3a91c2", "cause": "connection reset"}}
+	}
+	for b.Loop() {
+		for _, one := range lines {
+			l.write(line{at: time.Now(), event: one.Event, fields: one.Fields})
+		}
+	}
+}
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -243,12 +243,18 @@
 		}
 		one.verdict = scatter.Verdict(part.GetVerdict())
 		one.took = time.Duration(part.GetTookUs()) * time.Microsecond
-		if one.verdict == scatter.Whole {
+		if part.GetStatus() != 0 {
 			one.response = &replicaconn.Response{Status: int(part.GetStatus()), Header: http.Header{}}
+		}
+		if one.verdict == scatter.Whole && one.response != nil {
 			platform.SetStamp(one.response.Header, part.GetStamp())
 			one.batch = merged
 			merged.members = append(merged.members, one)
 		} else {
+			if one.verdict == scatter.Whole {
+				// A part without a status cannot be counted as one.
+				one.verdict = scatter.Failed
+			}
 			one.err = &replicaconn.Error{Step: "delegated send", Sent: one.verdict != scatter.Unreached, Cause: delegatedError(part.GetCause())}
 		}
 		ends = append(ends, one)
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -145,7 +145,7 @@
 		case one.err != nil:
 			part.Cause = one.err.Error()
 		default:
-			part.Cause = http.StatusText(one.response.Status)
+			part.Status, part.Cause = uint32(one.response.Status), http.StatusText(one.response.Status)
 		}
 		reply.Parts = append(reply.Parts, part)
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -209,6 +209,7 @@
 		require.Equal(t, http.StatusOK, response.StatusCode)
 		require.Zero(t, other.Runs(fmt.Sprint("r", i)))
 	}
+	require.LessOrEqual(t, len(other.Arrivals()), 1, "each refusal is an arrival at a service that nobody asked for")
 }
 
 func TestLimitsOfTheConfigurationBindCallers(t *testing.T) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
@@ -232,6 +234,10 @@
 		b.note(func(book *replica.Book, now core.Time) { book.Failed(id, now) })
 	case scatter.Refused:
 		b.note(func(book *replica.Book, now core.Time) { book.Refused(id, now) })
+		if one.response != nil && one.response.Status == http.StatusMisdirectedRequest {
+			b.note(func(book *replica.Book, _ core.Time) { book.Misdirected(id) })
+			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": id, "service": one.send.Replica.Service, "address": one.send.Replica.Address, "request": q.id})
+		}
 	case scatter.Unreached:
 		b.note(func(book *replica.Book, now core.Time) { book.Unreached(id, now) })
 	}
