Say things once: one buffer for tests, one fault for an address, derived state in place of kept

Three copies of a locked buffer are logs.Buffer; four of the failure to listen are fault.Address; slices.Contains takes the place of a loop; scatter's 'arrived' follows from 'sent'; limits are set where the configuration changes and not also five times a second; settings, counters and a method that nobody read are gone. Behaviour is as before, and the tests keep their assertions.

--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -55,7 +55,7 @@
 func (n *Node) serve(address string, handler http.Handler) (*httpServer, error) {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+		return nil, fault.Address(address, err)
 	}
 	limits := n.settings.Limits
 	listener := api.LimitConnections(inner, limits.Connections)
--- a/internal/core/extra/extra.go
+++ b/internal/core/extra/extra.go
@@ -41,7 +41,7 @@
 
 // Request counts a request for a service, whether it is then sent or not.
 func (b *Budget) Request(service string, now core.Time) {
-	b.window(service, now).at(now).requests++
+	b.window(service, now).current().requests++
 }
 
 // Take spends one extra arrival, or reports false when that would break the
@@ -52,16 +52,10 @@
 	if float64(extras+1) > b.bound.Ratio*float64(requests)+b.bound.Allowance {
 		return false
 	}
-	w.at(now).extras++
+	w.current().extras++
 	return true
 }
 
-// Left is how many extra arrivals a service may still get now.
-func (b *Budget) Left(service string, now core.Time) float64 {
-	requests, extras := b.window(service, now).sums()
-	return b.bound.Ratio*float64(requests) + b.bound.Allowance - float64(extras)
-}
-
 // Forget drops what was counted for services that are not wanted any more.
 func (b *Budget) Forget(wanted func(service string) bool, now core.Time) {
 	for service, w := range b.services {
@@ -105,7 +99,8 @@
 	}
 }
 
-func (w *window) at(core.Time) *count { return &w.counts[w.newest%(spans+1)] }
+// current is the running piece.
+func (w *window) current() *count { return &w.counts[w.newest%(spans+1)] }
 
 func (w *window) sums() (requests, extras int) {
 	for _, one := range w.counts {
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -188,7 +188,7 @@
 	var best *state
 	bestCost := math.Inf(1)
 	for _, one := range b.byService[service] {
-		if !one.usable() || contains(tried, one.ID) {
+		if !one.usable() || slices.Contains(tried, one.ID) {
 			continue
 		}
 		if cost := b.cost(one, now); cost < bestCost {
@@ -201,15 +201,6 @@
 	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now), Far: best.DataCentre != b.dataCentre}, true
 }
 
-func contains(ids []string, id string) bool {
-	for _, one := range ids {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
-
 // cost estimates how long a request would take there, in usual answer times.
 func (b *Book) cost(s *state, now core.Time) float64 {
 	const tieBreak = 0.1
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -72,12 +72,12 @@
 
 // service is one shard of the request.
 type service struct {
-	tried   []string
-	sent    int
-	live    int
-	part    int
-	failed  bool
-	arrived bool
+	tried []string
+	// sent counts the sends that arrived or may still.
+	sent   int
+	live   int
+	part   int
+	failed bool
 	// lates counts how often the running send was found late.
 	lates int
 	// hedgeAt is when the running send is late, 0 for never; retryAt is when a
@@ -164,7 +164,6 @@
 	s.tried = append(s.tried, to.ID)
 	s.sent++
 	s.live++
-	s.arrived = true
 	s.hedgeAt = 0
 	if m.plan.Hedge > 0 {
 		s.hedgeAt = m.now + m.plan.Hedge
@@ -197,7 +196,6 @@
 	if e.Verdict == Unreached {
 		// It was no arrival and uses up no try.
 		s.sent--
-		s.arrived = s.sent > 0
 	}
 	m.afterFailure(one.service, e.Verdict)
 }
@@ -250,7 +248,7 @@
 
 // spend takes an extra arrival out of the bound, unless nothing has arrived yet.
 func (m *Machine) spend(i int) bool {
-	if !m.services[i].arrived {
+	if m.services[i].sent == 0 {
 		return true
 	}
 	if m.chooser.Extra(m.plan.Services[i], m.now) {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -22,9 +22,7 @@
 func TestAForwardChangesNothing(t *testing.T) {
 	w := newWorld(t)
 	notes := w.replica("notes", "east", "a note")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	response, body := w.ask(w.nodes[0], http.MethodPut, "/plain/a%2Fb//c?x=%20&y", "r1", "the body")
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, fmt.Sprintf("%-16s", "a note"), body)
@@ -40,9 +38,7 @@
 	w := newWorld(t)
 	w.replica("s1", "east", "b", "d", "f")
 	w.replica("s2", "east", "a", "f", "c")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	response, body := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, []string{"f", "f", "d"}, strings.Fields(body))
@@ -56,9 +52,7 @@
 func TestATooThinAnswerIsRefusedWithoutRunning(t *testing.T) {
 	w := newWorld(t)
 	s1 := w.replica("s1", "east", "b")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
@@ -72,9 +66,7 @@
 	w.replica("s1", "east", "a", "h", "c")
 	w.replica("s2", "west", "g", "b", "i")
 	w.replica("s3", "west", "e", "j", "d")
-	w.configure(1)
-	w.start("east", "west")
-	w.ready()
+	w.serve("east", "west")
 	for i := range 5 {
 		response, body := w.ask(w.nodes[0], http.MethodGet, "/all/x", fmt.Sprint("r", i), "")
 		require.Equal(t, http.StatusOK, response.StatusCode)
@@ -93,9 +85,7 @@
 	for _, one := range []*platformtest.Replica{first, second} {
 		one.SetAct(always(platformtest.Lose))
 	}
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	for i := range 6 {
 		id := fmt.Sprint("r", i)
 		response, _ := w.ask(w.nodes[0], http.MethodPost, "/once/x", id, "total=120")
@@ -113,9 +103,7 @@
 	for _, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset, platformtest.NoStamp, platformtest.Garbage, platformtest.Lose, platformtest.Fail, platformtest.FalsePromise} {
 		w := newWorld(t)
 		w.replica("notes", "east", "a note").SetAct(always(act))
-		w.configure(1)
-		w.start("east")
-		w.ready()
+		w.serve("east")
 		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
 		require.GreaterOrEqual(t, response.StatusCode, 500, "act %d", act)
 		require.NotContains(t, []int{http.StatusServiceUnavailable}, response.StatusCode, "it may have run")
@@ -126,9 +114,7 @@
 	w := newWorld(t)
 	w.replica("notes", "east", "a note").SetAct(always(platformtest.Fail))
 	w.replica("notes", "east", "a note")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	for i := range 4 {
 		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
 		require.Equal(t, http.StatusOK, response.StatusCode)
@@ -142,9 +128,7 @@
 	for range 2 {
 		w.replica("notes", "east", "a note").SetAct(always(platformtest.Fail))
 	}
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	const requests = 150
 	for i := range requests {
 		w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
@@ -179,9 +163,7 @@
 	w := newWorld(t)
 	leaving := w.replica("notes", "east", "a note")
 	w.replica("notes", "east", "a note")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	w.store.Put(leaving.Key(), leaving.Entry("east", "draining"))
 	require.Eventually(t, func() bool { return strings.Contains(w.nodes[0].log.String(), "replica_draining") }, patience, time.Millisecond)
 	before := len(leaving.Arrivals())
@@ -201,9 +183,7 @@
 	gone := other.Entry("east", "ready")
 	gone["service"] = "invoices"
 	w.store.Put("servers/i-gone", gone)
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	for i := range 6 {
 		response, _ := w.ask(w.nodes[0], http.MethodPost, "/once/x", fmt.Sprint("r", i), "")
 		require.Equal(t, http.StatusOK, response.StatusCode)
@@ -215,9 +195,7 @@
 func TestLimitsOfTheConfigurationBindCallers(t *testing.T) {
 	w := newWorld(t)
 	w.replica("notes", "east", "a note")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	response, _ := w.ask(w.nodes[0], http.MethodPost, "/plain/x", "r1", strings.Repeat("x", 1001))
 	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
 	response, _ = w.ask(w.nodes[0], http.MethodPost, "/plain/x", "r2", strings.Repeat("x", 1000))
@@ -229,9 +207,7 @@
 func TestABodyThatStopsIsGivenUpInTime(t *testing.T) {
 	w := newWorld(t)
 	notes := w.replica("notes", "east", "a note")
-	w.configure(1)
-	w.start("east")
-	w.ready()
+	w.serve("east")
 	conn, err := net.Dial("tcp", w.nodes[0].settings.CallerAddress)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
@@ -248,9 +224,7 @@
 func TestAPlannedStopCutsNothing(t *testing.T) {
 	w := newWorld(t)
 	w.replica("notes", "east", "a note").SetWork(20 * time.Millisecond)
-	w.configure(1)
-	w.start("east", "east")
-	w.ready()
+	w.serve("east", "east")
 	leaving := w.nodes[1]
 	stopped := make(chan struct{})
 	go func() {
@@ -276,9 +250,7 @@
 	w.replica("s1", "east", "a")
 	w.replica("s2", "east", "b")
 	w.replica("s3", "west", "c").SetAct(always(platformtest.Hang))
-	w.configure(1)
-	w.start("east", "west")
-	w.ready()
+	w.serve("east", "west")
 	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
 	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
 	require.Eventually(t, func() bool {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -1,14 +1,12 @@
 package edge_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +15,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/edge"
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
 
@@ -33,28 +32,10 @@
 type node struct {
 	settings *settings.Edge
 	app      *fx.App
-	log      *logBuffer
+	log      *logs.Buffer
 	stopped  bool
 }
 
-// logBuffer collects a node's log.
-type logBuffer struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *logBuffer) String() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.String()
-}
-
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	store, err := platformtest.StartStore()
@@ -123,7 +104,7 @@
 			s.Seeds = []string{w.nodes[0].settings.PeerAddress}
 		}
 		require.NoError(w.t, s.Validate())
-		one := &node{settings: s, log: &logBuffer{}}
+		one := &node{settings: s, log: &logs.Buffer{}}
 		one.app, _ = edge.New(s, one.log)
 		require.NoError(w.t, one.app.Err())
 		require.NoError(w.t, one.app.Start(w.t.Context()))
@@ -131,6 +112,14 @@
 	}
 }
 
+// serve publishes a configuration, starts nodes and waits until they take callers.
+func (w *world) serve(dataCentres ...string) {
+	w.t.Helper()
+	w.configure(1)
+	w.start(dataCentres...)
+	w.ready()
+}
+
 // ready waits until all nodes take callers and know each other.
 func (w *world) ready() {
 	w.t.Helper()
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -37,7 +37,7 @@
 func listenCallers(address string, handler http.Handler) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+		return nil, fault.Address(address, err)
 	}
 	s := &callerServer{handler: handler, listener: listener}
 	s.setLimits(policy.Limits{MaxHeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout})
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -58,7 +57,6 @@
 	started  time.Time
 	identity peer.Identity
 	log      *decisionlog.Log
-	quiet    logrus.FieldLogger
 	metrics  nodeMetrics
 	beliefs  *beliefs
 	registry *registry
@@ -90,7 +88,7 @@
 func New(s *settings.Edge, out io.Writer) (*fx.App, *Node) {
 	n := newNode(s, out)
 	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return logs.Fx(n.quiet) }),
+		fx.WithLogger(func() fxevent.Logger { return logs.Fx(n.log.Logger()) }),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 		}),
@@ -105,7 +103,6 @@
 		started:  started,
 		identity: peer.Identity{Node: core.NodeID(s.PeerAddress), Incarnation: uint64(started.UnixNano())},
 		log:      decisionlog.New(out, decisionlog.Fields{"node": s.Node}),
-		quiet:    logs.Discard(),
 		metrics:  newNodeMetrics(),
 		views:    belief.NewStore(),
 		replicas: replicaconn.NewClient(platform.Wire{}),
@@ -115,7 +112,6 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
 	n.registry = &registry{beliefs: n.beliefs, log: n.log, onConfig: n.configInForce}
-	n.mirror = mirror.NewServer(n.copied, n.age)
 	return n
 }
 
@@ -123,14 +119,6 @@
 
 func (n *Node) view() *route.View { return n.views.View() }
 
-// age is how long ago the node's beliefs were confirmed by the store.
-func (n *Node) age() (time.Duration, bool) {
-	if n.follower == nil {
-		return 0, false
-	}
-	return n.follower.Age()
-}
-
 func (n *Node) start(context.Context) error {
 	s := n.settings.Load()
 	n.log.Life("node_started", decisionlog.Fields{"data_centre": s.DataCentre, "callers": s.CallerAddress, "peers": s.PeerAddress, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
@@ -144,6 +132,7 @@
 	n.setBound()
 	store := platform.NewStore(s.StoreAddress, storeDialTimeout)
 	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
+	n.mirror = mirror.NewServer(n.copied, n.follower.Age)
 	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
 		return err
 	}
@@ -214,7 +203,7 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return &fault.Error{Code: fault.CodeAddress, Message: "cannot listen on " + address, Fix: "choose a free address of this VM in the settings", Cause: err}
+		return fault.Address(address, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
 	n.others = append(n.others, server)
@@ -241,9 +230,7 @@
 // configInForce adapts what depends on the configuration.
 func (n *Node) configInForce() {
 	config := n.beliefs.config.Load()
-	if n.callers != nil {
-		n.callers.setLimits(config.Limits)
-	}
+	n.callers.setLimits(config.Limits)
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
 	n.beliefs.budget.Forget(func(service string) bool { return n.beliefs.book.Usable(service) > 0 }, n.now())
@@ -264,9 +251,6 @@
 		n.registry.expire()
 		n.renewEntries()
 		n.setBound()
-		if config := n.beliefs.config.Load(); config != nil {
-			n.callers.setLimits(config.Limits)
-		}
 		n.replicas.Forget(func(id string) bool {
 			n.beliefs.mutex.Lock()
 			defer n.beliefs.mutex.Unlock()
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -30,19 +30,13 @@
 	// Seeds are peer addresses of a few nodes; they may be stale.
 	Seeds        []string
 	StoreAddress string
-	// Cores, LinkMegabits and MemoryBytes are what the VM has; 0 is not known.
-	Cores        float64
-	LinkMegabits float64
-	MemoryBytes  int64
+	// Cores are what the VM has; 0 is not known.
+	Cores float64
 	// StopWait is the time from the signal to stop until the process is killed.
 	StopWait time.Duration
-	// MaxKeep is the longest that callers keep an address answer.
-	MaxKeep time.Duration
 	// ConfigApply is the time within which an acknowledged configuration is to
 	// be in force.
 	ConfigApply time.Duration
-	// DrainWait is how long a replica that leaves still takes requests.
-	DrainWait time.Duration
 	// ExtraRatio, ExtraWindow and ExtraAllowance bound the arrivals at a service
 	// beyond the first of each request, over all nodes.
 	ExtraRatio     float64
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -76,6 +76,16 @@
 	return &Error{Code: code, Outcome: core.NotRun, Message: message, Fix: fix}
 }
 
+// Address makes the failure to listen on an address of this VM.
+func Address(address string, cause error) *Error {
+	return &Error{
+		Code:    CodeAddress,
+		Message: "cannot listen on " + address,
+		Fix:     "choose a free address of this VM in the settings",
+		Cause:   cause,
+	}
+}
+
 // Step wraps err with the step that failed, keeping its type reachable by As.
 func Step(step string, err error) error {
 	if err == nil {
--- a/internal/fleet/evidence_test.go
+++ b/internal/fleet/evidence_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
 	"github.com/pistachiopier/pistachiopier/internal/client"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -57,7 +58,7 @@
 // problems saw two dead replicas.
 func TestADeadReplicaIsListedOnce(t *testing.T) {
 	upstreams := startUpstreams(t, 2)
-	var log safeBuffer
+	var log logs.Buffer
 	f := startWith(t, Options{Nodes: 1, LogTo: &log, Alter: func(s *settings.Settings) { s.Probing.ReportWithin = 600 * time.Millisecond }}, testText(upstreams))
 	require.NoError(t, upstreams[0].Close())
 	require.Eventually(t, func() bool {
--- a/internal/fleet/operate_test.go
+++ b/internal/fleet/operate_test.go
@@ -1,14 +1,12 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +17,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/keys"
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
@@ -26,24 +25,6 @@
 
 const awaitPause = 5 * time.Millisecond
 
-// safeBuffer takes the log lines of several nodes.
-type safeBuffer struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-func (b *safeBuffer) Write(line []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *safeBuffer) String() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.String()
-}
-
 func startWith(t *testing.T, options Options, text string) *Fleet {
 	t.Helper()
 	f, err := Start(options)
@@ -212,7 +193,7 @@
 	require.NoError(t, err)
 	pair, err := stranger.Issue("vm-2", time.Now(), validity)
 	require.NoError(t, err)
-	var log safeBuffer
+	var log logs.Buffer
 	f, err := Start(Options{Nodes: 2, LogTo: &log, Alter: func(s *settings.Settings) {
 		if s.Node == "vm-2" {
 			s.TLS.Authority, s.TLS.Certificate, s.TLS.Key = string(stranger.Certificate), string(pair.Certificate), string(pair.Key)
@@ -237,7 +218,7 @@
 }
 
 func TestLogLinesAreJSONWithStableFields(t *testing.T) {
-	var log safeBuffer
+	var log logs.Buffer
 	f := startWith(t, Options{Nodes: 1, LogTo: &log, Alter: func(s *settings.Settings) { s.LogLevel = "debug" }}, testText(startUpstreams(t, 2)))
 	caller := client.New()
 	defer caller.Close()
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -53,10 +53,3 @@
 	w.logger.WithField(FieldEvent, "http").Debug(strings.TrimSpace(string(line)))
 	return len(line), nil
 }
-
-// Discard is a logger that writes nothing.
-func Discard() logrus.FieldLogger {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return logger
-}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -92,7 +92,6 @@
 	// confirmed is when the copy was last known to be the store's newest state,
 	// on this node's clock; 0 is never.
 	confirmed atomic.Int64
-	calls     atomic.Int64
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 
@@ -135,9 +134,6 @@
 	return f.now() - confirmed, true
 }
 
-// Calls counts the calls to the store.
-func (f *Follower) Calls() int64 { return f.calls.Load() }
-
 // run reads again and again. A node that is not a reader follows peers, and turns
 // to the store itself when none of them has a fresh copy; a reader that the store
 // turns away follows peers until it may try again.
@@ -187,14 +183,12 @@
 	timeout := f.config.WatchWait + f.config.Slack
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	f.calls.Add(1)
 	after := f.copy.UpTo()
 	if after == 0 {
 		return readAll(ctx, f.store)
 	}
 	delta, err := f.store.Watch(ctx, after, f.config.WatchWait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.calls.Add(1)
 		return readAll(ctx, f.store)
 	}
 	return delta, err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,11 +40,11 @@
 func Listen(address string, tlsConfig *tls.Config, self Identity, handler Handler) (*Server, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
-		return nil, addressFault(address, err)
+		return nil, fault.Address(address, err)
 	}
 	udp, err := net.ListenUDP("udp", udpAddress)
 	if err != nil {
-		return nil, addressFault(address, err)
+		return nil, fault.Address(address, err)
 	}
 	listener, err := quic.Listen(udp, tlsConfig, quicConfig())
 	if err != nil {
@@ -148,12 +148,3 @@
 	}
 	return Identity{Node: core.NodeID(hello.GetNode()), Incarnation: hello.GetIncarnation()}, nil
 }
-
-func addressFault(address string, cause error) error {
-	return &fault.Error{
-		Code:    fault.CodeAddress,
-		Message: "cannot listen on " + address,
-		Fix:     "choose a free address of this VM in the settings",
-		Cause:   cause,
-	}
-}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -81,8 +81,8 @@
 	return true
 }
 
-// write sends head and body and returns how many bytes may have left. The head carries the time that is left now: waiting
-// for the connection may have used some of it.
+// write sends head and body and returns how many bytes may have left. The head carries
+// the time that is left now: waiting for the connection may have used some of it.
 func (c *conn) write(ctx context.Context, one *call) (int, error) {
 	request := one.request
 	header := request.Header.Clone()
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -234,13 +234,11 @@
 	if conn == nil || conn.answers == 0 {
 		h.refused(time.Now())
 	}
-	if h.open == 0 {
+	h.wakeOne()
+	for h.open == 0 && len(h.waiters) > 0 {
 		// No connection is left that could become free and wake the others.
-		for len(h.waiters) > 1 {
-			h.wakeOne()
-		}
+		h.wakeOne()
 	}
-	h.wakeOne()
 }
 
 // suspect closes the idle connections to a replica on which nothing was heard
--- a/test/e2e/harness/process.go
+++ b/test/e2e/harness/process.go
@@ -10,12 +10,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/logs"
 )
 
 const (
@@ -55,29 +56,10 @@
 	t      testing.TB
 	name   string
 	cmd    *exec.Cmd
-	output output
+	output logs.Buffer
 	exited chan struct{}
 }
 
-// output collects what a process prints.
-type output struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (o *output) Write(p []byte) (int, error) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.text.Write(p)
-}
-
-func (o *output) String() string {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.text.String()
-}
-
 // Start runs the program with the arguments until the test's end.
 func Start(t testing.TB, binary, name string, arguments ...string) *Process {
 	t.Helper()
