--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/edge"
+	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
 
@@ -192,6 +196,18 @@
 	require.LessOrEqual(t, len(other.Arrivals()), 1, "each refusal is an arrival at a service that nobody asked for")
 }
 
+// One address stands in the settings twice. Were one of the two interfaces left out in silence,
+// the node would run and never count as ready.
+func TestAnAddressGivenTwiceIsAnError(t *testing.T) {
+	free := freeAddresses(t, 3)
+	s := &settings.Edge{Node: "vm", CallerAddress: free[0], DirectoryAddress: free[1], ReadyAddress: free[1], PeerAddress: free[2], StoreAddress: "127.0.0.1:1"}
+	require.NoError(t, s.Validate())
+	app, _ := edge.New(s, io.Discard)
+	err := app.Start(t.Context())
+	require.Equal(t, fault.CodeAddress, fault.As(err).Code)
+	require.NoError(t, app.Stop(context.Background()))
+}
+
 func TestLimitsOfTheConfigurationBindCallers(t *testing.T) {
 	w := newWorld(t)
 	w.replica("notes", "east", "a note")
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -80,23 +80,35 @@
 	return one
 }
 
-// freeAddress finds a port that is free for TCP and UDP.
-func freeAddress(t *testing.T) string {
+// freeAddresses finds ports that are free for TCP and UDP. All are held until the last is
+// found: a port that is given back may be given out again at once, and two addresses of one
+// node would be the same.
+func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	var found []string
+	for len(found) < count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		packets, err := net.ListenPacket("udp", listener.Addr().String())
+		if err != nil {
+			continue
+		}
+		defer func() { _ = packets.Close() }()
+		found = append(found, listener.Addr().String())
+	}
+	return found
 }
 
 // start starts nodes in data centres; the first one is the seed of all.
 func (w *world) start(dataCentres ...string) {
 	w.t.Helper()
 	for _, dataCentre := range dataCentres {
+		free := freeAddresses(w.t, 5)
 		s := &settings.Edge{
 			Node: fmt.Sprintf("vm-%d", len(w.nodes)), DataCentre: dataCentre,
-			CallerAddress: freeAddress(w.t), ReadyAddress: freeAddress(w.t), DirectoryAddress: freeAddress(w.t), MetricsAddress: freeAddress(w.t),
-			PeerAddress: freeAddress(w.t), StoreAddress: w.store.Address(), StopWait: 1500 * time.Millisecond, ConfigApply: 3 * time.Second,
+			CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], MetricsAddress: free[3],
+			PeerAddress: free[4], StoreAddress: w.store.Address(), StopWait: 1500 * time.Millisecond, ConfigApply: 3 * time.Second,
 			ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraAllowance: 50,
 		}
 		s.Seeds = []string{s.PeerAddress}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -186,10 +186,11 @@
 // startOthers opens the addresses besides the callers'. Metrics are no condition of
 // serving: a node goes on where their port is taken.
 func (n *Node) startOthers(s *settings.Edge) error {
-	for address, handler := range map[string]http.Handler{s.DirectoryAddress: n.directory(), s.ReadyAddress: n.readiness()} {
-		if err := n.serveOther(address, handler); err != nil {
-			return err
-		}
+	if err := n.serveOther(s.DirectoryAddress, n.directory()); err != nil {
+		return err
+	}
+	if err := n.serveOther(s.ReadyAddress, n.readiness()); err != nil {
+		return err
 	}
 	if err := n.serveOther(s.MetricsAddress, n.operator()); err != nil {
 		n.log.Life("metrics_unavailable", decisionlog.Fields{"error": err.Error()})
