A caller server of former limits ends with its last connection

Cause: each change of the limits towards callers made a new http.Server and kept the former ones until the stop. Twenty changes left twenty listeners. Ruled out: changing the limits of a running server, which net/http reads without a lock.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -22,24 +23,34 @@
 // callerServer takes callers' connections. net/http fixes its limits when a server
 // starts, while ours come with each configuration: connections are handed to a
 // server made for the limits in force, and those of a former one go on under its
-// limits until they end.
+// limits until they end. With its last connection a former server ends too: limits that
+// change many times a day would otherwise leave as many servers behind.
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
 	mutex    sync.Mutex
 	limits   policy.Limits
-	current  *handover
-	servers  []*http.Server
+	current  *limitedServer
+	servers  map[*limitedServer]bool
 	closing  bool
 	done     sync.WaitGroup
 }
 
+// limitedServer serves the connections that came while its limits were in force.
+type limitedServer struct {
+	*http.Server
+	conns *handover
+	// open counts the connections, also those on their way to the server; it is guarded
+	// by the callerServer's mutex.
+	open int
+}
+
 func listenCallers(address string, handler http.Handler) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Address(address, err)
 	}
-	s := &callerServer{handler: handler, listener: listener}
+	s := &callerServer{handler: handler, listener: listener, servers: map[*limitedServer]bool{}}
 	s.setLimits(policy.Limits{MaxHeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout})
 	s.done.Add(1)
 	go func() {
@@ -56,22 +67,52 @@
 	if s.closing || s.current != nil && limits == s.limits {
 		return
 	}
+	former := s.current
 	s.limits = limits
-	server := &http.Server{
+	s.current = s.serveWith(limits)
+	s.servers[s.current] = true
+	s.endUnused(former)
+}
+
+// serveWith starts a server with limits.
+func (s *callerServer) serveWith(limits policy.Limits) *limitedServer {
+	server := &limitedServer{conns: &handover{address: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}}
+	server.Server = &http.Server{
 		Handler:           s.handler,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return withCallerConn(ctx) },
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				s.closed(server)
+			}
+		},
 	}
-	next := &handover{address: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
-	s.current = next
-	s.servers = append(s.servers, server)
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		_ = server.Serve(next)
+		_ = server.Serve(server.conns)
 	}()
+	return server
+}
+
+// closed notes the end of a connection.
+func (s *callerServer) closed(server *limitedServer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	server.open--
+	s.endUnused(server)
+}
+
+// endUnused ends a server whose limits are not in force any more and that has no
+// connection left. The mutex must be held.
+func (s *callerServer) endUnused(server *limitedServer) {
+	if server == nil || server == s.current || server.open > 0 {
+		return
+	}
+	delete(s.servers, server)
+	_ = server.conns.Close()
 }
 
 func (s *callerServer) accept() {
@@ -87,8 +128,11 @@
 		}
 		s.mutex.Lock()
 		current := s.current
+		current.open++
 		s.mutex.Unlock()
-		current.give(conn)
+		if !current.conns.give(conn) {
+			s.closed(current)
+		}
 	}
 }
 
@@ -103,10 +147,10 @@
 	s.stopAccepting()
 	s.mutex.Lock()
 	s.closing = true
-	servers := s.servers
+	servers := maps.Clone(s.servers)
 	s.mutex.Unlock()
 	var failures []error
-	for _, server := range servers {
+	for server := range servers {
 		failures = append(failures, server.Shutdown(ctx))
 	}
 	return errors.Join(failures...)
@@ -120,11 +164,14 @@
 	closed  chan struct{}
 }
 
-func (h *handover) give(conn net.Conn) {
+// give hands a connection to the server, or closes it and reports false when that ended.
+func (h *handover) give(conn net.Conn) bool {
 	select {
 	case h.conns <- conn:
+		return true
 	case <-h.closed:
 		_ = conn.Close()
+		return false
 	}
 }
 
