Metrics by shape, kind, service and outcome; reloads are always logged and take the seeds

Metrics gain labels in internal/observe. The node's page now shows sends and times by service, what each service's bound on extra sends has left, the connections, store calls, readings of other nodes' copies with their lag, the age of beliefs and the lines dropped.

Cause of the reload change: a SIGHUP with an unchanged file left no line, and seeds in a changed file reached a node only at its next start. Without the replaced seeds TestAReloadIsLoggedAndTakesTheSeeds never sees the second node; with them it does.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"os"
@@ -51,7 +52,7 @@
 	if err := app.Start(signals); err != nil {
 		return err
 	}
-	watchSettings(signals, path, node)
+	watchSettings(signals, path, metricsPort, node)
 	return stopEdge(app, s.StopWait)
 }
 
@@ -61,10 +62,10 @@
 	return app.Stop(ctx)
 }
 
-// watchSettings reloads the settings at SIGHUP and when the file is another one, until
-// the process is told to stop. A file that cannot be read leaves the former settings
-// in force.
-func watchSettings(ctx context.Context, path string, node *edge.Node) {
+// watchSettings reloads the settings at SIGHUP, which is always answered with a line in the
+// log, and when the file is another one, until the process is told to stop. A file that
+// cannot be read leaves the former settings in force.
+func watchSettings(ctx context.Context, path string, metricsPort int, node *edge.Node) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -72,22 +73,33 @@
 	defer ticker.Stop()
 	seen, _ := os.ReadFile(path)
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			asked = true
 		case <-ticker.C:
 		}
 		text, err := os.ReadFile(path)
-		if err != nil || string(text) == string(seen) {
-			continue
-		}
-		seen = text
-		s, err := platform.ParseSettings(string(text))
-		if err != nil {
+		switch {
+		case err != nil && asked:
 			node.SettingsRefused(err)
-			continue
+		case err != nil:
+			// It is being replaced, or stays away: the signal would tell.
+		case asked || !bytes.Equal(text, seen):
+			seen = text
+			reload(node, string(text), metricsPort)
 		}
-		node.Reload(s)
 	}
 }
+
+func reload(node *edge.Node, text string, metricsPort int) {
+	s, err := platform.ParseSettings(text)
+	if err != nil {
+		node.SettingsRefused(err)
+		return
+	}
+	s.SetMetricsPort(metricsPort)
+	node.Reload(s)
+}
--- a/internal/core/extra/extra.go
+++ b/internal/core/extra/extra.go
@@ -56,6 +56,15 @@
 	return true
 }
 
+// Left tells for each service how many further extra arrivals the bound allows now.
+func (b *Budget) Left(each func(service string, left float64), now core.Time) {
+	for service, w := range b.services {
+		w.advance(now)
+		requests, extras := w.sums()
+		each(service, b.bound.Ratio*float64(requests)+b.bound.Allowance-float64(extras))
+	}
+}
+
 // Forget drops what was counted for services that are not wanted any more.
 func (b *Budget) Forget(wanted func(service string) bool, now core.Time) {
 	for service, w := range b.services {
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -49,6 +49,7 @@
 	router := newRouter()
 	router.GET("/metrics", func(c *gin.Context) {
 		c.Header("Content-Type", "text/plain; version=0.0.4")
+		n.readBudgets()
 		observe.WriteText(c.Writer, n.metrics.registry)
 	})
 	router.GET("/dump", func(c *gin.Context) { c.JSON(http.StatusOK, n.dump()) })
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -274,3 +274,52 @@
 		return strings.Contains(state, `"sends_running":0`)
 	}, patience, 5*time.Millisecond)
 }
+
+// On call, metrics are all there is besides the logs. Each family stands on the page with a
+// value that fits what was just done.
+func TestMetricsTellWhatWasDone(t *testing.T) {
+	w := newWorld(t)
+	w.replica("s1", "east", "a")
+	w.replica("s2", "west", "b")
+	w.replica("s3", "east", "c")
+	w.replica("notes", "east", "a note").SetAct(always(platformtest.Shed))
+	w.serve("east", "west")
+	w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
+	w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r2", "")
+	_, page := w.get("http://"+w.nodes[0].settings.MetricsAddress+"/metrics", nil)
+	for _, line := range []string{
+		`requests_total{shape="gather",kind="idempotent",outcome="whole"} 1`,
+		`requests_total{shape="forward",kind="idempotent",outcome="refused"} 1`,
+		`request_us_count{shape="gather",kind="idempotent",outcome="whole"} 1`,
+		`service_sends_total{service="s1",outcome="whole"} 1`,
+		`service_sends_total{service="s2",outcome="whole"} 1`,
+		`service_send_us_count{service="s1"} 1`,
+		`extra_left{service="notes"} `,
+		"requests_in_flight 0", "sends_running 0", "delegated_groups_running 0",
+		"replica_connections_opened_total ", "replica_connections ", "replica_connection_waiters 0",
+		"store_calls_total ", "store_calls_failed_total 0", "copy_reads_from_nodes_total ", "copy_lag_ms ", "beliefs_age_ms ",
+		"config_version 1", "store_revision ", "nodes_live 2", "log_lines_dropped_total 0",
+	} {
+		require.Contains(t, page, "\npistachiopier_"+line)
+	}
+}
+
+// An operator sends the signal to reload without having changed the file, and later names
+// another seed in it. Both are answered with a line that says whether anything changed, and
+// the node finds the one that only the new seed names.
+func TestAReloadIsLoggedAndTakesTheSeeds(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note")
+	w.serve("east")
+	first := w.nodes[0]
+	same := *first.settings
+	first.node.Reload(&same)
+	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), `"changed":false`) }, patience, time.Millisecond)
+	w.startOne("east", func(s *settings.Edge) { s.Seeds = []string{s.PeerAddress} })
+	second := w.nodes[1]
+	other := *first.settings
+	other.Seeds = []string{second.settings.PeerAddress}
+	first.node.Reload(&other)
+	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), `"changed":true`) }, patience, time.Millisecond)
+	w.ready()
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -95,6 +95,7 @@
 
 // refuse answers at once that a request has not run, with the time to come back.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, why string, retryAfter time.Duration) {
+	n.metrics.refused()
 	n.log.Decision("request_refused", decisionlog.Fields{"request": platform.RequestID(r.Header), "cause": why, "retry_after_ms": retryAfter.Milliseconds()})
 	writeRefusal(w, retryAfter)
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -32,6 +32,7 @@
 type node struct {
 	settings *settings.Edge
 	app      *fx.App
+	node     *edge.Node
 	log      *logs.Buffer
 	stopped  bool
 }
@@ -104,24 +105,31 @@
 func (w *world) start(dataCentres ...string) {
 	w.t.Helper()
 	for _, dataCentre := range dataCentres {
-		free := freeAddresses(w.t, 5)
-		s := &settings.Edge{
-			Node: fmt.Sprintf("vm-%d", len(w.nodes)), DataCentre: dataCentre,
-			CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], MetricsAddress: free[3],
-			PeerAddress: free[4], StoreAddress: w.store.Address(), StopWait: 1500 * time.Millisecond, ConfigApply: 3 * time.Second,
-			ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraAllowance: 50,
-		}
-		s.Seeds = []string{s.PeerAddress}
-		if len(w.nodes) > 0 {
-			s.Seeds = []string{w.nodes[0].settings.PeerAddress}
-		}
-		require.NoError(w.t, s.Validate())
-		one := &node{settings: s, log: &logs.Buffer{}}
-		one.app, _ = edge.New(s, one.log)
-		require.NoError(w.t, one.app.Err())
-		require.NoError(w.t, one.app.Start(w.t.Context()))
-		w.nodes = append(w.nodes, one)
+		w.startOne(dataCentre, func(*settings.Edge) {})
+	}
+}
+
+// startOne starts a node whose settings are changed first.
+func (w *world) startOne(dataCentre string, change func(*settings.Edge)) {
+	w.t.Helper()
+	free := freeAddresses(w.t, 5)
+	s := &settings.Edge{
+		Node: fmt.Sprintf("vm-%d", len(w.nodes)), DataCentre: dataCentre,
+		CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], MetricsAddress: free[3],
+		PeerAddress: free[4], StoreAddress: w.store.Address(), StopWait: 1500 * time.Millisecond, ConfigApply: 3 * time.Second,
+		ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraAllowance: 50,
+	}
+	s.Seeds = []string{s.PeerAddress}
+	if len(w.nodes) > 0 {
+		s.Seeds = []string{w.nodes[0].settings.PeerAddress}
 	}
+	change(s)
+	require.NoError(w.t, s.Validate())
+	one := &node{settings: s, log: &logs.Buffer{}}
+	one.app, one.node = edge.New(s, one.log)
+	require.NoError(w.t, one.app.Err())
+	require.NoError(w.t, one.app.Start(w.t.Context()))
+	w.nodes = append(w.nodes, one)
 }
 
 // serve publishes a configuration, starts nodes and waits until they take callers.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,43 +1,202 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 )
 
-// nodeMetrics counts what a node does. Names do not hold routes or services, which
-// the operator renames at will and which would grow without bound.
-type nodeMetrics struct{ registry observe.Registry }
+// nodeMetrics counts what a node does. Labels are never a route's, host's or caller's name,
+// which grow without bound; services have a bound of their own.
+type nodeMetrics struct {
+	registry observe.Registry
+	mutex    sync.RWMutex
+	services map[string]*serviceMetrics
+	// budgets are the names of the gauges that the last reading of the budgets made.
+	budgets []string
+}
 
-// sampleSize and sampleDecay are those of an exponentially decaying sample that
-// favours the last five minutes, as the library proposes.
 const (
+	// sampleSize and sampleDecay are those of an exponentially decaying sample that
+	// favours the last five minutes, as the library proposes.
 	sampleSize  = 1028
 	sampleDecay = 0.015
+	// serviceSampleSize is that of a service: 1 KB each, so that 1,000 shards take 1 MB. Its
+	// p90 rests on 13 values, its p99 on one.
+	serviceSampleSize = 128
+	// maxServices bounds the services with metrics of their own; those beyond count as
+	// otherServices.
+	maxServices   = 1024
+	otherServices = "other"
 )
 
-func newNodeMetrics() nodeMetrics { return nodeMetrics{registry: observe.NewRegistry()} }
+// Labels of metrics.
+const (
+	labelShape   = "shape"
+	labelKind    = "kind"
+	labelOutcome = "outcome"
+	labelCause   = "cause"
+	labelService = "service"
+)
+
+func newNodeMetrics() *nodeMetrics {
+	return &nodeMetrics{registry: observe.NewRegistry(), services: map[string]*serviceMetrics{}}
+}
 
-// request counts a request by shape and outcome, with its time in microseconds.
-func (m nodeMetrics) request(route *policy.Route, outcome string, took time.Duration) {
-	shape := "forward"
+// request counts a request by shape, kind and outcome, with its time in microseconds.
+func (m *nodeMetrics) request(route *policy.Route, outcome string, took time.Duration) {
+	shape, kind := "forward", "once"
 	if route.Gather != nil {
 		shape = "gather"
 	}
-	observe.Counter(m.registry, shape+"_requests_"+outcome+"_total").Inc(1)
-	sample := m.registry.GetOrRegister(shape+"_request_us", func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	if route.Idempotent {
+		kind = "idempotent"
+	}
+	observe.Counter(m.registry, observe.Labelled("requests_total", labelShape, shape, labelKind, kind, labelOutcome, outcome)).Inc(1)
+	m.histogram(observe.Labelled("request_us", labelShape, shape, labelKind, kind, labelOutcome, outcome), sampleSize).Update(took.Microseconds())
+}
+
+// refused counts a request that was refused before anything was planned.
+func (m *nodeMetrics) refused() { observe.Counter(m.registry, "requests_refused_at_once_total").Inc(1) }
+
+// extra counts a send beyond the first.
+func (m *nodeMetrics) extra(cause scatter.Cause) {
+	observe.Counter(m.registry, observe.Labelled("sends_extra_total", labelCause, string(cause))).Inc(1)
+}
+
+func (m *nodeMetrics) histogram(name string, size int) metrics.Histogram {
+	made := m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(size, sampleDecay))
 	})
-	if histogram, ok := sample.(metrics.Histogram); ok {
-		histogram.Update(took.Microseconds())
+	if histogram, ok := made.(metrics.Histogram); ok {
+		return histogram
+	}
+	return metrics.NilHistogram{}
+}
+
+// serviceMetrics are kept by reference: a name is not put together for each send.
+type serviceMetrics struct {
+	sends map[scatter.Verdict]metrics.Counter
+	took  metrics.Histogram
+}
+
+// verdictNames are the outcomes of sends.
+var verdictNames = map[scatter.Verdict]string{
+	scatter.Whole: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached",
+}
+
+// send counts the end of a send to a service, and how long a whole answer took.
+func (m *nodeMetrics) send(service string, verdict scatter.Verdict, took time.Duration) {
+	one := m.service(service)
+	if counter := one.sends[verdict]; counter != nil {
+		counter.Inc(1)
+	}
+	if verdict == scatter.Whole {
+		one.took.Update(took.Microseconds())
 	}
 }
 
-func (m nodeMetrics) extra(cause scatter.Cause) {
-	observe.Counter(m.registry, "sends_"+string(cause)+"_total").Inc(1)
+func (m *nodeMetrics) service(name string) *serviceMetrics {
+	m.mutex.RLock()
+	one := m.services[name]
+	m.mutex.RUnlock()
+	if one != nil {
+		return one
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.services) >= maxServices {
+		name = otherServices
+	}
+	if one := m.services[name]; one != nil {
+		return one
+	}
+	one = &serviceMetrics{sends: map[scatter.Verdict]metrics.Counter{}, took: m.histogram(observe.Labelled("service_send_us", labelService, name), serviceSampleSize)}
+	for verdict, outcome := range verdictNames {
+		one.sends[verdict] = observe.Counter(m.registry, observe.Labelled("service_sends_total", labelService, name, labelOutcome, outcome))
+	}
+	m.services[name] = one
+	return one
+}
+
+// forget drops the metrics of services that are not configured any more.
+func (m *nodeMetrics) forget(wanted func(service string) bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for name := range m.services {
+		if wanted(name) || name == otherServices {
+			continue
+		}
+		delete(m.services, name)
+		m.registry.Unregister(observe.Labelled("service_send_us", labelService, name))
+		for _, outcome := range verdictNames {
+			m.registry.Unregister(observe.Labelled("service_sends_total", labelService, name, labelOutcome, outcome))
+		}
+	}
+}
+
+// unknownAge is the age of beliefs that never were confirmed.
+const unknownAge = -1
+
+// watchMetrics adds the metrics that are read when they are asked for.
+func (n *Node) watchMetrics() {
+	watch := func(name string, read func() int64) { observe.Watch(n.metrics.registry, name, read) }
+	watch("requests_in_flight", n.inFlight.Load)
+	watch("delegated_groups_running", n.delegated.Load)
+	watch("replica_connections", func() int64 { return int64(n.replicas.Open()) })
+	watch("replica_connections_opened_total", n.replicas.Opened)
+	watch("replica_connection_waiters", func() int64 { return int64(n.replicas.Waiting()) })
+	watch("log_lines_dropped_total", n.log.Dropped)
+	watch("nodes_live", func() int64 { return int64(len(n.view().Nodes())) })
+	watch("store_calls_total", func() int64 { return n.follower.Counts().StoreCalls })
+	watch("store_calls_failed_total", func() int64 { return n.follower.Counts().StoreFailures })
+	watch("copy_reads_from_nodes_total", func() int64 { return n.follower.Counts().PeerReads })
+	watch("copy_lag_ms", func() int64 { return n.follower.Counts().Lag.Milliseconds() })
+	watch("beliefs_age_ms", func() int64 {
+		if age, known := n.follower.Age(); known {
+			return age.Milliseconds()
+		}
+		return unknownAge
+	})
+	watch("store_revision", func() int64 { return int64(n.copied.UpTo()) })
+	watch("config_version", func() int64 {
+		if config := n.beliefs.config.Load(); config != nil {
+			return int64(config.Version)
+		}
+		return unknownAge
+	})
+	watch("sends_running", func() (running int64) {
+		n.beliefs.note(func(book *replica.Book, _ core.Time) { running = int64(book.Running()) })
+		return running
+	})
+}
+
+// readBudgets writes down what each service's bound on extra arrivals has left.
+func (n *Node) readBudgets() {
+	n.beliefs.mutex.Lock()
+	left := map[string]float64{}
+	n.beliefs.budget.Left(func(service string, extras float64) { left[service] = extras }, n.beliefs.now())
+	n.beliefs.mutex.Unlock()
+	n.metrics.setBudgets(left)
+}
+
+func (m *nodeMetrics) setBudgets(left map[string]float64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, name := range m.budgets {
+		m.registry.Unregister(name)
+	}
+	m.budgets = m.budgets[:0]
+	for service, extras := range left {
+		name := observe.Labelled("extra_left", labelService, service)
+		metrics.GetOrRegisterGaugeFloat64(name, m.registry).Update(extras)
+		m.budgets = append(m.budgets, name)
+	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -57,7 +58,7 @@
 	started  time.Time
 	identity peer.Identity
 	log      *decisionlog.Log
-	metrics  nodeMetrics
+	metrics  *nodeMetrics
 	beliefs  *beliefs
 	registry *registry
 	views    *belief.Store
@@ -68,6 +69,7 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	members  *membership.Duty
+	seeds    *membership.Seeds
 	callers  *callerServer
 	others   []*http.Server
 	stopping atomic.Bool
@@ -133,6 +135,7 @@
 	store := platform.NewStore(s.StoreAddress, storeDialTimeout)
 	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
 	n.mirror = mirror.NewServer(n.copied, n.follower.Age)
+	n.watchMetrics()
 	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
 		return err
 	}
@@ -159,10 +162,11 @@
 	}
 	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, Weight: uint32(s.Cores * milli)}
 	n.views.SetSelf(self)
+	n.seeds = membership.NewSeeds(s.PeerAddress, s.Seeds)
 	n.members = membership.Start(membership.Options{
 		Self:        self,
 		Incarnation: n.identity.Incarnation,
-		List:        membership.Seeds{Self: s.PeerAddress, Addresses: s.Seeds},
+		List:        n.seeds,
 		Belief:      n.views,
 		Peers:       n.pool,
 		Now:         n.now,
@@ -232,6 +236,7 @@
 func (n *Node) configInForce() {
 	config := n.beliefs.config.Load()
 	n.callers.setLimits(config.Limits)
+	n.metrics.forget(func(service string) bool { _, configured := config.Services[service]; return configured })
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
 	n.beliefs.budget.Forget(func(service string) bool { return n.beliefs.book.Usable(service) > 0 }, n.now())
@@ -284,11 +289,12 @@
 	return nil
 }
 
-// Reload takes new settings. Addresses of a running process do not change.
+// Reload takes settings that were read anew. Addresses of a running process do not change.
 func (n *Node) Reload(s *settings.Edge) {
-	n.settings.Store(s)
+	changed := !reflect.DeepEqual(n.settings.Swap(s), s)
+	n.seeds.Replace(s.Seeds)
 	n.setBound()
-	n.log.Life("settings_reloaded", decisionlog.Fields{"seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
+	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
 }
 
 // dump is the node's state for operators.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -227,6 +227,7 @@
 	if errors.Is(one.err, errAnswered) || errors.Is(one.err, context.Canceled) {
 		return
 	}
+	q.node.metrics.send(one.send.Replica.Service, one.verdict, one.took)
 	switch one.verdict {
 	case scatter.Whole:
 		b.answered(q.route, id, one.took)
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -92,6 +92,7 @@
 	// confirmed is when the copy was last known to be the store's newest state,
 	// on this node's clock; 0 is never.
 	confirmed atomic.Int64
+	counts    counts
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 
@@ -134,6 +135,29 @@
 	return f.now() - confirmed, true
 }
 
+// counts are the counts of a Follower, read by others while it runs.
+type counts struct{ storeCalls, storeFailures, peerReads, lagMs atomic.Int64 }
+
+// Counts says what keeping the copy up to date took so far.
+type Counts struct {
+	// StoreCalls counts the readings tried at the store, each one call or, for a whole
+	// copy, one for each page; StoreFailures those that failed.
+	StoreCalls, StoreFailures int64
+	// PeerReads counts the readings of other nodes' copies that succeeded.
+	PeerReads int64
+	// Lag is how old the last reading was when it came: about 0 from the store, what the
+	// nodes in between add to it otherwise.
+	Lag time.Duration
+}
+
+// Counts returns the counts so far.
+func (f *Follower) Counts() Counts {
+	return Counts{
+		StoreCalls: f.counts.storeCalls.Load(), StoreFailures: f.counts.storeFailures.Load(), PeerReads: f.counts.peerReads.Load(),
+		Lag: time.Duration(f.counts.lagMs.Load()) * time.Millisecond,
+	}
+}
+
 // run reads again and again. A node that is not a reader follows peers, and turns
 // to the store itself when none of them has a fresh copy; a reader that the store
 // turns away follows peers until it may try again.
@@ -162,6 +186,7 @@
 // readStore makes one call, or those of a whole reading.
 func (f *Follower) readStore(ctx context.Context) {
 	started := f.now()
+	f.counts.storeCalls.Add(1)
 	delta, err := f.fromStore(ctx)
 	if ctx.Err() != nil {
 		return
@@ -195,6 +220,7 @@
 }
 
 func (f *Follower) storeFailed(cause error) {
+	f.counts.storeFailures.Add(1)
 	f.store.Close()
 	f.storeRetryAt = f.now() + min(f.config.FirstRetry<<min(f.failures, maxDoublings), f.config.Retry)
 	f.failures++
@@ -238,6 +264,7 @@
 	if err != nil {
 		return false
 	}
+	f.counts.peerReads.Add(1)
 	f.take(delta, f.now()-age)
 	return age <= f.config.Stale
 }
@@ -250,6 +277,7 @@
 	}
 	changed := f.copy.Apply(delta)
 	f.confirmed.Store(int64(max(confirmed, before, 1)))
+	f.counts.lagMs.Store((f.now() - confirmed).Milliseconds())
 	if len(changed) > 0 {
 		f.listener.Changed(Change{Items: changed, AfterOutage: f.now() < f.returnUntil})
 	}
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
@@ -36,61 +38,94 @@
 // quantiles are those that a histogram or timer is written with.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
+// Labelled adds labels, given as name and value in turn, to a metric's name. A label's
+// values must be few: each makes a metric of its own.
+func Labelled(name string, labels ...string) string {
+	pairs := make([]string, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, labels[i]+"="+strconv.Quote(labels[i+1]))
+	}
+	return name + "{" + strings.Join(pairs, ",") + "}"
+}
+
 // WriteText writes the registry in the usual text exposition format, by name.
 func WriteText(out io.Writer, registry Registry) {
-	values := map[string]string{}
-	registry.Each(func(name string, value any) {
-		if text := exposition(prefix+name, value); text != "" {
-			values[name] = text
-		}
-	})
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
-	}
-	sort.Strings(names)
+	values := map[string]any{}
+	registry.Each(func(name string, value any) { values[name] = value })
 	var b strings.Builder
-	for _, name := range names {
-		b.WriteString(values[name])
+	former := ""
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		family, labels := splitLabels(name)
+		kind, samples := exposition(family, values[name])
+		if kind == "" {
+			continue
+		}
+		if family != former {
+			fmt.Fprintf(&b, "# TYPE %s %s\n", prefix+family, kind)
+			former = family
+		}
+		for _, one := range samples {
+			fmt.Fprintf(&b, "%s%s%s %s\n", prefix, family+one.suffix, joinLabels(labels, one.label), one.value)
+		}
 	}
 	_, _ = io.WriteString(out, b.String())
 }
 
-func exposition(name string, value any) string {
+// splitLabels takes a name apart into the family and its labels without their braces.
+func splitLabels(name string) (family, labels string) {
+	family, labels, _ = strings.Cut(name, "{")
+	return family, strings.TrimSuffix(labels, "}")
+}
+
+func joinLabels(labels, further string) string {
+	switch {
+	case labels == "" && further == "":
+		return ""
+	case labels == "" || further == "":
+		return "{" + labels + further + "}"
+	default:
+		return "{" + labels + "," + further + "}"
+	}
+}
+
+// sample is one line of a metric.
+type sample struct{ suffix, label, value string }
+
+func exposition(family string, value any) (kind string, samples []sample) {
 	switch metric := value.(type) {
 	case metrics.Counter:
-		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, metric.Count())
+		return "counter", whole(metric.Count())
 	case metrics.Gauge:
-		return fmt.Sprintf("# TYPE %s %s\n%s %d\n", name, gaugeType(name), name, metric.Value())
+		return gaugeType(family), whole(metric.Value())
 	case metrics.GaugeFloat64:
-		return fmt.Sprintf("# TYPE %s gauge\n%s %g\n", name, name, metric.Value())
+		return "gauge", []sample{{value: fmt.Sprintf("%g", metric.Value())}}
 	case metrics.Meter:
-		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, metric.Snapshot().Count())
+		return "counter", whole(metric.Snapshot().Count())
 	case metrics.Histogram:
 		snapshot := metric.Snapshot()
-		return summary(name, snapshot.Percentiles(quantiles), snapshot.Sum(), snapshot.Count())
+		return "summary", summary(snapshot.Percentiles(quantiles), snapshot.Sum(), snapshot.Count())
 	case metrics.Timer:
 		snapshot := metric.Snapshot()
-		return summary(name, snapshot.Percentiles(quantiles), snapshot.Sum(), snapshot.Count())
+		return "summary", summary(snapshot.Percentiles(quantiles), snapshot.Sum(), snapshot.Count())
 	default:
-		return ""
+		return "", nil
 	}
 }
 
+func whole(value int64) []sample { return []sample{{value: strconv.FormatInt(value, 10)}} }
+
 // gaugeType is "counter" for a gauge that reads a count kept elsewhere.
-func gaugeType(name string) string {
-	if strings.HasSuffix(name, "_total") {
+func gaugeType(family string) string {
+	if strings.HasSuffix(family, "_total") {
 		return "counter"
 	}
 	return "gauge"
 }
 
-func summary(name string, values []float64, sum, count int64) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "# TYPE %s summary\n", name)
+func summary(values []float64, sum, count int64) []sample {
+	samples := make([]sample, 0, len(quantiles)+2)
 	for i, quantile := range quantiles {
-		fmt.Fprintf(&b, "%s{quantile=\"%g\"} %g\n", name, quantile, values[i])
+		samples = append(samples, sample{label: fmt.Sprintf("quantile=\"%g\"", quantile), value: fmt.Sprintf("%g", values[i])})
 	}
-	fmt.Fprintf(&b, "%s_sum %d\n%s_count %d\n", name, sum, name, count)
-	return b.String()
+	return append(samples, sample{suffix: "_sum", value: strconv.FormatInt(sum, 10)}, sample{suffix: "_count", value: strconv.FormatInt(count, 10)})
 }
--- a/internal/observe/metrics_test.go
+++ b/internal/observe/metrics_test.go
@@ -33,3 +33,18 @@
 		require.Contains(t, out.String(), line)
 	}
 }
+
+// Two customers' counters are one family: a second TYPE line would make a reader of the
+// format reject the whole page.
+func TestLabelsShareOneFamily(t *testing.T) {
+	registry := NewRegistry()
+	Counter(registry, Labelled("asked_total", "service", "b")).Inc(2)
+	Counter(registry, Labelled("asked_total", "service", `a"`)).Inc(1)
+	metrics.GetOrRegisterHistogram(Labelled("took_us", "shape", "gather"), registry, metrics.NewUniformSample(10)).Update(4)
+	var out bytes.Buffer
+	WriteText(&out, registry)
+	require.Contains(t, out.String(), "# TYPE pistachiopier_asked_total counter\n"+
+		"pistachiopier_asked_total{service=\"a\\\"\"} 1\npistachiopier_asked_total{service=\"b\"} 2\n")
+	require.Contains(t, out.String(), "pistachiopier_took_us{shape=\"gather\",quantile=\"0.5\"} 4\n")
+	require.Contains(t, out.String(), "pistachiopier_took_us_sum{shape=\"gather\"} 4\n")
+}
