--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -30,10 +30,17 @@
 	parser.Description = "run stand-ins and three nodes in this process and ask questions"
 	var keep bool
 	parser.Bool(&keep, "k", "keep", "leave all running and print the addresses until interrupted")
+	var tier bool
+	parser.Bool(&tier, "p", "platform", "show the forwarding tier on stand-ins of the users' platform")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier demo --keep",
-		run:     func(out io.Writer) error { return runDemo(keep, out) },
+		run: func(out io.Writer) error {
+			if tier {
+				return runTierDemo(keep, out)
+			}
+			return runDemo(keep, out)
+		},
 	}
 }
 
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -33,6 +33,8 @@
 
 type loadOptions struct {
 	addresses   []string
+	directories []string
+	dataCentre  string
 	services    string
 	customers   string
 	rate        float64
@@ -69,7 +71,9 @@
 	}
 	parser.AddPositionalValue(&o.second, "second", 1, false, "the second setting of --compare")
 	parser.StringSlice(&o.addresses, "a", "address", "the callers' address of a node; may be repeated")
-	parser.String(&o.services, "s", "service", "services to ask, as NAME or NAME=WEIGHT,NAME=WEIGHT")
+	parser.StringSlice(&o.directories, "", "directory", "the directory's address of a node of the forwarding tier; may be repeated")
+	parser.String(&o.dataCentre, "", "data-centre", "with --directory: the callers' data centre")
+	parser.String(&o.services, "s", "service", "services to ask, as NAME or NAME=WEIGHT,NAME=WEIGHT; with --directory as HOST/PATH")
 	parser.String(&o.customers, "c", "customers", "customers to ask for, as NAME=WEIGHT,NAME=WEIGHT")
 	parser.Float64(&o.rate, "", "rate", "mean requests a second")
 	parser.Duration(&o.duration, "d", "duration", "how long to send; with --compare each slice")
@@ -187,10 +191,10 @@
 }
 
 func (o loadOptions) runAgainst(profile load.Profile, out io.Writer) error {
-	if len(o.addresses) == 0 {
-		return noAddress("add --address IP:PORT of any node, or --embedded")
+	caller, err := o.caller()
+	if err != nil {
+		return err
 	}
-	caller := load.NewCaller(o.addresses)
 	defer caller.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), o.duration+loadSetupTime)
 	defer cancel()
@@ -209,6 +213,24 @@
 	return nil
 }
 
+// closingAsker is an Asker with connections.
+type closingAsker interface {
+	load.Asker
+	Close()
+}
+
+// caller asks the nodes or the forwarding tier that were named.
+func (o loadOptions) caller() (closingAsker, error) {
+	switch {
+	case len(o.directories) > 0:
+		return load.NewTierCaller(o.directories, o.dataCentre), nil
+	case len(o.addresses) > 0:
+		return load.NewCaller(o.addresses), nil
+	default:
+		return nil, noAddress("add --address IP:PORT of any node, --directory IP:PORT of the forwarding tier, or --embedded")
+	}
+}
+
 // runEmbedded is a comparison of one.
 func (o loadOptions) runEmbedded(shape fleet.Shape, profile load.Profile, out io.Writer) error {
 	variant, err := experiment.NamedVariant("owner")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/edge"
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/edgefleet"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
@@ -151,7 +152,7 @@
 	response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
-	status, _ := w.get("http://"+w.nodes[0].settings.ReadyAddress+"/pistachiopier/ready", nil)
+	status, _ := w.get("http://"+w.nodes[0].Settings.ReadyAddress+"/pistachiopier/ready", nil)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	w.replica("notes", "east", "a note")
 	w.configure(1)
@@ -199,11 +200,12 @@
 // One address stands in the settings twice. Were one of the two interfaces left out in silence,
 // the node would run and never count as ready.
 func TestAnAddressGivenTwiceIsAnError(t *testing.T) {
-	free := freeAddresses(t, 3)
+	free, err := edgefleet.FreeAddresses(3)
+	require.NoError(t, err)
 	s := &settings.Edge{Node: "vm", CallerAddress: free[0], DirectoryAddress: free[1], ReadyAddress: free[1], PeerAddress: free[2], StoreAddress: "127.0.0.1:1"}
 	require.NoError(t, s.Validate())
 	app, _ := edge.New(s, io.Discard)
-	err := app.Start(t.Context())
+	err = app.Start(t.Context())
 	require.Equal(t, fault.CodeAddress, fault.As(err).Code)
 	require.NoError(t, app.Stop(context.Background()))
 }
@@ -224,7 +226,7 @@
 	w := newWorld(t)
 	notes := w.replica("notes", "east", "a note")
 	w.serve("east")
-	conn, err := net.Dial("tcp", w.nodes[0].settings.CallerAddress)
+	conn, err := net.Dial("tcp", w.nodes[0].Settings.CallerAddress)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "POST /plain/x HTTP/1.1\r\nHost: search.example\r\nPistachiopier-Deadline-Ms: 200\r\nContent-Length: 10\r\n\r\nhalf")
@@ -254,7 +256,7 @@
 		require.Len(t, body, 16)
 		closed = response.Close
 	}
-	require.Eventually(t, func() bool { return !strings.Contains(w.resolve(w.nodes[0], ""), leaving.settings.CallerAddress) }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return !strings.Contains(w.resolve(w.nodes[0], ""), leaving.Settings.CallerAddress) }, patience, time.Millisecond)
 	<-stopped
 	require.Contains(t, leaving.log.String(), "node_stopped")
 }
@@ -270,7 +272,7 @@
 	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
 	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
 	require.Eventually(t, func() bool {
-		_, state := w.get("http://"+w.nodes[0].settings.MetricsAddress+"/dump", nil)
+		_, state := w.get("http://"+w.nodes[0].Settings.MetricsAddress+"/dump", nil)
 		return strings.Contains(state, `"sends_running":0`)
 	}, patience, 5*time.Millisecond)
 }
@@ -286,7 +288,7 @@
 	w.serve("east", "west")
 	w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
 	w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r2", "")
-	_, page := w.get("http://"+w.nodes[0].settings.MetricsAddress+"/metrics", nil)
+	_, page := w.get("http://"+w.nodes[0].Settings.MetricsAddress+"/metrics", nil)
 	for _, line := range []string{
 		`requests_total{shape="gather",kind="idempotent",outcome="whole"} 1`,
 		`requests_total{shape="forward",kind="idempotent",outcome="refused"} 1`,
@@ -312,14 +314,14 @@
 	w.replica("notes", "east", "a note")
 	w.serve("east")
 	first := w.nodes[0]
-	same := *first.settings
-	first.node.Reload(&same)
+	same := *first.Settings
+	first.Reload(&same)
 	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), `"changed":false`) }, patience, time.Millisecond)
 	w.startOne("east", func(s *settings.Edge) { s.Seeds = []string{s.PeerAddress} })
 	second := w.nodes[1]
-	other := *first.settings
-	other.Seeds = []string{second.settings.PeerAddress}
-	first.node.Reload(&other)
+	other := *first.Settings
+	other.Seeds = []string{second.Settings.PeerAddress}
+	first.Reload(&other)
 	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), `"changed":true`) }, patience, time.Millisecond)
 	w.ready()
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/fx"
 
-	"github.com/pistachiopier/pistachiopier/internal/edge"
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/edgefleet"
 	"github.com/pistachiopier/pistachiopier/internal/logs"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
@@ -24,112 +21,63 @@
 // world is a platform with nodes and replicas in this process.
 type world struct {
 	t        *testing.T
+	fleet    *edgefleet.Fleet
 	store    *platformtest.Store
 	replicas []*platformtest.Replica
 	nodes    []*node
 }
 
+// node is a node and what it wrote.
 type node struct {
-	settings *settings.Edge
-	app      *fx.App
-	node     *edge.Node
-	log      *logs.Buffer
-	stopped  bool
+	*edgefleet.Node
+	log *logs.Buffer
 }
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	store, err := platformtest.StartStore()
+	fleet, err := edgefleet.Start()
 	require.NoError(t, err)
-	w := &world{t: t, store: store}
+	w := &world{t: t, fleet: fleet, store: fleet.Store}
 	t.Cleanup(w.close)
 	return w
 }
 
 func (w *world) close() {
-	for _, one := range w.nodes {
-		w.stop(one)
-	}
-	for _, one := range w.replicas {
-		one.Close()
-	}
-	w.store.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(w.t, w.fleet.Close(ctx))
 }
 
 func (w *world) stop(one *node) {
-	if one.stopped {
-		return
-	}
-	one.stopped = true
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	require.NoError(w.t, one.app.Stop(ctx))
+	require.NoError(w.t, one.Stop(ctx))
 }
 
 // replica starts a replica and lists it. Its answer holds the records of its service.
 func (w *world) replica(service, dataCentre string, records ...string) *platformtest.Replica {
 	w.t.Helper()
-	var body strings.Builder
-	for _, one := range records {
-		fmt.Fprintf(&body, "%-16.16s", one)
-	}
-	id := fmt.Sprintf("i-%s-%d", service, len(w.replicas))
-	one, err := platformtest.StartReplica(id, service, []byte(body.String()))
+	one, err := w.fleet.AddReplica(service, dataCentre, records...)
 	require.NoError(w.t, err)
-	w.replicas = append(w.replicas, one)
-	w.store.Put(one.Key(), one.Entry(dataCentre, "ready"))
+	w.replicas = w.fleet.Replicas
 	return one
 }
 
-// freeAddresses finds ports that are free for TCP and UDP. All are held until the last is
-// found: a port that is given back may be given out again at once, and two addresses of one
-// node would be the same.
-func freeAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	var found []string
-	for len(found) < count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = listener.Close() }()
-		packets, err := net.ListenPacket("udp", listener.Addr().String())
-		if err != nil {
-			continue
-		}
-		defer func() { _ = packets.Close() }()
-		found = append(found, listener.Addr().String())
-	}
-	return found
-}
-
 // start starts nodes in data centres; the first one is the seed of all.
 func (w *world) start(dataCentres ...string) {
 	w.t.Helper()
 	for _, dataCentre := range dataCentres {
-		w.startOne(dataCentre, func(*settings.Edge) {})
+		w.startOne(dataCentre, nil)
 	}
 }
 
 // startOne starts a node whose settings are changed first.
 func (w *world) startOne(dataCentre string, change func(*settings.Edge)) {
 	w.t.Helper()
-	free := freeAddresses(w.t, 5)
-	s := &settings.Edge{
-		Node: fmt.Sprintf("vm-%d", len(w.nodes)), DataCentre: dataCentre,
-		CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], MetricsAddress: free[3],
-		PeerAddress: free[4], StoreAddress: w.store.Address(), StopWait: 1500 * time.Millisecond, ConfigApply: 3 * time.Second,
-		ExtraRatio: 0.2, ExtraWindow: 10 * time.Second, ExtraAllowance: 50,
-	}
-	s.Seeds = []string{s.PeerAddress}
-	if len(w.nodes) > 0 {
-		s.Seeds = []string{w.nodes[0].settings.PeerAddress}
-	}
-	change(s)
-	require.NoError(w.t, s.Validate())
-	one := &node{settings: s, log: &logs.Buffer{}}
-	one.app, one.node = edge.New(s, one.log)
-	require.NoError(w.t, one.app.Err())
-	require.NoError(w.t, one.app.Start(w.t.Context()))
-	w.nodes = append(w.nodes, one)
+	log := &logs.Buffer{}
+	one, err := w.fleet.AddNode(dataCentre, log, change)
+	require.NoError(w.t, err)
+	w.nodes = append(w.nodes, &node{Node: one, log: log})
 }
 
 // serve publishes a configuration, starts nodes and waits until they take callers.
@@ -143,16 +91,13 @@
 // ready waits until all nodes take callers and know each other.
 func (w *world) ready() {
 	w.t.Helper()
-	for _, one := range w.nodes {
-		require.Eventually(w.t, func() bool {
-			status, _ := w.get("http://"+one.settings.ReadyAddress+"/pistachiopier/ready", nil)
-			return status == http.StatusOK && strings.Count(w.resolve(one, ""), "127.0.0.1") >= len(w.nodes)
-		}, patience, 5*time.Millisecond, "node %s", one.settings.Node)
-	}
+	ctx, cancel := context.WithTimeout(w.t.Context(), patience)
+	defer cancel()
+	require.NoError(w.t, w.fleet.AwaitReady(ctx))
 }
 
 func (w *world) resolve(one *node, dataCentre string) string {
-	_, body := w.get("http://"+one.settings.DirectoryAddress+"/pistachiopier/resolve?name=search.example&zone="+dataCentre, nil)
+	_, body := w.get("http://"+one.Settings.DirectoryAddress+"/pistachiopier/resolve?name=search.example&zone="+dataCentre, nil)
 	return body
 }
 
@@ -175,7 +120,7 @@
 // whole body.
 func (w *world) ask(one *node, method, target, id, body string) (*http.Response, string) {
 	w.t.Helper()
-	request, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+one.settings.CallerAddress+target, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+one.Settings.CallerAddress+target, strings.NewReader(body))
 	require.NoError(w.t, err)
 	request.Host = "search.example"
 	request.Header.Set("Pistachiopier-Request-Id", id)
