Long answers of a forward are passed on in pieces; HEAD keeps the length

Cause: answers over 8 MB were refused with 502, and each shorter one was held whole, which twenty callers of 8 MB answers could turn into the end of a small VM's process. Up to 1 MB an answer is still taken whole, so that a cut one can be asked of another replica; what follows is read from the replica as the caller takes it. A cut on the way cuts the caller's connection and is logged. Ruled out: for callers of HTTP/1.0, whose answers without a length would look whole when cut; they keep the bound of 8 MB. The answer to a HEAD request said length 0 in place of the replica's. Tests: TestALongAnswerIsPassedOnInPieces and TestAHeadKeepsTheLength fail before.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 
@@ -20,13 +21,30 @@
 		q.answerGathered(w, result)
 		return
 	}
-	response := q.sends[result.Parts[0]].response
-	q.tell(outcomeWhole, response.Status, result)
-	relay(w, response)
+	q.relay(w, q.sends[result.Parts[0]], outcomeWhole, result)
 }
 
-// relay passes a replica's answer on unchanged.
-func relay(w http.ResponseWriter, response *replicaconn.Response) {
+// relay passes a replica's answer on unchanged. A long one is passed on as it comes: when
+// the replica cuts it, the caller's connection is cut too, so that it does not look whole.
+func (q *request) relay(w http.ResponseWriter, one *exchange, outcome string, result scatter.Result) {
+	response := one.response
+	if response.Rest == nil {
+		q.tell(outcome, response.Status, result)
+		writeAnswer(w, response)
+		return
+	}
+	defer func() { _ = response.Rest.Close() }()
+	writeAnswer(w, response)
+	if _, err := io.Copy(w, response.Rest); err != nil {
+		q.note(step{Event: "answer_cut", Replica: one.send.Replica.ID, Service: one.send.Replica.Service, Cause: err.Error()})
+		q.tell(outcomeFailed, response.Status, result)
+		panic(http.ErrAbortHandler)
+	}
+	q.tell(outcome, response.Status, result)
+}
+
+// writeAnswer writes the head of an answer and what is there of its body.
+func writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
 	header := w.Header()
 	for name, values := range forwardable(response.Header) {
 		header[name] = values
@@ -35,8 +53,8 @@
 		// A nil entry keeps net/http from guessing a type.
 		header["Content-Type"] = nil
 	}
-	if bodyAllowed(response.Status) {
-		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	if bodyAllowed(response.Status) && response.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
@@ -121,9 +139,8 @@
 		writeRefusal(w, retryAfter)
 		return
 	}
-	if response := q.replicasFailure(); response != nil && !result.PastDeadline {
-		q.tell(outcomeFailed, response.Status, result)
-		relay(w, response)
+	if one := q.replicasFailure(); one != nil && !result.PastDeadline {
+		q.relay(w, one, outcomeFailed, result)
 		return
 	}
 	status := http.StatusBadGateway
@@ -143,7 +160,7 @@
 // replicasFailure finds a replica's own failure to pass on: the last one with its
 // signature. A failure of a part is not one of the whole, and a status that would
 // promise "not run" is not passed on without the replica's proof.
-func (q *request) replicasFailure() *replicaconn.Response {
+func (q *request) replicasFailure() *exchange {
 	if q.route.Gather != nil {
 		return nil
 	}
@@ -153,7 +170,7 @@
 			continue
 		}
 		if platform.Stamp(one.response.Header) != "" && !promises[one.response.Status] {
-			return one.response
+			return one
 		}
 	}
 	return nil
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -325,3 +325,41 @@
 	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), `"changed":true`) }, patience, time.Millisecond)
 	w.ready()
 }
+
+// A catalogue export of several megabytes is asked for. Held in memory whole, a few at a time
+// would end a small VM's process; and when the replica stops in the middle, the caller must
+// not take what came for all of it.
+func TestALongAnswerIsPassedOnInPieces(t *testing.T) {
+	const records = 10 << 20 / 16
+	long := make([]string, records)
+	for i := range long {
+		long[i] = fmt.Sprint("record ", i)
+	}
+	w := newWorld(t)
+	notes := w.replica("notes", "east", long...)
+	w.serve("east")
+	for i, act := range []platformtest.Act{platformtest.Answer, platformtest.Unframed, platformtest.Answer} {
+		notes.SetAct(always(act))
+		response, body := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Len(t, body, 16*records)
+		require.Equal(t, fmt.Sprintf("%-16.16s", long[records-1]), body[len(body)-16:])
+	}
+	for i, act := range []platformtest.Act{platformtest.Cut, platformtest.UnframedReset} {
+		notes.SetAct(always(act))
+		_, _, err := w.try(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("cut", i), "")
+		require.Error(t, err, "act %d", act)
+	}
+	require.Eventually(t, func() bool { return strings.Count(w.nodes[0].log.String(), `"answer_cut"`) == 2 }, patience, time.Millisecond)
+}
+
+// A caller asks how long an answer is without wanting it.
+func TestAHeadKeepsTheLength(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note")
+	w.serve("east")
+	response, body := w.ask(w.nodes[0], http.MethodHead, "/plain/x", "r1", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Empty(t, body)
+	require.EqualValues(t, 16, response.ContentLength)
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -117,6 +117,9 @@
 	q.template = replicaconn.Request{
 		Method: r.Method, Target: target, Host: r.Host, Header: forwardable(r.Header), Body: body,
 		ID: q.id, Once: !route.Idempotent,
+		// Towards a caller of HTTP/1.0 an answer without a length ends with the connection,
+		// so that one cut on the way would look whole.
+		Stream: route.Gather == nil && r.ProtoAtLeast(1, 1),
 	}
 	wait := n.patience(r, route)
 	q.plan = scatter.Plan{
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -119,6 +119,14 @@
 // ask sends a request for the search host to a node and returns the answer with its
 // whole body.
 func (w *world) ask(one *node, method, target, id, body string) (*http.Response, string) {
+	w.t.Helper()
+	response, read, err := w.try(one, method, target, id, body)
+	require.NoError(w.t, err)
+	return response, read
+}
+
+// try is ask for a request that may get no whole answer.
+func (w *world) try(one *node, method, target, id, body string) (*http.Response, string, error) {
 	w.t.Helper()
 	request, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+one.Settings.CallerAddress+target, strings.NewReader(body))
 	require.NoError(w.t, err)
@@ -126,11 +134,12 @@
 	request.Header.Set("Pistachiopier-Request-Id", id)
 	request.Header.Set("Pistachiopier-Deadline-Ms", "2000")
 	response, err := http.DefaultClient.Do(request)
-	require.NoError(w.t, err)
+	if err != nil {
+		return nil, "", err
+	}
 	defer func() { _ = response.Body.Close() }()
 	read, err := io.ReadAll(response.Body)
-	require.NoError(w.t, err)
-	return response, string(read)
+	return response, string(read), err
 }
 
 func route(name, prefix, kind string, more map[string]any) map[string]any {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -170,11 +170,17 @@
 	q.tellEnds([]*exchange{one})
 }
 
-// tellEnds hands ends to the request unless that is over.
+// tellEnds hands ends to the request unless that is over. The rest of a long answer that is
+// not wanted any more is given up by its time limit at the latest.
 func (q *request) tellEnds(ends []*exchange) {
 	select {
 	case q.ended <- ends:
 	case <-q.over:
+		for _, one := range ends {
+			if one.response != nil && one.response.Rest != nil {
+				_ = one.response.Rest.Close()
+			}
+		}
 	}
 }
 
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -17,8 +17,13 @@
 
 // Limits and times of the connections.
 const (
-	// maxBodyBytes bounds an answer; a longer one is a failure.
+	// maxBodyBytes bounds an answer that is taken whole; a longer one is a failure.
 	maxBodyBytes = 8 << 20
+	// streamFrom is the length up to which an answer that may be passed on in pieces is
+	// taken whole all the same. While none of it has been passed on, a replica that cuts it
+	// can be replaced by another; beyond it the node's memory matters more: a VM with
+	// 184 MB could not hold twenty answers of 8 MB.
+	streamFrom = 1 << 20
 	// dialTimeout bounds the opening of a connection. A replica answers it within
 	// ten milliseconds or so; one that is dark never does.
 	dialTimeout = 300 * time.Millisecond
@@ -59,16 +64,24 @@
 	ID string
 	// Once requests must not run twice: they use fresh connections only.
 	Once bool
+	// Stream requests take a long answer in pieces: see Response.Rest.
+	Stream bool
 	// Late, when set, is told a whole answer that came after the context had ended:
 	// the replica is slow, not dead. It must not block.
 	Late func(*Response)
 }
 
-// Response is a whole answer.
+// Response is an answer.
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the whole body, or its beginning when Rest is set.
+	Body []byte
+	// Rest is what follows Body; nil when Body is all. It must be closed.
+	Rest *Rest
+	// Length is the whole body's length, also where none is sent; -1 when the answer does
+	// not state it.
+	Length int64
 }
 
 // Error is an exchange that brought no whole answer.
--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -16,7 +17,13 @@
 
 func start(t *testing.T) (*replicaconn.Client, *platformtest.Replica) {
 	t.Helper()
-	replica, err := platformtest.StartReplica("i-1", "prices", []byte(strings.Repeat("0123456789abcdef", 4)))
+	return startWith(t, strings.Repeat("0123456789abcdef", 4))
+}
+
+// startWith starts a replica whose answers have the given body.
+func startWith(t *testing.T, body string) (*replicaconn.Client, *platformtest.Replica) {
+	t.Helper()
+	replica, err := platformtest.StartReplica("i-1", "prices", []byte(body))
 	require.NoError(t, err)
 	client := replicaconn.NewClient(platform.Wire{})
 	t.Cleanup(func() {
@@ -207,3 +214,45 @@
 		}
 	}
 }
+
+// A long answer is read in pieces. The next request must wait for its end: it would
+// otherwise read the rest of it as its own answer.
+func TestAConnectionIsFreeOnceALongAnswerIsRead(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 3<<20/16)
+	client, replica := startWith(t, long)
+	for _, id := range []string{"r1", "r2"} {
+		one := request(replica, id)
+		one.Stream = true
+		response, err := do(t, client, one)
+		require.NoError(t, err)
+		require.NotNil(t, response.Rest)
+		require.EqualValues(t, len(long), response.Length)
+		rest, err := io.ReadAll(response.Rest)
+		require.NoError(t, err)
+		require.Equal(t, long, string(response.Body)+string(rest))
+	}
+	require.EqualValues(t, 1, client.Opened())
+	_, err := do(t, client, request(replica, "r3"))
+	require.NoError(t, err, "a request that does not stream takes up to 8 MB whole")
+}
+
+// A caller leaves in the middle of a long answer, or forgets its rest until the time of the
+// request is over. The connection must not be used again, and must not stay open either.
+func TestALongAnswerThatIsNotReadEndsItsConnection(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 8<<20/16)
+	for _, forgotten := range []bool{false, true} {
+		client, replica := startWith(t, long)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		one := request(replica, "r1")
+		one.Stream = true
+		response, err := client.Do(ctx, one)
+		require.NoError(t, err)
+		if !forgotten {
+			require.NoError(t, response.Rest.Close())
+		}
+		require.Eventually(t, func() bool { return client.Open() == 0 }, 10*time.Second, time.Millisecond)
+		_, err = io.ReadAll(response.Rest)
+		require.Error(t, err)
+	}
+}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -53,6 +53,8 @@
 	request *Request
 	done    chan outcome
 	sentAt  time.Time
+	// deadline is when nobody waits for the answer any more; zero is never.
+	deadline time.Time
 	// timer runs when nobody waits for the answer any more.
 	timer *time.Timer
 }
@@ -90,6 +92,7 @@
 		header = http.Header{}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
+		one.deadline = deadline
 		c.client.wire.Mark(header, request.Replica, time.Until(deadline))
 		_ = c.stream.SetWriteDeadline(deadline.Add(linger))
 	}
@@ -141,7 +144,7 @@
 		if one == nil {
 			return errUnasked
 		}
-		response, reusable, err := c.readAnswer(one.request)
+		response, reusable, err := c.readAnswer(one)
 		if err != nil {
 			return err
 		}
@@ -154,6 +157,9 @@
 			return err
 		}
 		if !belongs {
+			if response.Rest != nil {
+				return errOtherAnswer
+			}
 			stray++
 			if !reusable || stray > maxStrayAnswers {
 				return errOtherAnswer
@@ -193,8 +199,12 @@
 
 // readAnswer reads one whole answer. An answer that ends before its length or its
 // last chunk, or whose connection is reset before its end, is an error.
-func (c *conn) readAnswer(request *Request) (*Response, bool, error) {
-	asked := &http.Request{Method: request.Method}
+func (c *conn) readAnswer(one *call) (*Response, bool, error) {
+	asked := &http.Request{Method: one.request.Method}
+	limit := maxBodyBytes
+	if one.request.Stream {
+		limit = streamFrom
+	}
 	for {
 		answer, err := http.ReadResponse(c.reader, asked)
 		if err != nil {
@@ -203,17 +213,25 @@
 		if answer.StatusCode >= http.StatusContinue && answer.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
-		_ = answer.Body.Close()
-		switch {
-		case err != nil:
+		body, err := io.ReadAll(io.LimitReader(answer.Body, int64(limit)+1))
+		if err != nil {
 			return nil, false, err
-		case len(body) > maxBodyBytes:
-			return nil, false, errTooLong
 		}
 		c.noteIdleLimit(answer.Header)
 		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-		return &Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, framed && !answer.Close, nil
+		response := &Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Length: int64(len(body))}
+		if one.request.Method == http.MethodHead {
+			// What a GET would bring.
+			response.Length = answer.ContentLength
+		}
+		if len(body) > limit {
+			if !one.request.Stream {
+				return nil, false, errTooLong
+			}
+			response.Length = answer.ContentLength
+			response.Rest = newRest(c, answer.Body, one.deadline)
+		}
+		return response, framed && !answer.Close, nil
 	}
 }
 
@@ -246,6 +264,13 @@
 	if late && one.request.Late != nil {
 		one.request.Late(response)
 	}
+	if response.Rest != nil {
+		if late {
+			_ = response.Rest.Close()
+		}
+		one.done <- outcome{response: response}
+		reusable = response.Rest.await() && reusable
+	}
 	if writing != nil {
 		select {
 		case <-writing:
@@ -261,7 +286,9 @@
 		_ = c.stream.SetWriteDeadline(time.Time{})
 		c.client.free(c)
 	}
-	one.done <- outcome{response: response}
+	if response.Rest == nil {
+		one.done <- outcome{response: response}
+	}
 	return reusable
 }
 
