The soak disturbs links between nodes and ways to replicas, replaces replicas on their address and splits shards

New kinds of faults: a slow store; links between nodes cut one way, lossy, late or silent, a node parted from all others; ways to replicas slow, cut, reset or silent; a crashed replica whose address another service gets; two sets of shards in turn; settings files changed, also to what cannot be read.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -27,14 +27,16 @@
 	parser.String(&path, "s", "settings", "the platform's settings file (default: "+platform.SettingsVariable+")")
 	var metricsPort int
 	parser.Int(&metricsPort, "m", "metrics-port", "port for metrics and the state dump (default: the last of the nodes' own range)")
+	var peerListen string
+	parser.String(&peerListen, "", "peer-listen", "IP:PORT to listen on for other nodes, where something forwards to it (default: the first port of the nodes' own range)")
 	return &command{
 		parser:  parser,
 		example: "pistachiopier edge --settings boot.conf",
-		run:     func(out io.Writer) error { return runEdge(path, metricsPort, out) },
+		run:     func(out io.Writer) error { return runEdge(path, metricsPort, peerListen, out) },
 	}
 }
 
-func runEdge(path string, metricsPort int, out io.Writer) error {
+func runEdge(path string, metricsPort int, peerListen string, out io.Writer) error {
 	if path == "" {
 		return usage("edge needs --settings FILE or "+platform.SettingsVariable, "see docs/SETTINGS.md for what it holds")
 	}
@@ -43,6 +45,9 @@
 		return err
 	}
 	s.SetMetricsPort(metricsPort)
+	if peerListen != "" {
+		s.PeerListen = peerListen
+	}
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	app, node := edge.New(s, out)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -154,10 +154,11 @@
 
 func (n *Node) startPeers(s *settings.Edge, tlsConfig *tls.Config) error {
 	var err error
-	if n.pool, err = peer.NewPool(tlsConfig, n.identity, n); err != nil {
+	host, _, _ := net.SplitHostPort(s.PeerAddress)
+	if n.pool, err = peer.NewPoolFrom(tlsConfig, n.identity, n, net.ParseIP(host)); err != nil {
 		return fault.Step("open peer pool", err)
 	}
-	if n.server, err = peer.Listen(s.PeerAddress, tlsConfig, n.identity, n); err != nil {
+	if n.server, err = peer.Listen(s.PeerListen, tlsConfig, n.identity, n); err != nil {
 		return fault.Step("listen for peers", err)
 	}
 	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, Weight: uint32(s.Cores * milli)}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -25,8 +25,10 @@
 	DirectoryAddress string
 	OperatorAddress  string
 	MetricsAddress   string
-	// PeerAddress is the UDP address for other nodes.
+	// PeerAddress is the UDP address for other nodes. PeerListen is where this node listens
+	// for them when something on the way forwards to another port; else it is PeerAddress.
 	PeerAddress string
+	PeerListen  string
 	// Seeds are peer addresses of a few nodes; they may be stale.
 	Seeds        []string
 	StoreAddress string
@@ -76,6 +78,9 @@
 	if e.ExtraRatio < 0 || e.ExtraRatio > 1 {
 		return &fault.Error{Code: fault.CodeSettingsInvalid, Message: fmt.Sprintf("the share of extra arrivals is %g", e.ExtraRatio), Fix: "give a number from 0 to 1"}
 	}
+	if e.PeerListen == "" {
+		e.PeerListen = e.PeerAddress
+	}
 	if e.StopWait <= 0 {
 		e.StopWait = DefaultStopWait
 	}
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"net"
+	"net/netip"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -215,3 +217,65 @@
 	require.NoError(t, err)
 	require.Equal(t, "new", string(got[:n]))
 }
+
+// An answer without a length ends with its connection. A replica that crashes within it
+// resets the connection; were that passed on as an ordinary close, half of an answer would
+// look whole, and the fault would be the proxy's.
+func TestAResetOfOneEndReachesTheOther(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = connection.Read(make([]byte, 1))
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		_ = connection.Close()
+	}()
+	p, err := StartTCP(listener.Addr().String(), 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	connection := dial(t, "tcp", p.Address())
+	_, err = connection.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = connection.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// One client of several is parted from the target; the others must not notice.
+func TestAnIsolatedClientAloneIsCutOff(t *testing.T) {
+	target, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	go func() {
+		buffer := make([]byte, 16)
+		for {
+			n, from, err := target.ReadFromUDP(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = target.WriteToUDP(buffer[:n], from)
+		}
+	}()
+	p, err := StartUDP(target.LocalAddr().String(), 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = p.Close() })
+	from := func(ip string) net.Conn {
+		dialer := net.Dialer{LocalAddr: &net.UDPAddr{IP: net.ParseIP(ip)}}
+		connection, err := dialer.Dial("udp", p.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = connection.Close() })
+		require.NoError(t, connection.SetDeadline(time.Now().Add(awaitLimit)))
+		return connection
+	}
+	alone, other := from("127.0.0.2"), from("127.0.0.3")
+	p.Isolate(netip.MustParseAddr("127.0.0.2"), true)
+	_, err = alone.Write([]byte("x"))
+	require.NoError(t, err)
+	echoes(t, other, "y")
+	require.Equal(t, 1, p.Dropped())
+	p.Isolate(netip.MustParseAddr("127.0.0.2"), false)
+	echoes(t, alone, "z")
+}
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
@@ -38,6 +40,13 @@
 // Address is the address to connect to.
 func (p *TCP) Address() string { return p.listener.Addr().String() }
 
+// Retarget forwards the flows that open from now on to another target.
+func (p *TCP) Retarget(target string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = target
+}
+
 // Close ends all flows and frees the address.
 func (p *TCP) Close() error {
 	p.stop()
@@ -103,7 +112,10 @@
 
 func (p *TCP) forward(client net.Conn) {
 	defer p.done.Done()
-	target, err := net.Dial("tcp", p.target)
+	p.mutex.Lock()
+	address := p.target
+	p.mutex.Unlock()
+	target, err := net.Dial("tcp", address)
 	if err != nil {
 		_ = client.Close()
 		return
@@ -144,6 +156,11 @@
 		if n > 0 && !p.carry(ctx, flow, direction, to, buffer[:n]) {
 			return
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			// Closed in the ordinary way, an answer that ends with its connection would
+			// look whole at the other end.
+			flow.reset()
+		}
 		if err != nil {
 			return
 		}
--- a/internal/faultproxy/udp.go
+++ b/internal/faultproxy/udp.go
@@ -18,6 +18,7 @@
 	listener *net.UDPConn
 	done     sync.WaitGroup
 	flows    map[netip.AddrPort]*udpFlow
+	isolated map[netip.Addr]bool
 	closed   bool
 }
 
@@ -34,11 +35,20 @@
 
 // StartUDP listens on a free loopback port and forwards to the target.
 func StartUDP(target string, seed uint64) (*UDP, error) {
+	return StartUDPOn("127.0.0.1:0", target, seed)
+}
+
+// StartUDPOn is StartUDP with the address to listen on.
+func StartUDPOn(listen, target string, seed uint64) (*UDP, error) {
+	from, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, err
+	}
 	address, err := netip.ParseAddrPort(target)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	listener, err := net.ListenUDP("udp", from)
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +84,17 @@
 	}
 }
 
+// Isolate swallows the datagrams from and to a client's address until it is let through
+// again.
+func (p *UDP) Isolate(client netip.Addr, isolated bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.isolated == nil {
+		p.isolated = map[netip.Addr]bool{}
+	}
+	p.isolated[client] = isolated
+}
+
 // Flows is the number of flows seen so far.
 func (p *UDP) Flows() int {
 	p.mutex.Lock()
@@ -163,7 +184,7 @@
 func (p *UDP) silent(flow *udpFlow) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return flow.silent
+	return flow.silent || p.isolated[flow.client.Addr().Unmap()]
 }
 
 // reorder holds the first datagram back when asked, and lets one held earlier
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -49,7 +49,14 @@
 
 // NewPool makes a pool that asks as self; local serves requests to self.
 func NewPool(tlsConfig *tls.Config, self Identity, local Handler) (*Pool, error) {
-	udp, err := net.ListenUDP("udp", &net.UDPAddr{})
+	return NewPoolFrom(tlsConfig, self, local, nil)
+}
+
+// NewPoolFrom is NewPool with the IP address that its datagrams come from. On a VM with
+// several, the operators' filters then see the one by which the other nodes know this one;
+// nil lets the kernel choose.
+func NewPoolFrom(tlsConfig *tls.Config, self Identity, local Handler, source net.IP) (*Pool, error) {
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: source})
 	if err != nil {
 		return nil, fault.Step("open a socket towards peers", err)
 	}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -146,7 +146,7 @@
 	c.remember(id, kind, response.StatusCode)
 	switch {
 	case response.StatusCode == http.StatusOK && kind == 1:
-		c.checkGathered(id, response, body)
+		c.checkGathered(id, sentAt, node, response, body)
 	case response.StatusCode == http.StatusOK:
 		c.checkForwarded(kind, id, sentAt, node, response, body)
 	case response.StatusCode < 500:
@@ -172,21 +172,29 @@
 func (c *callers) checkForwarded(kind int, id string, sentAt time.Time, node *vm, response *http.Response, body []byte) {
 	service := c.signer(id, response.Header.Get("Pistachiopier-Server-Stamp"))
 	if service == "" || string(body) != string(records(service)) {
-		c.w.fail("request %s: a success with a body or signature that is not the replica's", id)
+		c.w.fail("request %s: a success with %d bytes that are not those of %q, which signed as %q", id, len(body), service, response.Header.Get("Pistachiopier-Server-Stamp"))
 		return
 	}
 	c.w.mutex.Lock()
-	changed, former, calm := c.w.changedAt, c.w.former, c.w.storeCalm
+	changed, former := c.w.changedAt, c.w.former
 	c.w.mutex.Unlock()
-	due := sentAt.Sub(changed) > applyWait+slack && sentAt.Sub(calm) > stable+applyWait+slack && node.calmFor(stable+applyWait+slack)
-	if kind == 0 && service == former && due {
+	if kind == 0 && service == former && c.due(changed, sentAt, node) {
 		c.w.fail("request %s was handled by the former configuration", id)
 	}
 }
 
-func (c *callers) checkGathered(id string, response *http.Response, body []byte) {
+// due reports whether a change must have been in force at a node when a request was sent.
+func (c *callers) due(changed, sentAt time.Time, node *vm) bool {
+	c.w.mutex.Lock()
+	calm := c.w.storeCalm
+	c.w.mutex.Unlock()
+	return sentAt.Sub(changed) > applyWait+slack && sentAt.Sub(calm) > stable+applyWait+slack && node.calmFor(stable+applyWait+slack)
+}
+
+func (c *callers) checkGathered(id string, sentAt time.Time, node *vm, response *http.Response, body []byte) {
 	var parts []byte
 	seen := map[string]bool{}
+	partitions := map[byte]bool{}
 	for _, stamp := range strings.Split(response.Header.Get("Pistachiopier-Part-Stamps"), ",") {
 		service := c.signer(id, strings.TrimSpace(stamp))
 		if !strings.HasPrefix(service, "shard") || seen[service] {
@@ -194,11 +202,27 @@
 			return
 		}
 		seen[service] = true
+		partitions[service[len("shard")]] = true
 		parts = append(parts, records(service)...)
 	}
-	if missing := response.Header.Get("Pistachiopier-Missing-Parts"); missing != fmt.Sprint(shardCount-len(seen)) || 2*len(seen) < shardCount {
+	if len(partitions) != 1 {
+		c.w.fail("request %s: parts of two sets of shards: %v", id, seen)
+		return
+	}
+	partition := 0
+	if partitions['1'] {
+		partition = 1
+	}
+	asked := len(shards(partition))
+	if missing := response.Header.Get("Pistachiopier-Missing-Parts"); missing != fmt.Sprint(asked-len(seen)) || 2*len(seen) < asked {
 		c.w.fail("request %s: %d parts and %s missing", id, len(seen), missing)
 	}
+	c.w.mutex.Lock()
+	repartitioned, inForce := c.w.repartitionedAt, c.w.partition
+	c.w.mutex.Unlock()
+	if partition != inForce && c.due(repartitioned, sentAt, node) {
+		c.w.fail("request %s was answered from the former shards", id)
+	}
 	var all []string
 	for ; len(parts) >= 16; parts = parts[16:] {
 		all = append(all, string(parts[:16]))
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -30,17 +30,29 @@
 	replicaActs
 	replicaDrains
 	configChanges
+	storeSlow
+	linkCut
+	nodeIsolated
+	linkPoor
+	linkSilent
+	replicaWay
+	replicaReplaced
+	shardsChange
+	settingsChange
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
-// do wrong shows only while requests meet it.
+// do wrong shows only while requests meet it. Further ones go to the end, so that a kept seed
+// still draws from those of its time.
 var drawn = []int{
 	killNode, stopNode, pauseNode, storeBusy, storeSilent, storeCut, storeForgets,
 	replicaActs, replicaActs, replicaActs, replicaDrains, configChanges,
+	storeSlow, linkCut, nodeIsolated, linkPoor, linkSilent,
+	replicaWay, replicaWay, replicaReplaced, shardsChange, settingsChange,
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
-func schedule(random *rand.Rand, length time.Duration) []fault {
+func schedule(random *rand.Rand, length time.Duration, drawn []int) []fault {
 	var faults []fault
 	for at := time.Second; at < length; at += time.Duration(100+random.IntN(900)) * time.Millisecond {
 		faults = append(faults, fault{
@@ -79,13 +91,12 @@
 		w.storeTrouble(f.lasts)
 	case storeCut:
 		// One node alone is cut off; the others are to tell it.
-		one.proxy.SetBoth(faultproxy.Faults{Cut: true})
+		over := one.trouble()
+		defer over()
+		one.store.SetBoth(faultproxy.Faults{Cut: true})
 		time.Sleep(f.lasts)
-		one.proxy.SetBoth(faultproxy.Faults{})
-		one.proxy.Reset()
-		if one.calmFor(0) {
-			one.becomesCalm()
-		}
+		one.store.SetBoth(faultproxy.Faults{})
+		one.store.Reset()
 	case storeForgets:
 		w.store.Forget()
 	case replicaActs:
@@ -94,14 +105,28 @@
 		w.drain(f)
 	case configChanges:
 		w.configure()
+	case shardsChange:
+		w.repartition()
+	case storeSlow:
+		w.store.SetDelay(time.Duration(50+f.draw%750) * time.Millisecond)
+		w.storeTrouble(f.lasts)
+	case settingsChange:
+		w.changeSettings(one, f)
+	case replicaWay, replicaReplaced:
+		w.disturbReplica(f)
+	default:
+		w.disturbLinks(one, f)
 	}
 }
 
 // disturb kills, stops or pauses a process that nothing else happens to.
 func (w *world) disturb(one *vm, f fault) {
-	if !one.calmFor(0) {
+	if !one.hold() {
 		return
 	}
+	defer one.release()
+	over := one.trouble()
+	defer over()
 	switch f.kind {
 	case killNode:
 		_ = one.signal(syscall.SIGKILL).Wait()
@@ -129,7 +154,6 @@
 		one.signal(syscall.SIGSTOP)
 		time.Sleep(f.lasts)
 		one.signal(syscall.SIGCONT)
-		one.becomesCalm()
 	}
 }
 
@@ -146,6 +170,7 @@
 	w.troubled--
 	if w.troubled == 0 {
 		w.store.SetTrouble(nil)
+		w.store.SetDelay(0)
 		w.storeCalm = time.Now()
 	}
 }
@@ -161,7 +186,7 @@
 		service = "invoices"
 	}
 	for _, one := range w.replicas {
-		if one.Service == service && one.drainedAt.IsZero() {
+		if one.Service == service && one.drainedAt.IsZero() && !one.gone {
 			return one
 		}
 	}
@@ -201,7 +226,7 @@
 	w.mutex.Lock()
 	one.drainedAt = time.Now()
 	w.mutex.Unlock()
-	w.store.Put(one.Key(), one.Entry("dc0", "draining"))
+	w.store.Put(one.Key(), one.entry(platformtest.StateDraining))
 	time.Sleep(drainWait + slack)
 	w.mutex.Lock()
 	calm := time.Since(w.storeCalm) >= stable+drainWait+slack
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,6 +26,7 @@
 var (
 	seeds  = flag.Int("soak.seeds", 1, "fresh seeds to play")
 	seed   = flag.Uint64("soak.seed", 0, "play this seed only")
+	keep   = flag.Bool("soak.keep", false, "keep the nodes' logs of seeds that pass, too")
 	length = flag.Duration("soak.length", 8*time.Second, "how long faults come")
 )
 
@@ -40,36 +41,44 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = os.RemoveAll(folder) })
 	for number, one := range toPlay(t) {
-		t.Run(strconv.FormatUint(one, 10), func(t *testing.T) {
+		t.Run(strconv.FormatUint(one.seed, 10), func(t *testing.T) {
 			t.Parallel()
 			soak(t, binary, one, number)
 		})
 	}
 }
 
-// toPlay are the seeds that ever failed and the fresh ones.
-func toPlay(t *testing.T) []uint64 {
+// run is a seed and how many of the kinds of faults it draws from.
+type run struct {
+	seed  uint64
+	kinds int
+}
+
+// toPlay are the seeds that ever failed, with the number of kinds of their time, and the
+// fresh ones.
+func toPlay(t *testing.T) []run {
 	if *seed != 0 {
-		return []uint64{*seed}
+		return []run{{*seed, len(drawn)}}
 	}
 	file, err := os.Open("seeds")
 	require.NoError(t, err)
 	defer func() { _ = file.Close() }()
-	var list []uint64
+	var list []run
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		text, _, _ := strings.Cut(lines.Text(), " ")
-		if one, err := strconv.ParseUint(text, 10, 64); err == nil {
+		var one run
+		if _, err := fmt.Sscanf(lines.Text(), "%d %d ", &one.seed, &one.kinds); err == nil {
 			list = append(list, one)
 		}
 	}
 	for range *seeds {
-		list = append(list, rand.Uint64()>>1)
+		list = append(list, run{rand.Uint64() >> 1, len(drawn)})
 	}
 	return list
 }
 
-func soak(t *testing.T, binary string, seed uint64, number int) {
+func soak(t *testing.T, binary string, played run, number int) {
+	seed := played.seed
 	w := newWorld(t, binary, seed, number%200)
 	defer w.close()
 	c := &callers{w: w, posts: map[string]int{}}
@@ -79,7 +88,7 @@
 		defer close(ended)
 		c.run(ctx)
 	}()
-	w.play(schedule(w.random, *length))
+	w.play(schedule(w.random, *length, drawn[:played.kinds]))
 	w.note("the last fault is over")
 	c.awaitService()
 	w.changeInCalm()
@@ -90,16 +99,20 @@
 	t.Logf("seed %d: %d requests, %d served", seed, c.asked.Load(), c.served.Load())
 	if len(w.broken) > 0 {
 		t.Errorf("seed %d broke a promise:\n%s\nschedule:\n%s", seed, strings.Join(w.broken, "\n"), strings.Join(w.log, "\n"))
+	}
+	if *keep || len(w.broken) > 0 {
 		keepLogs(t, w)
 	}
 }
 
-// changeInCalm drains a replica and changes the configuration while nothing else happens: the
-// promises with a time bound hold only then, and are checked at least once a seed.
+// changeInCalm drains a replica and changes the configuration and the shards while nothing
+// else happens: the promises with a time bound hold only then, and are checked at least once a
+// seed.
 func (w *world) changeInCalm() {
 	time.Sleep(stable + slack)
 	w.note("a drain and a change in calm")
 	w.configure()
+	w.repartition()
 	w.drain(fault{draw: w.random.Uint64()})
 	time.Sleep(slack)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,9 +23,10 @@
 // loopback addresses: runs in the second number, by the process, and seeds in the third.
 const (
 	callerPort, readyPort, controlPort, directoryPort, peerPort = 8104, 8108, 8106, 8100, 7380
+	// peerListenPort is where a node listens for what the proxy on peerPort forwards.
+	peerListenPort = 7390
 
-	nodeCount  = 4
-	shardCount = 4
+	nodeCount = 4
 	// stable is how long things must have been calm for a promise with a time bound.
 	stable = 4 * time.Second
 	// drainWait and applyWait are such bounds; slack is for a busy machine.
@@ -48,6 +50,9 @@
 	// current and former are the plain route's services, changedAt when current came.
 	current, former string
 	changedAt       time.Time
+	// partition numbers the set of shards in force, repartitionedAt is when it came.
+	partition       int
+	repartitionedAt time.Time
 	// storeCalm is since when the store has been without trouble.
 	storeCalm time.Time
 	troubled  int
@@ -58,15 +63,21 @@
 
 // vm is one node's place; its process comes and goes.
 type vm struct {
-	ip    string
-	proxy *faultproxy.TCP
+	ip string
+	// store is the way to the store, links that from the other nodes.
+	store *faultproxy.TCP
+	links *faultproxy.UDP
 	path  string
+	text  string
 	out   *os.File
 
 	mutex sync.Mutex
 	cmd   *exec.Cmd
-	// calm is since when the process has run without a fault on it.
-	calm time.Time
+	// troubles counts the faults on it, calm is since when there has been none.
+	troubles int
+	calm     time.Time
+	// held is set while the process is being killed, stopped or paused.
+	held bool
 	// planned is set while the only thing that happens to it is a planned stop.
 	planned bool
 }
@@ -74,13 +85,25 @@
 // upstream is a replica and its place in the registry.
 type upstream struct {
 	*platformtest.Replica
-	drainedAt time.Time
+	// proxy is the way to it from all nodes; the registry has the proxy's address.
+	proxy      *faultproxy.TCP
+	dataCentre string
+	drainedAt  time.Time
+	// gone is set when it has crashed.
+	gone bool
+}
+
+// entry is the replica's item in the store.
+func (u *upstream) entry(state string) map[string]any {
+	item := u.Entry(u.dataCentre, state)
+	item["address"] = u.proxy.Address()
+	return item
 }
 
 func newWorld(t *testing.T, binary string, seed uint64, number int) *world {
 	store, err := platformtest.StartStore()
 	require.NoError(t, err)
-	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, store: store, replicas: map[string]*upstream{}, storeCalm: time.Now(), began: time.Now(), current: "notes-a", former: "notes-b"}
+	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, store: store, replicas: map[string]*upstream{}, storeCalm: time.Now(), began: time.Now(), current: "notes-a", former: "notes-b", repartitionedAt: time.Now()}
 	for _, service := range w.services() {
 		for range 2 {
 			w.addReplica(service)
@@ -97,9 +120,14 @@
 }
 
 func (w *world) services() []string {
-	names := []string{"notes-a", "notes-b", "invoices"}
-	for i := range shardCount {
-		names = append(names, fmt.Sprint("shard", i))
+	return slices.Concat([]string{"notes-a", "notes-b", "invoices"}, shards(0), shards(1))
+}
+
+// shards names the services of one of the two sets of shards.
+func shards(partition int) []string {
+	var names []string
+	for i := range 4 + partition {
+		names = append(names, fmt.Sprintf("shard%d.%d", partition, i))
 	}
 	return names
 }
@@ -116,52 +144,73 @@
 func (w *world) addReplica(service string) *upstream {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	one := w.newReplica(service)
+	proxy, err := faultproxy.StartTCP(one.Address(), w.seed+uint64(w.made))
+	require.NoError(w.t, err)
+	one.proxy = proxy
+	w.store.Put(one.Key(), one.entry(platformtest.StateReady))
+	return one
+}
+
+// newReplica starts a replica that is not listed yet; the mutex must be held.
+func (w *world) newReplica(service string) *upstream {
 	w.made++
 	one, err := platformtest.StartReplica(fmt.Sprintf("i-%s-%d", service, w.made), service, records(service))
 	require.NoError(w.t, err)
 	one.SetWork(3 * time.Millisecond)
-	added := &upstream{Replica: one}
+	added := &upstream{Replica: one, dataCentre: fmt.Sprint("dc", w.made%2)}
 	w.replicas[one.ID] = added
-	w.store.Put(one.Key(), one.Entry(fmt.Sprint("dc", w.made%2), "ready"))
 	return added
 }
 
-// configure publishes the next version, with the plain route at its current service.
+// configure publishes the next version, with the plain route at the other service.
 func (w *world) configure() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.version += 3
 	w.current, w.former = w.former, w.current
+	w.changedAt = time.Now()
+	w.publish()
+}
+
+// repartition publishes the next version, with the other set of shards.
+func (w *world) repartition() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.partition = 1 - w.partition
+	w.repartitionedAt = time.Now()
+	w.publish()
+}
+
+// publish writes the configuration; the mutex must be held.
+func (w *world) publish() {
+	w.version += 3
 	route := func(name, kind string) map[string]any {
 		return map[string]any{"name": name, "host": "search.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 200, "maxAttempts": 2}
 	}
 	plain, once, all := route("plain", "idempotent"), route("once", "non_idempotent"), route("all", "idempotent")
 	plain["service"], once["service"] = w.current, "invoices"
-	var shards []string
 	var services []map[string]any
 	for _, name := range w.services() {
 		services = append(services, map[string]any{"name": name, "maxConns": 40})
-		if strings.HasPrefix(name, "shard") {
-			shards = append(shards, name)
-		}
 	}
-	all["gather"], all["topK"], all["minCoverage"] = shards, 3, 0.5
+	all["gather"], all["topK"], all["minCoverage"] = shards(w.partition), 3, 0.5
 	w.store.Put("op/config", map[string]any{"version": w.version, "routes": []any{plain, once, all}, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
-	w.changedAt = time.Now()
 }
 
 func (w *world) addNode(number, i int) {
 	proxy, err := faultproxy.StartTCP(w.store.Address(), w.seed+uint64(i))
 	require.NoError(w.t, err)
-	one := &vm{ip: fmt.Sprintf("127.%d.%d.%d", block(), number, i+1), proxy: proxy}
+	one := &vm{ip: fmt.Sprintf("127.%d.%d.%d", block(), number, i+1), store: proxy}
+	one.links, err = faultproxy.StartUDPOn(fmt.Sprintf("%s:%d", one.ip, peerPort), fmt.Sprintf("%s:%d", one.ip, peerListenPort), w.seed+uint64(i))
+	require.NoError(w.t, err)
 	folder := w.t.TempDir()
 	one.path = filepath.Join(folder, "boot.conf")
 	one.out, err = os.Create(filepath.Join(folder, "log"))
 	require.NoError(w.t, err)
-	text := fmt.Sprintf("node=vm-%d\nzone=dc%d\nip=%s\nlistenAddrs.front=%s:%d\nlistenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\nlistenAddrs.directory=%s:%d\nportRange=%d,%d\nseeds=127.%d.%d.1:%d,127.%d.%d.2:%d\nlimits.cpuShare=0.4\nbounds.graceS=%d\nbounds.configApplyMs=3000\nbounds.retryBudgetRatio=0.2\nbounds.retryWindowS=10\nbounds.retrySlack=50\nplatform.address=%s\n",
+	one.text = fmt.Sprintf("node=vm-%d\nzone=dc%d\nip=%s\nlistenAddrs.front=%s:%d\nlistenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\nlistenAddrs.directory=%s:%d\nportRange=%d,%d\nseeds=127.%d.%d.1:%d,127.%d.%d.2:%d\nlimits.cpuShare=0.4\nbounds.graceS=%d\nbounds.configApplyMs=3000\nbounds.retryBudgetRatio=0.2\nbounds.retryWindowS=10\nbounds.retrySlack=50\nplatform.address=%s\n",
 		i, i%2, one.ip, one.ip, callerPort, one.ip, readyPort, one.ip, controlPort, one.ip, directoryPort, peerPort, peerPort+15, block(), number, controlPort, block(), number, controlPort, graceSeconds, proxy.Address())
-	require.NoError(w.t, os.WriteFile(one.path, []byte(text), 0o600))
+	require.NoError(w.t, os.WriteFile(one.path, []byte(one.text), 0o600))
 	w.nodes = append(w.nodes, one)
 }
 
@@ -173,7 +222,7 @@
 
 // launch starts a node's process.
 func (w *world) launch(one *vm) {
-	cmd := exec.Command(w.binary, "edge", "--settings", one.path)
+	cmd := exec.Command(w.binary, "edge", "--settings", one.path, "--peer-listen", fmt.Sprintf("%s:%d", one.ip, peerListenPort))
 	cmd.Stdout, cmd.Stderr = one.out, one.out
 	require.NoError(w.t, cmd.Start())
 	one.mutex.Lock()
@@ -185,22 +234,43 @@
 func (one *vm) signal(what os.Signal) *exec.Cmd {
 	one.mutex.Lock()
 	defer one.mutex.Unlock()
-	one.calm = time.Now().Add(time.Hour)
 	_ = one.cmd.Process.Signal(what)
 	return one.cmd
 }
 
-// calmFor reports whether a node has run without a fault for so long.
-func (one *vm) calmFor(d time.Duration) bool {
+// trouble notes a fault on a node; what it returns notes its end.
+func (one *vm) trouble() (over func()) {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.troubles++
+	return func() {
+		one.mutex.Lock()
+		defer one.mutex.Unlock()
+		one.troubles--
+		one.calm = time.Now()
+	}
+}
+
+// hold reserves the process for one fault at a time; false when another has it.
+func (one *vm) hold() bool {
 	one.mutex.Lock()
 	defer one.mutex.Unlock()
-	return time.Since(one.calm) >= d
+	held := one.held
+	one.held = true
+	return !held
 }
 
-func (one *vm) becomesCalm() {
+func (one *vm) release() {
 	one.mutex.Lock()
 	defer one.mutex.Unlock()
-	one.calm = time.Now()
+	one.held = false
+}
+
+// calmFor reports whether a node has run without a fault for so long.
+func (one *vm) calmFor(d time.Duration) bool {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.troubles == 0 && time.Since(one.calm) >= d
 }
 
 // close ends every process and stand-in that this world started.
@@ -209,11 +279,13 @@
 		cmd := one.signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
-		_ = one.proxy.Close()
+		_ = one.store.Close()
+		_ = one.links.Close()
 		_ = one.out.Close()
 	}
 	for _, one := range w.replicas {
 		one.Close()
+		_ = one.proxy.Close()
 	}
 	w.store.Close()
 }
