What outlasts a planned stop gets its final answer

Now 0.1 s before the end every request in work ends as at its time limit, and one that comes then is refused as not run. TestARequestThatOutlastsAStopGetsItsFinalAnswer fails before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -363,3 +363,32 @@
 	require.Empty(t, body)
 	require.EqualValues(t, 16, response.ContentLength)
 }
+
+// A node is told to stop while a request waits for a replica that hangs, for longer than the
+// time for the stop. Cut off, its caller would not know whether the node or the way to it
+// failed, and could not tell this request from one that was never read.
+func TestARequestThatOutlastsAStopGetsItsFinalAnswer(t *testing.T) {
+	w := newWorld(t)
+	invoices := w.replica("invoices", "east", "done")
+	invoices.SetAct(always(platformtest.Hang))
+	w.serve("east")
+	leaving := w.nodes[0]
+	answered := make(chan int, 1)
+	go func() {
+		response, _, err := w.try(leaving, http.MethodPost, "/once/x", "r1", "")
+		if err != nil {
+			answered <- 0
+			return
+		}
+		answered <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return len(invoices.Arrivals()) == 1 }, patience, time.Millisecond)
+	// The route's limit of 1.5 s and the stop's 1.5 s begin at nearly the same time: the stop
+	// has to end the request before its own limit would.
+	short := *leaving.Settings
+	short.StopWait = 600 * time.Millisecond
+	leaving.Reload(&short)
+	w.stop(leaving)
+	require.Equal(t, http.StatusGatewayTimeout, <-answered, "it may have run")
+	require.NotContains(t, leaving.log.String(), "stop_cut_short")
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -47,6 +47,12 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	select {
+	case <-n.lastCall:
+		n.refuse(w, r, "the node ends", retryNotReady)
+		return
+	default:
+	}
 	config := n.beliefs.config.Load()
 	if config == nil {
 		n.refuse(w, r, "no configuration is known yet", retryNotReady)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -73,6 +73,8 @@
 	callers  *callerServer
 	others   []*http.Server
 	stopping atomic.Bool
+	// lastCall is closed when the time for a planned stop is nearly over.
+	lastCall chan struct{}
 	inFlight atomic.Int64
 	helpers  helpers
 	// delegated counts the groups of sends in work for other nodes.
@@ -109,6 +111,7 @@
 		views:    belief.NewStore(),
 		replicas: replicaconn.NewClient(platform.Wire{}),
 		copied:   mirror.NewCopy(),
+		lastCall: make(chan struct{}),
 	}
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -73,6 +73,8 @@
 			result = q.takeEnds(ctx, machine, ends, timer)
 		case <-timer.C:
 			result = q.perform(ctx, machine.Step(q.node.now(), scatter.Tick{}), timer)
+		case <-q.node.lastCall:
+			result = q.perform(ctx, machine.Step(max(q.node.now(), q.plan.Deadline), scatter.Tick{}), timer)
 		case <-ctx.Done():
 			q.left.Store(true)
 			q.withdraw(context.Cause(ctx))
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -17,18 +17,25 @@
 	// lastPart is the share of the time for a stop, one in so many, that is left
 	// unused, so that the process ends by itself and is not killed.
 	lastPart = 12
+	// lastAnswers is the time for giving the requests that are still in work their final
+	// answers, before the connections close.
+	lastAnswers = 100 * time.Millisecond
 )
 
 // stop is the planned stop. The node leaves the address answers and stops being
 // ready at once, but serves on for callers that keep old answers; each answer asks
 // them to close the connection. Then it takes no new connections, finishes the
-// requests in work and ends.
+// requests in work and ends. What a replica has not answered by then ends as at its time
+// limit: a caller whose connection is cut could not tell whether its request was read.
 func (n *Node) stop(ctx context.Context) error {
 	s := n.settings.Load()
 	n.stopping.Store(true)
 	n.log.Life("node_stopping", decisionlog.Fields{"in_flight": n.inFlight.Load(), "stop_wait_ms": s.StopWait.Milliseconds()})
-	ctx, cancel := context.WithTimeout(ctx, s.StopWait-s.StopWait/lastPart)
+	limit := s.StopWait - s.StopWait/lastPart
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	calling := time.AfterFunc(limit-lastAnswers, func() { close(n.lastCall) })
+	defer calling.Stop()
 	if n.members != nil {
 		n.members.Leave()
 	}
