A partial answer's story says what each missing part's last send came to

Now part_missing has the replica, the reason, the time and the node that sent; request_ended since when an incomplete answer was good enough and whether the request may be repeated; replica_late comes once a send. Test: TestTheStoryOfAPartialAnswerSaysWhyPartsAreMissing.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -116,14 +116,45 @@
 	return merger, stamps, taken
 }
 
+// noteMissing notes for each missing part what its last send came to.
 func (q *request) noteMissing(taken []bool) {
+	last := make([]*exchange, len(taken))
+	for _, one := range q.sends {
+		last[one.send.Service] = one
+	}
+	noted := 0
 	for i, have := range taken {
-		if !have {
-			q.note(step{Event: "part_missing", Service: q.services[i]})
+		if have || noted >= maxMissing {
+			continue
 		}
+		noted++
+		q.noteLast(q.missing(q.services[i], last[i]))
 	}
 }
 
+// missing says why a part is missing, from the last send for it; nil is none.
+func (q *request) missing(service string, last *exchange) step {
+	s := step{Event: "part_missing", Service: service}
+	if last == nil {
+		s.Cause = "no replica to send to"
+		return s
+	}
+	s.Replica = last.send.Replica.ID
+	s.TookMs = (q.node.now() - last.startAt).Milliseconds()
+	if last.group != nil {
+		s.Via = string(last.group.helper.Node)
+	}
+	switch {
+	case !last.over:
+		s.Cause = "not answered yet"
+	case last.err != nil:
+		s.Cause = last.err.Error()
+	case last.response != nil:
+		s.Cause, s.Status = "not a part", last.response.Status
+	}
+	return s
+}
+
 // answerFailure says what is certain: "not run" only when every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
 	if q.route.Gather != nil {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -392,3 +392,33 @@
 	require.Equal(t, http.StatusGatewayTimeout, <-answered, "it may have run")
 	require.NotContains(t, leaving.log.String(), "stop_cut_short")
 }
+
+// A user complains of a list that lacked entries. On call the story of the request must say
+// which replica kept the part back, or that there was none, and since when an incomplete
+// answer was good enough.
+func TestTheStoryOfAPartialAnswerSaysWhyPartsAreMissing(t *testing.T) {
+	w := newWorld(t)
+	w.replica("s1", "east", "a")
+	w.replica("s2", "west", "b")
+	hanging := w.replica("s3", "west", "c")
+	hanging.SetAct(always(platformtest.Hang))
+	w.serve("east", "west")
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/all/x", "r1", "")
+	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
+	line := w.line(w.nodes[0], "part_missing")
+	require.Contains(t, line, `"replica":"`+hanging.ID+`"`)
+	require.Contains(t, line, `"cause":"not answered yet"`)
+	require.Contains(t, line, `"via":"`+w.nodes[1].Settings.PeerAddress+`"`)
+	require.Contains(t, w.line(w.nodes[0], "request_ended"), `"partial_from_ms":2`)
+	late := 0
+	for line := range strings.Lines(w.nodes[0].log.String()) {
+		if strings.Contains(line, `"replica_late"`) && strings.Contains(line, hanging.ID) {
+			late++
+		}
+	}
+	require.Equal(t, 1, late, "told once a send")
+	w.store.Remove(hanging.Key())
+	require.Eventually(t, func() bool { return strings.Contains(w.nodes[1].log.String(), "replica_gone") }, patience, time.Millisecond)
+	w.ask(w.nodes[1], http.MethodGet, "/all/x", "r2", "")
+	require.Contains(t, w.line(w.nodes[1], "part_missing"), `"cause":"no replica to send to"`)
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -87,6 +87,9 @@
 	q.answer(w, result)
 }
 
+// maxLoggedPath bounds how much of a caller's path goes into the log, in bytes.
+const maxLoggedPath = 200
+
 // unknownRoute answers what no route matches. A node whose beliefs are old may not
 // know a route that was added since: it does not call the request wrong.
 func (n *Node) unknownRoute(w http.ResponseWriter, r *http.Request, config *policy.Config) {
@@ -95,7 +98,7 @@
 		n.refuse(w, r, "the configuration may be outdated", retryNotReady)
 		return
 	}
-	n.log.Decision("route_unknown", decisionlog.Fields{"request": platform.RequestID(r.Header), "host": r.Host, "config_version": config.Version, "beliefs_age_ms": age.Milliseconds()})
+	n.log.Decision("route_unknown", decisionlog.Fields{"request": platform.RequestID(r.Header), "host": r.Host, "path": r.URL.Path[:min(len(r.URL.Path), maxLoggedPath)], "config_version": config.Version, "beliefs_age_ms": age.Milliseconds()})
 	http.Error(w, "no route", http.StatusNotFound)
 }
 
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -142,6 +142,22 @@
 	return response, string(read), err
 }
 
+// line waits for the first line of a node's log with an event.
+func (w *world) line(one *node, event string) string {
+	w.t.Helper()
+	found := ""
+	require.Eventually(w.t, func() bool {
+		for line := range strings.Lines(one.log.String()) {
+			if strings.Contains(line, `"event":"`+event+`"`) {
+				found = line
+				return true
+			}
+		}
+		return false
+	}, patience, time.Millisecond, event)
+	return found
+}
+
 func route(name, prefix, kind string, more map[string]any) map[string]any {
 	r := map[string]any{"name": name, "host": "search.example", "prefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2}
 	for key, value := range more {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -55,6 +55,8 @@
 	// took is how long the replica took, without the way through another node.
 	took time.Duration
 	over bool
+	// late is set once the replica was noted as late.
+	late bool
 }
 
 // run carries out the machine's actions until it finishes or the caller leaves. The
@@ -132,7 +134,10 @@
 func (q *request) late(send int) {
 	one := q.sends[send]
 	q.node.beliefs.note(func(book *replica.Book, now core.Time) { book.Overdue(one.send.Replica.ID, now) })
-	q.note(step{Event: "replica_late", Replica: one.send.Replica.ID, Service: one.send.Replica.Service})
+	if !one.late {
+		one.late = true
+		q.note(step{Event: "replica_late", Replica: one.send.Replica.ID, Service: one.send.Replica.Service})
+	}
 	if one.group != nil && !one.group.heard.Load() {
 		q.node.helpers.avoid(one.group.helper.Node, q.node.now())
 	}
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -14,15 +14,25 @@
 	Cause   string
 	Status  int
 	TookMs  int64
+	// Via is the node that sent on this one's behalf.
+	Via string
 }
 
-// maxTrail bounds the steps kept of one request.
-const maxTrail = 64
+// maxTrail bounds the steps kept of one request, maxMissing the missing parts told beside
+// them. Together they are less than what the log writes of one story.
+const (
+	maxTrail   = 64
+	maxMissing = 20
+)
 
 func (q *request) note(s step) {
-	if len(q.trail) >= maxTrail {
-		return
+	if len(q.trail) < maxTrail {
+		q.noteLast(s)
 	}
+}
+
+// noteLast notes a step that the story must not lack.
+func (q *request) noteLast(s step) {
 	s.AtMs = (q.node.now() - q.arrived).Milliseconds()
 	q.trail = append(q.trail, s)
 }
@@ -39,14 +49,17 @@
 	var lines []decisionlog.Line
 	for _, s := range q.trail {
 		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs,
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via,
 		}})
 	}
 	fields := decisionlog.Fields{
 		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
 		"took_ms": took.Milliseconds(), "aim_ms": q.route.Aim.Milliseconds(), "sends": len(q.sends),
 		"parts": result.Got, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica,
-		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(),
+		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent,
+	}
+	if q.plan.PartialAt > 0 {
+		fields["partial_from_ms"] = (q.plan.PartialAt - q.arrived).Milliseconds()
 	}
 	if age, known := q.node.follower.Age(); known {
 		fields["beliefs_age_ms"] = age.Milliseconds()
