Libraries' own lines go into the decision log; the soak reads every line a node writes

Cause: quic-go's line on small receive buffers stood as plain text between the JSON lines, which ends a reader that takes each line as JSON.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -51,6 +52,8 @@
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	app, node := edge.New(s, out)
+	log.SetFlags(0)
+	log.SetOutput(node.LibraryLog())
 	if err := app.Err(); err != nil {
 		return err
 	}
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,6 +173,22 @@
 	return logger
 }
 
+// Libraries takes the plain lines that libraries write, such as net/http's on broken
+// connections, within the rate: the output holds nothing but JSON.
+func (l *Log) Libraries() io.Writer { return libraries{l} }
+
+// maxLibraryLine bounds such a line, in bytes; net/http adds a stack to some.
+const maxLibraryLine = 500
+
+type libraries struct{ log *Log }
+
+// Write implements io.Writer.
+func (w libraries) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line[:min(len(line), maxLibraryLine)]))
+	w.log.Decision("library_message", Fields{"text": text})
+	return len(line), nil
+}
+
 // forward hands logrus entries on.
 type forward struct{ log *Log }
 
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -74,3 +74,17 @@
 		}
 	}
 }
+
+// A library writes a plain line of its own. Whoever reads the output line by line as JSON
+// would stop at it.
+func TestLinesOfLibrariesAreJSONToo(t *testing.T) {
+	var out strings.Builder
+	l := New(&out, nil)
+	_, err := io.WriteString(l.Libraries(), "failed to increase receive buffer size\n"+strings.Repeat("stack ", 200))
+	require.NoError(t, err)
+	l.Close(time.Minute)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal([]byte(out.String()), &line))
+	require.Equal(t, "library_message", line["event"])
+	require.LessOrEqual(t, len(line["text"].(string)), maxLibraryLine)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -320,6 +320,9 @@
 	return state
 }
 
+// LibraryLog takes what libraries write of themselves into the node's log.
+func (n *Node) LibraryLog() io.Writer { return n.log.Libraries() }
+
 // SettingsRefused notes new settings that cannot be used; the former stay in force.
 func (n *Node) SettingsRefused(cause error) {
 	n.log.Life("settings_refused", decisionlog.Fields{"error": cause.Error(), "outcome": "the former stay in force"})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -98,6 +99,7 @@
 	<-ended
 	c.checkLedgers()
 	c.checkExtra()
+	w.checkLogs()
 	t.Logf("seed %d: %d requests, %d served", played.seed, c.asked.Load(), c.served.Load())
 	if len(w.broken) > 0 {
 		t.Logf("schedule:\n%s", strings.Join(w.log, "\n"))
@@ -135,6 +137,20 @@
 	c.w.fail("%v after the last fault requests are still not served", servedAgain)
 }
 
+// checkLogs checks that nodes wrote nothing but JSON lines that name their event.
+func (w *world) checkLogs() {
+	for _, one := range w.nodes {
+		text, err := os.ReadFile(one.out.Name())
+		require.NoError(w.t, err)
+		for line := range strings.Lines(string(text)) {
+			var read struct{ Event, Node string }
+			if err := json.Unmarshal([]byte(line), &read); err != nil || read.Event == "" || read.Node == "" {
+				w.fail("vm %s wrote a line that is no event: %s", one.ip, line)
+			}
+		}
+	}
+}
+
 // keepLogs copies the nodes' logs of a failed seed to a place that outlives the test.
 func keepLogs(t *testing.T, w *world) {
 	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", w.seed))
