--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -62,7 +62,8 @@
 	LeastCoverage float64
 }
 
-// Least is the number of parts that an answer needs at least.
+// Least is the number of parts that an answer needs at least. A share above 1 asks for all
+// of them: as it stands, no answer could ever have enough.
 func (g *Gather) Least() int {
 	// A tiny subtraction keeps 0.75 of 20 at 15 despite binary fractions.
 	const roundingSlack = 1e-9
@@ -71,7 +72,7 @@
 	if exact-float64(least) > roundingSlack {
 		least++
 	}
-	return max(least, 1)
+	return max(min(least, len(g.Shards)), 1)
 }
 
 // Service is what is known of a service besides its replicas.
--- a/internal/core/policy/policy_test.go
+++ b/internal/core/policy/policy_test.go
@@ -28,6 +28,7 @@
 	require.Equal(t, 18, (&Gather{Shards: shards, LeastCoverage: 0.89}).Least())
 	require.Equal(t, 18, (&Gather{Shards: shards, LeastCoverage: 0.9}).Least())
 	require.Equal(t, 1, (&Gather{Shards: shards}).Least())
+	require.Equal(t, 20, (&Gather{Shards: shards, LeastCoverage: 1.5}).Least())
 }
 
 // An operator moves a tenth of a quiet route to a new service and watches the
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -422,3 +422,42 @@
 	w.ask(w.nodes[1], http.MethodGet, "/all/x", "r2", "")
 	require.Contains(t, w.line(w.nodes[1], "part_missing"), `"cause":"no replica to send to"`)
 }
+
+// Writers break: an item that is no base64, a configuration that is no JSON or empty, a route
+// without a service, replicas whose addresses cannot be dialled. Each is said, the former state
+// stays in force, and everything else that is published goes on being read.
+func TestBadItemsAreSaidAndHarmNothingElse(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note")
+	w.serve("east")
+	node := w.nodes[0]
+	served := func() {
+		t.Helper()
+		response, _ := w.ask(node, http.MethodGet, "/plain/x", "r1", "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	said := func(event string, times int) {
+		t.Helper()
+		require.Eventually(t, func() bool { return strings.Count(node.log.String(), `"event":"`+event+`"`) == times }, patience, time.Millisecond, event)
+	}
+	w.store.PutRaw("op/config", "{no base64}")
+	said("config_refused", 1)
+	w.store.Put("op/config", "no configuration")
+	said("config_refused", 2)
+	w.store.Put("op/config", map[string]any{})
+	said("config_refused", 3)
+	w.store.PutRaw("servers/i-broken", "***")
+	w.store.Put("servers/i-portless", map[string]any{"service": "notes", "address": "10.0.0.1", "state": "ready"})
+	said("replica_refused", 2)
+	served()
+	require.Contains(t, w.line(node, "config_refused"), "the configuration cannot be read")
+	w.configure(2, route("empty", "/empty/", "idempotent", nil))
+	w.inForce(node, 2)
+	served()
+	response, _ := w.ask(node, http.MethodGet, "/empty/x", "r2", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	w.startOne("east", nil)
+	w.ready()
+	response, _ = w.ask(w.nodes[1], http.MethodGet, "/plain/x", "r3", "")
+	require.Equal(t, http.StatusOK, response.StatusCode, "a node that starts reads past them too")
+}
