The soak names its faults, and a seed picks the same replicas each time

Replicas were picked in the order of a map, which differs from run to run; they are picked by their ids now. The schedule tells kinds by name.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,7 +1,9 @@
 package soak_test
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,41 +16,44 @@
 // fault is one entry of a schedule: it begins at a time and lasts for a while.
 type fault struct {
 	at, lasts time.Duration
-	kind      int
+	kind      kind
 	node      int
 	draw      uint64
 }
 
-// The kinds of faults.
+// kind is a kind of fault.
+type kind string
+
+// The kinds of faults, named as the schedule tells them.
 const (
-	killNode = iota
-	stopNode
-	pauseNode
-	storeBusy
-	storeSilent
-	storeCut
-	storeForgets
-	replicaActs
-	replicaDrains
-	configChanges
-	storeSlow
-	linkCut
-	nodeIsolated
-	linkPoor
-	linkSilent
-	replicaWay
-	replicaReplaced
-	shardsChange
-	settingsChange
-	serviceFails
-	serviceActs
-	allKilled
+	killNode        kind = "kill"
+	stopNode        kind = "planned stop"
+	pauseNode       kind = "pause"
+	storeBusy       kind = "store turns all away"
+	storeSilent     kind = "store silent"
+	storeCut        kind = "store cut off"
+	storeForgets    kind = "store forgets history"
+	replicaActs     kind = "replica misbehaves"
+	replicaDrains   kind = "replica drains"
+	configChanges   kind = "configuration changes"
+	storeSlow       kind = "store slow"
+	linkCut         kind = "links cut one way"
+	nodeIsolated    kind = "parted from all nodes"
+	linkPoor        kind = "links lossy and late"
+	linkSilent      kind = "links silent"
+	replicaWay      kind = "way to a replica disturbed"
+	replicaReplaced kind = "replica replaced on its address"
+	shardsChange    kind = "shards change"
+	settingsChange  kind = "settings change"
+	serviceFails    kind = "service fails"
+	serviceActs     kind = "service misbehaves"
+	allKilled       kind = "all nodes killed"
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
 // do wrong shows only while requests meet it. Further ones go to the end, so that a kept seed
 // still draws from those of its time.
-var drawn = []int{
+var drawn = []kind{
 	killNode, stopNode, pauseNode, storeBusy, storeSilent, storeCut, storeForgets,
 	replicaActs, replicaActs, replicaActs, replicaDrains, configChanges,
 	storeSlow, linkCut, nodeIsolated, linkPoor, linkSilent,
@@ -57,7 +62,7 @@
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
-func schedule(random *rand.Rand, length time.Duration, drawn []int) []fault {
+func schedule(random *rand.Rand, length time.Duration, drawn []kind) []fault {
 	var faults []fault
 	for at := time.Second; at < length; at += time.Duration(100+random.IntN(900)) * time.Millisecond {
 		faults = append(faults, fault{
@@ -73,7 +78,7 @@
 	var running sync.WaitGroup
 	for _, one := range faults {
 		time.Sleep(time.Until(w.began.Add(one.at)))
-		w.note("fault %d at node %d for %v", one.kind, one.node, one.lasts)
+		w.note("%s, node %d, %v", one.kind, one.node, one.lasts)
 		running.Add(1)
 		go func() {
 			defer running.Done()
@@ -224,9 +229,10 @@
 	}
 }
 
-// pick draws a replica that is not draining, one in two times of the service whose requests
-// must run at most once: what goes wrong there is what must never be said wrongly.
-func (w *world) pick(draw uint64) *upstream {
+// all draws a service and returns its replicas by their ids, one in two times those of the
+// service whose requests must run at most once: what goes wrong there is what must never be
+// said wrongly.
+func (w *world) all(draw uint64) []*upstream {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	services := w.services()
@@ -234,8 +240,22 @@
 	if draw>>32%2 == 0 {
 		service = "invoices"
 	}
-	for _, one := range w.replicas {
-		if one.Service == service && one.drainedAt.IsZero() && !one.gone {
+	var all []*upstream
+	for _, id := range slices.Sorted(maps.Keys(w.replicas)) {
+		if one := w.replicas[id]; one.Service == service {
+			all = append(all, one)
+		}
+	}
+	return all
+}
+
+// pick draws a replica that neither drains nor has crashed; nil is none.
+func (w *world) pick(draw uint64) *upstream {
+	for _, one := range w.all(draw) {
+		w.mutex.Lock()
+		usable := one.drainedAt.IsZero() && !one.gone
+		w.mutex.Unlock()
+		if usable {
 			return one
 		}
 	}
@@ -266,25 +286,6 @@
 	}
 }
 
-// all draws a service and returns its replicas, one in two times those of the service whose
-// requests must run at most once.
-func (w *world) all(draw uint64) []*upstream {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	services := w.services()
-	service := services[draw%uint64(len(services))]
-	if draw>>32%2 == 0 {
-		service = "invoices"
-	}
-	var all []*upstream
-	for _, one := range w.replicas {
-		if one.Service == service {
-			all = append(all, one)
-		}
-	}
-	return all
-}
-
 // drain lets another replica start, drains one, and ends it later.
 func (w *world) drain(f fault) {
 	one := w.pick(f.draw)
