A node that cannot start says so in its log; the soak reads standard output and failures apart

Cause: a process that was restarted while its settings file could not be read ended with a plain line on the standard error alone; on call there are only logs.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -13,7 +13,9 @@
 	"github.com/integrii/flaggy"
 	"go.uber.org/fx"
 
+	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/edge"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
 
@@ -33,10 +35,28 @@
 	return &command{
 		parser:  parser,
 		example: "pistachiopier edge --settings boot.conf",
-		run:     func(out io.Writer) error { return runEdge(path, metricsPort, peerListen, out) },
+		run: func(out io.Writer) error {
+			err := runEdge(path, metricsPort, peerListen, out)
+			if err != nil {
+				sayFailed(out, err)
+			}
+			return err
+		},
 	}
 }
 
+// sayFailed writes into the log why the process ends by itself. What the command line says
+// goes to the standard error, which whoever collects the logs may not have.
+func sayFailed(out io.Writer, cause error) {
+	failed := fault.As(cause)
+	log := decisionlog.New(out, nil)
+	log.Life("node_failed", decisionlog.Fields{"error": failed.Error(), "code": failed.Code, "fix": failed.Fix})
+	log.Close(failedLogLimit)
+}
+
+// failedLogLimit bounds the wait for the reader of a last line.
+const failedLogLimit = time.Second
+
 func runEdge(path string, metricsPort int, peerListen string, out io.Writer) error {
 	if path == "" {
 		return usage("edge needs --settings FILE or "+platform.SettingsVariable, "see docs/SETTINGS.md for what it holds")
--- a/internal/command/text_test.go
+++ b/internal/command/text_test.go
@@ -57,3 +57,18 @@
 	_, out, _ = run("diff", magnolia, magnolia)
 	assert.Equal(t, "the texts mean the same\n", out)
 }
+
+// A node is restarted while its settings file is broken, and ends at once. Whoever has only
+// what the processes write to their standard output must find why.
+func TestANodeThatCannotStartSaysSoInItsLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	require.NoError(t, os.WriteFile(path, []byte("node=vm-1\nportRange=none,0\n"), 0o600))
+	code, out, errors := run("edge", "--settings", path)
+	require.NotEqual(t, ExitOK, code)
+	require.Contains(t, errors, "portRange")
+	var line struct{ Event, Error, Code, Fix string }
+	require.NoError(t, json.Unmarshal([]byte(out), &line))
+	require.Equal(t, "node_failed", line.Event)
+	require.Equal(t, "settings_invalid", line.Code)
+	require.Contains(t, line.Error, "portRange")
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -137,9 +137,15 @@
 	c.w.fail("%v after the last fault requests are still not served", servedAgain)
 }
 
-// checkLogs checks that nodes wrote nothing but JSON lines that name their event.
+// checkLogs checks that nodes wrote nothing but JSON lines that name their event, and that no
+// process failed.
 func (w *world) checkLogs() {
 	for _, one := range w.nodes {
+		failures, err := os.ReadFile(one.failures.Name())
+		require.NoError(w.t, err)
+		if len(failures) > 0 {
+			w.fail("vm %s failed: %.300s", one.ip, failures)
+		}
 		text, err := os.ReadFile(one.out.Name())
 		require.NoError(w.t, err)
 		for line := range strings.Lines(string(text)) {
