A story says why a hedge or retry was not made

Cause: of the stories drawn by lot, some showed a late replica and no hedge, with the bound on extra sends not reached: whether no other replica was left, the tries were used up or the other replica was doubtful could not be told.

--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -43,6 +43,30 @@
 // Late says that the answer to a send takes longer than usual.
 type Late struct{ Send int }
 
+// Withheld says that a further send for a service, a hedge or a retry, is not made.
+type Withheld struct {
+	Service int
+	Cause   Cause
+	Why     Reason
+}
+
+// Reason is why a further send is not made.
+type Reason string
+
+// The reasons.
+const (
+	// MustNotRepeat means that the request may run once only and may have run.
+	MustNotRepeat Reason = "it must not be repeated"
+	// TriesUsed means that the route allows no further replica.
+	TriesUsed Reason = "the route's tries are used up"
+	// NoOtherReplica means that no replica is left that was not tried.
+	NoOtherReplica Reason = "no other replica"
+	// OtherDoubtful means that the other one is itself overdue or failing.
+	OtherDoubtful Reason = "the other replica is overdue or failing too"
+	// ExtraUsed means that the bound on extra sends is reached.
+	ExtraUsed Reason = "the bound on extra sends is reached"
+)
+
 // Wake asks for a Tick at a time; it replaces the former one.
 type Wake struct{ At core.Time }
 
@@ -52,6 +76,7 @@
 func (Send) isAction()     {}
 func (Withdraw) isAction() {}
 func (Late) isAction()     {}
+func (Withheld) isAction() {}
 func (Wake) isAction()     {}
 func (Finish) isAction()   {}
 
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -215,6 +215,7 @@
 func (m *Machine) afterFailure(i int, verdict Verdict) {
 	s := &m.services[i]
 	if verdict == Failed && !m.plan.Idempotent {
+		m.withhold(i, Retry, MustNotRepeat)
 		s.failed = true
 		return
 	}
@@ -233,19 +234,28 @@
 func (m *Machine) again(i int, cause Cause) bool {
 	s := &m.services[i]
 	if s.sent >= m.plan.MaxReplicas {
-		return false
+		return m.withhold(i, cause, TriesUsed)
 	}
 	choice, ok := m.chooser.Pick(m.plan.Services[i], s.tried, m.now)
-	if !ok || cause == Hedge && choice.Doubtful && s.lates < doubtfulAfter {
-		return false
+	if !ok {
+		return m.withhold(i, cause, NoOtherReplica)
+	}
+	if cause == Hedge && choice.Doubtful && s.lates < doubtfulAfter {
+		return m.withhold(i, cause, OtherDoubtful)
 	}
 	if !m.spend(i) {
-		return false
+		return m.withhold(i, cause, ExtraUsed)
 	}
 	m.send(i, choice, cause)
 	return true
 }
 
+// withhold tells why a further send is not made; it reports false.
+func (m *Machine) withhold(i int, cause Cause, why Reason) bool {
+	m.act(Withheld{Service: i, Cause: cause, Why: why})
+	return false
+}
+
 // spend takes an extra arrival out of the bound, unless nothing has arrived yet.
 func (m *Machine) spend(i int) bool {
 	if m.services[i].sent == 0 {
@@ -276,6 +286,11 @@
 func (m *Machine) retryRefused(i int) {
 	choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
 	if !ok || !m.spend(i) {
+		why := ExtraUsed
+		if !ok {
+			why = NoOtherReplica
+		}
+		m.withhold(i, Retry, why)
 		m.services[i].failed = true
 		return
 	}
@@ -293,9 +308,11 @@
 	}
 	s.hedgeAt = m.now + m.plan.Hedge
 	s.lates++
-	if m.plan.Idempotent {
-		m.again(i, Hedge)
+	if !m.plan.Idempotent {
+		m.withhold(i, Hedge, MustNotRepeat)
+		return
 	}
+	m.again(i, Hedge)
 }
 
 // conclude ends the request when it is whole, when no more can come, when what is
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -410,6 +410,7 @@
 	require.Contains(t, line, `"cause":"not answered yet"`)
 	require.Contains(t, line, `"via":"`+w.nodes[1].Settings.PeerAddress+`"`)
 	require.Contains(t, w.line(w.nodes[0], "request_ended"), `"partial_from_ms":2`)
+	require.Contains(t, w.line(w.nodes[0], "send_withheld"), `"why":"no other replica"`)
 	late := 0
 	for line := range strings.Lines(w.nodes[0].log.String()) {
 		if strings.Contains(line, `"replica_late"`) && strings.Contains(line, hanging.ID) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -119,6 +119,8 @@
 			q.sends[a.ID].cancel(errAnswered)
 		case scatter.Late:
 			q.late(a.Send)
+		case scatter.Withheld:
+			q.withheld(a)
 		case scatter.Wake:
 			timer.Reset(max(a.At-q.node.now(), 0))
 		case scatter.Finish:
@@ -143,6 +145,16 @@
 	}
 }
 
+// withheld notes once a service and reason that a further send is not made.
+func (q *request) withheld(a scatter.Withheld) {
+	for _, s := range q.trail {
+		if s.Event == "send_withheld" && s.Service == q.services[a.Service] && s.Why == string(a.Why) {
+			return
+		}
+	}
+	q.note(step{Event: "send_withheld", Service: q.services[a.Service], Cause: string(a.Cause), Why: string(a.Why)})
+}
+
 // prepare makes the exchange of a send. It may outlive the request for a moment when
 // its answer is no longer wanted: its end is still to be learnt from, and its
 // connection to be kept.
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -16,6 +16,8 @@
 	TookMs  int64
 	// Via is the node that sent on this one's behalf.
 	Via string
+	// Why is the reason for a send that was not made.
+	Why string
 }
 
 // maxTrail bounds the steps kept of one request, maxMissing the missing parts told beside
@@ -49,7 +51,7 @@
 	var lines []decisionlog.Line
 	for _, s := range q.trail {
 		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via,
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why,
 		}})
 	}
 	fields := decisionlog.Fields{
