--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -60,6 +60,9 @@
 		"parts": result.Got, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica,
 		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent,
 	}
+	if len(q.services) == 1 {
+		fields["service"] = q.services[0]
+	}
 	if q.plan.PartialAt > 0 {
 		fields["partial_from_ms"] = (q.plan.PartialAt - q.arrived).Milliseconds()
 	}
