--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -78,8 +78,7 @@
 type helpers struct {
 	mutex   sync.Mutex
 	avoided map[core.NodeID]core.Time
-	// turn is the place of the next one; it begins at one that differs between nodes.
-	turn uint64
+	turn    uint64
 }
 
 func (h *helpers) avoid(node core.NodeID, now core.Time) {
@@ -91,14 +90,11 @@
 	h.avoided[node] = now + helperAvoid
 }
 
-// choose takes the nodes of a list in turn, or always begins with the same one, leaving out
-// those to avoid.
-func (h *helpers) choose(nodes []peer.Target, inTurn bool, now core.Time) (peer.Target, bool) {
+// choose takes the nodes of a list in turn, leaving out those to avoid.
+func (h *helpers) choose(nodes []peer.Target, now core.Time) (peer.Target, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if inTurn {
-		h.turn++
-	}
+	h.turn++
 	for i := range nodes {
 		one := nodes[(h.turn+uint64(i))%uint64(len(nodes))]
 		if now >= h.avoided[one.Node] {
@@ -108,23 +104,15 @@
 	return peer.Target{}, false
 }
 
-// helper chooses a node of a data centre to delegate to. A node that callers are sent to
-// spreads its many requests over all of them. The others, which callers reach by old addresses
-// only, keep to one: each link costs both ends about 90 KB, and in a fleet of hundreds all
-// nodes would hold one to every entry.
+// helper chooses a node of a data centre to delegate to.
 func (n *Node) helper(dataCentre string) (peer.Target, bool) {
 	var nodes []peer.Target
-	isEntry := false
 	for _, one := range n.chosen() {
-		if one.ID == n.identity.Node {
-			isEntry = true
-			continue
-		}
-		if one.DataCentre == dataCentre {
+		if one.DataCentre == dataCentre && one.ID != n.identity.Node {
 			nodes = append(nodes, peer.Target{Node: one.ID, Address: one.PeerAddress})
 		}
 	}
-	return n.helpers.choose(nodes, isEntry, n.now())
+	return n.helpers.choose(nodes, n.now())
 }
 
 // delegate hands the first sends to other data centres to nodes there and returns the
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -114,7 +113,6 @@
 		copied:   mirror.NewCopy(),
 		lastCall: make(chan struct{}),
 	}
-	n.helpers.turn = xxhash.Sum64String(s.PeerAddress)
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
