A planned stop's last call ends requests by an event of its own; rests of long answers are closed with their request

Found on reading the diff: the last call was a tick with a later time, which could take an extra send out of the bound; a long failure that was not passed on held its connection until its time limit; labels were escaped as Go strings, which readers of the text format reject beyond ASCII.

--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -20,9 +20,13 @@
 	Verdict Verdict
 }
 
-func (Begin) isEvent() {}
-func (Tick) isEvent()  {}
-func (Ended) isEvent() {}
+// GiveUp says that nobody can wait any longer: the request ends now as at its deadline.
+type GiveUp struct{}
+
+func (Begin) isEvent()  {}
+func (Tick) isEvent()   {}
+func (Ended) isEvent()  {}
+func (GiveUp) isEvent() {}
 
 // Action is what the machine wants done.
 type Action interface{ isAction() }
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -124,6 +124,8 @@
 		m.ended(e)
 	case Tick:
 		m.tick()
+	case GiveUp:
+		m.plan.Deadline = min(m.plan.Deadline, now)
 	}
 	m.conclude()
 	if !m.finished {
--- a/internal/core/scatter/scatter_test.go
+++ b/internal/core/scatter/scatter_test.go
@@ -223,3 +223,47 @@
 		}
 	})
 }
+
+// The process is about to end while answers are out. Each request ends now, with what is
+// certain of it and without a further send, though a hedge would just be due.
+func TestGivingUpEndsAsAtTheDeadline(t *testing.T) {
+	m := New(gatherPlan(), &fakeChooser{replicas: 2, extras: 9})
+	m.Step(0, Begin{})
+	m.Step(5*ms, whole(0))
+	actions := m.Step(20*ms, GiveUp{})
+	require.Empty(t, sends(actions))
+	result := finish(actions)
+	require.NotNil(t, result)
+	require.False(t, result.Enough)
+	require.True(t, result.PastDeadline)
+	require.True(t, result.MayHaveRun)
+
+	enough := New(gatherPlan(), &fakeChooser{replicas: 2, extras: 9})
+	enough.Step(0, Begin{})
+	for i := range 3 {
+		enough.Step(5*ms, whole(i))
+	}
+	require.True(t, finish(enough.Step(20*ms, GiveUp{})).Enough, "three of four parts are the least")
+}
+
+// On call, a part that was late and not hedged has its reason in the story.
+func TestASendThatIsNotMadeSaysWhy(t *testing.T) {
+	reason := func(plan Plan, chooser *fakeChooser) Reason {
+		m := New(plan, chooser)
+		m.Step(0, Begin{})
+		for _, action := range m.Step(15*ms, Tick{}) {
+			if withheld, ok := action.(Withheld); ok {
+				return withheld.Why
+			}
+		}
+		return ""
+	}
+	once, single := gatherPlan(), gatherPlan()
+	once.Idempotent, single.MaxReplicas = false, 1
+	require.Equal(t, MustNotRepeat, reason(once, &fakeChooser{replicas: 2, extras: 9}))
+	require.Equal(t, TriesUsed, reason(single, &fakeChooser{replicas: 2, extras: 9}))
+	require.Equal(t, NoOtherReplica, reason(gatherPlan(), &fakeChooser{replicas: 1, extras: 9}))
+	require.Equal(t, OtherDoubtful, reason(gatherPlan(), &fakeChooser{replicas: 2, extras: 9, doubtful: true}))
+	require.Equal(t, ExtraUsed, reason(gatherPlan(), &fakeChooser{replicas: 2}))
+	require.Empty(t, reason(gatherPlan(), &fakeChooser{replicas: 2, extras: 9}))
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -79,6 +79,7 @@
 	}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	defer q.closeRests()
 	result, present := q.run(r.Context())
 	if !present {
 		q.tell(outcomeLeft, 0, result)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -163,6 +163,7 @@
 
 func (n *Node) startPeers(s *settings.Edge, tlsConfig *tls.Config) error {
 	var err error
+	// An address that cannot be taken apart leaves the choice to the kernel, and fails below.
 	host, _, _ := net.SplitHostPort(s.PeerAddress)
 	if n.pool, err = peer.NewPoolFrom(tlsConfig, n.identity, n, net.ParseIP(host)); err != nil {
 		return fault.Step("open peer pool", err)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -76,7 +76,7 @@
 		case <-timer.C:
 			result = q.perform(ctx, machine.Step(q.node.now(), scatter.Tick{}), timer)
 		case <-q.node.lastCall:
-			result = q.perform(ctx, machine.Step(max(q.node.now(), q.plan.Deadline), scatter.Tick{}), timer)
+			result = q.perform(ctx, machine.Step(q.node.now(), scatter.GiveUp{}), timer)
 		case <-ctx.Done():
 			q.left.Store(true)
 			q.withdraw(context.Cause(ctx))
@@ -189,20 +189,33 @@
 	q.tellEnds([]*exchange{one})
 }
 
-// tellEnds hands ends to the request unless that is over. The rest of a long answer that is
-// not wanted any more is given up by its time limit at the latest.
+// tellEnds hands ends to the request unless that is over.
 func (q *request) tellEnds(ends []*exchange) {
 	select {
 	case q.ended <- ends:
 	case <-q.over:
 		for _, one := range ends {
-			if one.response != nil && one.response.Rest != nil {
-				_ = one.response.Rest.Close()
-			}
+			one.closeRest()
 		}
 	}
 }
 
+// closeRests gives up what was not read of long answers that came to this request. One that
+// comes just as the request ends is given up by its own time limit.
+func (q *request) closeRests() {
+	for _, one := range q.sends {
+		if one.over {
+			one.closeRest()
+		}
+	}
+}
+
+func (one *exchange) closeRest() {
+	if one.response != nil && one.response.Rest != nil {
+		_ = one.response.Rest.Close()
+	}
+}
+
 func (q *request) exchange(ctx context.Context, one *exchange) {
 	left := q.plan.Deadline - q.node.now()
 	ctx, cancel := context.WithTimeout(ctx, max(left, time.Millisecond))
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -38,12 +38,15 @@
 // quantiles are those that a histogram or timer is written with.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
+// labelEscapes are the three escapes that the text exposition format knows.
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 // Labelled adds labels, given as name and value in turn, to a metric's name. A label's
 // values must be few: each makes a metric of its own.
 func Labelled(name string, labels ...string) string {
 	pairs := make([]string, 0, len(labels)/2)
 	for i := 0; i+1 < len(labels); i += 2 {
-		pairs = append(pairs, labels[i]+"="+strconv.Quote(labels[i+1]))
+		pairs = append(pairs, labels[i]+`="`+labelEscapes.Replace(labels[i+1])+`"`)
 	}
 	return name + "{" + strings.Join(pairs, ",") + "}"
 }
