--- /dev/null
+++ b/internal/edge/published_test.go
@@ -0,0 +1,107 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/edge"
+	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
+	"github.com/pistachiopier/pistachiopier/internal/edgefleet"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+// A node starts while the store is down. It knows no route, which is not the same as the
+// caller being wrong: 404 would end the request for good.
+func TestANodeThatKnowsNothingRefusesAndDoesNotDeny(t *testing.T) {
+	w := newWorld(t)
+	w.store.SetTrouble(func(string) platformtest.Trouble { return platformtest.Busy })
+	w.start("east")
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	status, _ := w.get("http://"+w.nodes[0].Settings.ReadyAddress+"/pistachiopier/ready", nil)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	w.replica("notes", "east", "a note")
+	w.configure(1)
+	w.store.SetTrouble(nil)
+	w.ready()
+	response, _ = w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r2", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	response, _ = w.ask(w.nodes[0], http.MethodGet, "/none/x", "r3", "")
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+}
+
+func TestAReplicaThatDrainsGetsNothingMore(t *testing.T) {
+	w := newWorld(t)
+	leaving := w.replica("notes", "east", "a note")
+	w.replica("notes", "east", "a note")
+	w.serve("east")
+	w.store.Put(leaving.Key(), leaving.Entry("east", "draining"))
+	require.Eventually(t, func() bool { return strings.Contains(w.nodes[0].log.String(), "replica_draining") }, patience, time.Millisecond)
+	before := len(leaving.Arrivals())
+	for i := range 20 {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Len(t, leaving.Arrivals(), before)
+}
+
+// One address stands in the settings twice. Were one of the two interfaces left out in silence,
+// the node would run and never count as ready.
+func TestAnAddressGivenTwiceIsAnError(t *testing.T) {
+	free, err := edgefleet.FreeAddresses(3)
+	require.NoError(t, err)
+	s := &settings.Edge{Node: "vm", CallerAddress: free[0], DirectoryAddress: free[1], ReadyAddress: free[1], PeerAddress: free[2], StoreAddress: "127.0.0.1:1"}
+	require.NoError(t, s.Validate())
+	app, _ := edge.New(s, io.Discard)
+	err = app.Start(t.Context())
+	require.Equal(t, fault.CodeAddress, fault.As(err).Code)
+	require.NoError(t, app.Stop(context.Background()))
+}
+
+// Writers break: an item that is no base64, a configuration that is no JSON or empty, a route
+// without a service, replicas whose addresses cannot be dialled. Each is said, the former state
+// stays in force, and everything else that is published goes on being read.
+func TestBadItemsAreSaidAndHarmNothingElse(t *testing.T) {
+	w := newWorld(t)
+	w.replica("notes", "east", "a note")
+	w.serve("east")
+	node := w.nodes[0]
+	served := func() {
+		t.Helper()
+		response, _ := w.ask(node, http.MethodGet, "/plain/x", "r1", "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	said := func(event string, times int) {
+		t.Helper()
+		require.Eventually(t, func() bool { return strings.Count(node.log.String(), `"event":"`+event+`"`) == times }, patience, time.Millisecond, event)
+	}
+	w.store.PutRaw("op/config", "{no base64}")
+	said("config_refused", 1)
+	w.store.Put("op/config", "no configuration")
+	said("config_refused", 2)
+	w.store.Put("op/config", map[string]any{})
+	said("config_refused", 3)
+	w.store.PutRaw("servers/i-broken", "***")
+	w.store.Put("servers/i-portless", map[string]any{"service": "notes", "address": "10.0.0.1", "state": "ready"})
+	said("replica_refused", 2)
+	served()
+	require.Contains(t, w.line(node, "config_refused"), "the configuration cannot be read")
+	w.configure(2, route("empty", "/empty/", "idempotent", nil))
+	w.inForce(node, 2)
+	served()
+	response, _ := w.ask(node, http.MethodGet, "/empty/x", "r2", "")
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	w.startOne("east", nil)
+	w.ready()
+	response, _ = w.ask(w.nodes[1], http.MethodGet, "/plain/x", "r3", "")
+	require.Equal(t, http.StatusOK, response.StatusCode, "a node that starts reads past them too")
+}
--- a/test/e2e/harness/invoices.go
+++ b/test/e2e/harness/invoices.go
@@ -52,15 +52,9 @@
 // through two entries at once and repeats it through further ones while nobody
 // knows its outcome, and once more after it was done.
 type Invoices struct {
-	t       testing.TB
-	client  *client.Client
-	stop    context.CancelFunc
-	done    sync.WaitGroup
-	mutex   sync.Mutex
-	entries []string
-	next    int
-	claims  map[string]*claims
-	tried   int
+	*sender
+	claims map[string]*claims
+	tried  int
 }
 
 // claims counts what entries said of one key.
@@ -69,40 +63,23 @@
 // StartInvoices begins to submit through the entries, until Stop or the test's
 // end.
 func StartInvoices(t testing.TB, callers int, entries ...string) *Invoices {
-	ctx, stop := context.WithCancel(context.Background())
-	v := &Invoices{t: t, client: client.New(), stop: stop, entries: entries, claims: map[string]*claims{}}
-	for range callers {
-		v.done.Add(1)
-		go func() {
-			defer v.done.Done()
-			for ctx.Err() == nil {
-				v.one()
-			}
-		}()
-	}
+	v := &Invoices{sender: newSender(t, entries), claims: map[string]*claims{}}
+	v.start(callers, func(ctx context.Context, _ int) {
+		for ctx.Err() == nil {
+			v.one()
+		}
+	})
 	t.Cleanup(v.Stop)
 	return v
 }
 
-// Use replaces the entries to submit through.
-func (v *Invoices) Use(entries ...string) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	v.entries = entries
-}
-
 // Stop ends the submits once each key has had its tries.
-func (v *Invoices) Stop() {
-	v.stop()
-	v.done.Wait()
-	v.client.Close()
-}
+func (v *Invoices) Stop() { v.end() }
 
 func (v *Invoices) entry() string {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.next++
-	return v.entries[v.next%len(v.entries)]
+	return v.turn()
 }
 
 // one runs one key to its end.
--- a/test/e2e/harness/load.go
+++ b/test/e2e/harness/load.go
@@ -8,14 +8,12 @@
 	"maps"
 	"math"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
-	"github.com/pistachiopier/pistachiopier/internal/client"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
@@ -31,14 +29,8 @@
 // Load asks the Lead service without end from several callers, each with one
 // question at a time, and checks every answer.
 type Load struct {
-	t       testing.TB
-	client  *client.Client
-	stop    context.CancelFunc
-	done    sync.WaitGroup
-	mutex   sync.Mutex
-	entries []string
-	next    int
-	tally   Tally
+	*sender
+	tally Tally
 	// exempt holds the entries whose lost answers are expected.
 	exempt map[string]bool
 	// keep is set when the entries come from address answers, kept until keepTo.
@@ -74,16 +66,9 @@
 }
 
 func startLoad(t testing.TB, callers, questions int, entries []string) *Load {
-	ctx, stop := context.WithCancel(context.Background())
-	l := &Load{t: t, client: client.New(), stop: stop, entries: entries, exempt: map[string]bool{}}
+	l := &Load{sender: newSender(t, entries), exempt: map[string]bool{}}
 	l.tally = Tally{Answered: make([]int, callers), Failed: map[string]int{}, Versions: map[core.Version]int{}, MissingReasons: map[core.Reason]int{}}
-	for caller := range callers {
-		l.done.Add(1)
-		go func() {
-			defer l.done.Done()
-			l.run(ctx, caller, questions)
-		}()
-	}
+	l.start(callers, func(ctx context.Context, caller int) { l.run(ctx, caller, questions) })
 	t.Cleanup(func() {
 		tally := l.Stop()
 		if t.Failed() {
@@ -93,13 +78,6 @@
 	return l
 }
 
-// Use replaces the entries to ask.
-func (l *Load) Use(entries ...string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.entries = entries
-}
-
 // KeepAddresses makes the callers do as callers should: they ask an entry that
 // they know for the addresses to use, keep the answer for as long as it says, and
 // then ask again.
@@ -118,9 +96,7 @@
 
 // Stop ends the load, once every question has its answer, and returns the tally.
 func (l *Load) Stop() Tally {
-	l.stop()
-	l.done.Wait()
-	l.client.Close()
+	l.end()
 	return l.Tally()
 }
 
@@ -183,11 +159,10 @@
 func (l *Load) entry() string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.next++
 	if l.keep && time.Now().After(l.keepTo) {
 		l.renewAddresses()
 	}
-	return l.entries[l.next%len(l.entries)]
+	return l.turn()
 }
 
 // renewAddresses asks one of the known entries. When that fails the old answer
@@ -195,7 +170,7 @@
 func (l *Load) renewAddresses() {
 	ctx, cancel := context.WithTimeout(context.Background(), readLimit)
 	defer cancel()
-	answer, err := l.client.Entries(ctx, l.entries[l.next%len(l.entries)])
+	answer, err := l.client.Entries(ctx, l.turn())
 	if err != nil || len(answer.Entries) == 0 {
 		return
 	}
