The soak puts a cut request down to a planned stop only if the stopped process had it

Trace: requests 957 and 959, sent beside it, began at 13.745 s of the minute and ended at their own limits; the process that had them was killed at 14.54 and its successor, which never saw the request, was told to stop at 15.80. Between 14.85 and 15.80 the soak's own process stood still: four entries of its schedule carry the time 8.10 s. So the kill's cut was noticed when the stop had begun. The check now asks for the same process at both times.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -96,17 +96,17 @@
 	request.Host = "search.example"
 	request.Header.Set("Pistachiopier-Request-Id", id)
 	request.Header.Set("Pistachiopier-Deadline-Ms", "1500")
-	sentAt := time.Now()
 	node := c.node(address)
+	process, sentAt := node.process(), time.Now()
 	response, err := client.Do(request)
 	if err != nil {
-		c.noAnswer(ctx, node, id, kind, sentAt, err)
+		c.noAnswer(ctx, node, process, id, kind, sentAt, err)
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		c.noAnswer(ctx, node, id, kind, sentAt, err)
+		c.noAnswer(ctx, node, process, id, kind, sentAt, err)
 		return false
 	}
 	c.check(kind, id, sentAt, node, response, body)
@@ -127,12 +127,13 @@
 // an idle connection ends sooner.
 const inWork = 50 * time.Millisecond
 
-// noAnswer is a request without an answer. One that was read by a node which only stops as
-// planned must have one.
-func (c *callers) noAnswer(ctx context.Context, node *vm, id string, kind int, sentAt time.Time, err error) {
+// noAnswer is a request without an answer. One that was read by a process which only stops as
+// planned must have one. A request to the process before that one may have been cut by a kill,
+// which a caller that stood still itself notices late.
+func (c *callers) noAnswer(ctx context.Context, node *vm, process int, id string, kind int, sentAt time.Time, err error) {
 	c.remember(id, kind, 0)
 	node.mutex.Lock()
-	planned := node.planned
+	planned := node.planned && node.launches == process
 	node.mutex.Unlock()
 	var operation *net.OpError
 	refused := errors.As(err, &operation) && operation.Op == "dial"
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -84,6 +84,8 @@
 	calm     time.Time
 	// held is set while the process is being killed, stopped or paused.
 	held bool
+	// launches counts the processes that were started.
+	launches int
 	// planned is set while the only thing that happens to it is a planned stop.
 	planned bool
 }
@@ -236,6 +238,7 @@
 	one.mutex.Lock()
 	defer one.mutex.Unlock()
 	one.cmd, one.calm, one.planned = cmd, time.Now(), false
+	one.launches++
 }
 
 // signal sends a signal to a node's process, by its id.
@@ -246,6 +249,13 @@
 	return one.cmd
 }
 
+// process numbers the process that a request now goes to.
+func (one *vm) process() int {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.launches
+}
+
 // trouble notes a fault on a node; what it returns notes its end.
 func (one *vm) trouble() (over func()) {
 	one.mutex.Lock()
