All changes are read where one answer of the store holds a part

Cause: the store gives 500 changes a call. All three readers were cut off from it for 9 s while 405 replicas registered, 1,700 changes. The nodes that turn to the store then took the first 500 for its newest state, were fresh to all that follow them, and read the next 500 when that had grown stale, 3.7 s later. Now a reading with 400 changes or more does not make the copy newest, and the next follows at once. TestAllChangesAreReadWhereOneAnswerHoldsAPart fails before.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -183,25 +183,45 @@
 	}
 }
 
-// readStore makes one call, or those of a whole reading.
+// cutFrom is the number of changes from which on an answer may have been cut: the users'
+// store gives 500 at a time.
+const cutFrom = 400
+
+// readStore reads until the copy is the store's newest state. While hundreds of replicas
+// start, that takes several calls. A node that turns to the store only when all readers are
+// cut off would otherwise take a part of the changes for all of them, and the next part 4 s
+// later: a configuration behind 1,200 changes was in force after 6 s.
 func (f *Follower) readStore(ctx context.Context) {
+	for f.readOnce(ctx) {
+	}
+}
+
+// readOnce makes one call, or those of a whole reading. It reports whether there is more to
+// read at once.
+func (f *Follower) readOnce(ctx context.Context) bool {
 	started := f.now()
 	f.counts.storeCalls.Add(1)
 	delta, err := f.fromStore(ctx)
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	if err != nil {
 		f.storeFailed(err)
-		return
+		return false
 	}
 	f.storeBack()
+	if !delta.Whole && len(delta.Items) >= cutFrom {
+		f.noteOutage(f.now())
+		f.take(delta, core.Time(f.confirmed.Load()))
+		return true
+	}
 	f.take(delta, f.now())
 	if len(delta.Items) > 0 || f.now()-started < f.config.Gather {
 		// The second case is a watch that ends at once with nothing new: were it
 		// repeated at once, one node would use up what the store gives to all.
 		wait.For(ctx, f.config.Gather)
 	}
+	return false
 }
 
 func (f *Follower) fromStore(ctx context.Context) (Delta, error) {
@@ -269,12 +289,18 @@
 	return age <= f.config.Stale
 }
 
-// take takes up a delta that was the store's newest state at a time.
-func (f *Follower) take(delta Delta, confirmed core.Time) {
+// noteOutage notes at a reading whether the store was away for long before it.
+func (f *Follower) noteOutage(read core.Time) {
 	before := core.Time(f.confirmed.Load())
-	if before > 0 && confirmed-before > f.config.Outage {
+	if before > 0 && read-before > f.config.Outage {
 		f.returnUntil = f.now() + f.config.Return
 	}
+}
+
+// take takes up a delta that was the store's newest state at a time.
+func (f *Follower) take(delta Delta, confirmed core.Time) {
+	before := core.Time(f.confirmed.Load())
+	f.noteOutage(confirmed)
 	changed := f.copy.Apply(delta)
 	f.confirmed.Store(int64(max(confirmed, before, 1)))
 	f.counts.lagMs.Store((f.now() - confirmed).Milliseconds())
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -1,8 +1,11 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,7 +26,9 @@
 	// hasty watches end at once with nothing new.
 	hasty     bool
 	forgotten uint64
-	calls     int
+	// most is how many changes one watch gives; 0 is all.
+	most  int
+	calls int
 }
 
 var errBusy = errors.New("busy")
@@ -73,7 +78,20 @@
 			return Delta{}, ctx.Err()
 		}
 	}
-	return s.state.Since(after), nil
+	return s.cut(s.state.Since(after)), nil
+}
+
+// cut leaves the oldest changes, as many as one answer holds.
+func (s *fakeStore) cut(delta Delta) Delta {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.most == 0 || len(delta.Items) <= s.most {
+		return delta
+	}
+	slices.SortFunc(delta.Items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	delta.Items = delta.Items[:s.most]
+	delta.UpTo = delta.Items[s.most-1].Revision
+	return delta
 }
 
 func (s *fakeStore) Close() {}
@@ -102,6 +120,8 @@
 	copied *Copy
 	mutex  sync.Mutex
 	age    time.Duration
+	// follows, when set, is the follower itself: the others have what it read, no more.
+	follows *Follower
 }
 
 func alone() *fakePeers { return &fakePeers{} }
@@ -120,6 +140,14 @@
 }
 
 func (p *fakePeers) Fetch(ctx context.Context, _ peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error) {
+	p.mutex.Lock()
+	follows := p.follows
+	p.mutex.Unlock()
+	if follows != nil {
+		time.Sleep(wait)
+		age, _ := follows.Age()
+		return Delta{After: after, UpTo: after}, age, nil
+	}
 	if p.copied.UpTo() <= after {
 		select {
 		case <-p.copied.Changed():
@@ -300,3 +328,62 @@
 		require.True(t, held)
 	})
 }
+
+// The store turns all readers away while a catalogue is split: hundreds of new replicas register,
+// and then a configuration names them. A node that can read the store gets 500 changes an answer.
+// If it took the first answer for the newest state, it and all that follow it would go on with the
+// former configuration for as many times four seconds as there are answers.
+func TestAllChangesAreReadWhereOneAnswerHoldsAPart(t *testing.T) {
+	makePeers := func() *fakePeers {
+		copied := NewCopy()
+		copied.Apply(Delta{Whole: true, UpTo: 2, Items: []Item{{Key: "a", Revision: 2}}})
+		return &fakePeers{copied: copied}
+	}
+	follow(t, makePeers, func(f following) {
+		f.store.set(func(s *fakeStore) { s.most = 500 })
+		f.peers.mutex.Lock()
+		f.peers.follows = f.Follower
+		f.peers.mutex.Unlock()
+		for i := range 1200 {
+			f.store.put(fmt.Sprint("replica-", i), false)
+		}
+		f.store.put("config", false)
+		f.store.put("a", true)
+		// The copy is found stale first.
+		time.Sleep(4 * time.Second)
+		_, held := f.copy.Get("config")
+		require.True(t, held)
+		require.Equal(t, f.store.state.UpTo(), f.copy.UpTo())
+	})
+}
+
+// Entries of replicas lapse while the store is away, and so many that one answer holds a part.
+// None of them may be taken for gone at once.
+func TestRemovalsAfterAnOutageAreMarkedInEachPart(t *testing.T) {
+	follow(t, alone, func(f following) {
+		for i := range 1100 {
+			f.store.put(fmt.Sprint("replica-", i), false)
+		}
+		time.Sleep(time.Second)
+		f.store.set(func(s *fakeStore) { s.silent, s.most = true, 500 })
+		time.Sleep(5 * time.Second)
+		for i := range 1100 {
+			f.store.put(fmt.Sprint("replica-", i), true)
+		}
+		f.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(5 * time.Second)
+		require.Equal(t, f.store.state.UpTo(), f.copy.UpTo())
+		f.listener.mutex.Lock()
+		defer f.listener.mutex.Unlock()
+		removed := 0
+		for _, change := range f.listener.changes {
+			for _, item := range change.Items {
+				if item.Removed {
+					removed++
+					require.True(t, change.AfterOutage)
+				}
+			}
+		}
+		require.Equal(t, 1100, removed)
+	})
+}
