--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -18,6 +18,7 @@
 type nodeMetrics struct {
 	registry observe.Registry
 	mutex    sync.RWMutex
+	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
 	// budgets are the names of the gauges that the last reading of the budgets made.
 	budgets []string
@@ -47,20 +48,52 @@
 )
 
 func newNodeMetrics() *nodeMetrics {
-	return &nodeMetrics{registry: observe.NewRegistry(), services: map[string]*serviceMetrics{}}
+	return &nodeMetrics{registry: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+}
+
+// requestKind is what requests are told apart by.
+type requestKind struct {
+	gathered, idempotent bool
+	outcome              string
+}
+
+// requestMetrics are kept by reference, as those of services are.
+type requestMetrics struct {
+	count metrics.Counter
+	took  metrics.Histogram
 }
 
 // request counts a request by shape, kind and outcome, with its time in microseconds.
 func (m *nodeMetrics) request(route *policy.Route, outcome string, took time.Duration) {
+	one := m.requestsOf(requestKind{gathered: route.Gather != nil, idempotent: route.Idempotent, outcome: outcome})
+	one.count.Inc(1)
+	one.took.Update(took.Microseconds())
+}
+
+func (m *nodeMetrics) requestsOf(of requestKind) requestMetrics {
+	m.mutex.RLock()
+	one, made := m.requests[of]
+	m.mutex.RUnlock()
+	if made {
+		return one
+	}
 	shape, kind := "forward", "once"
-	if route.Gather != nil {
+	if of.gathered {
 		shape = "gather"
 	}
-	if route.Idempotent {
+	if of.idempotent {
 		kind = "idempotent"
 	}
-	observe.Counter(m.registry, observe.Labelled("requests_total", labelShape, shape, labelKind, kind, labelOutcome, outcome)).Inc(1)
-	m.histogram(observe.Labelled("request_us", labelShape, shape, labelKind, kind, labelOutcome, outcome), sampleSize).Update(took.Microseconds())
+	labels := []string{labelShape, shape, labelKind, kind, labelOutcome, of.outcome}
+	// Whoever comes first registers them; another at the same time gets the same ones.
+	one = requestMetrics{
+		count: observe.Counter(m.registry, observe.Labelled("requests_total", labels...)),
+		took:  m.histogram(observe.Labelled("request_us", labels...), sampleSize),
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.requests[of] = one
+	return one
 }
 
 // refused counts a request that was refused before anything was planned.
