A gathered failure lists its parts without merging their records

merge went through the heap also where only the missing parts were wanted. What makes up the answer is listed by parts; the records are merged where they are sent.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -66,7 +66,7 @@
 
 // answerGathered merges the parts.
 func (q *request) answerGathered(w http.ResponseWriter, result scatter.Result) {
-	merged, stamps, taken := q.merge(result)
+	records, stamps, taken := q.parts(result)
 	missing := len(q.services) - len(stamps)
 	outcome := outcomeWhole
 	if missing > 0 {
@@ -75,7 +75,11 @@
 	}
 	result.Got = len(stamps)
 	q.tell(outcome, http.StatusOK, result)
-	body := merged.Bytes()
+	merger := topk.New(q.route.Gather.TopK)
+	for _, one := range records {
+		merger.Add(one)
+	}
+	body := merger.Bytes()
 	platform.SetCoverage(w.Header(), stamps, missing)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -83,22 +87,20 @@
 	_, _ = w.Write(body)
 }
 
-// merge joins the parts. The parts of a batch cannot be told apart any more, so that
-// each batch counts as a whole, and a part of the same shard that came by itself, from
-// a hedge, does not.
+// parts lists the parts that make up the answer. Those of a batch cannot be told apart any
+// more, so that each batch counts as a whole, and a part of the same shard that came by
+// itself, from a hedge, does not.
 //
-// It returns the records, the parts' signatures, and which services have a part.
-func (q *request) merge(result scatter.Result) (*topk.Merger, []string, []bool) {
-	merger := topk.New(q.route.Gather.TopK)
-	var stamps []string
-	taken := make([]bool, len(q.services))
+// It returns their records, their signatures, and which services have a part.
+func (q *request) parts(result scatter.Result) (records [][]byte, stamps []string, taken []bool) {
+	taken = make([]bool, len(q.services))
 	seen := map[*batch]bool{}
 	for _, one := range q.sends {
 		if !one.over || one.batch == nil || seen[one.batch] {
 			continue
 		}
 		seen[one.batch] = true
-		merger.Add(one.batch.records)
+		records = append(records, one.batch.records)
 		for _, member := range one.batch.members {
 			taken[member.send.Service] = true
 			stamps = append(stamps, platform.Stamp(member.response.Header))
@@ -109,11 +111,11 @@
 			continue
 		}
 		part := q.sends[send].response
-		merger.Add(part.Body)
+		records = append(records, part.Body)
 		taken[i] = true
 		stamps = append(stamps, platform.Stamp(part.Header))
 	}
-	return merger, stamps, taken
+	return records, stamps, taken
 }
 
 // noteMissing notes for each missing part what its last send came to.
@@ -158,7 +160,7 @@
 // answerFailure says what is certain: "not run" only when every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
 	if q.route.Gather != nil {
-		_, _, taken := q.merge(result)
+		_, _, taken := q.parts(result)
 		q.noteMissing(taken)
 	}
 	if !result.MayHaveRun {
