--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
 
 	"github.com/pistachiopier/pistachiopier/internal/fault"
@@ -143,15 +142,7 @@
 		}
 		fmt.Fprintln(out)
 	}
-	for _, outcome := range slices.Sorted(maps.Keys(v.All.Outcomes)) {
-		fmt.Fprintf(out, "    outcome %-28s %d\n", outcome, v.All.Outcomes[outcome])
-	}
-	for _, reason := range slices.Sorted(maps.Keys(v.All.Missing)) {
-		fmt.Fprintf(out, "    missing %-28s %d\n", reason, v.All.Missing[reason])
-	}
-	if v.All.Mixed+v.All.Crossed > 0 {
-		fmt.Fprintf(out, "    WRONG ANSWERS: %d of mixed versions, %d crossed\n", v.All.Mixed, v.All.Crossed)
-	}
+	v.All.WriteOutcomes(out, "    ")
 }
 
 // String renders the middle and the range.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -115,17 +115,27 @@
 			summary.writeText(out)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.All.Outcomes)) {
-		fmt.Fprintf(out, "outcome %-32s %d\n", name, r.All.Outcomes[name])
+	r.All.WriteOutcomes(out, "")
+}
+
+// WriteOutcomes writes how the requests ended, why parts were missing, and wrong answers if
+// there were any, each line behind the indent.
+func (s Summary) WriteOutcomes(out io.Writer, indent string) {
+	width := outcomeWidth - len(indent)
+	for _, name := range slices.Sorted(maps.Keys(s.Outcomes)) {
+		fmt.Fprintf(out, "%soutcome %-*s %d\n", indent, width, name, s.Outcomes[name])
 	}
-	for _, reason := range slices.Sorted(maps.Keys(r.All.Missing)) {
-		fmt.Fprintf(out, "missing %-32s %d\n", reason, r.All.Missing[reason])
+	for _, reason := range slices.Sorted(maps.Keys(s.Missing)) {
+		fmt.Fprintf(out, "%smissing %-*s %d\n", indent, width, reason, s.Missing[reason])
 	}
-	if r.All.Mixed+r.All.Crossed > 0 {
-		fmt.Fprintf(out, "WRONG ANSWERS: %d of mixed versions, %d crossed\n", r.All.Mixed, r.All.Crossed)
+	if s.Mixed+s.Crossed > 0 {
+		fmt.Fprintf(out, "%sWRONG ANSWERS: %d of mixed versions, %d crossed\n", indent, s.Mixed, s.Crossed)
 	}
 }
 
+// outcomeWidth is that of an outcome's name with its indent.
+const outcomeWidth = 32
+
 func (s Summary) writeText(out io.Writer) {
 	fmt.Fprintf(out, "%-24s %8d %7d %9.2f %9.2f %9.2f %9.2f %9.4f %7.4f %7.3f\n",
 		s.Name, s.Requests, s.Unsent, s.P50, s.P99, s.P999, s.Highest, s.MeanCoverage, s.ThinShare, s.LowestCoverage)
--- a/internal/load/tier.go
+++ b/internal/load/tier.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -110,13 +111,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if known := c.known[host]; known != nil {
-		var others []string
-		for _, one := range known.list {
-			if one != address {
-				others = append(others, one)
-			}
-		}
-		known.list = others
+		known.list = slices.DeleteFunc(known.list, func(one string) bool { return one == address })
 	}
 	return Reply{Outcome: core.NotRun.String(), Code: fault.CodeAddress}
 }
