--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -2,11 +2,14 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -27,6 +30,11 @@
 	run     func(out io.Writer) error
 }
 
+// untilStopped is a context that ends when the process is told to stop.
+func untilStopped() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
 // errTrouble ends a command with ExitTrouble after it has said what it found.
 var errTrouble = errors.New("trouble found")
 
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -144,7 +142,7 @@
 	address := d.fleet.Members()[0].Addresses
 	d.say("Try: pistachiopier query %s --address %s", demoService, address.Caller)
 	d.say("     pistachiopier status --address %s --fleet", address.Operator)
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signals, stop := untilStopped()
 	defer stop()
 	<-signals.Done()
 }
--- a/internal/command/demo_platform.go
+++ b/internal/command/demo_platform.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/edgefleet"
@@ -197,7 +195,7 @@
 	d.say("Try: pistachiopier load --directory %s --service %s=3,%s=1 --rate 50 --duration 5s", first.DirectoryAddress, tierSearch, tierInvoice)
 	d.say("     curl -s %s%s?name=%s", first.DirectoryAddress, platform.PathResolve, tierHost)
 	d.say("     curl -s %s/metrics", first.MetricsAddress)
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signals, stop := untilStopped()
 	defer stop()
 	<-signals.Done()
 }
--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -69,7 +69,7 @@
 	if peerListen != "" {
 		s.PeerListen = peerListen
 	}
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signals, stop := untilStopped()
 	defer stop()
 	app, node := edge.New(s, out)
 	log.SetFlags(0)
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -37,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signals, stop := untilStopped()
 	defer stop()
 	node := app.New(s, log)
 	if err := node.Err(); err != nil {
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -1,12 +1,9 @@
 package command
 
 import (
-	"context"
 	"encoding/json"
 	"io"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -54,7 +51,7 @@
 }
 
 func runStandIn(options standInOptions, out io.Writer) error {
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	signals, stop := untilStopped()
 	defer stop()
 	var started standInStarted
 	var err error
