--- a/test/e2e/harness/fleet.go
+++ b/test/e2e/harness/fleet.go
@@ -128,6 +128,16 @@
 	return n
 }
 
+// Succeed starts a node in the place of another one, which is then listed as leaving.
+func (f *Fleet) Succeed(old *Node, options NodeOptions) {
+	f.t.Helper()
+	f.Add(options)
+	f.List()
+	f.AwaitReady(1)
+	old.VM.State = confservice.VMLeaving
+	f.List()
+}
+
 // Remove takes a node off the fleet's list; List publishes it.
 func (f *Fleet) Remove(n *Node) {
 	var kept []*Node
--- a/test/e2e/node_test.go
+++ b/test/e2e/node_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
@@ -126,11 +125,7 @@
 	fleet, _ := start(t, harness.NodeOptions{Settings: shortTTL})
 	load := harness.StartLoad(t, callers, fleet.Callers()...)
 	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
-		fleet.Add(harness.NodeOptions{Settings: shortTTL})
-		fleet.List()
-		fleet.AwaitReady(1)
-		old.VM.State = confservice.VMLeaving
-		fleet.List()
+		fleet.Succeed(old, harness.NodeOptions{Settings: shortTTL})
 		fleet.Remove(old)
 		load.Use(fleet.Callers()...)
 		harness.Await(t, "no question is left on the leaving node", func() bool {
@@ -157,11 +152,7 @@
 	load.KeepAddresses()
 	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
 		load.AwaitWhole(20)
-		fleet.Add(harness.NodeOptions{Settings: shortTTL})
-		fleet.List()
-		fleet.AwaitReady(1)
-		old.VM.State = confservice.VMLeaving
-		fleet.List()
+		fleet.Succeed(old, harness.NodeOptions{Settings: shortTTL})
 		old.Signal(syscall.SIGTERM)
 		require.Zero(t, old.AwaitExit())
 		fleet.Remove(old)
--- a/test/e2e/submit_test.go
+++ b/test/e2e/submit_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/test/e2e/harness"
 )
 
@@ -82,11 +81,7 @@
 func TestInvoicesDuringARollingReplacement(t *testing.T) {
 	fleet, upstreams, invoices := startLedger(t)
 	for _, old := range append([]*harness.Node(nil), fleet.Nodes()...) {
-		fleet.Add(harness.NodeOptions{Settings: shortTTL})
-		fleet.List()
-		fleet.AwaitReady(1)
-		old.VM.State = confservice.VMLeaving
-		fleet.List()
+		fleet.Succeed(old, harness.NodeOptions{Settings: shortTTL})
 		old.Signal(syscall.SIGTERM)
 		fleet.Remove(old)
 		invoices.Use(fleet.Callers()...)
