--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -272,16 +272,19 @@
 	for service, list := range arrivals {
 		slices.SortFunc(list, func(a, b platformtest.Seen) int { return a.At.Compare(b.At) })
 		known := map[string]bool{}
-		extra := make([]bool, len(list))
+		// extra is 1 for an arrival beyond the first of its request.
+		extra := make([]int, len(list))
 		for i, seen := range list {
-			extra[i] = known[seen.ID]
+			if known[seen.ID] {
+				extra[i] = 1
+			}
 			known[seen.ID] = true
 		}
 		extras, begin := 0, 0
 		for i, seen := range list {
-			extras += one(extra[i])
+			extras += extra[i]
 			for ; seen.At.Sub(list[begin].At) > extraWindow; begin++ {
-				extras -= one(extra[begin])
+				extras -= extra[begin]
 			}
 			firsts := i + 1 - begin - extras
 			if bound := extraRatio*float64(firsts) + extraAllowance; float64(extras) > bound {
@@ -291,10 +294,3 @@
 		}
 	}
 }
-
-func one(yes bool) int {
-	if yes {
-		return 1
-	}
-	return 0
-}
