--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -158,28 +158,32 @@
 	return found
 }
 
-func route(name, prefix, kind string, more map[string]any) map[string]any {
-	r := map[string]any{"name": name, "host": "search.example", "prefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2}
-	for key, value := range more {
-		r[key] = value
-	}
+// route makes a route of the search host to what change says, under a prefix of its name.
+func route(name, kind string, change func(*platformtest.Route)) platformtest.Route {
+	r := platformtest.Route{Name: name, Host: "search.example", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 1500, TargetLatencyMs: 300, Priority: 1, MaxAttempts: 2}
+	change(&r)
 	return r
 }
 
+func to(service string) func(*platformtest.Route) {
+	return func(r *platformtest.Route) { r.Service = service }
+}
+
+func gather(topK int, least float64, shards ...string) func(*platformtest.Route) {
+	return func(r *platformtest.Route) { r.Gather, r.TopK, r.MinCoverage = shards, topK, least }
+}
+
 // configure publishes a configuration with a plain route, one that must not be
 // repeated, and one over three shards.
-func (w *world) configure(version int, more ...map[string]any) {
-	routes := append([]map[string]any{
-		route("plain", "/plain/", "idempotent", map[string]any{"service": "notes"}),
-		route("once", "/once/", "non_idempotent", map[string]any{"service": "invoices"}),
-		route("all", "/all/", "idempotent", map[string]any{"gather": []string{"s1", "s2", "s3"}, "topK": 3, "minCoverage": 0.6}),
-	}, more...)
-	var services []map[string]any
+func (w *world) configure(version uint64, more ...platformtest.Route) {
+	config := platformtest.Config{Version: version, Limits: platformtest.DefaultLimits(), Routes: append([]platformtest.Route{
+		route("plain", platformtest.KindIdempotent, to("notes")),
+		route("once", platformtest.KindOnce, to("invoices")),
+		route("all", platformtest.KindIdempotent, gather(3, 0.6, "s1", "s2", "s3")),
+	}, more...)}
+	config.Limits.MaxBodyBytes = 1000
 	for _, name := range []string{"notes", "invoices", "s1", "s2", "s3"} {
-		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": 26})
+		config.Services = append(config.Services, platformtest.Service{Name: name, HealthPath: "/health", MaxConns: 26})
 	}
-	w.store.Put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	w.store.Publish(config)
 }
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
 	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
 
 // cutOff starts a node whose ways to the store and from the other nodes can be cut.
@@ -36,7 +37,7 @@
 }
 
 // inForce waits until a node's configuration is a version.
-func (w *world) inForce(one *node, version int) {
+func (w *world) inForce(one *node, version uint64) {
 	w.t.Helper()
 	require.Eventually(w.t, func() bool {
 		_, page := w.get("http://"+one.Settings.MetricsAddress+"/metrics", nil)
@@ -95,8 +96,8 @@
 			}
 		}
 	}
-	publish := func(version int) {
-		w.configure(version, route("split", "/split/", "idempotent", map[string]any{"gather": sets[version%2], "topK": 6, "minCoverage": 0.5}))
+	publish := func(version uint64) {
+		w.configure(version, route("split", platformtest.KindIdempotent, gather(6, 0.5, sets[version%2]...)))
 	}
 	publish(1)
 	w.start("east", "west")
@@ -129,7 +130,7 @@
 			}
 		})
 	}
-	for version := 2; version <= 8; version++ {
+	for version := uint64(2); version <= 8; version++ {
 		publish(version)
 		for _, one := range w.nodes {
 			w.inForce(one, version)
--- a/internal/edge/published_test.go
+++ b/internal/edge/published_test.go
@@ -95,7 +95,7 @@
 	said("replica_refused", 2)
 	served()
 	require.Contains(t, w.line(node, "config_refused"), "the configuration cannot be read")
-	w.configure(2, route("empty", "/empty/", "idempotent", nil))
+	w.configure(2, route("empty", platformtest.KindIdempotent, func(*platformtest.Route) {}))
 	w.inForce(node, 2)
 	served()
 	response, _ := w.ask(node, http.MethodGet, "/empty/x", "r2", "")
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,7 +50,7 @@
 	mutex    sync.Mutex
 	replicas map[string]*upstream
 	made     int
-	version  int
+	version  uint64
 	// current and former are the plain route's services, changedAt when current came.
 	current, former string
 	changedAt       time.Time
@@ -192,18 +192,18 @@
 // publish writes the configuration; the mutex must be held.
 func (w *world) publish() {
 	w.version += 3
-	route := func(name, kind string) map[string]any {
-		return map[string]any{"name": name, "host": "search.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 200, "maxAttempts": 2}
+	route := func(name, kind string) platformtest.Route {
+		return platformtest.Route{Name: name, Host: "search.example", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 1500, TargetLatencyMs: 200, MaxAttempts: 2}
 	}
-	plain, once, all := route("plain", "idempotent"), route("once", "non_idempotent"), route("all", "idempotent")
-	plain["service"], once["service"] = w.current, "invoices"
-	var services []map[string]any
+	plain, once, all := route("plain", platformtest.KindIdempotent), route("once", platformtest.KindOnce), route("all", platformtest.KindIdempotent)
+	plain.Service, once.Service = w.current, "invoices"
+	all.Gather, all.TopK, all.MinCoverage = shards(w.partition), 3, 0.5
+	config := platformtest.Config{Version: w.version, Routes: []platformtest.Route{plain, once, all}, Limits: platformtest.DefaultLimits()}
+	config.Limits.MaxBodyBytes = 4096
 	for _, name := range w.services() {
-		services = append(services, map[string]any{"name": name, "maxConns": 40})
+		config.Services = append(config.Services, platformtest.Service{Name: name, MaxConns: 40})
 	}
-	all["gather"], all["topK"], all["minCoverage"] = shards(w.partition), 3, 0.5
-	w.store.Put("op/config", map[string]any{"version": w.version, "routes": []any{plain, once, all}, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+	w.store.Publish(config)
 }
 
 func (w *world) addNode(number, i int) {
