Replicas that start again under their id are new; entries that name no replica are not used

Cause: the book of replicas kept slowness, failures, marks and the count in work under the id alone, connections were kept by it, and an entry that could not be read left the former one in force. A replica that starts again under its id was judged by its former life; requests on dead connections waited to their deadlines; an overwritten entry went on being used.

Now an incarnation is id and start. Beliefs, connections and delegated sends name it; an older start or an older report never replaces a newer one, also after a removal. A route or service that cannot be read is left out alone, and paths without a route are then refused as not run in place of denied.

Ruled out: to require the start in each entry; the deployments at hand do not write it where nothing starts again.

--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -18,6 +18,8 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Unreadable names the routes and services that could not be read and are left out.
+	Unreadable []string
 
 	byHost map[string][]*Route
 }
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -12,10 +12,20 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
+// Incarnation names one life of a replica. A replica that starts again may keep its id; it
+// then knows nothing of its former life, and nothing seen of that one holds for it.
+type Incarnation struct {
+	ID string
+	// Born is when it started, in Unix milliseconds of its own clock; 0 where it does not say.
+	Born int64
+}
+
 // Replica is one incarnation of a replica as the registry lists it.
 type Replica struct {
-	// ID is new at each start of the replica.
-	ID         string
+	ID   string
+	Born int64
+	// Sequence counts the reports of one incarnation.
+	Sequence   int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -25,6 +35,9 @@
 	Draining bool
 }
 
+// Life names the incarnation.
+func (r Replica) Life() Incarnation { return Incarnation{ID: r.ID, Born: r.Born} }
+
 // Weights of Book.cost, in units of one usual answer time of the route. They were
 // chosen so that a replica of the own data centre is preferred unless it is twice
 // as slow as usual or all its slots hold requests of this node.
@@ -86,12 +99,18 @@
 	ranks map[string]int
 	// regions names the region of each data centre.
 	regions map[string]string
+	// ended holds the last incarnation of ids that are no longer listed.
+	ended map[string]int64
 }
 
+// maxEnded bounds Book.ended. Beyond it all are forgotten: a late report of a former
+// incarnation may then list a replica that is gone, which answers nothing.
+const maxEnded = 4096
+
 // NewBook makes an empty book for a node of the given data centre. The random
 // source, 0 to 1, breaks ties.
 func NewBook(dataCentre string, regions map[string]string, random func() float64) *Book {
-	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}}
+	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}, ended: map[string]int64{}}
 }
 
 // rank takes a data centre that may be new into the ring.
@@ -107,16 +126,49 @@
 	}
 }
 
-// Put adds a replica or takes its new particulars. What was seen of it stays.
-func (b *Book) Put(replica Replica) {
+// Listing is what a report of a replica came to.
+type Listing int
+
+// The outcomes of Put.
+const (
+	// Added lists a replica that was not known.
+	Added Listing = iota
+	// Updated takes new particulars of a known incarnation; what was seen of it stays.
+	Updated
+	// Restarted replaces a former incarnation, of which nothing counts any more.
+	Restarted
+	// Outdated is a report that is older than what is known; it changes nothing.
+	Outdated
+)
+
+// Put takes a report of a replica.
+//
+// A report that was on its way while its replica started again comes after the new one's. Taken
+// for the newest, it would bring back a replica that is gone, or one that drains as ready: an
+// older start never replaces a newer one, nor an older report of one life a newer one.
+func (b *Book) Put(replica Replica) Listing {
 	known := b.byID[replica.ID]
-	if known != nil && known.Service == replica.Service {
-		known.misdirected = known.misdirected && known.Address == replica.Address
-		known.Replica = replica
-		known.lapsedAt = 0
-		return
+	switch {
+	case known == nil && replica.Born < b.ended[replica.ID]:
+		return Outdated
+	case known == nil:
+		b.add(replica)
+		return Added
+	case replica.Born < known.Born || replica.Born == known.Born && replica.Sequence < known.Sequence:
+		return Outdated
+	case replica.Born > known.Born || replica.Service != known.Service:
+		b.Remove(replica.ID)
+		b.add(replica)
+		return Restarted
 	}
-	b.Remove(replica.ID)
+	known.misdirected = known.misdirected && known.Address == replica.Address
+	known.Replica = replica
+	known.lapsedAt = 0
+	return Updated
+}
+
+func (b *Book) add(replica Replica) {
+	delete(b.ended, replica.ID)
 	b.rank(replica.DataCentre)
 	added := &state{Replica: replica, slowness: 1}
 	b.byID[replica.ID] = added
@@ -130,6 +182,12 @@
 		return
 	}
 	delete(b.byID, id)
+	if len(b.ended) >= maxEnded {
+		clear(b.ended)
+	}
+	if known.Born > 0 {
+		b.ended[id] = known.Born
+	}
 	kept := make([]*state, 0, len(b.byService[known.Service]))
 	for _, one := range b.byService[known.Service] {
 		if one != known {
@@ -151,6 +209,16 @@
 	return known.Replica, true
 }
 
+// of finds what is known of an incarnation; nil where it is not the one that is listed: what
+// happens to a former life says nothing of the present one.
+func (b *Book) of(life Incarnation) *state {
+	known := b.byID[life.ID]
+	if known == nil || known.Born != life.Born {
+		return nil
+	}
+	return known
+}
+
 // All calls visit for each replica.
 func (b *Book) All(visit func(Replica)) {
 	for _, known := range b.byID {
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -11,6 +11,8 @@
 
 const usual = 10 * time.Millisecond
 
+var near, far = Incarnation{ID: "near"}, Incarnation{ID: "far"}
+
 func bookOfTwo() *Book {
 	b := NewBook("east", nil, func() float64 { return 0 })
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
@@ -29,12 +31,12 @@
 	b := bookOfTwo()
 	for range 3 {
 		require.Equal(t, "near", pick(t, b, 0).ID)
-		b.Sent("near")
+		b.Sent(near)
 	}
-	b.Sent("near")
+	b.Sent(near)
 	require.Equal(t, "far", pick(t, b, 0).ID)
-	b.Ended("near")
-	b.Ended("near")
+	b.Ended(near)
+	b.Ended(near)
 	require.Equal(t, "near", pick(t, b, 0).ID)
 }
 
@@ -52,11 +54,11 @@
 // finding is shared.
 func TestAnOverdueReplicaIsAvoidedUntilItAnswers(t *testing.T) {
 	b := bookOfTwo()
-	b.Overdue("near", time.Second)
+	b.Overdue(near, time.Second)
 	require.Equal(t, "far", pick(t, b, time.Second).ID)
 	only := pick(t, b, time.Second, "far")
 	require.True(t, only.Doubtful, "a hedge must not go to it")
-	b.Answered("near", usual, usual, time.Second+150*time.Millisecond)
+	b.Answered(near, usual, usual, time.Second+150*time.Millisecond)
 	require.Equal(t, "near", pick(t, b, time.Second+150*time.Millisecond).ID)
 }
 
@@ -64,7 +66,7 @@
 // ever by that alone, as it may have come back meanwhile.
 func TestAnOverdueMarkEnds(t *testing.T) {
 	b := bookOfTwo()
-	b.Overdue("near", time.Second)
+	b.Overdue(near, time.Second)
 	require.Equal(t, "near", pick(t, b, time.Second+overdueLife).ID)
 }
 
@@ -72,9 +74,9 @@
 // well. Requests must leave it by what they see themselves, and come back.
 func TestAReplicaThatFailsIsLeftAndTriedAgain(t *testing.T) {
 	b := bookOfTwo()
-	b.Failed("near", time.Second)
-	b.Answered("near", usual, usual, time.Second)
-	b.Failed("near", time.Second)
+	b.Failed(near, time.Second)
+	b.Answered(near, usual, usual, time.Second)
+	b.Failed(near, time.Second)
 	require.Equal(t, "far", pick(t, b, time.Second).ID)
 	require.Equal(t, "near", pick(t, b, 10*time.Second).ID)
 }
@@ -82,7 +84,7 @@
 func TestASlowReplicaIsLeftAndTriedAgain(t *testing.T) {
 	b := bookOfTwo()
 	for range 6 {
-		b.Answered("near", 8*usual, usual, time.Second)
+		b.Answered(near, 8*usual, usual, time.Second)
 	}
 	require.Equal(t, "far", pick(t, b, time.Second).ID)
 	require.Equal(t, "near", pick(t, b, 20*time.Second).ID)
@@ -93,7 +95,7 @@
 // replica for many seconds when the store is down.
 func TestAReplicaWhoseAddressIsUsedAgainIsLeft(t *testing.T) {
 	b := bookOfTwo()
-	b.Misdirected("near")
+	b.Misdirected(near)
 	require.Equal(t, "far", pick(t, b, time.Minute).ID)
 	_, ok := b.Pick("s", []string{"far"}, time.Minute)
 	require.False(t, ok)
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -7,15 +7,15 @@
 )
 
 // Sent notes that a request was sent to a replica.
-func (b *Book) Sent(id string) {
-	if known := b.byID[id]; known != nil {
+func (b *Book) Sent(life Incarnation) {
+	if known := b.of(life); known != nil {
 		known.outstanding++
 	}
 }
 
 // Ended notes that a request to a replica came to its end, whatever that was.
-func (b *Book) Ended(id string) {
-	if known := b.byID[id]; known != nil {
+func (b *Book) Ended(life Incarnation) {
+	if known := b.of(life); known != nil {
 		known.outstanding = max(known.outstanding-1, 0)
 	}
 }
@@ -35,8 +35,8 @@
 
 // Answered notes a whole answer. Usual is the route's usual answer time, 0 while
 // it is not known.
-func (b *Book) Answered(id string, took, usual time.Duration, now core.Time) {
-	known := b.byID[id]
+func (b *Book) Answered(life Incarnation, took, usual time.Duration, now core.Time) {
+	known := b.of(life)
 	if known == nil {
 		return
 	}
@@ -53,8 +53,8 @@
 
 // Failed notes a request that brought no whole answer. Outcomes count, health
 // endpoints do not: those say "healthy" while requests fail, and the reverse.
-func (b *Book) Failed(id string, now core.Time) {
-	known := b.byID[id]
+func (b *Book) Failed(life Incarnation, now core.Time) {
+	known := b.of(life)
 	if known == nil {
 		return
 	}
@@ -63,24 +63,24 @@
 }
 
 // Unreached notes a replica that took no connection.
-func (b *Book) Unreached(id string, now core.Time) {
-	if known := b.byID[id]; known != nil {
+func (b *Book) Unreached(life Incarnation, now core.Time) {
+	if known := b.of(life); known != nil {
 		known.failures = 1
 		known.failuresAt = now
 	}
 }
 
 // Refused notes that a replica had no room for a request.
-func (b *Book) Refused(id string, now core.Time) {
-	if known := b.byID[id]; known != nil {
+func (b *Book) Refused(life Incarnation, now core.Time) {
+	if known := b.of(life); known != nil {
 		known.refusedAt = now
 	}
 }
 
 // Misdirected notes that another replica answered at a replica's address. The replica is
 // gone, whatever the registry still lists, until it is listed at another address.
-func (b *Book) Misdirected(id string) {
-	if known := b.byID[id]; known != nil {
+func (b *Book) Misdirected(life Incarnation) {
+	if known := b.of(life); known != nil {
 		known.misdirected = true
 	}
 }
@@ -88,8 +88,8 @@
 // Overdue notes that an answer takes longer than usual. Replicas pause for moments
 // that are several times a usual answer; the requests that follow within the pause
 // go elsewhere at once instead of each finding out by itself.
-func (b *Book) Overdue(id string, now core.Time) {
-	if known := b.byID[id]; known != nil && known.overdueAt == 0 || known != nil && !known.overdue(now) {
+func (b *Book) Overdue(life Incarnation, now core.Time) {
+	if known := b.of(life); known != nil && known.overdueAt == 0 || known != nil && !known.overdue(now) {
 		known.overdueAt = now
 	}
 }
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -133,28 +133,28 @@
 }
 
 // sent and the following note what became of a send.
-func (b *beliefs) sent(id string) {
+func (b *beliefs) sent(life replica.Incarnation) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.book.Sent(id)
+	b.book.Sent(life)
 }
 
-func (b *beliefs) answered(route *policy.Route, id string, took time.Duration) {
+func (b *beliefs) answered(route *policy.Route, life replica.Incarnation, took time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.routeLearnt(route.Name)
 	usual, _ := known.times.Quantile(usualQuantile)
 	known.times.Record(took)
-	b.book.Answered(id, took, usual, b.now())
+	b.book.Answered(life, took, usual, b.now())
 }
 
 // answeredLate notes an answer that nobody waited for any more. It says how fast the
 // replica is, but not how long answers take that are waited for.
-func (b *beliefs) answeredLate(route *policy.Route, id string, took time.Duration) {
+func (b *beliefs) answeredLate(route *policy.Route, life replica.Incarnation, took time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	usual, _ := b.routeLearnt(route.Name).times.Quantile(usualQuantile)
-	b.book.Answered(id, took, usual, b.now())
+	b.book.Answered(life, took, usual, b.now())
 }
 
 // note changes the book under the mutex.
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -159,7 +159,7 @@
 		one.group = g
 		g.members[uint32(one.send.ID)] = one
 		to := one.send.Replica
-		message.Sends = append(message.Sends, &peerpb.DelegatedSend{Id: uint32(one.send.ID), Service: to.Service, Replica: to.ID, Address: to.Address})
+		message.Sends = append(message.Sends, &peerpb.DelegatedSend{Id: uint32(one.send.ID), Service: to.Service, Replica: to.ID, Address: to.Address, Born: to.Born})
 	}
 	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_DelegateRequest{DelegateRequest: message}}
 	g.ticket = q.node.pool.Ask(helper, envelope, func(reply *peerpb.Envelope, failure *peer.LinkError) {
@@ -182,7 +182,7 @@
 func (q *request) forget(sends []*exchange) {
 	q.node.beliefs.note(func(book *replica.Book, _ core.Time) {
 		for _, one := range sends {
-			book.Ended(one.send.Replica.ID)
+			book.Ended(one.send.Replica.Life())
 		}
 	})
 }
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/core/topk"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -77,24 +78,27 @@
 	return q
 }
 
-// startDelegated sends to one replica. One that is known here to leave is not sent to:
+// startDelegated sends to one replica. One that is known here to leave, or whose id a later
+// incarnation has taken, is not sent to:
 // the other node may not have heard of it yet.
 func (n *Node) startDelegated(ctx context.Context, q *request, send *peerpb.DelegatedSend) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	one := &exchange{ctx: ctx, cancel: cancel, startAt: n.now()}
 	one.send = scatter.Send{ID: int(send.GetId())}
-	one.send.Replica.ID, one.send.Replica.Service, one.send.Replica.Address = send.GetReplica(), send.GetService(), send.GetAddress()
-	one.send.Replica.DataCentre = n.settings.Load().DataCentre
+	one.send.Replica = replica.Replica{
+		ID: send.GetReplica(), Born: send.GetBorn(), Service: send.GetService(), Address: send.GetAddress(),
+		DataCentre: n.settings.Load().DataCentre,
+	}
 	n.beliefs.mutex.Lock()
 	known, ok := n.beliefs.book.Get(send.GetReplica())
 	n.beliefs.mutex.Unlock()
-	if ok && known.Draining {
-		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving")
+	if ok && (known.Born > send.GetBorn() || known.Born == send.GetBorn() && known.Draining) {
+		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving or has started again")
 		cancel(nil)
 		q.ended <- []*exchange{one}
 		return
 	}
-	n.beliefs.sent(send.GetReplica())
+	n.beliefs.sent(one.send.Replica.Life())
 	go q.direct(one)
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -99,6 +99,11 @@
 		n.refuse(w, r, "the configuration may be outdated", retryNotReady)
 		return
 	}
+	if len(config.Unreadable) > 0 {
+		// The path may belong to a route that could not be read: the request is not wrong.
+		n.refuse(w, r, "a route of the configuration could not be read", retryNoReplica)
+		return
+	}
 	n.log.Decision("route_unknown", decisionlog.Fields{"request": platform.RequestID(r.Header), "host": r.Host, "path": r.URL.Path[:min(len(r.URL.Path), maxLoggedPath)], "config_version": config.Version, "beliefs_age_ms": age.Milliseconds()})
 	http.Error(w, "no route", http.StatusNotFound)
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -99,6 +99,9 @@
 // refused counts a request that was refused before anything was planned.
 func (m *nodeMetrics) refused() { observe.Counter(m.registry, "requests_refused_at_once_total").Inc(1) }
 
+// entryRefused counts a registry entry that names no replica.
+func (m *nodeMetrics) entryRefused() { observe.Counter(m.registry, "entries_refused_total").Inc(1) }
+
 // extra counts a send beyond the first.
 func (m *nodeMetrics) extra(cause scatter.Cause) {
 	observe.Counter(m.registry, observe.Labelled("sends_extra_total", labelCause, string(cause))).Inc(1)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -122,7 +122,7 @@
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
-	n.registry = &registry{beliefs: n.beliefs, log: n.log, onConfig: n.configInForce}
+	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, onConfig: n.configInForce, onRestart: n.replicas.End}
 	return n
 }
 
@@ -269,11 +269,11 @@
 		n.registry.expire()
 		n.renewEntries()
 		n.setBound()
-		n.replicas.Forget(func(id string) bool {
+		n.replicas.Forget(func(life replica.Incarnation) bool {
 			n.beliefs.mutex.Lock()
 			defer n.beliefs.mutex.Unlock()
-			one, ok := n.beliefs.book.Get(id)
-			return ok && !one.Draining
+			one, ok := n.beliefs.book.Get(life.ID)
+			return ok && one.Born == life.Born && !one.Draining
 		})
 	}
 }
@@ -314,7 +314,7 @@
 	s := n.settings.Load()
 	state := map[string]any{
 		"node": s.Node, "data_centre": s.DataCentre, "stopping": n.stopping.Load(), "in_flight": n.inFlight.Load(),
-		"nodes": n.view().Nodes(), "store_revision": n.copied.UpTo(), "connections": n.replicas.Open(),
+		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.copied.UpTo(), "connections": n.replicas.Open(),
 	}
 	if config := n.beliefs.config.Load(); config != nil {
 		state["config_version"] = config.Version
--- a/internal/edge/published_test.go
+++ b/internal/edge/published_test.go
@@ -105,3 +105,71 @@
 	response, _ = w.ask(w.nodes[1], http.MethodGet, "/plain/x", "r3", "")
 	require.Equal(t, http.StatusOK, response.StatusCode, "a node that starts reads past them too")
 }
+
+// A replica drains, dies in the dark and starts again under its id while the store's copy of
+// one node is old. Requests of callers go to the new life as soon as it is listed; what was sent to
+// the former one ends at once and, where it must not be repeated, is neither repeated nor called
+// not run.
+func TestAReplicaThatStartsAgainUnderItsIDIsNew(t *testing.T) {
+	w := newWorld(t)
+	former := w.replica("invoices", "east")
+	listed := func(one *platformtest.Replica, born int64, state string) {
+		entry := one.Entry("east", state)
+		entry["born"] = born
+		w.store.Put(former.Key(), entry)
+	}
+	listed(former, 1000, platformtest.StateReady)
+	w.serve("east")
+	w.configure(2, route("once", platformtest.KindOnce, to("invoices")))
+	w.inForce(w.nodes[0], 2)
+	former.SetAct(always(platformtest.Hang))
+	status := make(chan int, 1)
+	go func() {
+		response, _, err := w.try(w.nodes[0], http.MethodPost, "/once/x", "r1", "invoice")
+		if err != nil {
+			status <- 0
+			return
+		}
+		status <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return len(former.Arrivals()) == 1 }, patience, time.Millisecond)
+	again, err := platformtest.StartReplica(former.ID, "invoices", []byte("again"))
+	require.NoError(t, err)
+	defer again.Close()
+	listed(former, 1000, platformtest.StateDraining)
+	listed(again, 2000, platformtest.StateReady)
+	require.Equal(t, http.StatusBadGateway, <-status, "it may have run")
+	require.Empty(t, again.Arrivals(), "it is not repeated")
+	w.line(w.nodes[0], "replica_restarted")
+	listed(former, 1000, platformtest.StateDraining)
+	w.line(w.nodes[0], "replica_report_outdated")
+	response, body := w.ask(w.nodes[0], http.MethodPost, "/once/x", "r2", "invoice")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "again", body)
+}
+
+// Another program overwrites the entry of a live replica with something that names none. Requests
+// of its service leave it at once, all others go on, and the entry is told until it is mended.
+func TestAnOverwrittenEntryNamesNoReplica(t *testing.T) {
+	w := newWorld(t)
+	one := w.replica("notes", "east", "a note")
+	w.serve("east")
+	w.configure(2, route("plain", platformtest.KindIdempotent, to("notes")))
+	w.inForce(w.nodes[0], 2)
+	status := func() int {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r", "")
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, status())
+	w.store.Put(one.Key(), one.Entry("east", "resting"))
+	w.line(w.nodes[0], "replica_refused")
+	require.Equal(t, http.StatusServiceUnavailable, status())
+	address := w.nodes[0].Settings.MetricsAddress
+	code, dump := w.get("http://"+address+"/dump", nil)
+	require.Equal(t, http.StatusOK, code)
+	require.Contains(t, dump, "resting")
+	w.store.Put(one.Key(), one.Entry("east", platformtest.StateReady))
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, patience, time.Millisecond)
+	_, dump = w.get("http://"+address+"/dump", nil)
+	require.NotContains(t, dump, "resting")
+}
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -19,10 +21,27 @@
 type registry struct {
 	beliefs *beliefs
 	log     *decisionlog.Log
+	metrics *nodeMetrics
 	// onConfig is told each configuration that is put in force.
 	onConfig func()
+	// onRestart is told an incarnation whose replica has started again under its id.
+	onRestart func(former replica.Incarnation)
+
+	mutex sync.Mutex
+	// refused holds why the entries that name no replica do not, by id.
+	refused map[string]refusedEntry
+}
+
+// refusedEntry is why an entry names no replica, and the revision that says so.
+type refusedEntry struct {
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
 }
 
+// maxRefused bounds the entries that are remembered as refused. Further ones are refused too,
+// logged and counted, but not shown in the dump.
+const maxRefused = 256
+
 // Changed implements mirror.Listener.
 func (r *registry) Changed(change mirror.Change) {
 	for _, item := range change.Items {
@@ -49,7 +68,7 @@
 		return
 	}
 	r.beliefs.config.Store(config)
-	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "routes": len(config.Routes)})
+	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "routes": len(config.Routes), "unreadable": config.Unreadable})
 	if r.onConfig != nil {
 		r.onConfig()
 	}
@@ -62,25 +81,64 @@
 	}
 	listed, err := platform.DecodeReplica(id, item.Value)
 	if err != nil {
-		r.log.Life("replica_refused", decisionlog.Fields{"replica": id, "revision": item.Revision, "error": err.Error()})
+		r.replicaRefused(id, item.Revision, err)
 		return
 	}
+	r.accepted(id)
 	var known replica.Replica
-	var had bool
+	var listing replica.Listing
 	r.beliefs.note(func(book *replica.Book, _ core.Time) {
-		known, had = book.Get(id)
-		book.Put(listed)
+		known, _ = book.Get(id)
+		listing = book.Put(listed)
 	})
 	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
-	case !had:
+	case listing == replica.Added:
 		r.log.Decision("replica_listed", fields)
+	case listing == replica.Restarted:
+		fields["born"], fields["former_born"] = listed.Born, known.Born
+		r.log.Decision("replica_restarted", fields)
+		r.onRestart(known.Life())
+	case listing == replica.Outdated:
+		fields["born"], fields["known_born"], fields["sequence"], fields["known_sequence"] = listed.Born, known.Born, listed.Sequence, known.Sequence
+		r.log.Decision("replica_report_outdated", fields)
 	case listed.Draining && !known.Draining:
 		r.log.Decision("replica_draining", fields)
 	}
 }
 
+// replicaRefused takes an entry that names no replica: another program may have written it. The
+// replica that stood there before is not used either, as its own entry is gone; others hold.
+func (r *registry) replicaRefused(id string, revision uint64, cause error) {
+	r.metrics.entryRefused()
+	r.beliefs.note(func(book *replica.Book, _ core.Time) { book.Remove(id) })
+	r.mutex.Lock()
+	if r.refused == nil {
+		r.refused = map[string]refusedEntry{}
+	}
+	if len(r.refused) < maxRefused {
+		r.refused[id] = refusedEntry{Revision: revision, Reason: cause.Error()}
+	}
+	r.mutex.Unlock()
+	r.log.Life("replica_refused", decisionlog.Fields{"replica": id, "revision": revision, "error": cause.Error(), "outcome": "the entry names no replica to use"})
+}
+
+// accepted forgets that an entry was refused.
+func (r *registry) accepted(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.refused, id)
+}
+
+// refusedEntries copies the entries that name no replica.
+func (r *registry) refusedEntries() map[string]refusedEntry {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return maps.Clone(r.refused)
+}
+
 func (r *registry) replicaRemoved(id string, revision uint64, afterOutage bool) {
+	r.accepted(id)
 	r.beliefs.note(func(book *replica.Book, now core.Time) {
 		if afterOutage {
 			book.Lapse(id, now)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -135,7 +135,7 @@
 // it on this one's behalf when that has not been heard at all.
 func (q *request) late(send int) {
 	one := q.sends[send]
-	q.node.beliefs.note(func(book *replica.Book, now core.Time) { book.Overdue(one.send.Replica.ID, now) })
+	q.node.beliefs.note(func(book *replica.Book, now core.Time) { book.Overdue(one.send.Replica.Life(), now) })
 	if !one.late {
 		one.late = true
 		q.note(step{Event: "replica_late", Replica: one.send.Replica.ID, Service: one.send.Replica.Service})
@@ -175,7 +175,7 @@
 // there, the others directly.
 func (q *request) dispatch(started []*exchange) {
 	for _, one := range started {
-		q.node.beliefs.sent(one.send.Replica.ID)
+		q.node.beliefs.sent(one.send.Replica.Life())
 	}
 	for _, one := range q.delegate(started) {
 		go q.direct(one)
@@ -221,7 +221,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(left, time.Millisecond))
 	defer cancel()
 	wire := q.template
-	wire.Replica = one.send.Replica.ID
+	wire.Replica = one.send.Replica.Life()
 	wire.Address = one.send.Replica.Address
 	wire.Late = func(response *replicaconn.Response) { q.lateAnswer(one, response) }
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica)
@@ -259,26 +259,26 @@
 // learn takes the end of an exchange into the node's beliefs. A send that was given
 // up teaches nothing more than the lateness noted before.
 func (q *request) learn(one *exchange) {
-	id := one.send.Replica.ID
+	life := one.send.Replica.Life()
 	b := q.node.beliefs
-	b.note(func(book *replica.Book, _ core.Time) { book.Ended(id) })
+	b.note(func(book *replica.Book, _ core.Time) { book.Ended(life) })
 	if errors.Is(one.err, errAnswered) || errors.Is(one.err, context.Canceled) {
 		return
 	}
 	q.node.metrics.send(one.send.Replica.Service, one.verdict, one.took)
 	switch one.verdict {
 	case scatter.Whole:
-		b.answered(q.route, id, one.took)
+		b.answered(q.route, life, one.took)
 	case scatter.Failed:
-		b.note(func(book *replica.Book, now core.Time) { book.Failed(id, now) })
+		b.note(func(book *replica.Book, now core.Time) { book.Failed(life, now) })
 	case scatter.Refused:
-		b.note(func(book *replica.Book, now core.Time) { book.Refused(id, now) })
+		b.note(func(book *replica.Book, now core.Time) { book.Refused(life, now) })
 		if one.response != nil && one.response.Status == http.StatusMisdirectedRequest {
-			b.note(func(book *replica.Book, _ core.Time) { book.Misdirected(id) })
-			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": id, "service": one.send.Replica.Service, "address": one.send.Replica.Address, "request": q.id})
+			b.note(func(book *replica.Book, _ core.Time) { book.Misdirected(life) })
+			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": life.ID, "service": one.send.Replica.Service, "address": one.send.Replica.Address, "request": q.id})
 		}
 	case scatter.Unreached:
-		b.note(func(book *replica.Book, now core.Time) { book.Unreached(id, now) })
+		b.note(func(book *replica.Book, now core.Time) { book.Unreached(life, now) })
 	}
 }
 
@@ -287,9 +287,9 @@
 func (q *request) learnDelegated(one *exchange) {
 	select {
 	case <-q.over:
-		q.node.beliefs.note(func(book *replica.Book, _ core.Time) { book.Ended(one.send.Replica.ID) })
+		q.node.beliefs.note(func(book *replica.Book, _ core.Time) { book.Ended(one.send.Replica.Life()) })
 		if one.verdict == scatter.Whole {
-			q.node.beliefs.answeredLate(q.route, one.send.Replica.ID, one.took)
+			q.node.beliefs.answeredLate(q.route, one.send.Replica.Life(), one.took)
 		}
 	default:
 		q.learn(one)
@@ -302,7 +302,7 @@
 	if platform.Stamp(response.Header) == "" || response.Status >= 500 {
 		return
 	}
-	q.node.beliefs.answeredLate(q.route, one.send.Replica.ID, q.node.now()-one.startAt)
+	q.node.beliefs.answeredLate(q.route, one.send.Replica.Life(), q.node.now()-one.startAt)
 }
 
 // noteEnd keeps the ends that are no plain success for the request's story.
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -10,9 +10,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
 // Limits and times of the connections.
@@ -49,7 +53,7 @@
 // Request is one request to one replica.
 type Request struct {
 	// Replica is the incarnation meant, Address where it listens.
-	Replica string
+	Replica replica.Incarnation
 	Address string
 	// MaxConnections bounds this node's connections to the replica.
 	MaxConnections int
@@ -105,6 +109,7 @@
 	errClosed      = errors.New("the client is closed")
 	errRefusing    = errors.New("the replica ends new connections without an answer")
 	errReplaced    = errors.New("the connection was given up")
+	errRestarted   = errors.New("the replica has started again since")
 )
 
 // Wire writes the headers of the replicas' protocol and reads them.
@@ -121,13 +126,13 @@
 type Client struct {
 	wire   Wire
 	mutex  sync.Mutex
-	hosts  map[string]*host
+	hosts  map[replica.Incarnation]*host
 	closed bool
 	opened int64
 }
 
 // NewClient makes a client without connections.
-func NewClient(wire Wire) *Client { return &Client{wire: wire, hosts: map[string]*host{}} }
+func NewClient(wire Wire) *Client { return &Client{wire: wire, hosts: map[replica.Incarnation]*host{}} }
 
 // Opened counts the connections opened since the start.
 func (c *Client) Opened() int64 {
@@ -169,20 +174,42 @@
 }
 
 // Forget closes the idle connections to replicas that are not wanted any more.
-func (c *Client) Forget(wanted func(replica string) bool) {
+func (c *Client) Forget(wanted func(life replica.Incarnation) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for replica, h := range c.hosts {
-		if wanted(replica) {
+	for life, h := range c.hosts {
+		if wanted(life) {
 			continue
 		}
 		h.closeIdle(errReplaced)
 		if h.open == 0 {
-			delete(c.hosts, replica)
+			delete(c.hosts, life)
 		}
 	}
 }
 
+// End ends all connections to an incarnation that has started again since. No answer can come
+// on them any more: what was sent on one may have run, and who waits for one is told at once
+// in place of at its deadline.
+func (c *Client) End(life replica.Incarnation) {
+	c.mutex.Lock()
+	h := c.hosts[life]
+	if h == nil {
+		c.mutex.Unlock()
+		return
+	}
+	h.restarted = true
+	h.idle = nil
+	connections := slices.Collect(maps.Keys(h.connections))
+	for len(h.waiters) > 0 {
+		h.wakeOne()
+	}
+	c.mutex.Unlock()
+	for _, one := range connections {
+		one.close(errRestarted)
+	}
+}
+
 // Do sends the request once and waits for its whole answer. When the context ends
 // it returns at once; the exchange itself then has a moment to end by itself.
 func (c *Client) Do(ctx context.Context, request *Request) (*Response, error) {
--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
@@ -35,7 +36,7 @@
 
 func request(r *platformtest.Replica, id string) *replicaconn.Request {
 	return &replicaconn.Request{
-		Replica: r.ID, Address: r.Address(), MaxConnections: 1, Method: http.MethodGet, Target: "/a%2fb?q=1", Host: "search.example",
+		Replica: replica.Incarnation{ID: r.ID}, Address: r.Address(), MaxConnections: 1, Method: http.MethodGet, Target: "/a%2fb?q=1", Host: "search.example",
 		Header: http.Header{"Pistachiopier-Request-Id": {id}, "Accept": {"*/*"}}, ID: id,
 	}
 }
@@ -258,3 +259,43 @@
 		require.Error(t, err)
 	}
 }
+
+// A replica dies in the dark while it works and starts again under its id. Its old connections
+// hang without a reset, and whoever waits on one would wait to the deadline for an answer that
+// cannot come.
+func TestNothingIsAwaitedFromAFormerLife(t *testing.T) {
+	client, one := start(t)
+	one.SetAct(always(platformtest.Hang))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	former := request(one, "r-1")
+	ended := make(chan error, 2)
+	for range 2 {
+		// The second waits for the only connection.
+		go func() {
+			_, err := client.Do(ctx, former)
+			ended <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return len(one.Arrivals()) == 1 && client.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	client.End(former.Replica)
+	sent := 0
+	for range 2 {
+		var failed *replicaconn.Error
+		require.ErrorAs(t, <-ended, &failed)
+		if failed.Sent {
+			sent++
+		}
+	}
+	require.Equal(t, 1, sent, "the one that was sent may have run, the other did not leave")
+	one.SetAct(always(platformtest.Answer))
+	again := request(one, "r-2")
+	again.Replica.Born = 7
+	response, err := client.Do(ctx, again)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.Status)
+	_, err = client.Do(ctx, request(one, "r-3"))
+	var failed *replicaconn.Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
 const (
@@ -29,7 +31,7 @@
 // is idle: a close or a stray byte then shows at once, not at the next request.
 type conn struct {
 	client  *Client
-	replica string
+	replica replica.Incarnation
 	stream  net.Conn
 	reader  *bufio.Reader
 	// answers counts the answers read; it belongs to the reading goroutine.
@@ -64,8 +66,8 @@
 	err      error
 }
 
-func newConn(client *Client, replica string, stream net.Conn) *conn {
-	c := &conn{client: client, replica: replica, stream: stream, reader: bufio.NewReaderSize(stream, readBuffer), idleLimit: defaultIdle}
+func newConn(client *Client, life replica.Incarnation, stream net.Conn) *conn {
+	c := &conn{client: client, replica: life, stream: stream, reader: bufio.NewReaderSize(stream, readBuffer), idleLimit: defaultIdle}
 	go c.read()
 	return c
 }
@@ -93,7 +95,7 @@
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		one.deadline = deadline
-		c.client.wire.Mark(header, request.Replica, time.Until(deadline))
+		c.client.wire.Mark(header, request.Replica.ID, time.Until(deadline))
 		_ = c.stream.SetWriteDeadline(deadline.Add(linger))
 	}
 	var head bytes.Buffer
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
 // tcpUserTimeout is the number of the TCP_USER_TIMEOUT option on Linux, which the
@@ -21,6 +23,10 @@
 	// closedUntil no further one is opened.
 	refusals    int
 	closedUntil time.Time
+	// connections are all that are open.
+	connections map[*conn]struct{}
+	// restarted is set once a later incarnation is known: nothing more is sent to this one.
+	restarted bool
 }
 
 // Pauses after a replica ended a new connection without an answer. It resets those beyond
@@ -67,9 +73,12 @@
 	}
 	h := c.hosts[request.Replica]
 	if h == nil {
-		h = &host{}
+		h = &host{connections: map[*conn]struct{}{}}
 		c.hosts[request.Replica] = h
 	}
+	if h.restarted {
+		return nil, nil, errRestarted
+	}
 	if found := h.takeIdle(request, time.Now()); found != nil {
 		return found, nil, nil
 	}
@@ -125,10 +134,10 @@
 }
 
 // leave takes a waiter back. Where it was woken meanwhile, the next one is.
-func (c *Client) leave(replica string, wait <-chan struct{}) {
+func (c *Client) leave(life replica.Incarnation, wait <-chan struct{}) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h := c.hosts[replica]
+	h := c.hosts[life]
 	if h == nil {
 		return
 	}
@@ -166,17 +175,21 @@
 	}
 }
 
-func (c *Client) open(replica, address string) dialed {
+func (c *Client) open(life replica.Incarnation, address string) dialed {
 	dialer := net.Dialer{Control: limitSilence, Timeout: dialTimeout}
 	stream, err := dialer.Dial("tcp", address)
 	if err != nil {
-		c.ended(replica, nil)
+		c.ended(life, nil)
 		return dialed{err: err}
 	}
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.opened++
-	c.mutex.Unlock()
-	return dialed{conn: newConn(c, replica, stream)}
+	opened := newConn(c, life, stream)
+	if h := c.hosts[life]; h != nil {
+		h.connections[opened] = struct{}{}
+	}
+	return dialed{conn: opened}
 }
 
 // limitSilence makes the kernel end a connection whose bytes nobody acknowledges:
@@ -197,7 +210,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	h := c.hosts[conn.replica]
-	if c.closed || h == nil {
+	if c.closed || h == nil || h.restarted {
 		conn.abandon(errClosed)
 		return
 	}
@@ -207,20 +220,20 @@
 }
 
 // answered notes that a replica answers on its connections.
-func (c *Client) answered(replica string) {
+func (c *Client) answered(life replica.Incarnation) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if h := c.hosts[replica]; h != nil {
+	if h := c.hosts[life]; h != nil {
 		h.refusals = 0
 		h.closedUntil = time.Time{}
 	}
 }
 
 // ended takes a connection out of the books; nil is one that did not open.
-func (c *Client) ended(replica string, conn *conn) {
+func (c *Client) ended(life replica.Incarnation, conn *conn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h := c.hosts[replica]
+	h := c.hosts[life]
 	if h == nil {
 		return
 	}
@@ -231,6 +244,7 @@
 		}
 	}
 	h.open--
+	delete(h.connections, conn)
 	if conn == nil || conn.answers == 0 {
 		h.refused(time.Now())
 	}
@@ -244,10 +258,10 @@
 // suspect closes the idle connections to a replica on which nothing was heard
 // since the given time: when a request on one connection sees no answer at all,
 // something between may have lost track of the others too.
-func (c *Client) suspect(replica string, since time.Time) {
+func (c *Client) suspect(life replica.Incarnation, since time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h := c.hosts[replica]
+	h := c.hosts[life]
 	if h == nil {
 		return
 	}
