Replicas that keep refusing are used for what does not fit into others

A refusal counted for 100 ms only, so that every few requests met it again; their retries used up the bound on extra sends, and then each question with several refused parts failed (1,350 refusals and 497 withheld retries in the two worst seconds).

A share of refusals is learnt for each replica, halved every 1.5 s, as that of failures is.

--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -51,6 +51,10 @@
 	overdueCost = 4.0
 	failureCost = 8.0
 	refusedCost = 4.0
+	// refusalCost is for a replica that refuses every request. A refusal costs a round trip and
+	// an arrival out of the service's bound, less than a failure, which costs the work too: the
+	// replica is used for what does not fit into others.
+	refusalCost = 4.0
 )
 
 // Times after which what was seen of a replica no longer counts.
@@ -61,8 +65,11 @@
 	// overdueLife bounds how long a request without an answer counts against a
 	// replica.
 	overdueLife = time.Second
-	// refusedLife is how long a refusal for want of room counts.
+	// refusedLife is how long a refusal says that there is no room just now.
 	refusedLife = 100 * time.Millisecond
+	// refusalLife halves the share of requests that a replica refused: one that refuses at
+	// any load is tried again every few seconds.
+	refusalLife = 1500 * time.Millisecond
 	// failureLife halves the rate of failures.
 	failureLife = 1500 * time.Millisecond
 )
@@ -82,6 +89,9 @@
 	failuresAt core.Time
 	overdueAt  core.Time
 	refusedAt  core.Time
+	// refusals is the mean share of requests that the replica refused.
+	refusals   float64
+	refusalsAt core.Time
 	// misdirected is set when another replica was found at its address.
 	misdirected bool
 	// lapsedAt is when the registry lost the entry, 0 while it is listed.
@@ -285,7 +295,7 @@
 	if s.refused(now) {
 		cost += refusedCost
 	}
-	cost += failureCost * s.failuresNow(now)
+	cost += failureCost*s.failuresNow(now) + refusalCost*s.refusalsNow(now)
 	return cost + tieBreak*b.random()
 }
 
@@ -303,6 +313,10 @@
 	return s.failures * halved(now-s.failuresAt, failureLife)
 }
 
+func (s *state) refusalsNow(now core.Time) float64 {
+	return s.refusals * halved(now-s.refusalsAt, refusalLife)
+}
+
 func halved(age, half time.Duration) float64 {
 	return math.Exp2(-float64(max(age, 0)) / float64(half))
 }
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -43,6 +43,8 @@
 	known.overdueAt = 0
 	known.failures = known.failuresNow(now) * (1 - learning)
 	known.failuresAt = now
+	known.refusals = known.refusalsNow(now) * (1 - learning)
+	known.refusalsAt = now
 	if usual <= 0 {
 		return
 	}
@@ -74,6 +76,8 @@
 func (b *Book) Refused(life Incarnation, now core.Time) {
 	if known := b.of(life); known != nil {
 		known.refusedAt = now
+		known.refusals = known.refusalsNow(now)*(1-learning) + learning
+		known.refusalsAt = now
 	}
 }
 
