--- /dev/null
+++ b/internal/core/outlook/plan.go
@@ -0,0 +1,116 @@
+package outlook
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/latency"
+	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+)
+
+const (
+	// maxRoutes bounds the routes whose answer times are remembered.
+	maxRoutes = 4096
+	// hedgeQuantile is the quantile of a route's answer times after which another
+	// replica is asked. At 0.95 hedges take at most a quarter of the bound on extra
+	// arrivals when nothing is wrong.
+	hedgeQuantile = 0.95
+	// usualQuantile gives the usual answer time that replicas are compared by.
+	usualQuantile = 0.5
+	// farExtra is how much longer a send to another data centre may take before it is
+	// hedged: a round trip between data centres and the pause of a node there between
+	// replies.
+	farExtra = 6 * time.Millisecond
+)
+
+// routeTimes is what was seen of one route's requests.
+type routeTimes struct {
+	answers latency.Histogram
+	// longest is the longest time that a caller was ready to wait: what a first
+	// try has left.
+	longest time.Duration
+}
+
+func (o *Outlook) times(route *policy.Route) *routeTimes {
+	known := o.routes[route.Name]
+	if known == nil {
+		if len(o.routes) >= maxRoutes {
+			clear(o.routes)
+		}
+		known = &routeTimes{}
+		o.routes[route.Name] = known
+	}
+	return known
+}
+
+// Ask is a request that is to be planned.
+type Ask struct {
+	Route    *policy.Route
+	Services []string
+	Arrived  core.Time
+	// Wait is how long the caller is kept waiting at most.
+	Wait time.Duration
+	// Left is how long the caller will wait, 0 where it does not say.
+	Left time.Duration
+	// Way is how long the answer takes to the caller and the request took from there.
+	Way time.Duration
+}
+
+// Plan says what a request needs, and when to do what about it.
+func (o *Outlook) Plan(ask Ask) scatter.Plan {
+	route := ask.Route
+	plan := scatter.Plan{
+		Services: ask.Services, Least: 1, Idempotent: route.Idempotent, MaxReplicas: route.MaxReplicas,
+		Deadline: ask.Arrived + ask.Wait,
+	}
+	if route.Idempotent {
+		plan.Hedge = o.hedgeAfter(route)
+		plan.FarExtra = farExtra
+	}
+	if route.Gather != nil {
+		plan.Least = route.Gather.Least()
+		plan.PartialAt = ask.Arrived + o.partialAfter(ask)
+	}
+	return plan
+}
+
+// hedgeAfter is how long an answer on a route may take before another replica is
+// asked. It never exceeds a third of the route's aim, since a hedge needs time to
+// be answered before it, and is a fifth of it before enough is learnt.
+func (o *Outlook) hedgeAfter(route *policy.Route) time.Duration {
+	const (
+		most    = 3
+		unknown = 5
+		least   = 4 * time.Millisecond
+	)
+	after, ok := o.times(route).answers.Quantile(hedgeQuantile)
+	if !ok {
+		after = route.Aim / unknown
+	}
+	if route.Aim > 0 {
+		after = min(after, route.Aim/most)
+	}
+	return max(after, least)
+}
+
+// partialAfter is when the least coverage is enough: just in time for the answer to
+// reach the caller within the route's aim. A part that is missing costs the caller
+// less than an answer that comes late.
+func (o *Outlook) partialAfter(ask Ask) time.Duration {
+	if ask.Route.Aim <= 0 {
+		return ask.Wait
+	}
+	return max(ask.Route.Aim-ask.Way-o.spent(ask), 0)
+}
+
+// spent estimates how long a caller has been waiting, over all its tries, from the
+// time that it has left: a first try has the most.
+func (o *Outlook) spent(ask Ask) time.Duration {
+	if ask.Left <= 0 {
+		return 0
+	}
+	times := o.times(ask.Route)
+	times.longest = max(times.longest, ask.Left)
+	return times.longest - ask.Left
+}
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -8,158 +8,77 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
-	"github.com/pistachiopier/pistachiopier/internal/core/latency"
+	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 )
 
-// maxRoutesLearnt bounds the routes whose answer times are remembered.
-const maxRoutesLearnt = 4096
-
-// beliefs is what a node holds for true while it decides on requests.
+// beliefs is what a node holds for true while it decides on requests, for use by many of them
+// at once.
 type beliefs struct {
 	now    func() core.Time
 	config atomic.Pointer[policy.Config]
 
-	mutex    sync.Mutex
-	book     *replica.Book
-	budget   *extra.Budget
-	splitter *policy.Splitter
-	learnt   map[string]*learnt
-}
-
-// learnt is what was seen of one route's requests.
-type learnt struct {
-	times latency.Histogram
-	// longest is the longest time that a caller was ready to wait: what a first
-	// try has left.
-	longest time.Duration
+	mutex   sync.Mutex
+	outlook *outlook.Outlook
 }
 
 func newBeliefs(dataCentre string, regions map[string]string, bound extra.Bound, now func() core.Time) *beliefs {
-	return &beliefs{
-		now:      now,
-		book:     replica.NewBook(dataCentre, regions, rand.Float64),
-		budget:   extra.New(bound),
-		splitter: policy.NewSplitter(),
-		learnt:   map[string]*learnt{},
-	}
+	return &beliefs{now: now, outlook: outlook.New(dataCentre, regions, bound, rand.Float64)}
 }
 
-// Pick implements scatter.Chooser.
-func (b *beliefs) Pick(service string, tried []string, now core.Time) (replica.Choice, bool) {
+// plan names the services of a request and plans it; no service is an empty list.
+func (b *beliefs) plan(ask outlook.Ask) scatter.Plan {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.book.Pick(service, tried, now)
+	ask.Services = b.outlook.Services(ask.Route, ask.Arrived)
+	return b.outlook.Plan(ask)
 }
 
-// Extra implements scatter.Chooser.
-func (b *beliefs) Extra(service string, now core.Time) bool {
+// chooser chooses the replicas of one request.
+func (b *beliefs) chooser(route *policy.Route) scatter.Chooser {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.budget.Take(service, now)
+	return &lockedChooser{beliefs: b, chooser: b.outlook.Chooser(route)}
 }
 
-// services names the services that a request on a route goes to, and counts it at
-// each of them.
-func (b *beliefs) services(route *policy.Route) []string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
-	if route.Gather != nil {
-		for _, shard := range route.Gather.Shards {
-			b.budget.Request(shard, now)
-		}
-		return route.Gather.Shards
-	}
-	service := b.splitter.Next(route)
-	if service == "" {
-		return nil
-	}
-	b.budget.Request(service, now)
-	return []string{service}
-}
-
-// routeLearnt returns what is known of a route; the mutex must be held.
-func (b *beliefs) routeLearnt(name string) *learnt {
-	known := b.learnt[name]
-	if known == nil {
-		if len(b.learnt) >= maxRoutesLearnt {
-			clear(b.learnt)
-		}
-		known = &learnt{}
-		b.learnt[name] = known
-	}
-	return known
+// lockedChooser asks a chooser under the mutex of the beliefs.
+type lockedChooser struct {
+	beliefs *beliefs
+	chooser scatter.Chooser
 }
 
-// hedgeQuantile is the quantile of a route's answer times after which another
-// replica is asked. At 0.95 hedges take at most a quarter of the bound on extra
-// arrivals when nothing is wrong.
-const hedgeQuantile = 0.95
-
-// usualQuantile gives the usual answer time that replicas are compared by.
-const usualQuantile = 0.5
-
-// hedgeAfter is how long an answer on a route may take before another replica is
-// asked. It never exceeds a third of the route's aim, since a hedge needs time to
-// be answered before it, and is a fifth of it before enough is learnt.
-func (b *beliefs) hedgeAfter(route *policy.Route) time.Duration {
-	const (
-		most    = 3
-		unknown = 5
-		least   = 4 * time.Millisecond
-	)
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	after, ok := b.routeLearnt(route.Name).times.Quantile(hedgeQuantile)
-	if !ok {
-		after = route.Aim / unknown
-	}
-	if route.Aim > 0 {
-		after = min(after, route.Aim/most)
-	}
-	return max(after, least)
-}
-
-// spent estimates how long a caller has been waiting, over all its tries, from the
-// time that it has left: a first try has the most.
-func (b *beliefs) spent(route *policy.Route, left time.Duration) time.Duration {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	known := b.routeLearnt(route.Name)
-	known.longest = max(known.longest, left)
-	return known.longest - left
+// Pick implements scatter.Chooser.
+func (c *lockedChooser) Pick(service string, tried []string, now core.Time) (replica.Choice, bool) {
+	c.beliefs.mutex.Lock()
+	defer c.beliefs.mutex.Unlock()
+	return c.chooser.Pick(service, tried, now)
 }
 
-// sent and the following note what became of a send.
-func (b *beliefs) sent(life replica.Incarnation) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.book.Sent(life)
+// Extra implements scatter.Chooser.
+func (c *lockedChooser) Extra(service string, now core.Time) bool {
+	c.beliefs.mutex.Lock()
+	defer c.beliefs.mutex.Unlock()
+	return c.chooser.Extra(service, now)
 }
 
+// answered and answeredLate learn from an answer that was waited for, and from one that was not.
 func (b *beliefs) answered(route *policy.Route, life replica.Incarnation, took time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	known := b.routeLearnt(route.Name)
-	usual, _ := known.times.Quantile(usualQuantile)
-	known.times.Record(took)
-	b.book.Answered(life, took, usual, b.now())
+	b.outlook.Answered(route, life, took, b.now())
 }
 
-// answeredLate notes an answer that nobody waited for any more. It says how fast the
-// replica is, but not how long answers take that are waited for.
 func (b *beliefs) answeredLate(route *policy.Route, life replica.Incarnation, took time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	usual, _ := b.routeLearnt(route.Name).times.Quantile(usualQuantile)
-	b.book.Answered(life, took, usual, b.now())
+	b.outlook.AnsweredLate(route, life, took, b.now())
 }
 
 // note changes the book under the mutex.
 func (b *beliefs) note(change func(book *replica.Book, now core.Time)) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	change(b.book, b.now())
+	change(b.outlook.Book, b.now())
 }
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -33,9 +33,6 @@
 	// flushShare is the part of the hedge delay, one in so many, that a helper may
 	// wait for more parts before its first reply.
 	flushShare = 2
-	// farExtra is how much longer a delegated send may take before it is hedged: a
-	// round trip between data centres and the pause of a helper between replies.
-	farExtra = 6 * time.Millisecond
 )
 
 // group is the sends of one request that go through one node.
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -90,7 +90,7 @@
 		DataCentre: n.settings.Load().DataCentre,
 	}
 	n.beliefs.mutex.Lock()
-	known, ok := n.beliefs.book.Get(send.GetReplica())
+	known, ok := n.beliefs.outlook.Book.Get(send.GetReplica())
 	n.beliefs.mutex.Unlock()
 	if ok && (known.Born > send.GetBorn() || known.Born == send.GetBorn() && known.Draining) {
 		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving or has started again")
@@ -98,7 +98,7 @@
 		q.ended <- []*exchange{one}
 		return
 	}
-	n.beliefs.sent(one.send.Replica.Life())
+	n.beliefs.note(func(book *replica.Book, _ core.Time) { book.Sent(one.send.Replica.Life()) })
 	go q.direct(one)
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
-	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
@@ -128,7 +128,6 @@
 	if status != 0 {
 		return nil, status
 	}
-	q.services = n.beliefs.services(route)
 	q.template = replicaconn.Request{
 		Method: r.Method, Target: target, Host: r.Host, Header: forwardable(r.Header), Body: body,
 		ID: q.id, Once: !route.Idempotent,
@@ -136,19 +135,13 @@
 		// so that one cut on the way would look whole.
 		Stream: route.Gather == nil && r.ProtoAtLeast(1, 1),
 	}
-	wait := n.patience(r, route)
-	q.plan = scatter.Plan{
-		Services: q.services, Least: 1, Idempotent: route.Idempotent, MaxReplicas: route.MaxReplicas,
-		Deadline: q.arrived + wait,
-	}
-	if route.Idempotent {
-		q.plan.Hedge = n.beliefs.hedgeAfter(route)
-		q.plan.FarExtra = farExtra
-	}
-	if route.Gather != nil {
-		q.plan.Least = route.Gather.Least()
-		q.plan.PartialAt = q.arrived + n.partialAfter(r, route, wait)
+	left, _ := platform.TimeLeft(r.Header)
+	way := onTheWay
+	if firstOnConnection(r.Context()) {
+		way = firstOnTheWay
 	}
+	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
+	q.services = q.plan.Services
 	return q, 0
 }
 
@@ -195,24 +188,6 @@
 	return wait
 }
 
-// partialAfter is when the least coverage is enough: just in time for the answer to
-// reach the caller within the route's aim. A part that is missing costs the caller
-// less than an answer that comes late.
-func (n *Node) partialAfter(r *http.Request, route *policy.Route, wait time.Duration) time.Duration {
-	if route.Aim <= 0 {
-		return wait
-	}
-	way := onTheWay
-	if firstOnConnection(r.Context()) {
-		way = firstOnTheWay
-	}
-	spent := time.Duration(0)
-	if left, ok := platform.TimeLeft(r.Header); ok {
-		spent = n.beliefs.spent(route, left)
-	}
-	return max(route.Aim-way-spent, 0)
-}
-
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -251,7 +251,7 @@
 	n.metrics.forget(func(service string) bool { _, configured := config.Services[service]; return configured })
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
-	n.beliefs.budget.Forget(func(service string) bool { return n.beliefs.book.Usable(service) > 0 }, n.now())
+	n.beliefs.outlook.Budget.Forget(func(service string) bool { return n.beliefs.outlook.Book.Usable(service) > 0 }, n.now())
 }
 
 // housekeeping is how often beliefs that age are looked at.
@@ -272,7 +272,7 @@
 		n.replicas.Forget(func(life replica.Incarnation) bool {
 			n.beliefs.mutex.Lock()
 			defer n.beliefs.mutex.Unlock()
-			one, ok := n.beliefs.book.Get(life.ID)
+			one, ok := n.beliefs.outlook.Book.Get(life.ID)
 			return ok && one.Born == life.Born && !one.Draining
 		})
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -62,7 +62,7 @@
 // run carries out the machine's actions until it finishes or the caller leaves. The
 // second result is false when the caller left.
 func (q *request) run(ctx context.Context) (scatter.Result, bool) {
-	machine := scatter.New(q.plan, q.node.beliefs)
+	machine := scatter.New(q.plan, q.node.beliefs.chooser(q.route))
 	q.ended = make(chan []*exchange, len(q.services))
 	q.over = make(chan struct{})
 	defer close(q.over)
@@ -174,9 +174,11 @@
 // dispatch sends the exchanges: those to another data centre together, through a node
 // there, the others directly.
 func (q *request) dispatch(started []*exchange) {
-	for _, one := range started {
-		q.node.beliefs.sent(one.send.Replica.Life())
-	}
+	q.node.beliefs.note(func(book *replica.Book, _ core.Time) {
+		for _, one := range started {
+			book.Sent(one.send.Replica.Life())
+		}
+	})
 	for _, one := range q.delegate(started) {
 		go q.direct(one)
 	}
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -31,7 +31,7 @@
 	bound := extra.Bound{Window: s.ExtraWindow, Ratio: s.ExtraRatio * ratioUsed, Allowance: s.ExtraAllowance * allowance}
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
-	n.beliefs.budget.SetBound(bound)
+	n.beliefs.outlook.Budget.SetBound(bound)
 }
 
 // connectionsUsed is the part of a replica's connections that all nodes use together. A
