Parts of another data centre travel as excerpts

Now a reply leaves out what former ones outdo, and what the answer will almost surely not hold; it says so, and is used only where the merged answer proves that nothing is missing. Where records lie unevenly, full excerpts are asked for.

--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -30,6 +30,27 @@
 	// longest is the longest time that a caller was ready to wait: what a first
 	// try has left.
 	longest time.Duration
+	// skewedUntil is until when excerpts of its parts are asked for in full.
+	skewedUntil core.Time
+}
+
+// skewLife is how long excerpts are asked for in full after one lacked records: where most of the
+// greatest records lie in few shards, every short one is useless. A minute keeps the parts
+// that are lost to trying again under one in some thousand.
+const skewLife = time.Minute
+
+// ExcerptParts is the number of parts by which another node may shorten its excerpts, 0 for not
+// at all.
+func (o *Outlook) ExcerptParts(route *policy.Route, now core.Time) int {
+	if route.Gather == nil || now < o.times(route).skewedUntil {
+		return 0
+	}
+	return len(route.Gather.Shards)
+}
+
+// Skewed notes that a shortened excerpt lacked records.
+func (o *Outlook) Skewed(route *policy.Route, now core.Time) {
+	o.times(route).skewedUntil = now + skewLife
 }
 
 func (o *Outlook) times(route *policy.Route) *routeTimes {
--- a/internal/core/topk/topk_test.go
+++ b/internal/core/topk/topk_test.go
@@ -36,10 +36,20 @@
 }
 
 func randomParts() [][]byte {
-	source := rand.New(rand.NewPCG(1, 2))
-	parts := make([][]byte, 110)
+	const parts, bytes = 110, 400
+	return drawParts(rand.New(rand.NewPCG(1, 2)), parts, bytes)
+}
+
+// randomPartsOf are parts of 62 records.
+func randomPartsOf(seed uint64, count int) [][]byte {
+	const bytes = 1000
+	return drawParts(rand.New(rand.NewPCG(seed, 2)), count, bytes)
+}
+
+func drawParts(source *rand.Rand, count, bytes int) [][]byte {
+	parts := make([][]byte, count)
 	for i := range parts {
-		parts[i] = make([]byte, 400)
+		parts[i] = make([]byte, bytes)
 		for j := range parts[i] {
 			parts[i][j] = byte(source.Uint32())
 		}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -6,19 +6,17 @@
 	"strconv"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
-	"github.com/pistachiopier/pistachiopier/internal/core/topk"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
 
 // answer gives the caller what came of the request.
 func (q *request) answer(w http.ResponseWriter, result scatter.Result) {
-	if !result.Enough {
-		q.answerFailure(w, result)
+	if q.route.Gather != nil && q.answerGathered(w, &result) {
 		return
 	}
-	if q.route.Gather != nil {
-		q.answerGathered(w, result)
+	if !result.Enough {
+		q.answerFailure(w, result)
 		return
 	}
 	q.relay(w, q.sends[result.Parts[0]], outcomeWhole, result)
@@ -64,60 +62,6 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// answerGathered merges the parts.
-func (q *request) answerGathered(w http.ResponseWriter, result scatter.Result) {
-	records, stamps, taken := q.parts(result)
-	missing := len(q.services) - len(stamps)
-	outcome := outcomeWhole
-	if missing > 0 {
-		outcome = outcomePartial
-		q.noteMissing(taken)
-	}
-	result.Got = len(stamps)
-	q.tell(outcome, http.StatusOK, result)
-	merger := topk.New(q.route.Gather.TopK)
-	for _, one := range records {
-		merger.Add(one)
-	}
-	body := merger.Bytes()
-	platform.SetCoverage(w.Header(), stamps, missing)
-	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(body)
-}
-
-// parts lists the parts that make up the answer. Those of a batch cannot be told apart any
-// more, so that each batch counts as a whole, and a part of the same shard that came by
-// itself, from a hedge, does not.
-//
-// It returns their records, their signatures, and which services have a part.
-func (q *request) parts(result scatter.Result) (records [][]byte, stamps []string, taken []bool) {
-	taken = make([]bool, len(q.services))
-	seen := map[*batch]bool{}
-	for _, one := range q.sends {
-		if !one.over || one.batch == nil || seen[one.batch] {
-			continue
-		}
-		seen[one.batch] = true
-		records = append(records, one.batch.records)
-		for _, member := range one.batch.members {
-			taken[member.send.Service] = true
-			stamps = append(stamps, platform.Stamp(member.response.Header))
-		}
-	}
-	for i, send := range result.Parts {
-		if taken[i] || send < 0 {
-			continue
-		}
-		part := q.sends[send].response
-		records = append(records, part.Body)
-		taken[i] = true
-		stamps = append(stamps, platform.Stamp(part.Header))
-	}
-	return records, stamps, taken
-}
-
 // noteMissing notes for each missing part what its last send came to.
 func (q *request) noteMissing(taken []bool) {
 	last := make([]*exchange, len(taken))
@@ -159,10 +103,6 @@
 
 // answerFailure says what is certain: "not run" only when every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
-	if q.route.Gather != nil {
-		_, _, taken := q.parts(result)
-		q.noteMissing(taken)
-	}
 	if !result.MayHaveRun {
 		retryAfter := retryFull
 		switch {
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -76,6 +76,19 @@
 	b.outlook.AnsweredLate(route, life, took, b.now())
 }
 
+// excerptParts and skewed ask and tell how the records of a route lie over its parts.
+func (b *beliefs) excerptParts(route *policy.Route) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.outlook.ExcerptParts(route, b.now())
+}
+
+func (b *beliefs) skewed(route *policy.Route) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.outlook.Skewed(route, b.now())
+}
+
 // note changes the book under the mutex.
 func (b *beliefs) note(change func(book *replica.Book, now core.Time)) {
 	b.mutex.Lock()
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/core/topk"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
@@ -45,6 +46,8 @@
 	mutex sync.Mutex
 	// members are the sends that have not ended, by id.
 	members map[uint32]*exchange
+	// batches are the replies, in their order.
+	batches []*batch
 }
 
 // end takes a send out of the group; nil is one that has ended before.
@@ -65,9 +68,22 @@
 	return left
 }
 
+// received are the replies whose ends the request has taken, in their order: each leaves out
+// what the former ones outdo.
+func (g *group) received() []*batch {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for i, one := range g.batches {
+		if !one.members[0].over {
+			return slices.Clone(g.batches[:i])
+		}
+	}
+	return slices.Clone(g.batches)
+}
+
 // batch is the records of parts that came merged. They count together or not at all.
 type batch struct {
-	records []byte
+	excerpt topk.Excerpt
 	members []*exchange
 }
 
@@ -146,6 +162,7 @@
 		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
 		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
 		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), TopK: uint32(q.route.Gather.TopK),
+		Parts: uint32(q.node.beliefs.excerptParts(q.route)),
 	}
 	for name, values := range q.template.Header {
 		for _, value := range values {
@@ -231,7 +248,7 @@
 
 // take reads the ends of sends out of a reply.
 func (g *group) take(reply *peerpb.DelegateReply) []*exchange {
-	merged := &batch{records: reply.GetRecords()}
+	merged := &batch{excerpt: topk.Excerpt{Records: reply.GetRecords(), Cut: reply.GetCut()}}
 	var ends []*exchange
 	for _, part := range reply.GetParts() {
 		one := g.end(part.GetId())
@@ -256,6 +273,11 @@
 		}
 		ends = append(ends, one)
 	}
+	if len(merged.members) > 0 {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.batches = append(g.batches, merged)
+	}
 	return ends
 }
 
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -52,7 +52,7 @@
 	for _, send := range message.GetSends() {
 		n.startDelegated(ctx, q, send)
 	}
-	replies := &replies{inbound: inbound, limit: int(message.GetTopK())}
+	replies := &replies{inbound: inbound, sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
 	replies.run(ctx, q, time.Duration(message.GetFlushUs())*time.Microsecond, len(message.GetSends()))
 }
 
@@ -105,7 +105,7 @@
 // replies sends what has ended back to the entry.
 type replies struct {
 	inbound *peer.Inbound
-	limit   int
+	sender  *topk.Sender
 	pending []*exchange
 }
 
@@ -139,13 +139,13 @@
 		return
 	}
 	reply := &peerpb.DelegateReply{}
-	merger := topk.New(r.limit)
+	var parts [][]byte
 	for _, one := range r.pending {
 		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds())}
 		switch {
 		case one.verdict == scatter.Whole:
 			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
-			merger.Add(one.response.Body)
+			parts = append(parts, one.response.Body)
 		case one.err != nil:
 			part.Cause = one.err.Error()
 		default:
@@ -153,7 +153,8 @@
 		}
 		reply.Parts = append(reply.Parts, part)
 	}
-	reply.Records = merger.Bytes()
+	excerpt := r.sender.Excerpt(parts)
+	reply.Records, reply.Cut = excerpt.Records, excerpt.Cut
 	r.pending = nil
 	r.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_DelegateReply{DelegateReply: reply}}, last)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -73,6 +73,36 @@
 	require.Len(t, w.replicas[1].Arrivals(), 5)
 }
 
+// One shard, in the other data centre, holds all of the greatest records. The node there sends an
+// excerpt that is shorter than it should be: the answer must not pass for one that holds the part,
+// and the next ones hold it in full.
+func TestAnExcerptThatIsTooShortIsNotPassedOffAsThePart(t *testing.T) {
+	w := newWorld(t)
+	records := func(prefix string) []string {
+		var list []string
+		for i := range 60 {
+			list = append(list, fmt.Sprintf("%s%03d", prefix, i))
+		}
+		return list
+	}
+	w.replica("s1", "east", records("a")...)
+	w.replica("s2", "west", records("z")...)
+	w.replica("s3", "east", records("b")...)
+	w.serve("east", "west")
+	w.configure(2, route("deep", platformtest.KindIdempotent, gather(50, 0.6, "s1", "s2", "s3")))
+	w.inForce(w.nodes[0], 2)
+	response, body := w.ask(w.nodes[0], http.MethodGet, "/deep/x", "r1", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
+	require.Len(t, strings.Fields(body), 50)
+	require.Equal(t, "b059", strings.Fields(body)[0])
+	response, body = w.ask(w.nodes[0], http.MethodGet, "/deep/x", "r2", "")
+	require.Equal(t, "0", response.Header.Get("Pistachiopier-Missing-Parts"))
+	require.Len(t, strings.Fields(body), 50)
+	require.Equal(t, "z059", strings.Fields(body)[0])
+	w.line(w.nodes[0], "excerpt_unused")
+}
+
 // A replica runs an invoice and its answer is lost. A second send would count the invoice
 // twice, and "not run" would make the caller send it again.
 func TestALostAnswerIsNeitherRepeatedNorCalledNotRun(t *testing.T) {
