--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -299,3 +299,25 @@
 	require.ErrorAs(t, err, &failed)
 	require.False(t, failed.Sent)
 }
+
+// A request is given up and its connection closed by this node. That says nothing of whether the
+// replica takes connections.
+func TestWhatThisNodeGivesUpIsNoRefusal(t *testing.T) {
+	client, one := start(t)
+	one.SetAct(always(platformtest.Hang))
+	for i, id := range []string{"r1", "r2", "r3"} {
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan error, 1)
+		go func() {
+			_, err := client.Do(ctx, request(one, id))
+			gone <- err
+		}()
+		require.Eventually(t, func() bool { return len(one.Arrivals()) == i+1 }, 10*time.Second, time.Millisecond)
+		cancel()
+		require.Error(t, <-gone)
+		require.Eventually(t, func() bool { return client.Open() == 0 }, 10*time.Second, time.Millisecond)
+	}
+	one.SetAct(always(platformtest.Answer))
+	_, err := do(t, client, request(one, "r4"))
+	require.NoError(t, err, "it is not refused for former ends")
+}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -328,6 +328,13 @@
 	one.done <- outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}
 }
 
+// endedHere reports whether this node ended the connection, of its own will.
+func (c *conn) endedHere() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return errors.Is(c.failure, errReplaced) || errors.Is(c.failure, errRestarted) || errors.Is(c.failure, errClosed)
+}
+
 // abandon closes an idle connection. It only marks and closes the stream: the
 // reading goroutine takes it out of the client's books, whose mutex is held here.
 func (c *conn) abandon(cause error) {
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -245,9 +245,7 @@
 	}
 	h.open--
 	delete(h.connections, conn)
-	if conn == nil || conn.answers == 0 {
-		h.refused(time.Now())
-	}
+	h.noteEnd(conn, time.Now())
 	h.wakeOne()
 	for h.open == 0 && len(h.waiters) > 0 {
 		// No connection is left that could become free and wake the others.
@@ -255,6 +253,18 @@
 	}
 }
 
+// noteEnd learns from the end of a connection; nil is one that did not open. What this node ended
+// itself says nothing: a slow replica whose answers were given up was left alone as if it had
+// refused them.
+func (h *host) noteEnd(conn *conn, now time.Time) {
+	switch {
+	case conn == nil:
+		h.refused(now)
+	case conn.answers == 0 && !conn.endedHere():
+		h.refused(now)
+	}
+}
+
 // suspect closes the idle connections to a replica on which nothing was heard
 // since the given time: when a request on one connection sees no answer at all,
 // something between may have lost track of the others too.
