--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -50,7 +50,7 @@
 		WatchWait:  1200 * time.Millisecond,
 		PeerWait:   400 * time.Millisecond,
 		Slack:      500 * time.Millisecond,
-		Gather:     60 * time.Millisecond,
+		Gather:     200 * time.Millisecond,
 		Retry:      600 * time.Millisecond,
 		FirstRetry: 40 * time.Millisecond,
 		Stale:      2500 * time.Millisecond,
