--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -89,6 +89,7 @@
 		standInCommand(),
 		loadCommand(),
 		experimentCommand(),
+		modelCommand(),
 	}
 }
 
--- a/internal/core/scatter/early.go
+++ b/internal/core/scatter/early.go
@@ -42,6 +42,11 @@
 	if needed <= left {
 		return false
 	}
+	for i, choice := range choices {
+		if choice != nil && expectedWait(*choice) > left {
+			m.act(Short{Service: i, Replica: choice.Replica, Expect: choice.Expect, Unreachable: choice.Unreachable})
+		}
+	}
 	m.result.Rejected = true
 	m.result.RetryAfter = min(max(needed-left, leastRetryAfter), mostRetryAfter)
 	return true
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -56,6 +56,15 @@
 	Why     Reason
 }
 
+// Short says that a service's answer cannot be had in time, which led to an early rejection.
+type Short struct {
+	Service int
+	// Replica is the best one, Expect how long its answer would probably take.
+	Replica     replica.Replica
+	Expect      time.Duration
+	Unreachable bool
+}
+
 // Reason is why a further send is not made.
 type Reason string
 
@@ -85,6 +94,7 @@
 func (Withdraw) isAction() {}
 func (Late) isAction()     {}
 func (Withheld) isAction() {}
+func (Short) isAction()    {}
 func (Wake) isAction()     {}
 func (Finish) isAction()   {}
 
--- a/internal/edge/merge.go
+++ b/internal/edge/merge.go
@@ -121,6 +121,7 @@
 	}
 	if dropped {
 		q.node.beliefs.skewed(q.route)
+		q.node.metrics.excerptUnused()
 		q.note(step{Event: "excerpt_unused", Cause: "records were left out that the answer may hold"})
 	}
 	return dropped
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -102,6 +102,22 @@
 // entryRefused counts a registry entry that names no replica.
 func (m *nodeMetrics) entryRefused() { observe.Counter(m.registry, "entries_refused_total").Inc(1) }
 
+// rejectedEarly counts a request of which too few answers were expected in time.
+func (m *nodeMetrics) rejectedEarly() {
+	observe.Counter(m.registry, "requests_rejected_early_total").Inc(1)
+}
+
+// withheld counts a hedge or retry that was not made.
+func (m *nodeMetrics) withheld(why scatter.Reason) {
+	observe.Counter(m.registry, observe.Labelled("sends_withheld_total", labelCause, string(why))).Inc(1)
+}
+
+// excerptUnused counts an excerpt that turned out too short for its answer.
+func (m *nodeMetrics) excerptUnused() { observe.Counter(m.registry, "excerpts_unused_total").Inc(1) }
+
+// restarted counts a replica that started again under its id.
+func (m *nodeMetrics) restarted() { observe.Counter(m.registry, "replicas_restarted_total").Inc(1) }
+
 // extra counts a send beyond the first.
 func (m *nodeMetrics) extra(cause scatter.Cause) {
 	observe.Counter(m.registry, observe.Labelled("sends_extra_total", labelCause, string(cause))).Inc(1)
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -98,6 +98,7 @@
 	case listing == replica.Restarted:
 		fields["born"], fields["former_born"] = listed.Born, known.Born
 		r.log.Decision("replica_restarted", fields)
+		r.metrics.restarted()
 		r.onRestart(known.Life())
 	case listing == replica.Outdated:
 		fields["born"], fields["known_born"], fields["sequence"], fields["known_sequence"] = listed.Born, known.Born, listed.Sequence, known.Sequence
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -121,6 +121,8 @@
 			q.late(a.Send)
 		case scatter.Withheld:
 			q.withheld(a)
+		case scatter.Short:
+			q.short(a)
 		case scatter.Wake:
 			timer.Reset(max(a.At-q.node.now(), 0))
 		case scatter.Finish:
@@ -145,6 +147,15 @@
 	}
 }
 
+// short notes a service that an early rejection rests on.
+func (q *request) short(a scatter.Short) {
+	s := step{Event: "part_short", Service: q.services[a.Service], Replica: a.Replica.ID, ExpectMs: a.Expect.Milliseconds(), Cause: "it is expected too late"}
+	if a.Unreachable {
+		s.Cause = "no connection a moment ago"
+	}
+	q.note(s)
+}
+
 // withheld notes once a service and reason that a further send is not made.
 func (q *request) withheld(a scatter.Withheld) {
 	for _, s := range q.trail {
@@ -152,6 +163,7 @@
 			return
 		}
 	}
+	q.node.metrics.withheld(a.Why)
 	q.note(step{Event: "send_withheld", Service: q.services[a.Service], Cause: string(a.Cause), Why: string(a.Why)})
 }
 
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -70,3 +70,31 @@
 	w.ask(w.nodes[1], http.MethodGet, "/all/x", "r2", "")
 	require.Contains(t, w.line(w.nodes[1], "part_missing"), `"cause":"no replica to send to"`)
 }
+
+// The only replica of a shard stands still while a question waits for it. Whoever asks meanwhile would
+// wait in vain for the same: it is told so at once, truthfully, and on call the story names the
+// shard, the replica and what was expected of it.
+func TestAnEarlyRejectionSaysWhatItRestsOn(t *testing.T) {
+	w := newWorld(t)
+	hanging := w.replica("s1", "east", "a")
+	hanging.SetAct(always(platformtest.Hang))
+	other := w.replica("s2", "east", "b")
+	w.serve("east")
+	w.configure(2, route("both", platformtest.KindIdempotent, gather(3, 1, "s1", "s2")))
+	w.inForce(w.nodes[0], 2)
+	go func() { _, _, _ = w.try(w.nodes[0], http.MethodGet, "/both/x", "r1", "") }()
+	require.Eventually(t, func() bool { return len(hanging.Arrivals()) == 1 }, patience, time.Millisecond)
+	rejected := func() bool {
+		before := len(other.Arrivals())
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/both/x", "r2", "")
+		return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" && len(other.Arrivals()) == before
+	}
+	require.Eventually(t, rejected, patience, time.Millisecond)
+	line := w.line(w.nodes[0], "part_short")
+	require.Contains(t, line, `"replica":"`+hanging.ID+`"`)
+	require.Contains(t, line, `"service":"s1"`)
+	require.Contains(t, line, `"expect_ms":`)
+	require.Contains(t, w.nodes[0].log.String(), `"rejected_early":true`)
+	_, text := w.get("http://"+w.nodes[0].Settings.MetricsAddress+"/metrics", nil)
+	require.Contains(t, text, "requests_rejected_early_total")
+}
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -16,6 +16,8 @@
 	TookMs  int64
 	// Via is the node that sent on this one's behalf.
 	Via string
+	// ExpectMs is how long an answer would probably have taken.
+	ExpectMs int64
 	// Why is the reason for a send that was not made.
 	Why string
 }
@@ -43,6 +45,9 @@
 func (q *request) tell(outcome string, status int, result scatter.Result) {
 	took := q.node.now() - q.arrived
 	q.node.metrics.request(q.route, outcome, took)
+	if result.Rejected {
+		q.node.metrics.rejectedEarly()
+	}
 	late := q.route.Aim > 0 && took > q.route.Aim
 	if outcome == outcomeWhole && !late {
 		q.node.log.Calm()
@@ -51,7 +56,7 @@
 	var lines []decisionlog.Line
 	for _, s := range q.trail {
 		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why,
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs,
 		}})
 	}
 	fields := decisionlog.Fields{
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -29,6 +29,8 @@
 	All     Sum
 	Kinds   map[string]*Sum
 	Windows []Sum
+	// Took are the times after which callers had their answers.
+	Took []time.Duration
 	// Rejected counts tries that were rejected before anything was sent, WronglyRejected those
 	// of them of which enough answers would have come within the aim as things stood.
 	Rejected, WronglyRejected int
@@ -56,6 +58,7 @@
 }
 
 func (r *Report) earned(c *caller, credit float64, took core.Time) {
+	r.Took = append(r.Took, took)
 	for _, s := range r.sums(c) {
 		s.Earned += credit * c.kind.Worth
 		if took <= c.kind.Aim {
