--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -48,6 +48,9 @@
 	serviceFails    kind = "service fails"
 	serviceActs     kind = "service misbehaves"
 	allKilled       kind = "all nodes killed"
+	replicaRestarts kind = "replica starts again under its id"
+	foreignEntry    kind = "entry of another writer"
+	shardsShort     kind = "several shards stand still"
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
@@ -59,6 +62,7 @@
 	storeSlow, linkCut, nodeIsolated, linkPoor, linkSilent,
 	replicaWay, replicaWay, replicaReplaced, shardsChange, settingsChange,
 	serviceFails, serviceActs, serviceActs, allKilled,
+	replicaRestarts, replicaRestarts, foreignEntry, shardsShort,
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
@@ -133,6 +137,12 @@
 		w.misbehave(w.all(f.draw), f.lasts, 1, func(uint64) platformtest.Act { return platformtest.Fail })
 	case settingsChange:
 		w.changeSettings(one, f)
+	case replicaRestarts:
+		w.restartReplica(f)
+	case foreignEntry:
+		w.writeForeign(f)
+	case shardsShort:
+		w.stall(f)
 	case replicaWay, replicaReplaced:
 		w.disturbReplica(f)
 	default:
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -32,18 +32,20 @@
 	}
 	r.beliefs.config.Store(config)
 `},
-	{"coverage always whole", "internal/edge/answer.go", "SetCoverage(w.Header(), stamps, missing)", "SetCoverage(w.Header(), stamps, missing*0)"},
+	{"coverage always whole", "internal/edge/merge.go", "SetCoverage(w.Header(), stamps, missing)", "SetCoverage(w.Header(), stamps, missing*0)"},
 	{"cut answers are whole", "internal/replicaconn/conn.go", "		if err != nil {\n			return nil, false, err\n		}\n		c.noteIdleLimit", "		c.noteIdleLimit"},
 	{"answers of other requests", "internal/replicaconn/conn.go", `request.ID == "" || echoed == request.ID`, "true"},
 	{"answers without a signature", "internal/edge/request.go", `case platform.Stamp(one.response.Header) == "":`, `case platform.Stamp(one.response.Header) == "?":`},
 	{"not run is said of all failures", "internal/edge/answer.go", "if !result.MayHaveRun {", "if !result.MayHaveRun || true {"},
 	{"a promise without a proof is passed on", "internal/edge/request.go", "case promises[one.response.Status]:", "case promises[one.response.Status] && false:"},
-	{"requests run twice", "internal/edge/handler.go", "Least: 1, Idempotent: route.Idempotent", "Least: 1, Idempotent: true"},
-	{"drains are passed over", "internal/edge/registry.go", "		book.Put(listed)\n", "		listed.Draining = false\n		book.Put(listed)\n"},
+	{"requests run twice", "internal/core/outlook/plan.go", "Least: 1, Idempotent: route.Idempotent", "Least: 1, Idempotent: true"},
+	{"drains are passed over", "internal/edge/registry.go", "		listing = book.Put(listed)\n", "		listed.Draining = false\n		listing = book.Put(listed)\n"},
 	{"the first configuration stays", "internal/edge/registry.go", "	r.beliefs.config.Store(config)\n", "	if r.beliefs.config.Load() == nil {\n		r.beliefs.config.Store(config)\n	}\n"},
 	{"a stop cuts what is in work", "internal/edge/listen.go", "server.Shutdown(ctx)", "server.Close()"},
 	{"no bound on extra sends", "internal/core/extra/extra.go", "if float64(extras+1) > ", "if false && float64(extras+1) > "},
 	{"404 before a configuration is known", "internal/edge/handler.go", "	if config == nil {\n", "	if config == nil {\n		http.NotFound(w, r)\n		return\n"},
+	{"what a former life may have run is sent again", "internal/replicaconn/conn.go", `outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}`, `outcome{err: &Error{Step: "await answer", Sent: !errors.Is(cause, errRestarted), Cause: cause}}`},
+	{"entries without a known state are used", "platform/entry.go", "if state != wordReady && state != wordDraining {", "if false {"},
 	{"an outage of the store takes the configuration away", "internal/edge/registry.go", "	r.log.Life(\"dependency_lost\"", "	r.beliefs.config.Store(nil)\n	r.log.Life(\"dependency_lost\""},
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -99,12 +99,15 @@
 	drainedAt  time.Time
 	// gone is set when it has crashed.
 	gone bool
+	// born is when it started, in Unix milliseconds.
+	born int64
 }
 
 // entry is the replica's item in the store.
 func (u *upstream) entry(state string) map[string]any {
 	item := u.Entry(u.dataCentre, state)
 	item["address"] = u.proxy.Address()
+	item["born"] = u.born
 	return item
 }
 
@@ -166,7 +169,7 @@
 	one, err := platformtest.StartReplica(fmt.Sprintf("i-%s-%d", service, w.made), service, records(service))
 	require.NoError(w.t, err)
 	one.SetWork(usualWork)
-	added := &upstream{Replica: one, dataCentre: fmt.Sprint("dc", w.made%2)}
+	added := &upstream{Replica: one, dataCentre: fmt.Sprint("dc", w.made%2), born: time.Now().UnixMilli()}
 	w.replicas[one.ID] = added
 	return added
 }
