--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -91,12 +91,26 @@
 	}
 	if route.Gather != nil {
 		plan.Least = route.Gather.Least()
-		plan.Aim = max(route.Aim-ask.Way, 0)
+		plan.Aim = o.attainable(ask)
 		plan.PartialAt = ask.Arrived + o.partialAfter(ask)
 	}
 	return plan
 }
 
+// attainableTimes is how many usual answer times an aim must hold to decide on early rejections.
+const attainableTimes = 2
+
+// attainable is the time within which answers have their full worth, 0 where the route's own
+// answers usually come later: judged by an aim that nobody keeps, every request would be rejected.
+func (o *Outlook) attainable(ask Ask) time.Duration {
+	aim := ask.Route.Aim - ask.Way
+	usual, known := o.times(ask.Route).answers.Quantile(usualQuantile)
+	if !known || aim < attainableTimes*usual {
+		return 0
+	}
+	return aim
+}
+
 // hedgeAfter is how long an answer on a route may take before another replica is
 // asked. It never exceeds a third of the route's aim, since a hedge needs time to
 // be answered before it, and is a fifth of it before enough is learnt.
--- a/internal/core/scatter/early.go
+++ b/internal/core/scatter/early.go
@@ -24,8 +24,8 @@
 // deadline. In the model (all-slow) 0.77 of the credit in place of 0.65, and with one shard too few
 // 0.10 of the requests that failed at their deadline are told so at once.
 //
-// In time is within the aim, counted anew for each try of a caller. A replica with nothing in work always counts: only a request can tell that it is
-// fast again.
+// In time is within the aim, counted anew for each try of a caller. A replica with nothing in
+// work always counts: only a request can tell that it is fast again.
 func (m *Machine) rejectEarly(choices []*replica.Choice) bool {
 	left := m.plan.Deadline - m.now
 	if m.plan.Aim > 0 {
--- a/internal/edge/published_test.go
+++ b/internal/edge/published_test.go
@@ -168,8 +168,31 @@
 	code, dump := w.get("http://"+address+"/dump", nil)
 	require.Equal(t, http.StatusOK, code)
 	require.Contains(t, dump, "resting")
-	w.store.Put(one.Key(), one.Entry("east", platformtest.StateReady))
+	born := one.Entry("east", platformtest.StateReady)
+	born["born"] = 7
+	w.store.Put(one.Key(), born)
 	require.Eventually(t, func() bool { return status() == http.StatusOK }, patience, time.Millisecond)
 	_, dump = w.get("http://"+address+"/dump", nil)
 	require.NotContains(t, dump, "resting")
+	w.store.Put(one.Key(), one.Entry("east", platformtest.StateReady))
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, patience, time.Millisecond, "its own entries say when it started")
+}
+
+// A replica is listed for another service under the same id and start. Requests of that service
+// reach it on the connections that are there.
+func TestAReplicaThatMovesToAnotherServiceIsUsedThere(t *testing.T) {
+	w := newWorld(t)
+	one := w.replica("notes", "east", "a note")
+	w.serve("east")
+	w.configure(2, route("plain", platformtest.KindIdempotent, to("notes")), route("moved", platformtest.KindIdempotent, to("letters")))
+	w.inForce(w.nodes[0], 2)
+	response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", "r1", "")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	entry := one.Entry("east", platformtest.StateReady)
+	entry["service"] = "letters"
+	w.store.Put(one.Key(), entry)
+	require.Eventually(t, func() bool {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/moved/x", "r2", "")
+		return response.StatusCode == http.StatusOK
+	}, patience, time.Millisecond)
 }
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 	Reason   string `json:"reason"`
 }
 
+// errNoStart is an entry that does not say when its replica started, though former ones did.
+var errNoStart = errors.New("it does not say when the replica started, as former entries did")
+
 // maxRefused bounds the entries that are remembered as refused. Further ones are refused too,
 // logged and counted, but not shown in the dump.
 const maxRefused = 256
@@ -84,18 +88,24 @@
 		r.replicaRefused(id, item.Revision, err)
 		return
 	}
-	r.accepted(id)
 	var known replica.Replica
 	var listing replica.Listing
 	r.beliefs.note(func(book *replica.Book, _ core.Time) {
 		known, _ = book.Get(id)
-		listing = book.Put(listed)
+		if listed.Born > 0 || known.Born == 0 {
+			listing = book.Put(listed)
+		}
 	})
+	if listed.Born == 0 && known.Born > 0 {
+		r.replicaRefused(id, item.Revision, errNoStart)
+		return
+	}
+	r.accepted(id)
 	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
 	case listing == replica.Added:
 		r.log.Decision("replica_listed", fields)
-	case listing == replica.Restarted:
+	case listing == replica.Restarted && listed.Life() != known.Life():
 		fields["born"], fields["former_born"] = listed.Born, known.Born
 		r.log.Decision("replica_restarted", fields)
 		r.metrics.restarted()
