--- a/internal/core/outlook/outlook_test.go
+++ b/internal/core/outlook/outlook_test.go
@@ -1,6 +1,7 @@
 package outlook
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 )
 
 const ms = time.Millisecond
@@ -54,3 +56,26 @@
 	require.Zero(t, o.ExcerptParts(ask.Route, 2*time.Second))
 	require.Equal(t, 2, o.ExcerptParts(ask.Route, time.Second+skewLife))
 }
+
+// BenchmarkBegin is what planning a question and choosing the replica of every shard costs, with the
+// check whether enough answers can come in time.
+func BenchmarkBegin(b *testing.B) {
+	for _, shards := range []int{20, 135} {
+		b.Run(strconv.Itoa(shards), func(b *testing.B) {
+			o := New("east", nil, extra.Bound{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}, func() float64 { return 0 })
+			ask := gathered(60 * ms)
+			ask.Route.Gather.Shards = nil
+			for shard := range shards {
+				name := strconv.Itoa(shard)
+				ask.Route.Gather.Shards = append(ask.Route.Gather.Shards, name)
+				for _, dataCentre := range []string{"east", "west", "south"} {
+					o.Book.Put(replica.Replica{ID: name + dataCentre, Service: name, DataCentre: dataCentre, Slots: 2})
+				}
+			}
+			ask.Services = ask.Route.Gather.Shards
+			for b.Loop() {
+				scatter.New(o.Plan(ask), o.Chooser(ask.Route)).Step(0, scatter.Begin{})
+			}
+		})
+	}
+}
