--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -11,7 +11,7 @@
 
 const usual = 10 * time.Millisecond
 
-var near, far = Incarnation{ID: "near"}, Incarnation{ID: "far"}
+var near = Incarnation{ID: "near"}
 
 func bookOfTwo() *Book {
 	b := NewBook("east", nil, func() float64 { return 0 })
--- a/test/soak/entries_test.go
+++ b/test/soak/entries_test.go
@@ -9,9 +9,9 @@
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
 
-// restartReplica lets a replica die and start again under its id, on the same address. One time in
-// two it dies in the dark: its connections hang, and only its new entry tells. One time in four it
-// drained before.
+// restartReplica lets a replica die and start again under its id, on the same address. Three times in
+// four it dies in the dark, with requests in work: its connections hang, and only its new entry
+// tells. One time in four it drained before.
 func (w *world) restartReplica(f fault) {
 	one := w.pick(f.draw)
 	if one == nil {
@@ -20,6 +20,11 @@
 	if f.draw>>16%4 == 0 {
 		w.store.Put(one.Key(), one.entry(platformtest.StateDraining))
 	}
+	dark := f.draw>>20%4 != 0
+	if dark {
+		one.SetWork(longWork)
+		time.Sleep(longWork / 2)
+	}
 	w.mutex.Lock()
 	one.gone = true
 	again, err := platformtest.StartReplica(one.ID, one.Service, records(one.Service))
@@ -29,7 +34,7 @@
 	next := &upstream{Replica: again, proxy: one.proxy, dataCentre: one.dataCentre, born: max(time.Now().UnixMilli(), one.born+1)}
 	w.replicas[fmt.Sprintf("%s#%d", one.ID, w.made)] = next
 	w.mutex.Unlock()
-	if f.draw>>20%2 == 0 {
+	if dark {
 		one.proxy.Silence()
 	} else {
 		one.Close()
@@ -41,38 +46,42 @@
 	one.Close()
 }
 
+// spoilers make an entry one that names no replica, each in its way.
+var spoilers = []func(entry map[string]any){
+	func(entry map[string]any) { entry["state"] = "resting" },
+	func(entry map[string]any) { delete(entry, "version") },
+	func(entry map[string]any) { entry["slots"] = "two" },
+	func(entry map[string]any) { entry["born"] = 0.5 },
+	func(entry map[string]any) { entry["zone"] = nil },
+}
+
 // writeForeign writes entries that name no replica: one in place of a live replica's own for a
-// while, and one that lists a trap, which no request may reach.
+// while, and some that list traps, which no request may reach.
 func (w *world) writeForeign(f fault) {
 	one := w.pick(f.draw)
 	if one == nil {
 		return
 	}
-	trap, err := platformtest.StartReplica(fmt.Sprintf("i-trap-%d", f.draw), one.Service, records(one.Service))
-	require.NoError(w.t, err)
-	defer trap.Close()
-	spoiled := func(entry map[string]any) map[string]any {
-		switch f.draw >> 16 % 5 {
-		case 0:
-			entry["state"] = "resting"
-		case 1:
-			delete(entry, "service")
-		case 2:
-			entry["slots"] = "two"
-		case 3:
-			entry["born"] = 0.5
-		case 4:
-			entry["zone"] = nil
-		}
-		return entry
+	var traps []*platformtest.Replica
+	for i, spoil := range spoilers {
+		trap, err := platformtest.StartReplica(fmt.Sprintf("i-trap-%d-%d", f.draw, i), one.Service, records(one.Service))
+		require.NoError(w.t, err)
+		defer trap.Close()
+		entry := trap.Entry(one.dataCentre, platformtest.StateReady)
+		spoil(entry)
+		w.store.Put(trap.Key(), entry)
+		traps = append(traps, trap)
 	}
-	w.store.Put(trap.Key(), spoiled(trap.Entry(one.dataCentre, platformtest.StateReady)))
-	w.store.Put(one.Key(), spoiled(one.entry(platformtest.StateReady)))
+	own := one.entry(platformtest.StateReady)
+	spoilers[f.draw>>16%uint64(len(spoilers))](own)
+	w.store.Put(one.Key(), own)
 	time.Sleep(f.lasts)
-	if arrived := len(trap.Arrivals()); arrived > 0 {
-		w.fail("%d requests reached a replica that no valid entry names", arrived)
+	for _, trap := range traps {
+		if arrived := len(trap.Arrivals()); arrived > 0 {
+			w.fail("%d requests reached %s, which no valid entry names", arrived, trap.ID)
+		}
+		w.store.Remove(trap.Key())
 	}
-	w.store.Remove(trap.Key())
 	w.mutex.Lock()
 	live := one.drainedAt.IsZero() && !one.gone
 	w.mutex.Unlock()
