The model draws by shares in one place; reports are told by one piece of code; figures of stories are those of today's code

Found by reading the change again: two loops that drew by shares, names of shards put together in three places, sums by kind that nobody read, a comment that said the wrong thing of how long work takes, and the end of two commands that stood twice.

--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -76,8 +76,19 @@
 	if err != nil {
 		return err
 	}
-	report := result.Report()
-	if err := writeFolder(folder, e.Name, report); err != nil {
+	return tellReport(result.Report(), e.Name, folder, json, out)
+}
+
+// pictured is a report that can be written for people, as JSON, and drawn.
+type pictured interface {
+	WriteText(out io.Writer)
+	WriteJSON(out io.Writer) error
+	SVG() string
+}
+
+// tellReport writes a report into a folder, where one is given, and to out.
+func tellReport(report pictured, name, folder string, json bool, out io.Writer) error {
+	if err := writeFolder(folder, name, report); err != nil {
 		return err
 	}
 	if json {
@@ -87,12 +98,6 @@
 	return nil
 }
 
-// pictured is a report that can be written as JSON and drawn.
-type pictured interface {
-	WriteJSON(out io.Writer) error
-	SVG() string
-}
-
 // writeFolder writes NAME.json and NAME.svg; an empty folder is none.
 func writeFolder(folder, name string, report pictured) error {
 	if folder == "" {
--- a/internal/command/model.go
+++ b/internal/command/model.go
@@ -53,13 +53,5 @@
 	if err != nil {
 		return err
 	}
-	compared := loadmodel.Compare(p, options.seeds)
-	if err := writeFolder(options.folder, p.Name, compared); err != nil {
-		return err
-	}
-	if options.json {
-		return compared.WriteJSON(out)
-	}
-	compared.WriteText(out)
-	return nil
+	return tellReport(loadmodel.Compare(p, options.seeds), p.Name, options.folder, options.json, out)
 }
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -10,8 +10,13 @@
 // Between a caller and a node, one way.
 const callerWay = time.Millisecond
 
-// Callers wait at most a third of the time they have left before they come back.
-const patienceShare = 3
+const (
+	// patienceShare is the part of the time left, one in so many, that callers wait at most before
+	// they come back.
+	patienceShare = 3
+	// earlyShare is the part of the aim, one in so many, within which a refusal is early.
+	earlyShare = 4
+)
 
 // caller is one request as its caller sees it.
 type caller struct {
@@ -19,33 +24,32 @@
 	kind  Kind
 	place string
 	began core.Time
-	// tries are those left; refusedAt is set when the first try was refused early.
-	tries   int
-	tried   core.Time
+	// tries are those left, tried is when the last one began.
+	tries int
+	tried core.Time
+	// refused is set when a try was refused so early that the next one may earn.
 	refused bool
 }
 
 // call begins a request.
 func (w *world) call() {
-	c := &caller{world: w, began: w.clock.now, tries: 2}
-	draw := w.random.Float64()
-	for _, kind := range w.pattern.Kinds {
-		c.kind = kind
-		if draw -= kind.Share; draw < 0 {
-			break
-		}
-	}
-	draw = w.random.Float64()
-	for _, place := range w.pattern.Places {
-		c.place = place.Name
-		if draw -= place.Callers; draw < 0 {
-			break
-		}
-	}
+	kind := drawn(w.random.Float64(), w.pattern.Kinds, func(one Kind) float64 { return one.Share })
+	place := drawn(w.random.Float64(), w.pattern.Places, func(one Place) float64 { return one.Callers })
+	c := &caller{world: w, kind: kind, place: place.Name, began: w.clock.now, tries: 2}
 	w.report.asked(c)
 	c.try()
 }
 
+// drawn is the one of several that a draw, 0 to 1, falls on by their shares.
+func drawn[T any](draw float64, all []T, share func(T) float64) T {
+	for _, one := range all {
+		if draw -= share(one); draw < 0 {
+			return one
+		}
+	}
+	return all[len(all)-1]
+}
+
 func (c *caller) try() {
 	w := c.world
 	left := c.began + c.kind.Deadline - w.clock.now
@@ -85,7 +89,7 @@
 			wait = result.RetryAfter
 		}
 		wait = min(wait, left/patienceShare)
-		c.refused = now-c.tried <= c.kind.Aim/4
+		c.refused = now-c.tried <= c.kind.Aim/earlyShare
 	}
 	w.clock.after(wait, c.try)
 }
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -27,8 +27,8 @@
 
 // Every replica is slower and more callers come than there is room for. If all are let in, each
 // waits behind requests that are late already, and a third of all answers comes too late to
-// use. Pattern: lasting overload of everything. Measured over 12 seeds: 0.64 of all within
-// the aim when all are let in, 0.75 with early rejection; the bound asked for is half of that gain.
+// use. Pattern: lasting overload of everything. Measured over 12 seeds: 0.71 of all within
+// the aim when all are let in, 0.81 with early rejection; the bound asked for is half of that gain.
 func TestWithTooLittleRoomForAllMoreAreServedInTime(t *testing.T) {
 	p := named(t, "all-slow")
 	all := play(p, Options{Without: []Mechanism{Early}})
@@ -39,7 +39,7 @@
 
 // One shard is gone, one more may be missing, and of two only slow replicas are left. Every
 // question waits for one of these to its deadline and then fails. Pattern: one shard more is short
-// than may be missing. Measured: 0.10 of all requests fail at their deadline when all are let in; with
+// than may be missing. Measured: 0.09 of all requests fail at their deadline when all are let in; with
 // early rejection under 0.01, and as many are served.
 func TestWhatCannotBeServedIsSaidAtOnce(t *testing.T) {
 	p := named(t, "one-too-few")
@@ -61,7 +61,7 @@
 }
 
 // As before, but hedges go to any replica: 13 of 100 arrivals are then second sends that come too
-// late themselves and take the room of first ones. Measured: 0.76 of the credit, and 0.80 when hedges go
+// late themselves and take the room of first ones. Measured: 0.76 of the credit, and 0.79 when hedges go
 // to replicas only that are expected to answer soon.
 func TestHedgesDoNotFillWhatRoomIsLeft(t *testing.T) {
 	p := named(t, "all-slow")
@@ -79,8 +79,8 @@
 }
 
 // The yardstick knows what every replica really does and how long each answer will take. What it
-// gains over the product is what better estimates could still bring: measured 0.046 at most, on
-// one-too-few, 0.01 to 0.02 on the others; on all-slow it earns less than the product, which learns to let fewer in.
+// gains over the product is what better estimates could still bring: measured 0.03 at most, on
+// one-too-few and short-shards, 0.013 and less on the others; on all-slow it earns less than the product, which learns to let fewer in.
 func TestChoicesOfReplicasAreNearTheYardstick(t *testing.T) {
 	for _, p := range Patterns() {
 		own, known := play(p, Options{}), play(p, Options{Oracle: true})
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -22,7 +22,8 @@
 	onTheWay = 9 * time.Millisecond
 )
 
-// Bound on extra arrivals, and what of it and of the connections nodes use.
+// Bound on extra arrivals, and what of it and of the connections nodes use, as the edge divides
+// those of the users' deployments.
 const (
 	extraWindow     = 10 * time.Second
 	extraRatio      = 0.17
@@ -91,8 +92,7 @@
 	plan := n.outlook.Plan(outlook.Ask{Route: route, Services: n.outlook.Services(route, now), Arrived: now, Wait: left, Left: left, Way: onTheWay})
 	n.world.options.change(&plan)
 	q := &request{node: n, kind: kind, route: route, plan: plan, done: done}
-	chooser := n.outlook.Chooser(route)
-	chooser = unexpecting{Chooser: chooser, early: n.world.options.without(Early), reach: n.world.options.without(Reach)}
+	var chooser scatter.Chooser = unexpecting{Chooser: n.outlook.Chooser(route), early: n.world.options.without(Early), reach: n.world.options.without(Reach)}
 	if n.world.options.Oracle {
 		chooser = oracle{Chooser: chooser, node: n, usual: kind.Work}
 	}
@@ -283,6 +283,9 @@
 	return choice, ok
 }
 
+// refusalRounds is how many usual works a replica that refuses everything counts as further away.
+const refusalRounds = 5
+
 // oracle chooses by what the replicas really do: a yardstick, not a policy.
 type oracle struct {
 	scatter.Chooser
@@ -298,8 +301,7 @@
 		if slices.Contains(tried, u.entry.ID) || u.down {
 			continue
 		}
-		wait := u.wait(now, o.usual)
-		wait += time.Duration(u.refuses*5) * o.usual
+		wait := u.wait(now, o.usual) + time.Duration(u.refuses*refusalRounds)*o.usual
 		if u.entry.DataCentre != o.node.place.Name {
 			wait += 2 * farWay
 		}
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -16,7 +16,7 @@
 	Aim, Deadline    time.Duration
 	// Work is the mean work at a replica, on a replica of usual speed.
 	Work time.Duration
-	// Least is the share of shards that an answer needs; 0 is a request to one replica.
+	// Least is the share of shards that an answer needs.
 	Least float64
 }
 
@@ -57,7 +57,7 @@
 	Faults []Fault
 }
 
-// The customers' search: three data centres of which two hold replicas, twenty shards of two
+// search is the customers' search: three data centres of which two hold replicas, twenty shards of two
 // replicas, pauses of 150 ms each 3.6 s, two kinds that ask all shards. One replica of a shard can
 // do about 1.5 times the work that all callers ask of it at the usual rate.
 func search() Pattern {
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -27,7 +27,6 @@
 // Report is what came of a play.
 type Report struct {
 	All     Sum
-	Kinds   map[string]*Sum
 	Windows []Sum
 	// Took are the times after which callers had their answers.
 	Took []time.Duration
@@ -39,15 +38,11 @@
 }
 
 func newReport(p Pattern) *Report {
-	r := &Report{Kinds: map[string]*Sum{}, Windows: make([]Sum, p.Length/window+1)}
-	for _, kind := range p.Kinds {
-		r.Kinds[kind.Name] = &Sum{}
-	}
-	return r
+	return &Report{Windows: make([]Sum, p.Length/window+1)}
 }
 
 func (r *Report) sums(c *caller) []*Sum {
-	return []*Sum{&r.All, r.Kinds[c.kind.Name], &r.Windows[c.began/window]}
+	return []*Sum{&r.All, &r.Windows[c.began/window]}
 }
 
 func (r *Report) asked(c *caller) {
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// wait is how long work that comes now waits before it begins: what an oracle knows.
+// wait is how long it takes until work that comes now is done: what an oracle knows.
 func (u *upstream) wait(now core.Time, usual time.Duration) time.Duration {
 	if u.down {
 		return time.Hour
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -101,8 +101,10 @@
 }
 
 func (w *world) startUpstreams() {
+	var shards []string
 	for shard := range w.pattern.Shards {
-		service := fmt.Sprintf("shard-%d", shard)
+		service := shardName(shard)
+		shards = append(shards, service)
 		for _, place := range w.pattern.Places {
 			for i := range place.Replicas {
 				u := &upstream{
@@ -116,14 +118,15 @@
 		}
 	}
 	for _, kind := range w.pattern.Kinds {
-		route := &policy.Route{Name: kind.Name, Idempotent: true, Timeout: kind.Deadline, Aim: kind.Aim, MaxReplicas: maxReplicas, Gather: &policy.Gather{LeastCoverage: kind.Least}}
-		for shard := range w.pattern.Shards {
-			route.Gather.Shards = append(route.Gather.Shards, fmt.Sprintf("shard-%d", shard))
+		w.routes[kind.Name] = &policy.Route{
+			Name: kind.Name, Idempotent: true, Timeout: kind.Deadline, Aim: kind.Aim, MaxReplicas: maxReplicas,
+			Gather: &policy.Gather{Shards: shards, LeastCoverage: kind.Least},
 		}
-		w.routes[kind.Name] = route
 	}
 }
 
+func shardName(shard int) string { return fmt.Sprintf("shard-%d", shard) }
+
 func (w *world) route(kind Kind) *policy.Route { return w.routes[kind.Name] }
 
 func (w *world) nodeCount() int {
@@ -163,7 +166,7 @@
 // strike sets a fault on replicas drawn by lot.
 func (w *world) strike(fault Fault) {
 	for _, shard := range w.random.Perm(w.pattern.Shards)[:fault.Shards] {
-		struck := w.byService[fmt.Sprintf("shard-%d", shard)]
+		struck := w.byService[shardName(shard)]
 		if !fault.Both {
 			i := w.random.IntN(len(struck))
 			struck = struck[i : i+1]
