The test of a too short excerpt waits until the other node knows the route

Traced under load: the entry's own count shows that it sent to the far replica itself and the other node sent nothing. The test awaited the new route at the entry alone; a node that does not know it yet refuses as not run, and the entry sends by itself, as it should. The merge itself is tested beside it without links.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -91,6 +91,8 @@
 	w.serve("east", "west")
 	w.configure(2, route("deep", platformtest.KindIdempotent, gather(50, 0.6, "s1", "s2", "s3")))
 	w.inForce(w.nodes[0], 2)
+	// A node that does not know the route yet sends nothing on: the entry then asks by itself.
+	w.inForce(w.nodes[1], 2)
 	response, body := w.ask(w.nodes[0], http.MethodGet, "/deep/x", "r1", "")
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, "1", response.Header.Get("Pistachiopier-Missing-Parts"))
