Bytes are counted by purpose and data centre at the other end; links do not search for larger packets

A metric bytes_total{purpose,data_centre} and a log line each 10 s and at the stop tell which duty makes the bytes between data centres. The search for a larger packet cost 11.6 KB of the 19 KB of opening a link.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -33,6 +33,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/internal/traffic"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
 
@@ -65,6 +66,7 @@
 	identity peer.Identity
 	log      *decisionlog.Log
 	metrics  *nodeMetrics
+	traffic  *traffic.Account
 	beliefs  *beliefs
 	registry *registry
 	views    *belief.Store
@@ -119,6 +121,7 @@
 		copied:   mirror.NewCopy(),
 		lastCall: make(chan struct{}),
 	}
+	n.traffic = traffic.New(n.metrics.registry)
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
@@ -169,9 +172,11 @@
 		return fault.Step("open peer pool", err)
 	}
 	n.pool.KeepIdle(idleLink)
+	n.pool.OnBytes(n.sentToNode)
 	if n.server, err = peer.Listen(s.PeerListen, tlsConfig, n.identity, n); err != nil {
 		return fault.Step("listen for peers", err)
 	}
+	n.server.OnBytes(n.sentToNode)
 	self := route.Node{ID: n.identity.Node, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, Weight: uint32(s.Cores * milli)}
 	n.views.SetSelf(self)
 	n.seeds = membership.NewSeeds(s.PeerAddress, s.Seeds)
@@ -258,6 +263,7 @@
 const housekeeping = 200 * time.Millisecond
 
 func (n *Node) housekeep() {
+	toldTraffic := n.now()
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
 	for {
@@ -268,6 +274,7 @@
 		}
 		n.registry.expire()
 		n.renewEntries()
+		n.tellTraffic(&toldTraffic)
 		n.setBound()
 		n.replicas.Forget(func(life replica.Incarnation) bool {
 			n.beliefs.mutex.Lock()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/internal/traffic"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
 
@@ -237,6 +238,7 @@
 	wire := q.template
 	wire.Replica = one.send.Replica.Life()
 	wire.Address = one.send.Replica.Address
+	wire.Bytes = q.node.traffic.Counter(traffic.Flow{Purpose: traffic.Replicas, To: one.send.Replica.DataCentre})
 	wire.Late = func(response *replicaconn.Response) { q.lateAnswer(one, response) }
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,6 +26,8 @@
 	calls  map[uint64]*call
 	broken error
 	watch  linkWatch
+	// carried is guarded by mutex.
+	carried sampled
 }
 
 // call is one open request.
@@ -96,6 +98,8 @@
 		return err
 	}
 	defer release()
+	l.carries(connection)
+	defer l.sample()
 	defer func() { _ = connection.CloseWithError(codeClosing, "closing") }()
 	stream, err := connection.OpenStreamSync(l.ctx)
 	if err != nil {
@@ -145,7 +149,7 @@
 	if _, err := protodelim.MarshalTo(writer, helloEnvelope(l.pool.self)); err != nil {
 		return err
 	}
-	out := outbox{queue: l.out.Items(), writer: writer, wanted: l.markWritten}
+	out := outbox{queue: l.out.Items(), writer: writer, wanted: l.markWritten, wrote: l.pool.meter.message(l.target.Node)}
 	return out.write(ctx)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -125,6 +125,9 @@
 		HandshakeIdleTimeout:  dialTimeout,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: -1,
+		// The search for a larger packet costs 11.6 KB a link, half of what opening one does, and
+		// most links carry heartbeats only. Packets of 1,280 bytes pass every path.
+		DisablePathMTUDiscovery: true,
 		// 0-RTT data can be replayed by anyone who captured it, which would
 		// run a must-not-repeat request twice. It stays off at both ends.
 		Allow0RTT: false,
@@ -157,6 +160,8 @@
 	wanted func(*peerpb.Envelope) bool
 	// finish, once closed, ends the writing when the queue is empty; nil is never.
 	finish <-chan struct{}
+	// wrote is told each message that was written, with its bytes.
+	wrote func(*peerpb.Envelope, int)
 }
 
 // write writes the wanted messages until the context ends, which is an error, or
@@ -188,9 +193,11 @@
 
 func (o *outbox) put(envelope *peerpb.Envelope) error {
 	if o.wanted(envelope) {
-		if _, err := protodelim.MarshalTo(o.writer, envelope); err != nil {
+		bytes, err := protodelim.MarshalTo(o.writer, envelope)
+		if err != nil {
 			return err
 		}
+		o.wrote(envelope, bytes)
 	}
 	if len(o.queue) > 0 {
 		return nil
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -44,6 +44,7 @@
 	broken func(Target, error)
 	// keepIdle is how long a link without requests is kept.
 	keepIdle time.Duration
+	meter    meter
 }
 
 // KeepIdle sets how long a link without requests is kept. It must be called before the first
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,7 @@
 	finish     chan struct{}
 	finishOnce sync.Once
 	streams    atomic.Int64
+	meter      meter
 }
 
 // Listen opens the peer address and serves until Close.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -120,6 +120,7 @@
 		writer: bufio.NewWriterSize(stream, bufferBytes),
 		wanted: writeAll,
 		finish: s.server.finish,
+		wrote:  s.server.meter.message(s.from.Node),
 	}
 	if err := out.write(s.ctx); err != nil {
 		stream.CancelWrite(codeClosing)
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -104,6 +104,7 @@
 		case <-ticker.C:
 		}
 		for _, l := range p.snapshot() {
+			l.sample()
 			p.look(l)
 		}
 	}
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -55,6 +57,8 @@
 	// Replica is the incarnation meant, Address where it listens.
 	Replica replica.Incarnation
 	Address string
+	// Bytes, when set, counts what a connection that is opened for the request carries.
+	Bytes metrics.Counter
 	// MaxConnections bounds this node's connections to the replica.
 	MaxConnections int
 	Method         string
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -161,7 +161,7 @@
 // opening has cost the replica something already.
 func (c *Client) dial(ctx context.Context, request *Request) (*conn, error) {
 	ends := make(chan dialed, 1)
-	go func() { ends <- c.open(request.Replica, request.Address) }()
+	go func() { ends <- c.open(request) }()
 	select {
 	case end := <-ends:
 		return end.conn, end.err
@@ -175,13 +175,17 @@
 	}
 }
 
-func (c *Client) open(life replica.Incarnation, address string) dialed {
+func (c *Client) open(request *Request) dialed {
+	life, address := request.Replica, request.Address
 	dialer := net.Dialer{Control: limitSilence, Timeout: dialTimeout}
 	stream, err := dialer.Dial("tcp", address)
 	if err != nil {
 		c.ended(life, nil)
 		return dialed{err: err}
 	}
+	if request.Bytes != nil {
+		stream = counted{stream, request.Bytes}
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.opened++
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,96 @@
+// Package traffic counts the bytes that a node sends and takes, by what they are for and by the
+// data centre at the other end. Bytes between data centres are dear; without the account
+// nobody can say which duty causes them.
+package traffic
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/pistachiopier/pistachiopier/internal/observe"
+)
+
+// Purpose is what bytes are for.
+type Purpose string
+
+// The purposes. Those of messages count what this node wrote into links; Links counts the datagrams
+// of the links that this node opened, both ways, and so holds handshakes, acknowledgements and
+// the messages again.
+const (
+	Heartbeats Purpose = "heartbeats"
+	Copies     Purpose = "copies"
+	Delegated  Purpose = "delegated"
+	Other      Purpose = "other"
+	Links      Purpose = "links"
+	Replicas   Purpose = "replicas"
+)
+
+// Flow is one kind of bytes.
+type Flow struct {
+	Purpose Purpose
+	// To is the data centre at the other end, "" where it is not known.
+	To string
+}
+
+// Account counts bytes. It is safe for concurrent use.
+type Account struct {
+	registry observe.Registry
+	mutex    sync.RWMutex
+	flows    map[Flow]metrics.Counter
+}
+
+// New makes an account whose counters are in a registry, as bytes_total.
+func New(registry observe.Registry) *Account {
+	return &Account{registry: registry, flows: map[Flow]metrics.Counter{}}
+}
+
+// Counter returns the counter of a flow. Its number is that of purposes times data centres.
+func (a *Account) Counter(flow Flow) metrics.Counter {
+	a.mutex.RLock()
+	counter := a.flows[flow]
+	a.mutex.RUnlock()
+	if counter != nil {
+		return counter
+	}
+	counter = observe.Counter(a.registry, observe.Labelled("bytes_total", "purpose", string(flow.Purpose), "data_centre", flow.To))
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.flows[flow] = counter
+	return counter
+}
+
+// Add counts bytes of a flow.
+func (a *Account) Add(flow Flow, bytes int) { a.Counter(flow).Inc(int64(bytes)) }
+
+// Total is what was counted of a flow.
+type Total struct {
+	Flow
+	Bytes int64
+}
+
+// Totals lists all flows, by purpose and data centre.
+func (a *Account) Totals() []Total {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	totals := make([]Total, 0, len(a.flows))
+	for flow, counter := range maps.All(a.flows) {
+		totals = append(totals, Total{flow, counter.Count()})
+	}
+	slices.SortFunc(totals, func(a, b Total) int { return cmp.Or(cmp.Compare(a.Purpose, b.Purpose), cmp.Compare(a.To, b.To)) })
+	return totals
+}
+
+// Far sums by purpose what went to or came from other data centres than the given one.
+func Far(totals []Total, home string) map[Purpose]int64 {
+	far := map[Purpose]int64{}
+	for _, one := range totals {
+		if one.To != home {
+			far[one.Purpose] += one.Bytes
+		}
+	}
+	return far
+}
