--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -31,6 +31,11 @@
 	Hedge time.Duration
 	// FarExtra is how much longer that is for a replica in another data centre.
 	FarExtra time.Duration
+	// SharedFrom is the number of first sends within the data centre from which on they are
+	// shared among its nodes; 0 is never. SharedExtra is how much longer an answer may then take,
+	// and one from another data centre where as many go there.
+	SharedFrom  int
+	SharedExtra time.Duration
 }
 
 // Chooser is what the machine asks of the node's beliefs.
@@ -166,14 +171,33 @@
 	if found < m.plan.Least || m.rejectEarly(choices) {
 		return
 	}
+	near, far := 0, 0
+	for _, choice := range choices {
+		switch {
+		case choice == nil:
+		case choice.Far:
+			far++
+		default:
+			near++
+		}
+	}
 	for i, choice := range choices {
 		if choice != nil {
-			m.send(i, *choice, First)
+			m.send(i, *choice, First, m.shared(choice.Far, near, far))
 		}
 	}
 }
 
-func (m *Machine) send(i int, to replica.Choice, cause Cause) {
+// shared reports whether first sends, near or far ones, are shared among nodes there.
+func (m *Machine) shared(isFar bool, near, far int) bool {
+	count := near
+	if isFar {
+		count = far
+	}
+	return m.plan.SharedFrom > 0 && count >= m.plan.SharedFrom
+}
+
+func (m *Machine) send(i int, to replica.Choice, cause Cause, shared bool) {
 	s := &m.services[i]
 	s.tried = append(s.tried, to.ID)
 	s.sent++
@@ -185,8 +209,11 @@
 	if to.Far && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.FarExtra
 	}
+	if shared && s.hedgeAt > 0 {
+		s.hedgeAt += m.plan.SharedExtra
+	}
 	m.sends = append(m.sends, send{service: i, live: true})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause, Shared: shared && !to.Far})
 }
 
 func (m *Machine) ended(e Ended) {
@@ -263,7 +290,7 @@
 	if !m.spend(i) {
 		return m.withhold(i, cause, ExtraUsed)
 	}
-	m.send(i, choice, cause)
+	m.send(i, choice, cause, false)
 	return true
 }
 
@@ -311,7 +338,7 @@
 		m.services[i].failed = true
 		return
 	}
-	m.send(i, choice, Retry)
+	m.send(i, choice, Retry, false)
 }
 
 // late marks the replicas that keep a service waiting and hedges. Where the hedge
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -132,17 +132,20 @@
 // exchanges that are left. Hedges and retries are not delegated: they are single, and
 // the node in between may be what the first send waits for.
 func (q *request) delegate(started []*exchange) []*exchange {
-	if q.route.Gather == nil || len(q.template.Body) > maxDelegatedBody {
+	if !q.delegable() {
 		return started
 	}
-	var direct []*exchange
+	var direct, shared []*exchange
 	far := map[string][]*exchange{}
 	for _, one := range started {
-		if !one.send.Far || one.send.Cause != scatter.First {
+		switch {
+		case first(one) && one.send.Far:
+			far[one.send.Replica.DataCentre] = append(far[one.send.Replica.DataCentre], one)
+		case one.send.Shared:
+			shared = append(shared, one)
+		default:
 			direct = append(direct, one)
-			continue
 		}
-		far[one.send.Replica.DataCentre] = append(far[one.send.Replica.DataCentre], one)
 	}
 	for dataCentre, members := range far {
 		helper, ok := q.node.helper(dataCentre)
@@ -150,20 +153,22 @@
 			direct = append(direct, members...)
 			continue
 		}
-		q.ask(helper, members)
+		q.ask(helper, members, &peerpb.DelegateRequest{
+			FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), Parts: uint32(q.node.beliefs.excerptParts(q.route)), Share: true,
+		})
+	}
+	if len(shared) > 0 {
+		direct = append(direct, q.share(shared)...)
 	}
 	return direct
 }
 
-// ask sends a group to a helper.
-func (q *request) ask(helper peer.Target, members []*exchange) {
+// ask sends a group to a helper. The message says how the helper is to go about it.
+func (q *request) ask(helper peer.Target, members []*exchange, message *peerpb.DelegateRequest) *group {
 	g := &group{helper: helper, members: map[uint32]*exchange{}}
-	message := &peerpb.DelegateRequest{
-		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
-		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
-		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), TopK: uint32(q.route.Gather.TopK),
-		Parts: uint32(q.node.beliefs.excerptParts(q.route)),
-	}
+	message.Method, message.Target, message.Host, message.Body = q.template.Method, q.template.Target, q.template.Host, q.template.Body
+	message.RequestId, message.TopK = q.id, uint32(q.route.Gather.TopK)
+	message.TimeLeftUs = uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds())
 	for name, values := range q.template.Header {
 		for _, value := range values {
 			message.Headers = append(message.Headers, &peerpb.HeaderField{Name: name, Value: value})
@@ -180,6 +185,7 @@
 		q.helperReplied(g, reply, failure)
 	})
 	go q.endGroup(g)
+	return g
 }
 
 // endGroup withdraws what is left of a group some time after the request's end.
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -94,8 +94,8 @@
 // unknownRoute answers what no route matches. A node whose beliefs are old may not
 // know a route that was added since: it does not call the request wrong.
 func (n *Node) unknownRoute(w http.ResponseWriter, r *http.Request, config *policy.Config) {
-	age, _ := n.follower.Age()
-	if age > n.settings.Load().ConfigApply {
+	age, confirmed := n.follower.Age()
+	if !confirmed || age > n.settings.Load().ConfigApply {
 		n.refuse(w, r, "the configuration may be outdated", retryNotReady)
 		return
 	}
@@ -140,7 +140,7 @@
 	if firstOnConnection(r.Context()) {
 		way = firstOnTheWay
 	}
-	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
+	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way, SharedFrom: n.sharedFrom()})
 	q.services = q.plan.Services
 	return q, 0
 }
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -39,6 +39,9 @@
 	// Outage is the time without an answer after which removals may be the
 	// store's own doing: entries lapse when replicas cannot renew them.
 	Outage time.Duration
+	// FirstPeers is how long a node that has just started turns to its peers only, once it has a
+	// first copy: the readers among them confirm theirs meanwhile.
+	FirstPeers time.Duration
 	// Return is how long after an outage entries may take to come back.
 	Return time.Duration
 }
@@ -55,6 +58,7 @@
 		FirstRetry: 40 * time.Millisecond,
 		Stale:      2500 * time.Millisecond,
 		Outage:     2200 * time.Millisecond,
+		FirstPeers: 600 * time.Millisecond,
 		Return:     2200 * time.Millisecond,
 	}
 }
@@ -100,7 +104,9 @@
 	failedSince  core.Time
 	failures     int
 	storeRetryAt core.Time
-	returnUntil  core.Time
+	// peersUntil is until when only readers turn to the store.
+	peersUntil  core.Time
+	returnUntil core.Time
 }
 
 // NewFollower makes a follower; Start begins to keep the copy up to date.
@@ -175,11 +181,11 @@
 		if f.readPeers(ctx, sources, reader) {
 			continue
 		}
-		if f.now() >= f.storeRetryAt {
+		if f.now() >= max(f.storeRetryAt, f.peersUntil) {
 			f.readStore(ctx)
 			continue
 		}
-		wait.For(ctx, f.storeRetryAt-f.now())
+		wait.For(ctx, max(f.storeRetryAt, f.peersUntil)-f.now())
 	}
 }
 
@@ -200,6 +206,7 @@
 // read at once.
 func (f *Follower) readOnce(ctx context.Context) bool {
 	started := f.now()
+	first := f.copy.UpTo() == 0
 	f.counts.storeCalls.Add(1)
 	delta, err := f.fromStore(ctx)
 	if ctx.Err() != nil {
@@ -210,6 +217,14 @@
 		return false
 	}
 	f.storeBack()
+	if first {
+		f.begin(delta)
+		if delta.UpTo == 0 {
+			// An old reading of a store that had nothing yet.
+			wait.For(ctx, f.config.Gather)
+		}
+		return false
+	}
 	if !delta.Whole && len(delta.Items) >= cutFrom {
 		f.noteOutage(f.now())
 		f.take(delta, core.Time(f.confirmed.Load()))
@@ -224,17 +239,33 @@
 	return false
 }
 
+// begin takes up the first copy. It may be seconds old, so that it is not confirmed: others do not
+// follow it, and a route that it lacks may be there. A process without any configuration
+// refuses every request, while one that is seconds old serves all but the newest routes; and
+// 295 processes that start at once cost the store a tenth.
+func (f *Follower) begin(delta Delta) {
+	f.peersUntil = f.now() + f.config.FirstPeers
+	if changed := f.copy.Apply(delta); len(changed) > 0 {
+		f.listener.Changed(Change{Items: changed})
+	}
+}
+
 func (f *Follower) fromStore(ctx context.Context) (Delta, error) {
 	timeout := f.config.WatchWait + f.config.Slack
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	after := f.copy.UpTo()
 	if after == 0 {
-		return readAll(ctx, f.store)
+		return readAll(ctx, f.store, true)
+	}
+	waiting := f.config.WatchWait
+	if _, known := f.Age(); !known {
+		// The first copy is to be confirmed at once.
+		waiting = 0
 	}
-	delta, err := f.store.Watch(ctx, after, f.config.WatchWait)
+	delta, err := f.store.Watch(ctx, after, waiting)
 	if errors.Is(err, ErrHistoryGone) {
-		return readAll(ctx, f.store)
+		return readAll(ctx, f.store, false)
 	}
 	return delta, err
 }
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -19,8 +19,10 @@
 
 // fakeStore is a store in memory. While it is silent, calls last until they are given up.
 type fakeStore struct {
-	mutex  sync.Mutex
-	state  *Copy
+	mutex sync.Mutex
+	state *Copy
+	// before, when set, is what stale readings give.
+	before *Copy
 	silent bool
 	busy   bool
 	// hasty watches end at once with nothing new.
@@ -48,10 +50,14 @@
 	return nil
 }
 
-func (s *fakeStore) Page(ctx context.Context, _ string) (Page, error) {
+func (s *fakeStore) Page(ctx context.Context, _ string, stale bool) (Page, error) {
 	if err := s.call(ctx); err != nil {
 		return Page{}, err
 	}
+	if stale && s.before != nil {
+		delta := s.before.Since(0)
+		return Page{Items: delta.Items, Revision: delta.UpTo}, nil
+	}
 	delta := s.state.Since(0)
 	return Page{Items: delta.Items, Revision: delta.UpTo}, nil
 }
@@ -387,3 +393,41 @@
 		require.Equal(t, 1100, removed)
 	})
 }
+
+// All processes start at once, and the store gives them a reading that is seconds old: a configuration
+// that was accepted just before is not in it. Nobody may take that reading for the newest state; a
+// reader confirms it with its next call, and the others take the news from it and leave the store alone.
+func TestAFirstReadingThatIsOldIsConfirmedAtOnce(t *testing.T) {
+	for _, reader := range []bool{true, false} {
+		synctest.Test(t, func(*testing.T) {
+			started := time.Now()
+			now := func() core.Time { return time.Since(started) + 1 }
+			store := &fakeStore{state: NewCopy(), before: NewCopy()}
+			store.before.Apply(Delta{Whole: true, UpTo: 4, Items: []Item{{Key: "config", Revision: 4}}})
+			store.state.Apply(Delta{Whole: true, UpTo: 4, Items: []Item{{Key: "config", Revision: 4}}})
+			store.put("config", false)
+			peers := &fakePeers{reader: reader, copied: NewCopy(), age: time.Hour}
+			f := NewFollower(DefaultConfig(), NewCopy(), store, peers, &heard{}, now)
+			f.Start()
+			defer f.Close()
+			synctest.Wait()
+			item, _ := f.copy.Get("config")
+			if reader {
+				require.EqualValues(t, 5, item.Revision)
+				age, known := f.Age()
+				require.True(t, known)
+				require.Zero(t, age)
+				return
+			}
+			require.EqualValues(t, 4, item.Revision, "an old configuration serves")
+			_, known := f.Age()
+			require.False(t, known, "but is not told to others as confirmed")
+			peers.copied.Apply(store.state.Since(0))
+			peers.setAge(0)
+			time.Sleep(time.Second)
+			item, _ = f.copy.Get("config")
+			require.EqualValues(t, 5, item.Revision)
+			require.Equal(t, 1, store.count())
+		})
+	}
+}
--- a/internal/mirror/source.go
+++ b/internal/mirror/source.go
@@ -23,8 +23,8 @@
 
 // Store is where items are published.
 type Store interface {
-	// Page reads the items behind a key; "" is the start.
-	Page(ctx context.Context, after string) (Page, error)
+	// Page reads the items behind a key; "" is the start. A stale one may be seconds old.
+	Page(ctx context.Context, after string, stale bool) (Page, error)
 	// Watch waits for changes behind a revision, at most for the given time.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Delta, error)
 	// Close ends the connections that are idle.
@@ -44,11 +44,11 @@
 
 // readAll reads every item. Pages are not a snapshot: what changes between them is
 // brought by the watch from the first page's revision, which the result bears.
-func readAll(ctx context.Context, store Store) (Delta, error) {
+func readAll(ctx context.Context, store Store, stale bool) (Delta, error) {
 	delta := Delta{Whole: true}
 	after := ""
 	for {
-		page, err := store.Page(ctx, after)
+		page, err := store.Page(ctx, after, stale)
 		if err != nil {
 			return Delta{}, err
 		}
