Hedges come apart from nodes next to the replicas; sends of a question are not shared within a data centre

The hop, and hedges that find no open connection, cost more than the processor time that is saved. Hedges of parts that a node had merged went over connections of the entry's own and took 10 ms and more. Their parts now come apart, so that none stands in two merged replies.

--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -26,10 +26,7 @@
 	// farExtra is how much longer a send to another data centre may take before it is
 	// hedged: a round trip between data centres and the pause of a node there between
 	// replies.
-	farExtra = 6 * time.Millisecond
-	// sharedExtra is how much longer a send through a node next by may take: its messages and
-	// the pause between its replies.
-	sharedExtra = 6 * time.Millisecond
+	farExtra = 4 * time.Millisecond
 )
 
 // routeTimes is what was seen of one route's requests.
@@ -84,8 +81,6 @@
 	Left time.Duration
 	// Way is how long the answer takes to the caller and the request took from there.
 	Way time.Duration
-	// SharedFrom is the number of sends from which on the nodes of the data centre share them.
-	SharedFrom int
 }
 
 // Plan says what a request needs, and when to do what about it.
@@ -102,7 +97,6 @@
 	if route.Gather != nil {
 		plan.Least = route.Gather.Least()
 		plan.Aim = o.attainable(ask)
-		plan.SharedFrom, plan.SharedExtra = ask.SharedFrom, sharedExtra
 		plan.PartialAt = ask.Arrived + o.partialAfter(ask)
 	}
 	return plan
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -41,8 +41,6 @@
 	// Far is set when the replica is in another data centre.
 	Far   bool
 	Cause Cause
-	// Shared sends go through other nodes of the data centre.
-	Shared bool
 }
 
 // Withdraw ends a send whose answer is no longer wanted.
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -31,11 +31,6 @@
 	Hedge time.Duration
 	// FarExtra is how much longer that is for a replica in another data centre.
 	FarExtra time.Duration
-	// SharedFrom is the number of first sends within the data centre from which on they are
-	// shared among its nodes; 0 is never. SharedExtra is how much longer an answer may then take,
-	// and one from another data centre where as many go there.
-	SharedFrom  int
-	SharedExtra time.Duration
 }
 
 // Chooser is what the machine asks of the node's beliefs.
@@ -171,33 +166,14 @@
 	if found < m.plan.Least || m.rejectEarly(choices) {
 		return
 	}
-	near, far := 0, 0
-	for _, choice := range choices {
-		switch {
-		case choice == nil:
-		case choice.Far:
-			far++
-		default:
-			near++
-		}
-	}
 	for i, choice := range choices {
 		if choice != nil {
-			m.send(i, *choice, First, m.shared(choice.Far, near, far))
+			m.send(i, *choice, First)
 		}
 	}
 }
 
-// shared reports whether first sends, near or far ones, are shared among nodes there.
-func (m *Machine) shared(isFar bool, near, far int) bool {
-	count := near
-	if isFar {
-		count = far
-	}
-	return m.plan.SharedFrom > 0 && count >= m.plan.SharedFrom
-}
-
-func (m *Machine) send(i int, to replica.Choice, cause Cause, shared bool) {
+func (m *Machine) send(i int, to replica.Choice, cause Cause) {
 	s := &m.services[i]
 	s.tried = append(s.tried, to.ID)
 	s.sent++
@@ -209,11 +185,8 @@
 	if to.Far && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.FarExtra
 	}
-	if shared && s.hedgeAt > 0 {
-		s.hedgeAt += m.plan.SharedExtra
-	}
 	m.sends = append(m.sends, send{service: i, live: true})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause, Shared: shared && !to.Far})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause})
 }
 
 func (m *Machine) ended(e Ended) {
@@ -290,7 +263,7 @@
 	if !m.spend(i) {
 		return m.withhold(i, cause, ExtraUsed)
 	}
-	m.send(i, choice, cause, false)
+	m.send(i, choice, cause)
 	return true
 }
 
@@ -338,7 +311,7 @@
 		m.services[i].failed = true
 		return
 	}
-	m.send(i, choice, Retry, false)
+	m.send(i, choice, Retry)
 }
 
 // late marks the replicas that keep a service waiting and hedges. Where the hedge
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -39,6 +39,8 @@
 // group is the sends of one request that go through one node.
 type group struct {
 	helper peer.Target
+	// apart is set when each part comes with its own records, and not merged.
+	apart bool
 	// heard is set once the helper has replied.
 	heard  atomic.Bool
 	ticket peer.Ticket
@@ -128,55 +130,53 @@
 	return n.helpers.choose(nodes, n.now())
 }
 
-// delegate hands sends to other data centres to nodes there, and shared ones to nodes next by, and
-// returns the exchanges that are left.
+// delegate hands sends to other data centres to nodes there and returns the exchanges that are left.
 //
 // Hedges go the same way: several of one question become due together, the nodes next to the replicas
-// hold open connections to them, and a part then costs a tenth of the bytes between data centres of an
-// exchange over HTTP. Retries are single and go at once.
+// hold open connections to them, and a part then costs a fifth of the bytes between data centres of an
+// exchange over HTTP. Their parts come apart: of two merged replies that hold parts of one shard
+// none could be used. Retries are single and go at once.
 func (q *request) delegate(started []*exchange) []*exchange {
-	if !q.delegable() {
+	if q.route.Gather == nil || len(q.template.Body) > maxDelegatedBody {
 		return started
 	}
-	var direct, shared []*exchange
-	far := map[string][]*exchange{}
+	var direct []*exchange
+	far, hedges := map[string][]*exchange{}, map[string][]*exchange{}
 	for _, one := range started {
 		switch {
-		case one.send.Far && one.send.Cause != scatter.Retry && !q.delegatedBefore(one):
+		case one.send.Far && one.send.Cause == scatter.First:
 			far[one.send.Replica.DataCentre] = append(far[one.send.Replica.DataCentre], one)
-		case one.send.Shared:
-			shared = append(shared, one)
+		case one.send.Far && one.send.Cause == scatter.Hedge:
+			hedges[one.send.Replica.DataCentre] = append(hedges[one.send.Replica.DataCentre], one)
 		default:
 			direct = append(direct, one)
 		}
 	}
 	for dataCentre, members := range far {
-		helper, ok := q.node.helper(dataCentre)
-		if !ok {
-			direct = append(direct, members...)
-			continue
-		}
-		q.ask(helper, members, &peerpb.DelegateRequest{
-			FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), Parts: uint32(q.node.beliefs.excerptParts(q.route)), Share: true,
-		})
+		direct = append(direct, q.askFar(dataCentre, members, false)...)
 	}
-	if len(shared) > 0 {
-		direct = append(direct, q.share(shared)...)
+	for dataCentre, members := range hedges {
+		direct = append(direct, q.askFar(dataCentre, members, true)...)
 	}
 	return direct
 }
 
-// delegatedBefore reports whether a send of the same shard went through another node. That node may be
-// what is waited for; and of two merged replies that hold parts of one shard none could be used.
-func (q *request) delegatedBefore(one *exchange) bool {
-	return slices.ContainsFunc(q.sends, func(other *exchange) bool {
-		return other != one && other.group != nil && other.send.Service == one.send.Service
+// askFar hands sends to a node next to their replicas in another data centre, and returns those that
+// are left to this one. Their parts come merged or apart.
+func (q *request) askFar(dataCentre string, sends []*exchange, apart bool) []*exchange {
+	helper, ok := q.node.helper(dataCentre)
+	if !ok {
+		return sends
+	}
+	q.ask(helper, sends, &peerpb.DelegateRequest{
+		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), Parts: uint32(q.node.beliefs.excerptParts(q.route)), Apart: apart,
 	})
+	return nil
 }
 
 // ask sends a group to a helper. The message says how the helper is to go about it.
-func (q *request) ask(helper peer.Target, members []*exchange, message *peerpb.DelegateRequest) *group {
-	g := &group{helper: helper, members: map[uint32]*exchange{}}
+func (q *request) ask(helper peer.Target, members []*exchange, message *peerpb.DelegateRequest) {
+	g := &group{helper: helper, apart: message.GetApart(), members: map[uint32]*exchange{}}
 	message.Method, message.Target, message.Host, message.Body = q.template.Method, q.template.Target, q.template.Host, q.template.Body
 	message.RequestId, message.TopK = q.id, uint32(q.route.Gather.TopK)
 	message.TimeLeftUs = uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds())
@@ -196,7 +196,6 @@
 		q.helperReplied(g, reply, failure)
 	})
 	go q.endGroup(g)
-	return g
 }
 
 // endGroup withdraws what is left of a group some time after the request's end.
@@ -282,8 +281,12 @@
 		}
 		if one.verdict == scatter.Whole && one.response != nil {
 			platform.SetStamp(one.response.Header, part.GetStamp())
-			one.batch = merged
-			merged.members = append(merged.members, one)
+			if g.apart {
+				one.response.Body = part.GetRecords()
+			} else {
+				one.batch = merged
+				merged.members = append(merged.members, one)
+			}
 		} else {
 			if one.verdict == scatter.Whole {
 				// A part without a status cannot be counted as one.
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -49,19 +49,10 @@
 	q.ended = make(chan []*exchange, len(message.GetSends()))
 	q.over = make(chan struct{})
 	defer close(q.over)
-	started := make([]*exchange, 0, len(message.GetSends()))
 	for _, send := range message.GetSends() {
-		if one := n.startDelegated(ctx, q, send); one != nil {
-			started = append(started, one)
-		}
-	}
-	if from := n.sharedFrom(); message.GetShare() && from > 0 && len(started) >= from {
-		started = q.share(started)
-	}
-	for _, one := range started {
-		go q.direct(one)
+		n.startDelegated(ctx, q, send)
 	}
-	replies := &replies{inbound: inbound, sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
+	replies := &replies{inbound: inbound, apart: message.GetApart(), limit: int(message.GetTopK()), sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
 	replies.run(ctx, q, time.Duration(message.GetFlushUs())*time.Microsecond, len(message.GetSends()))
 }
 
@@ -87,10 +78,10 @@
 	return q
 }
 
-// startDelegated makes the exchange with one replica. One that is known here to leave, or whose id a later
+// startDelegated sends to one replica. One that is known here to leave, or whose id a later
 // incarnation has taken, is not sent to:
-// the other node may not have heard of it yet. It then returns nil.
-func (n *Node) startDelegated(ctx context.Context, q *request, send *peerpb.DelegatedSend) *exchange {
+// the other node may not have heard of it yet.
+func (n *Node) startDelegated(ctx context.Context, q *request, send *peerpb.DelegatedSend) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	one := &exchange{ctx: ctx, cancel: cancel, startAt: n.now()}
 	one.send = scatter.Send{ID: int(send.GetId())}
@@ -105,16 +96,19 @@
 		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving or has started again")
 		cancel(nil)
 		q.ended <- []*exchange{one}
-		return nil
+		return
 	}
 	n.beliefs.note(func(book *replica.Book, now core.Time) { book.Sent(one.send.Replica.Life(), now) })
-	return one
+	go q.direct(one)
 }
 
 // replies sends what has ended back to the entry.
 type replies struct {
 	inbound *peer.Inbound
 	sender  *topk.Sender
+	// apart is set when each part is to have its own records, at most limit of them.
+	apart   bool
+	limit   int
 	pending []*exchange
 	// told is set once there was a reply.
 	told bool
@@ -151,8 +145,6 @@
 			}
 			r.flush(false)
 		case <-ctx.Done():
-			// The entry has waited for late ends itself; nobody else is to wait again.
-			q.left.Store(true)
 			return
 		}
 	}
@@ -165,18 +157,15 @@
 	}
 	reply := &peerpb.DelegateReply{}
 	var parts [][]byte
-	merged := map[*batch]bool{}
 	for _, one := range r.pending {
 		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds())}
 		switch {
 		case one.verdict == scatter.Whole:
 			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
-			if one.batch == nil {
+			if r.apart {
+				part.Records = topk.Greatest(r.limit, one.response.Body)
+			} else {
 				parts = append(parts, one.response.Body)
-			} else if !merged[one.batch] {
-				// Another node of this data centre merged it with others; they ended together.
-				merged[one.batch] = true
-				parts = append(parts, one.batch.excerpt.Records)
 			}
 		case one.err != nil:
 			part.Cause = one.err.Error()
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -140,7 +140,7 @@
 	if firstOnConnection(r.Context()) {
 		way = firstOnTheWay
 	}
-	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way, SharedFrom: n.sharedFrom()})
+	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
 	q.services = q.plan.Services
 	return q, 0
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -91,11 +91,9 @@
 	// entries are the nodes that callers are sent to. The housekeeping renews them:
 	// to choose them for each request would cost a walk over all replicas.
 	entries atomic.Pointer[[]route.Node]
-	// team shares the sends of large questions; it is renewed with the entries.
-	team   atomic.Pointer[team]
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // New describes a node as an fx application; Start it and Stop it.
@@ -291,7 +289,6 @@
 func (n *Node) renewEntries() {
 	former := n.entries.Load()
 	chosen := n.preferred()
-	n.renewTeam(chosen)
 	if former != nil && slices.Equal(*former, chosen) {
 		return
 	}
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -57,10 +57,6 @@
 			near++
 		}
 	}
-	if team := n.team.Load(); team != nil && n.sharedFrom() > 0 {
-		// Where sends are shared, the group of the replica's service holds its connections.
-		near = max(near, team.Holders())
-	}
 	return shareConnections(int(connectionsUsed*float64(limit)), len(chosen), near, n.settings.Load().DataCentre == to.DataCentre)
 }
 
