--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -26,7 +26,7 @@
 	// farExtra is how much longer a send to another data centre may take before it is
 	// hedged: a round trip between data centres and the pause of a node there between
 	// replies.
-	farExtra = 4 * time.Millisecond
+	farExtra = 6 * time.Millisecond
 )
 
 // routeTimes is what was seen of one route's requests.
