--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -128,17 +128,17 @@
 const inWork = 50 * time.Millisecond
 
 // noAnswer is a request without an answer. One that was read by a process which only stops as
-// planned must have one. A request to the process before that one may have been cut by a kill,
+// planned, or whose settings are being changed, must have one. A request to the process before that one may have been cut by a kill,
 // which a caller that stood still itself notices late.
 func (c *callers) noAnswer(ctx context.Context, node *vm, process int, id string, kind int, sentAt time.Time, err error) {
 	c.remember(id, kind, 0)
 	node.mutex.Lock()
-	planned := node.planned && node.launches == process
+	planned := (node.planned || node.reloading > 0) && node.launches == process
 	node.mutex.Unlock()
 	var operation *net.OpError
 	refused := errors.As(err, &operation) && operation.Op == "dial"
 	if planned && ctx.Err() == nil && !refused && time.Since(sentAt) > inWork {
-		c.w.fail("request %s got no answer from %s, which only stops: %v", id, node.ip, err)
+		c.w.fail("request %s got no answer from %s, which only stops or reads its settings: %v", id, node.ip, err)
 	}
 }
 
--- a/test/soak/links_test.go
+++ b/test/soak/links_test.go
@@ -93,6 +93,13 @@
 	w.store.Remove(one.Key())
 }
 
+// setReloading notes that settings are being changed and nothing else happens to the process.
+func (one *vm) setReloading(process int) {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.reloading = process
+}
+
 // changeSettings writes a node's settings anew, every third time so that they cannot be read,
 // with the signal that asks for a reload or without. The node must serve on either way. A
 // process could not start with such settings, so that it is not restarted meanwhile.
@@ -101,6 +108,8 @@
 		return
 	}
 	defer one.release()
+	one.setReloading(one.process())
+	defer one.setReloading(0)
 	text := one.text + "further=1\n"
 	if f.draw%3 == 0 {
 		text = "limits.cpuShare=none\n"
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -46,6 +46,13 @@
 	{"404 before a configuration is known", "internal/edge/handler.go", "	if config == nil {\n", "	if config == nil {\n		http.NotFound(w, r)\n		return\n"},
 	{"what a former life may have run is sent again", "internal/replicaconn/conn.go", `outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}`, `outcome{err: &Error{Step: "await answer", Sent: !errors.Is(cause, errRestarted), Cause: cause}}`},
 	{"entries without a known state are used", "platform/entry.go", "if state != wordReady && state != wordDraining {", "if false {"},
+	{"a reload ends the callers' connections", "internal/edge/node.go", "	n.log.Life(\"settings_reloaded\"", `	n.callers.mutex.Lock()
+	for one := range n.callers.servers {
+		_ = one.Close()
+	}
+	n.callers.mutex.Unlock()
+	n.log.Life("settings_reloaded"`},
+	{"what was reset has not run", "internal/replicaconn/conn.go", `outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}`, `outcome{err: &Error{Step: "await answer", Sent: errors.Is(cause, io.ErrUnexpectedEOF), Cause: cause}}`},
 	{"an outage of the store takes the configuration away", "internal/edge/registry.go", "	r.log.Life(\"dependency_lost\"", "	r.beliefs.config.Store(nil)\n	r.log.Life(\"dependency_lost\""},
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -88,6 +88,8 @@
 	launches int
 	// planned is set while the only thing that happens to it is a planned stop.
 	planned bool
+	// reloading is the number of the process whose settings are being changed, 0 for none.
+	reloading int
 }
 
 // upstream is a replica and its place in the registry.
