--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -7,7 +7,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
 
-// maxListed bounds what is taken from one heartbeat, whatever its sender is.
+// maxListed bounds what is taken from one heartbeat, whatever its sender is: twice what a node tells.
 const maxListed = 512
 
 // witnessBits is the size of each half of a packed witness.
@@ -83,6 +83,10 @@
 		SeenOf:      in.GetSeenOf(),
 	}
 	suspects := in.GetSuspects()
+	if len(suspects) > maxListed {
+		// What is cut off here must not count as heard: it would never be told again.
+		message.Mark = 0
+	}
 	for _, one := range suspects[:min(len(suspects), maxListed)] {
 		message.Updates = append(message.Updates, decodeUpdate(one))
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -132,10 +132,21 @@
 		Drains:  []member.Drain{{Address: "10.0.0.9:80", Version: 4, Draining: true}},
 		Probe:   "vm-3",
 		Reached: true,
+
+		Exchange: true, Mark: 31, Seen: 37, SeenOf: 41,
 	}
 	require.Equal(t, message, Decode(Encode(message)))
 }
 
+// A node tells more states in one heartbeat than this one takes. Those that were not taken must be told
+// again, or this node never hears of them.
+func TestStatesThatWereNotTakenDoNotCountAsHeard(t *testing.T) {
+	message := &member.Message{From: route.Node{ID: "vm-1"}, Exchange: true, Mark: 1000, Updates: make([]member.Update, maxListed+1)}
+	got := Decode(Encode(message))
+	require.Len(t, got.Updates, maxListed)
+	require.Zero(t, got.Mark)
+}
+
 // A VM that the list shows leaving and that is none of the tier's nodes is an
 // upstream's: its replicas count as draining, whatever the text says.
 func TestLeavingUpstreamsAreFoundInTheList(t *testing.T) {
