A reload keeps what cannot change in a running process, and names it

A settings file with another data centre was taken over for the choice of replicas while other nodes were told the former one. The log's line says what needs a restart; a lookup under way keeps its connection.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -308,12 +308,16 @@
 	return nil
 }
 
-// Reload takes settings that were read anew. Addresses of a running process do not change.
-func (n *Node) Reload(s *settings.Edge) {
+// Reload takes settings that were read anew. No connection ends by it: what cannot change in a running
+// process stays, and the log names it.
+func (n *Node) Reload(read *settings.Edge) {
+	taken := *read
+	s := &taken
+	kept := s.Keep(n.settings.Load())
 	changed := !reflect.DeepEqual(n.settings.Swap(s), s)
 	n.seeds.Replace(s.Seeds)
 	n.setBound()
-	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds()})
+	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
 
 // dump is the node's state for operators.
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -55,6 +55,37 @@
 	e.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(port))
 }
 
+// Keep puts back what a running process cannot change in place, and names what differed. A node that
+// took another data centre or address for its own would tell other nodes one thing and
+// decide by another, and a changed address would be one that nobody listens on.
+func (e *Edge) Keep(running *Edge) (kept []string) {
+	for _, one := range []struct {
+		name         string
+		read, former *string
+	}{
+		{"node", &e.Node, &running.Node},
+		{"data centre", &e.DataCentre, &running.DataCentre},
+		{"callers' address", &e.CallerAddress, &running.CallerAddress},
+		{"ready address", &e.ReadyAddress, &running.ReadyAddress},
+		{"directory address", &e.DirectoryAddress, &running.DirectoryAddress},
+		{"operators' address", &e.OperatorAddress, &running.OperatorAddress},
+		{"metrics address", &e.MetricsAddress, &running.MetricsAddress},
+		{"peer address", &e.PeerAddress, &running.PeerAddress},
+		{"peers' listening address", &e.PeerListen, &running.PeerListen},
+		{"store address", &e.StoreAddress, &running.StoreAddress},
+	} {
+		if *one.read != *one.former {
+			kept = append(kept, one.name)
+			*one.read = *one.former
+		}
+	}
+	if e.Cores != running.Cores {
+		kept = append(kept, "cores")
+		e.Cores = running.Cores
+	}
+	return kept
+}
+
 // Defaults of settings that may be missing.
 const (
 	DefaultStopWait    = 6 * time.Second
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +86,40 @@
 	require.Equal(t, http.StatusGatewayTimeout, <-answered, "it may have run")
 	require.NotContains(t, leaving.log.String(), "stop_cut_short")
 }
+
+// A settings file that names another data centre and another address for callers is read while a lookup waits for
+// its replica, which answers after it. The caller must get its answer on its connection; what cannot change in
+// a running process stays and is named in the log, or the node would take near replicas for far ones.
+func TestAReloadEndsNoLookupAndNamesWhatStays(t *testing.T) {
+	w := newWorld(t)
+	notes := w.replica("notes", "east", "a note")
+	w.serve("east")
+	one := w.nodes[0]
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	arrive := sync.OnceFunc(func() { close(arrived) })
+	notes.SetAct(func(platformtest.Seen) platformtest.Act {
+		arrive()
+		<-answer
+		return platformtest.Answer
+	})
+	ended := make(chan int, 1)
+	go func() {
+		response, _, err := w.try(one, http.MethodGet, "/plain/x", "r1", "")
+		if err != nil {
+			ended <- 0
+			return
+		}
+		ended <- response.StatusCode
+	}()
+	<-arrived
+	moved := *one.Settings
+	moved.DataCentre, moved.CallerAddress, moved.ExtraRatio = "west", "127.0.0.1:1", 0.3
+	one.Reload(&moved)
+	close(answer)
+	require.Equal(t, http.StatusOK, <-ended)
+	line := w.line(one, "settings_reloaded")
+	require.Contains(t, line, `"changed":true`)
+	require.Contains(t, line, `"needs_restart":["data centre","callers' address"]`)
+	_, dump := w.get("http://"+one.Settings.MetricsAddress+"/dump", nil)
+	require.Contains(t, dump, `"data_centre":"east"`)
+}
