Parts that came merged though they were asked for apart are failures, not parts without records

Found by reading: while a fleet is replaced, a node of the former version skips the wish and merges; the answer would then have named parts whose records it lacks.

--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -281,11 +281,16 @@
 		}
 		if one.verdict == scatter.Whole && one.response != nil {
 			platform.SetStamp(one.response.Header, part.GetStamp())
-			if g.apart {
-				one.response.Body = part.GetRecords()
-			} else {
+			switch {
+			case !g.apart:
 				one.batch = merged
 				merged.members = append(merged.members, one)
+			case reply.GetApart():
+				one.response.Body = part.GetRecords()
+			default:
+				// A node of an older version merged them. Taken for parts without records, they
+				// would be named in an answer that lacks what they hold.
+				one.verdict, one.err = scatter.Failed, delegatedError("the node does not send parts apart")
 			}
 		} else {
 			if one.verdict == scatter.Whole {
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -155,7 +155,7 @@
 	if len(r.pending) == 0 {
 		return
 	}
-	reply := &peerpb.DelegateReply{}
+	reply := &peerpb.DelegateReply{Apart: r.apart}
 	var parts [][]byte
 	for _, one := range r.pending {
 		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds())}
--- a/internal/edge/delegated_test.go
+++ b/internal/edge/delegated_test.go
@@ -40,3 +40,18 @@
 	<-over
 	require.Empty(t, sent)
 }
+
+// While the fleet is replaced, a node of the former version is asked for parts apart and sends them merged. Taken
+// for parts without records, they would be named in an answer that lacks what they hold.
+func TestPartsThatCameMergedAreNotTakenForEmptyOnes(t *testing.T) {
+	part := &peerpb.DelegatedPart{Id: 7, Status: 200, Stamp: "3e1b.07"}
+	g := &group{apart: true, members: map[uint32]*exchange{7: {}}}
+	ends := g.take(&peerpb.DelegateReply{Parts: []*peerpb.DelegatedPart{part}, Records: make([]byte, topk.RecordBytes)})
+	require.Equal(t, scatter.Failed, ends[0].verdict)
+	require.Nil(t, ends[0].batch)
+	part.Records = make([]byte, topk.RecordBytes)
+	g.members[7] = &exchange{}
+	ends = g.take(&peerpb.DelegateReply{Apart: true, Parts: []*peerpb.DelegatedPart{part}})
+	require.Equal(t, scatter.Whole, ends[0].verdict)
+	require.Len(t, ends[0].response.Body, topk.RecordBytes)
+}
