What stood twice or was left over from trials goes

The reply that nothing has ended yet comes from the same code as the others. - A plan reads its route's usual answer time once, and not three times. - The account sums what is far itself, without a sorted list that nobody reads; the log's line has a ticker of its own. - The edge's bound on repeated states is the machine's default now, the chart's two actions that did the same are one, and the number of data centres is kept in place of their set. The cost of opening a link in a comment is today's.

--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -28,7 +28,9 @@
 	Helpers int
 	// MaxUpdates and MaxDrains bound the lists in one heartbeat.
 	MaxUpdates int
-	// MaxRepairs bounds the states that a heartbeat repeats while views differ.
+	// MaxRepairs bounds the states that a heartbeat repeats while views differ. They differ
+	// often while nodes are restarted in turn, and each state has its addresses: 24 a
+	// heartbeat were 25 of the 33 MB between 76 nodes in half a minute of restarts.
 	MaxRepairs int
 	MaxDrains  int
 	// PauseLimit is how late a tick may come before beliefs count as expired.
--- a/internal/core/member/drain.go
+++ b/internal/core/member/drain.go
@@ -6,6 +6,10 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
+// transmissions is how many of its messages a node lets carry one drain mark. Each node talks to 2 x
+// Neighbours others, so each edge carries it once and a little more.
+const transmissions = 10
+
 // Drain is a mark that an upstream is leaving, or has stopped leaving.
 type Drain struct {
 	Address string
--- a/internal/core/member/gossip.go
+++ b/internal/core/member/gossip.go
@@ -1,9 +1,5 @@
 package member
 
-// transmissions is how many of its messages a node lets carry one drain mark. Each node talks to 2 x
-// Neighbours others, so each edge carries it once and a little more.
-const transmissions = 10
-
 // repair lists the states of some nodes in turn while views differ. Neighbours tell each other
 // every change, but a change that came before its node was known was passed over.
 func (m *Machine) repair() []Update {
--- a/internal/core/member/harness_test.go
+++ b/internal/core/member/harness_test.go
@@ -68,8 +68,13 @@
 	return last
 }
 
+// emptyMesh has no machines yet.
+func emptyMesh(seed uint64) *mesh {
+	return &mesh{random: rand.New(rand.NewPCG(seed, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+}
+
 func newMesh(seed uint64, count int) *mesh {
-	w := &mesh{random: rand.New(rand.NewPCG(seed, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+	w := emptyMesh(seed)
 	for i := range count {
 		w.add(i, 1)
 	}
--- a/internal/core/member/large_test.go
+++ b/internal/core/member/large_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -28,7 +27,7 @@
 
 // largeFleet is nodes in six data centres that start at once and know three bare seeds.
 func largeFleet() *mesh {
-	w := &mesh{random: rand.New(rand.NewPCG(5, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+	w := emptyMesh(5)
 	for i := range *largeSize {
 		ip := fmt.Sprintf("10.%d.%d.%d", i%largeCentres, i/250, i%250)
 		w.addWith(Config{Incarnation: firstStart, Self: route.Node{
@@ -130,7 +129,7 @@
 // process with another address for callers. News is told behind the place that was confirmed last, so
 // that it arrives all the same.
 func TestNewsThatIsLostOnceIsToldAgain(t *testing.T) {
-	w := &mesh{random: rand.New(rand.NewPCG(9, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+	w := emptyMesh(9)
 	for i := range 12 {
 		w.addWith(Config{Self: place(i), Incarnation: firstStart})
 	}
--- a/internal/core/member/lifecycle.go
+++ b/internal/core/member/lifecycle.go
@@ -15,9 +15,8 @@
 // lifeCycle is the life cycle of a node as another one believes it.
 var lifeCycle = chart.Must(chart.Source("node"), chart.Bindings[subject]{
 	Actions: map[string]func(subject){
-		"spread_loss":   func(s subject) { s.machine.tell(s.peer) },
-		"spread_return": func(s subject) { s.machine.tell(s.peer) },
-		"note_death":    func(s subject) { s.peer.deadAt = s.machine.now },
+		"spread":     func(s subject) { s.machine.tell(s.peer) },
+		"note_death": func(s subject) { s.peer.deadAt = s.machine.now },
 	},
 })
 
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -36,8 +36,8 @@
 	// order lists the peers by id; rotations walk it.
 	order      []*peer
 	neighbours []*peer
-	// centres are the data centres of live nodes.
-	centres map[string]bool
+	// centres is the number of data centres with live nodes.
+	centres int
 	// changes are the changes of states in their order; changedAt is the place of the last one.
 	changes   []change
 	changedAt uint64
--- a/internal/core/member/seeds_test.go
+++ b/internal/core/member/seeds_test.go
@@ -1,13 +1,11 @@
 package member_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/core"
 	. "github.com/pistachiopier/pistachiopier/internal/core/member"
 )
 
@@ -16,7 +14,7 @@
 // callers, or callers are sent to a part of the fleet only.
 func TestSeedsAloneBringAFleetTogether(t *testing.T) {
 	const count, repairs = 76, 3
-	w := &mesh{random: rand.New(rand.NewPCG(5, 1)), byID: map[core.NodeID]*node{}, replies: map[Ticket]func(*Message){}}
+	w := emptyMesh(5)
 	for i := range count {
 		w.addWith(Config{Self: place(i), Incarnation: 1, MaxRepairs: repairs})
 	}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -35,12 +35,13 @@
 			m.neighbours = append(m.neighbours, next)
 		}
 	}
-	m.centres = map[string]bool{m.config.Self.DataCentre: true}
+	centres := map[string]bool{m.config.Self.DataCentre: true}
 	for _, p := range m.order {
 		if p.is(stateLive) {
-			m.centres[p.node.DataCentre] = true
+			centres[p.node.DataCentre] = true
 		}
 	}
+	m.centres = len(centres)
 }
 
 // neighbour is the next node in a ring that is not a neighbour yet. Each node then has as many
--- a/internal/core/member/witness.go
+++ b/internal/core/member/witness.go
@@ -47,7 +47,7 @@
 // hash left some without a second witness: they stayed in every view for good.
 func (m *Machine) volunteers(p *peer) bool {
 	// All data centres together have at least as many as there are rings.
-	each := (m.config.Neighbours + len(m.centres) - 1) / max(1, len(m.centres))
+	each := (m.config.Neighbours + m.centres - 1) / max(1, m.centres)
 	own := pairHash(p.node.ID, uint64(nodeHash(m.config.Self.ID)))
 	for _, other := range m.order {
 		if other == p || other.node.DataCentre != m.config.Self.DataCentre || !other.is(stateLive) {
--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -90,13 +90,15 @@
 		Services: ask.Services, Least: 1, Idempotent: route.Idempotent, MaxReplicas: route.MaxReplicas,
 		Deadline: ask.Arrived + ask.Wait,
 	}
+	times := o.times(route)
+	usual, known := times.answers.Quantile(usualQuantile)
 	if route.Idempotent {
-		plan.Hedge = o.hedgeAfter(route)
+		plan.Hedge = times.hedgeAfter(route.Aim, usual, known)
 		plan.FarExtra = farExtra
 	}
 	if route.Gather != nil {
 		plan.Least = route.Gather.Least()
-		plan.Aim = o.attainable(ask)
+		plan.Aim = attainable(route.Aim-ask.Way, usual, known)
 		plan.PartialAt = ask.Arrived + o.partialAfter(ask)
 	}
 	return plan
@@ -107,9 +109,7 @@
 
 // attainable is the time within which answers have their full worth, 0 where the route's own
 // answers usually come later: judged by an aim that nobody keeps, every request would be rejected.
-func (o *Outlook) attainable(ask Ask) time.Duration {
-	aim := ask.Route.Aim - ask.Way
-	usual, known := o.times(ask.Route).answers.Quantile(usualQuantile)
+func attainable(aim, usual time.Duration, known bool) time.Duration {
 	if !known || aim < attainableTimes*usual {
 		return 0
 	}
@@ -119,21 +119,18 @@
 // hedgeAfter is how long an answer on a route may take before another replica is
 // asked. It never exceeds a third of the route's aim, since a hedge needs time to
 // be answered before it, and is a fifth of it before enough is learnt.
-func (o *Outlook) hedgeAfter(route *policy.Route) time.Duration {
+func (t *routeTimes) hedgeAfter(aim, usual time.Duration, known bool) time.Duration {
 	const (
 		most    = 3
 		unknown = 5
 		least   = 4 * time.Millisecond
 	)
-	answers := &o.times(route).answers
-	after, ok := answers.Quantile(hedgeQuantile)
-	if !ok {
-		after = route.Aim / unknown
-	} else if usual, known := answers.Quantile(usualQuantile); known {
-		after = min(after, hedgeTimes*usual+hedgeSpare)
+	after := aim / unknown
+	if late, enough := t.answers.Quantile(hedgeQuantile); known && enough {
+		after = min(late, hedgeTimes*usual+hedgeSpare)
 	}
-	if route.Aim > 0 {
-		after = min(after, route.Aim/most)
+	if aim > 0 {
+		after = min(after, aim/most)
 	}
 	return max(after, least)
 }
--- a/internal/core/topk/excerpt.go
+++ b/internal/core/topk/excerpt.go
@@ -72,6 +72,13 @@
 	return made
 }
 
+// Greatest returns the greatest records of one part that goes by itself, falling.
+func (s *Sender) Greatest(part []byte) []byte {
+	merger := New(s.limit)
+	merger.Add(part)
+	return merger.Bytes()
+}
+
 // likely is how many records of so many parts the answer will hold at most.
 func (s *Sender) likely(parts int) int {
 	if s.parts <= 0 {
--- a/internal/core/topk/topk.go
+++ b/internal/core/topk/topk.go
@@ -41,13 +41,6 @@
 	}
 }
 
-// Greatest returns the greatest records of one part, falling.
-func Greatest(limit int, part []byte) []byte {
-	merger := New(limit)
-	merger.Add(part)
-	return merger.Bytes()
-}
-
 // Bytes returns the records kept, greatest first.
 func (m *Merger) Bytes() []byte {
 	sorted := slices.Clone(m.kept)
--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -18,19 +18,11 @@
 	n.traffic.Add(traffic.Flow{Purpose: purpose, To: known.DataCentre}, bytes)
 }
 
-// tellTraffic writes the bytes so far between this data centre and others when that is due.
-func (n *Node) tellTraffic(last *core.Time) {
-	if n.now()-*last < tellTrafficEvery {
-		return
-	}
-	*last = n.now()
-	n.log.Life("traffic", n.trafficFields())
-}
-
-func (n *Node) trafficFields() decisionlog.Fields {
+// tellTraffic writes the bytes so far between this data centre and others.
+func (n *Node) tellTraffic() {
 	fields := decisionlog.Fields{}
-	for purpose, bytes := range traffic.Far(n.traffic.Totals(), n.settings.Load().DataCentre) {
+	for purpose, bytes := range n.traffic.Far(n.settings.Load().DataCentre) {
 		fields["far_"+string(purpose)+"_bytes"] = bytes
 	}
-	return fields
+	n.log.Life("traffic", fields)
 }
--- a/internal/edge/copies_test.go
+++ b/internal/edge/copies_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 )
 
@@ -54,8 +55,7 @@
 // were these more than half of the limit, the new ones would be reset for many seconds.
 func TestConnectionsOfAllNodesLeaveRoomForTheirSuccessors(t *testing.T) {
 	for _, one := range []struct{ limit, nodes, near int }{{26, 7, 2}, {26, 8, 3}, {26, 7, 1}, {60, 8, 2}, {100, 7, 2}, {520, 8, 2}} {
-		usable := int(connectionsUsed * float64(one.limit))
-		sum := one.near*shareConnections(usable, one.nodes, one.near, true) + (one.nodes-one.near)*shareConnections(usable, one.nodes, one.near, false)
+		sum := one.near*outlook.Connections(one.limit, one.nodes, one.near, true) + (one.nodes-one.near)*outlook.Connections(one.limit, one.nodes, one.near, false)
 		require.LessOrEqual(t, 2*sum, one.limit, "%+v", one)
 	}
 }
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -141,45 +141,41 @@
 		return started
 	}
 	var direct []*exchange
-	far, hedges := map[string][]*exchange{}, map[string][]*exchange{}
+	ways := map[way][]*exchange{}
 	for _, one := range started {
-		switch {
-		case one.send.Far && one.send.Cause == scatter.First:
-			far[one.send.Replica.DataCentre] = append(far[one.send.Replica.DataCentre], one)
-		case one.send.Far && one.send.Cause == scatter.Hedge:
-			hedges[one.send.Replica.DataCentre] = append(hedges[one.send.Replica.DataCentre], one)
-		default:
+		if !one.send.Far || one.send.Cause == scatter.Retry {
 			direct = append(direct, one)
+			continue
 		}
+		along := way{dataCentre: one.send.Replica.DataCentre, apart: one.send.Cause == scatter.Hedge}
+		ways[along] = append(ways[along], one)
 	}
-	for dataCentre, members := range far {
-		direct = append(direct, q.askFar(dataCentre, members, false)...)
-	}
-	for dataCentre, members := range hedges {
-		direct = append(direct, q.askFar(dataCentre, members, true)...)
+	for along, members := range ways {
+		helper, ok := q.node.helper(along.dataCentre)
+		if !ok {
+			direct = append(direct, members...)
+			continue
+		}
+		q.ask(helper, members, along.apart)
 	}
 	return direct
 }
 
-// askFar hands sends to a node next to their replicas in another data centre, and returns those that
-// are left to this one. Their parts come merged or apart.
-func (q *request) askFar(dataCentre string, sends []*exchange, apart bool) []*exchange {
-	helper, ok := q.node.helper(dataCentre)
-	if !ok {
-		return sends
-	}
-	q.ask(helper, sends, &peerpb.DelegateRequest{
-		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), Parts: uint32(q.node.beliefs.excerptParts(q.route)), Apart: apart,
-	})
-	return nil
+// way is how sends go to a data centre: their parts come merged or apart.
+type way struct {
+	dataCentre string
+	apart      bool
 }
 
-// ask sends a group to a helper. The message says how the helper is to go about it.
-func (q *request) ask(helper peer.Target, members []*exchange, message *peerpb.DelegateRequest) {
-	g := &group{helper: helper, apart: message.GetApart(), members: map[uint32]*exchange{}}
-	message.Method, message.Target, message.Host, message.Body = q.template.Method, q.template.Target, q.template.Host, q.template.Body
-	message.RequestId, message.TopK = q.id, uint32(q.route.Gather.TopK)
-	message.TimeLeftUs = uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds())
+// ask sends a group to a helper, whose parts are to come merged or apart.
+func (q *request) ask(helper peer.Target, members []*exchange, apart bool) {
+	g := &group{helper: helper, apart: apart, members: map[uint32]*exchange{}}
+	message := &peerpb.DelegateRequest{
+		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
+		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
+		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), TopK: uint32(q.route.Gather.TopK),
+		Parts: uint32(q.node.beliefs.excerptParts(q.route)), Apart: apart,
+	}
 	for name, values := range q.template.Header {
 		for _, value := range values {
 			message.Headers = append(message.Headers, &peerpb.HeaderField{Name: name, Value: value})
@@ -279,25 +275,24 @@
 		if part.GetStatus() != 0 {
 			one.response = &replicaconn.Response{Status: int(part.GetStatus()), Header: http.Header{}}
 		}
-		if one.verdict == scatter.Whole && one.response != nil {
-			platform.SetStamp(one.response.Header, part.GetStamp())
-			switch {
-			case !g.apart:
-				one.batch = merged
-				merged.members = append(merged.members, one)
-			case reply.GetApart():
-				one.response.Body = part.GetRecords()
-			default:
-				// A node of an older version merged them. Taken for parts without records, they
-				// would be named in an answer that lacks what they hold.
-				one.verdict, one.err = scatter.Failed, delegatedError("the node does not send parts apart")
-			}
-		} else {
+		switch {
+		case one.verdict != scatter.Whole || one.response == nil:
 			if one.verdict == scatter.Whole {
 				// A part without a status cannot be counted as one.
 				one.verdict = scatter.Failed
 			}
 			one.err = &replicaconn.Error{Step: "delegated send", Sent: one.verdict != scatter.Unreached, Cause: delegatedError(part.GetCause())}
+		case g.apart && !reply.GetApart():
+			// A node of an older version merged them. Taken for parts without records, they
+			// would be named in an answer that lacks what they hold.
+			one.verdict, one.err = scatter.Failed, delegatedError("the node does not send parts apart")
+		case g.apart:
+			platform.SetStamp(one.response.Header, part.GetStamp())
+			one.response.Body = part.GetRecords()
+		default:
+			platform.SetStamp(one.response.Header, part.GetStamp())
+			one.batch = merged
+			merged.members = append(merged.members, one)
 		}
 		ends = append(ends, one)
 	}
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -52,7 +52,7 @@
 	for _, send := range message.GetSends() {
 		n.startDelegated(ctx, q, send)
 	}
-	replies := &replies{inbound: inbound, apart: message.GetApart(), limit: int(message.GetTopK()), sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
+	replies := &replies{inbound: inbound, apart: message.GetApart(), sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
 	replies.run(ctx, q, time.Duration(message.GetFlushUs())*time.Microsecond, len(message.GetSends()))
 }
 
@@ -106,22 +106,13 @@
 type replies struct {
 	inbound *peer.Inbound
 	sender  *topk.Sender
-	// apart is set when each part is to have its own records, at most limit of them.
+	// apart is set when each part is to have its own records.
 	apart   bool
-	limit   int
 	pending []*exchange
 	// told is set once there was a reply.
 	told bool
 }
 
-// tellAlive replies that nothing has ended yet. Without it a node that sends to one slow replica
-// looks silent itself: its entry then turned for a second to the replicas themselves, at 1.3 KB
-// between data centres for each part.
-func (r *replies) tellAlive() {
-	r.told = true
-	r.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_DelegateReply{DelegateReply: &peerpb.DelegateReply{}}}, false)
-}
-
 // run collects ends until all are there. The first reply waits a while for most of the
 // parts; later ones are stragglers and go soon.
 func (r *replies) run(ctx context.Context, q *request, first time.Duration, left int) {
@@ -139,10 +130,6 @@
 			}
 		case <-timer.C:
 			waiting = false
-			if len(r.pending) == 0 && !r.told {
-				r.tellAlive()
-				continue
-			}
 			r.flush(false)
 		case <-ctx.Done():
 			return
@@ -151,8 +138,11 @@
 	r.flush(true)
 }
 
+// flush replies what has ended, and once that nothing has ended yet. Without that one a node that sends
+// to one slow replica looks silent itself: its entry then turned for a second to the replicas themselves,
+// at 1.3 KB between data centres for each part.
 func (r *replies) flush(last bool) {
-	if len(r.pending) == 0 {
+	if len(r.pending) == 0 && (r.told || last) {
 		return
 	}
 	reply := &peerpb.DelegateReply{Apart: r.apart}
@@ -163,7 +153,7 @@
 		case one.verdict == scatter.Whole:
 			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
 			if r.apart {
-				part.Records = topk.Greatest(r.limit, one.response.Body)
+				part.Records = r.sender.Greatest(one.response.Body)
 			} else {
 				parts = append(parts, one.response.Body)
 			}
--- a/internal/edge/merge.go
+++ b/internal/edge/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
@@ -39,14 +40,10 @@
 //
 // It returns the records, the signatures of their parts, and which services have a part.
 func (q *request) merge(result scatter.Result) (body []byte, stamps []string, taken []bool) {
-	groups, excerpts := q.excerpts()
-	use := make([]bool, len(groups))
-	for i := range use {
-		use[i] = true
-	}
+	replies, excerpts := q.received()
 	for {
 		var singles [][]byte
-		stamps, taken = q.batched(groups, use)
+		stamps, taken = q.batched(replies)
 		for i, send := range result.Parts {
 			if taken[i] || send < 0 || q.sends[send].batch != nil {
 				continue
@@ -57,72 +54,60 @@
 			stamps = append(stamps, platform.Stamp(part.Header))
 		}
 		var used []bool
-		body, used = topk.Merge(q.route.Gather.TopK, singles, kept(excerpts, use))
-		if !q.dropUnused(use, used) {
+		body, used = topk.Merge(q.route.Gather.TopK, singles, excerpts)
+		if !slices.Contains(used, false) {
 			return body, stamps, taken
 		}
+		// A part that came by itself may now take the place of one in a batch.
+		q.noteSkewed()
+		replies, excerpts = only(replies, used), only(excerpts, used)
 	}
 }
 
-// excerpts lists the groups of which replies came, and these.
-func (q *request) excerpts() (groups []*group, excerpts [][]topk.Excerpt) {
+// received lists the merged replies of each node that was asked, and their excerpts.
+func (q *request) received() (replies [][]*batch, excerpts [][]topk.Excerpt) {
 	seen := map[*group]bool{}
 	for _, one := range q.sends {
 		if one.group == nil || seen[one.group] {
 			continue
 		}
 		seen[one.group] = true
-		var theirs []topk.Excerpt
-		for _, reply := range one.group.received() {
-			theirs = append(theirs, reply.excerpt)
+		theirs := one.group.received()
+		var theirExcerpts []topk.Excerpt
+		for _, reply := range theirs {
+			theirExcerpts = append(theirExcerpts, reply.excerpt)
 		}
-		groups, excerpts = append(groups, one.group), append(excerpts, theirs)
+		replies, excerpts = append(replies, theirs), append(excerpts, theirExcerpts)
 	}
-	return groups, excerpts
+	return replies, excerpts
 }
 
-// batched lists the signatures of the parts of the groups in use, and their services.
-func (q *request) batched(groups []*group, use []bool) (stamps []string, taken []bool) {
+// batched lists the signatures of the parts of merged replies, and their services.
+func (q *request) batched(replies [][]*batch) (stamps []string, taken []bool) {
 	taken = make([]bool, len(q.services))
-	for i, one := range groups {
-		if !use[i] {
-			continue
-		}
-		for _, reply := range one.received() {
-			for _, member := range reply.members {
-				taken[member.send.Service] = true
-				stamps = append(stamps, platform.Stamp(member.response.Header))
-			}
+	for _, reply := range slices.Concat(replies...) {
+		for _, member := range reply.members {
+			taken[member.send.Service] = true
+			stamps = append(stamps, platform.Stamp(member.response.Header))
 		}
 	}
 	return stamps, taken
 }
 
-// kept replaces the excerpts of groups that are not in use by none.
-func kept(excerpts [][]topk.Excerpt, use []bool) [][]topk.Excerpt {
-	out := make([][]topk.Excerpt, len(excerpts))
-	for i, one := range excerpts {
-		if use[i] {
-			out[i] = one
+// only keeps those of a list that are used.
+func only[T any](list []T, used []bool) []T {
+	var kept []T
+	for i, one := range list {
+		if used[i] {
+			kept = append(kept, one)
 		}
 	}
-	return out
+	return kept
 }
 
-// dropUnused takes out of use what the merge could not use. It reports whether there was any: a
-// part that came by itself may then take the place of one in a batch.
-func (q *request) dropUnused(use, used []bool) bool {
-	dropped := false
-	for i := range use {
-		if use[i] && !used[i] {
-			use[i] = false
-			dropped = true
-		}
-	}
-	if dropped {
-		q.node.beliefs.skewed(q.route)
-		q.node.metrics.excerptUnused()
-		q.note(step{Event: "excerpt_unused", Cause: "records were left out that the answer may hold"})
-	}
-	return dropped
+// noteSkewed notes that excerpts were left out which are too short for the answer.
+func (q *request) noteSkewed() {
+	q.node.beliefs.skewed(q.route)
+	q.node.metrics.excerptUnused()
+	q.note(step{Event: "excerpt_unused", Cause: "records were left out that the answer may hold"})
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -44,16 +44,10 @@
 // milli is the number of thousandths of a core in one.
 const milli = 1000
 
-// maxRepairs bounds the states of other nodes that a heartbeat repeats while views differ.
-// Here nodes differ often, as callers' machines are restarted in turn, and each state has
-// its addresses: 24 a heartbeat were 25 of the 33 MB between 76 nodes in half a minute of
-// restarts. News of changes is not bound by it.
-const maxRepairs = 3
-
 // idleLink is how long a link to another node without requests is kept. Links that are in use
 // carry heartbeats, polls or sends each second; the others are left from the start, when every
 // node turns to the seeds: kept for a minute, one of 76 nodes held links from all 75 others at
-// about 90 KB each. Opening one again takes 2.4 ms of processor time and 19 KB.
+// about 90 KB each. Opening one again takes 2.4 ms of processor time and 7.6 KB.
 const idleLink = 15 * time.Second
 
 // logCloseLimit bounds the wait for the log's reader at the stop.
@@ -189,7 +183,6 @@
 		Now:         n.now,
 		Log:         n.log.Logger(),
 		Problems:    observe.NewProblems(n.now),
-		MaxRepairs:  maxRepairs,
 	})
 	n.pool.OnLink(n.linkNews)
 	return nil
@@ -263,18 +256,20 @@
 const housekeeping = 200 * time.Millisecond
 
 func (n *Node) housekeep() {
-	toldTraffic := n.now()
-	ticker := time.NewTicker(housekeeping)
+	ticker, summary := time.NewTicker(housekeeping), time.NewTicker(tellTrafficEvery)
 	defer ticker.Stop()
+	defer summary.Stop()
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
+		case <-summary.C:
+			n.tellTraffic()
+			continue
 		case <-ticker.C:
 		}
 		n.registry.expire()
 		n.renewEntries()
-		n.tellTraffic(&toldTraffic)
 		n.setBound()
 		n.replicas.Forget(func(life replica.Incarnation) bool {
 			n.beliefs.mutex.Lock()
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
+	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
@@ -34,17 +35,10 @@
 	n.beliefs.outlook.Budget.SetBound(bound)
 }
 
-// connectionsUsed is the part of a replica's connections that all nodes use together. A
-// replica counts the connections of processes that lost power until it closes them for
-// being idle, many seconds later: with half of them free, the processes that start again
-// can connect at once.
-const connectionsUsed = 0.45
-
 // defaultConnections is the limit of a service that states none.
 const defaultConnections = 16
 
-// connectionShare is how many connections this node may hold to a replica. Nodes next to
-// the replica carry the requests of the others too; those further away hedge and retry.
+// connectionShare is how many connections this node may hold to a replica.
 func (n *Node) connectionShare(config *policy.Config, to replica.Replica) int {
 	limit := config.Services[to.Service].MaxConnections
 	if limit <= 0 {
@@ -57,14 +51,5 @@
 			near++
 		}
 	}
-	return shareConnections(int(connectionsUsed*float64(limit)), len(chosen), near, n.settings.Load().DataCentre == to.DataCentre)
-}
-
-// shareConnections divides connections among nodes of which some are near the replica.
-func shareConnections(usable, nodes, near int, isNear bool) int {
-	far := max(usable/(2*max(nodes, 1)), 1)
-	if !isNear || near == 0 {
-		return far
-	}
-	return max((usable-far*(nodes-near))/near, 1)
+	return outlook.Connections(limit, len(chosen), near, n.settings.Load().DataCentre == to.DataCentre)
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -46,7 +46,7 @@
 		}
 	}
 	n.close()
-	n.log.Life("traffic", n.trafficFields())
+	n.tellTraffic()
 	n.log.Life("node_stopped", decisionlog.Fields{"in_flight": n.inFlight.Load()})
 	n.log.Close(logCloseLimit)
 	return nil
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -22,13 +22,12 @@
 	onTheWay = 9 * time.Millisecond
 )
 
-// Bound on extra arrivals, and what of it and of the connections nodes use, as the edge divides
-// those of the users' deployments.
+// Bound on extra arrivals, and what of it nodes use, as the edge divides that of the users'
+// deployments.
 const (
-	extraWindow     = 10 * time.Second
-	extraRatio      = 0.17
-	extraAllowance  = 23.0
-	connectionsUsed = 0.45
+	extraWindow    = 10 * time.Second
+	extraRatio     = 0.17
+	extraAllowance = 23.0
 )
 
 // node is one node of the tier, with the product's own decisions.
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
@@ -139,17 +140,13 @@
 
 // connections is a node's share of a replica's connections, as the edge divides them.
 func (w *world) connections(place, of string) int {
-	usable, near := int(connectionsUsed*float64(w.pattern.Connections)), 0
+	near := 0
 	for _, one := range w.pattern.Places {
 		if one.Name == of {
 			near = one.Nodes
 		}
 	}
-	far := max(usable/(2*w.nodeCount()), 1)
-	if place != of {
-		return far
-	}
-	return max((usable-far*(w.nodeCount()-near))/near, 1)
+	return outlook.Connections(w.pattern.Connections, w.nodeCount(), near, place == of)
 }
 
 // helper takes the nodes of a data centre in turn.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,9 +41,6 @@
 	Now      func() core.Time
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
-	// MaxRepairs bounds the states that a heartbeat repeats while views differ; 0
-	// takes the machine's default.
-	MaxRepairs int
 	// Heard, when set, is told the configuration that each heartbeat names.
 	Heard func(node core.NodeID, revision, digest uint64)
 }
@@ -84,7 +81,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Duty{
 		options: options,
-		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit, MaxRepairs: options.MaxRepairs}),
+		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit}),
 		events:  ring.New[member.Event](ringDepth),
 		ctx:     ctx,
 		stop:    stop,
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,9 +4,6 @@
 package traffic
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
@@ -66,30 +63,14 @@
 // Add counts bytes of a flow.
 func (a *Account) Add(flow Flow, bytes int) { a.Counter(flow).Inc(int64(bytes)) }
 
-// Total is what was counted of a flow.
-type Total struct {
-	Flow
-	Bytes int64
-}
-
-// Totals lists all flows, by purpose and data centre.
-func (a *Account) Totals() []Total {
+// Far sums by purpose what went to or came from other data centres than the given one.
+func (a *Account) Far(home string) map[Purpose]int64 {
 	a.mutex.RLock()
 	defer a.mutex.RUnlock()
-	totals := make([]Total, 0, len(a.flows))
-	for flow, counter := range maps.All(a.flows) {
-		totals = append(totals, Total{flow, counter.Count()})
-	}
-	slices.SortFunc(totals, func(a, b Total) int { return cmp.Or(cmp.Compare(a.Purpose, b.Purpose), cmp.Compare(a.To, b.To)) })
-	return totals
-}
-
-// Far sums by purpose what went to or came from other data centres than the given one.
-func Far(totals []Total, home string) map[Purpose]int64 {
 	far := map[Purpose]int64{}
-	for _, one := range totals {
-		if one.To != home {
-			far[one.Purpose] += one.Bytes
+	for flow, counter := range a.flows {
+		if flow.To != home {
+			far[flow.Purpose] += counter.Count()
 		}
 	}
 	return far
