Evacuations of a data centre are followed; cold replicas get no more than they bear

Cause: nothing read the operators' wish (op/evacuate/ZONE). Ruled out: a late configuration path; the wish travels with all other items of the store's copy.

A data centre that is evacuated is no choice for first sends, hedges, retries and sends for other nodes; idle connections there are closed; a request that waits for a connection to a replica that is to get nothing more is told at once that nothing was sent (it could reach a draining replica seconds later). What is in work goes on. Cold replicas whose service states how many requests they bear are shared out among the entries without messages; regions of a route are kept to.

--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -52,17 +52,18 @@
 // Chooser chooses replicas for the requests of one route.
 func (o *Outlook) Chooser(route *policy.Route) scatter.Chooser {
 	usual, _ := o.times(route).answers.Quantile(usualQuantile)
-	return chooser{outlook: o, usual: usual}
+	return chooser{outlook: o, usual: usual, regions: route.Regions}
 }
 
 type chooser struct {
 	outlook *Outlook
 	usual   time.Duration
+	regions []string
 }
 
 // Pick implements scatter.Chooser.
 func (c chooser) Pick(service string, tried []string, now core.Time) (replica.Choice, bool) {
-	return c.outlook.Book.Pick(service, tried, c.usual, now)
+	return c.outlook.Book.Pick(replica.Wish{Service: service, Tried: tried, Regions: c.regions, Usual: c.usual}, now)
 }
 
 // Extra implements scatter.Chooser.
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
 )
 
 // Config is one version of the configuration. It is immutable once Index was
@@ -43,6 +45,8 @@
 	// Shares are the services that take the requests, each its part of them.
 	// They are empty on a route that gathers.
 	Shares []Share
+	// Regions are those whose replicas may see the requests; none is all.
+	Regions []string
 	// Gather is set when a request goes to one replica of each shard.
 	Gather *Gather
 }
@@ -82,6 +86,8 @@
 	Name string
 	// MaxConnections is what one replica accepts from all its callers together.
 	MaxConnections int
+	// Cold is what a replica bears while it is cold.
+	Cold coldstart.Bound
 }
 
 // Limits bound what a caller may send and how slowly.
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
 )
 
 // Incarnation names one life of a replica. A replica that starts again may keep its id; it
@@ -33,6 +34,8 @@
 	Slots int
 	// Draining replicas get no new request.
 	Draining bool
+	// ColdFor is how much longer the replica was to be cold when it reported.
+	ColdFor time.Duration
 }
 
 // Life names the incarnation.
@@ -102,6 +105,9 @@
 	misdirected bool
 	// lapsedAt is when the registry lost the entry, 0 while it is listed.
 	lapsedAt core.Time
+	// coldUntil is until when the replica is cold by its own report; cold counts what it gets.
+	coldUntil core.Time
+	cold      coldstart.Window
 }
 
 // Book holds the replicas of all services. It is not safe for concurrent use.
@@ -117,6 +123,14 @@
 	regions map[string]string
 	// ended holds the last incarnation of ids that are no longer listed.
 	ended map[string]int64
+	// evacuated are the data centres whose replicas are to get nothing; returned is when the others
+	// were last taken back.
+	evacuated map[string]bool
+	returned  map[string]core.Time
+	// coldBounds are what cold replicas of a service bear; self and senders are the nodes that share it.
+	coldBounds map[string]coldstart.Bound
+	self       core.NodeID
+	senders    []core.NodeID
 }
 
 // maxEnded bounds Book.ended. Beyond it all are forgotten: a late report of a former
@@ -126,7 +140,7 @@
 // NewBook makes an empty book for a node of the given data centre. The random
 // source, 0 to 1, breaks ties.
 func NewBook(dataCentre string, regions map[string]string, random func() float64) *Book {
-	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}, ended: map[string]int64{}}
+	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}, ended: map[string]int64{}, evacuated: map[string]bool{}, returned: map[string]core.Time{}}
 }
 
 // rank takes a data centre that may be new into the ring.
@@ -246,7 +260,7 @@
 func (b *Book) Usable(service string) int {
 	count := 0
 	for _, known := range b.byService[service] {
-		if known.usable() {
+		if b.usable(known) {
 			count++
 		}
 	}
@@ -254,7 +268,15 @@
 }
 
 // usable reports whether a replica may get requests.
-func (s *state) usable() bool { return !s.Draining && !s.misdirected }
+func (b *Book) usable(s *state) bool {
+	return !s.Draining && !s.misdirected && !b.evacuated[s.DataCentre]
+}
+
+// Wanted reports whether an incarnation is one that may get requests.
+func (b *Book) Wanted(life Incarnation) bool {
+	known := b.of(life)
+	return known != nil && b.usable(known)
+}
 
 // Choice is a replica for a request.
 type Choice struct {
@@ -272,13 +294,38 @@
 	Busy bool
 }
 
-// Pick chooses the replica of a service with the least cost, leaving out those
-// with an id in tried. It reports false when there is none.
-func (b *Book) Pick(service string, tried []string, usual time.Duration, now core.Time) (Choice, bool) {
+// Unwanted reports whether a replica that another node chose is known here to get nothing: it
+// leaves, has started again since, or its data centre is evacuated. One that is not known here
+// may be new.
+func (b *Book) Unwanted(chosen Replica) bool {
+	known := b.byID[chosen.ID]
+	switch {
+	case b.evacuated[chosen.DataCentre]:
+		return true
+	case known == nil || known.Born < chosen.Born:
+		return false
+	default:
+		return !b.Wanted(chosen.Life())
+	}
+}
+
+// Wish says which replicas a request may go to.
+type Wish struct {
+	Service string
+	// Tried are the ids of replicas to leave out.
+	Tried []string
+	// Regions are those whose replicas may be taken; none is all.
+	Regions []string
+	// Usual is the route's usual answer time, 0 where it is not known.
+	Usual time.Duration
+}
+
+// Pick chooses the replica with the least cost. It reports false when there is none.
+func (b *Book) Pick(wish Wish, now core.Time) (Choice, bool) {
 	var best *state
 	bestCost := math.Inf(1)
-	for _, one := range b.byService[service] {
-		if !one.usable() || slices.Contains(tried, one.ID) {
+	for _, one := range b.byService[wish.Service] {
+		if !b.usable(one) || slices.Contains(wish.Tried, one.ID) || !b.within(one, wish.Regions) || !b.bears(one, now) {
 			continue
 		}
 		if cost := b.cost(one, now); cost < bestCost {
@@ -288,7 +335,8 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now), Far: best.DataCentre != b.dataCentre, Expect: best.expect(usual, now), Busy: best.outstanding > 0, Unreachable: best.unreachable(now)}, true
+	b.takeCold(best, now)
+	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now), Far: best.DataCentre != b.dataCentre, Expect: best.expect(wish.Usual, now), Busy: best.outstanding > 0, Unreachable: best.unreachable(now)}, true
 }
 
 // cost estimates how long a request would take there, in usual answer times.
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -22,7 +22,7 @@
 
 func pick(t *testing.T, b *Book, now core.Time, tried ...string) Choice {
 	t.Helper()
-	choice, ok := b.Pick("s", tried, usual, now)
+	choice, ok := b.Pick(Wish{Service: "s", Tried: tried, Usual: usual}, now)
 	require.True(t, ok)
 	return choice
 }
@@ -97,10 +97,10 @@
 	b := bookOfTwo()
 	b.Misdirected(near)
 	require.Equal(t, "far", pick(t, b, time.Minute).ID)
-	_, ok := b.Pick("s", []string{"far"}, usual, time.Minute)
+	_, ok := b.Pick(Wish{Service: "s", Tried: []string{"far"}, Usual: usual}, time.Minute)
 	require.False(t, ok)
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2})
-	_, ok = b.Pick("s", []string{"far"}, usual, time.Minute)
+	_, ok = b.Pick(Wish{Service: "s", Tried: []string{"far"}, Usual: usual}, time.Minute)
 	require.False(t, ok, "the same entry again says nothing new")
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2, Address: "elsewhere"})
 	require.Equal(t, "near", pick(t, b, time.Minute).ID)
@@ -111,7 +111,7 @@
 	b.Put(Replica{ID: "near", Service: "s", DataCentre: "east", Slots: 2, Draining: true})
 	require.Equal(t, "far", pick(t, b, 0).ID)
 	require.Equal(t, 1, b.Usable("s"))
-	_, ok := b.Pick("s", []string{"far"}, usual, 0)
+	_, ok := b.Pick(Wish{Service: "s", Tried: []string{"far"}, Usual: usual}, 0)
 	require.False(t, ok)
 }
 
@@ -126,7 +126,7 @@
 	require.Equal(t, []string{"far"}, b.Expire(2*time.Second, 3*time.Second))
 	require.Equal(t, "near", pick(t, b, 0).ID)
 	b.Remove("near")
-	_, ok := b.Pick("s", nil, usual, 0)
+	_, ok := b.Pick(Wish{Service: "s", Usual: usual}, 0)
 	require.False(t, ok)
 }
 
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -89,11 +89,10 @@
 		ID: send.GetReplica(), Born: send.GetBorn(), Service: send.GetService(), Address: send.GetAddress(),
 		DataCentre: n.settings.Load().DataCentre,
 	}
-	n.beliefs.mutex.Lock()
-	known, ok := n.beliefs.outlook.Book.Get(send.GetReplica())
-	n.beliefs.mutex.Unlock()
-	if ok && (known.Born > send.GetBorn() || known.Born == send.GetBorn() && known.Draining) {
-		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving or has started again")
+	var unwanted bool
+	n.beliefs.note(func(book *replica.Book, _ core.Time) { unwanted = book.Unwanted(one.send.Replica) })
+	if unwanted {
+		one.verdict, one.err = scatter.Unreached, delegatedError("the replica is leaving, evacuated or has started again")
 		cancel(nil)
 		q.ended <- []*exchange{one}
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/belief"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
@@ -119,7 +120,7 @@
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
-	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, onConfig: n.configInForce, onRestart: n.replicas.End}
+	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
 	return n
 }
 
@@ -247,8 +248,13 @@
 	config := n.beliefs.config.Load()
 	n.callers.setLimits(config.Limits)
 	n.metrics.forget(func(service string) bool { _, configured := config.Services[service]; return configured })
+	bounds := map[string]coldstart.Bound{}
+	for name, service := range config.Services {
+		bounds[name] = service.Cold
+	}
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
+	n.beliefs.outlook.Book.SetColdBounds(bounds)
 	n.beliefs.outlook.Budget.Forget(func(service string) bool { return n.beliefs.outlook.Book.Usable(service) > 0 }, n.now())
 }
 
@@ -271,15 +277,19 @@
 		n.registry.expire()
 		n.renewEntries()
 		n.setBound()
-		n.replicas.Forget(func(life replica.Incarnation) bool {
-			n.beliefs.mutex.Lock()
-			defer n.beliefs.mutex.Unlock()
-			one, ok := n.beliefs.outlook.Book.Get(life.ID)
-			return ok && one.Born == life.Born && !one.Draining
-		})
+		n.leaveUnwanted()
 	}
 }
 
+// leaveUnwanted closes the connections to replicas that are to get nothing more.
+func (n *Node) leaveUnwanted() {
+	n.replicas.Forget(func(life replica.Incarnation) bool {
+		n.beliefs.mutex.Lock()
+		defer n.beliefs.mutex.Unlock()
+		return n.beliefs.outlook.Book.Wanted(life)
+	})
+}
+
 // renewEntries chooses anew which nodes callers are sent to.
 func (n *Node) renewEntries() {
 	former := n.entries.Load()
@@ -289,9 +299,12 @@
 	}
 	n.entries.Store(&chosen)
 	addresses := make([]string, 0, len(chosen))
+	senders := make([]core.NodeID, 0, len(chosen))
 	for _, one := range chosen {
 		addresses = append(addresses, one.CallerAddress)
+		senders = append(senders, one.ID)
 	}
+	n.beliefs.note(func(book *replica.Book, _ core.Time) { book.SetSenders(n.identity.Node, senders) })
 	n.log.Life("entries_changed", decisionlog.Fields{"entries": addresses, "live": len(n.view().Nodes())})
 }
 
@@ -329,6 +342,7 @@
 	n.beliefs.note(func(book *replica.Book, _ core.Time) {
 		book.All(func(one replica.Replica) { replicas = append(replicas, one) })
 		state["sends_running"] = book.Running()
+		state["evacuated"] = book.Evacuated()
 	})
 	state["replicas"] = replicas
 	return state
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -25,6 +25,8 @@
 	metrics *nodeMetrics
 	// onConfig is told each configuration that is put in force.
 	onConfig func()
+	// onEvacuation is told that other data centres are evacuated than before.
+	onEvacuation func()
 	// onRestart is told an incarnation whose replica has started again under its id.
 	onRestart func(former replica.Incarnation)
 
@@ -53,6 +55,10 @@
 			r.configChanged(item)
 			continue
 		}
+		if dataCentre, ok := platform.EvacuatedDataCentre(item.Key); ok {
+			r.evacuationChanged(dataCentre, item)
+			continue
+		}
 		if id, ok := platform.ReplicaID(item.Key); ok {
 			r.replicaChanged(id, item, change.AfterOutage)
 		}
@@ -78,6 +84,25 @@
 	}
 }
 
+// evacuationChanged takes the operators' wish that the replicas of a data centre get nothing, or
+// its end. Items rise in revision only, so that an older wish never comes here, and a removal that
+// a reading after an outage tells of is the operators' own: unlike entries of replicas, wishes do not lapse.
+func (r *registry) evacuationChanged(dataCentre string, item mirror.Item) {
+	changed := false
+	r.beliefs.note(func(book *replica.Book, now core.Time) {
+		changed = book.Evacuate(dataCentre, !item.Removed, now)
+	})
+	if !changed {
+		return
+	}
+	event := "evacuation_in_force"
+	if item.Removed {
+		event = "evacuation_ended"
+	}
+	r.log.Life(event, decisionlog.Fields{"data_centre": dataCentre, "revision": item.Revision})
+	r.onEvacuation()
+}
+
 func (r *registry) replicaChanged(id string, item mirror.Item, afterOutage bool) {
 	if item.Removed {
 		r.replicaRemoved(id, item.Revision, afterOutage)
@@ -90,11 +115,14 @@
 	}
 	var known replica.Replica
 	var listing replica.Listing
-	r.beliefs.note(func(book *replica.Book, _ core.Time) {
+	r.beliefs.note(func(book *replica.Book, now core.Time) {
 		known, _ = book.Get(id)
 		if listed.Born > 0 || known.Born == 0 {
 			listing = book.Put(listed)
 		}
+		if listing != replica.Outdated {
+			book.Cold(listed.Life(), now+listed.ColdFor)
+		}
 	})
 	if listed.Born == 0 && known.Born > 0 {
 		r.replicaRefused(id, item.Revision, errNoStart)
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -113,6 +113,7 @@
 	errClosed      = errors.New("the client is closed")
 	errRefusing    = errors.New("the replica ends new connections without an answer")
 	errReplaced    = errors.New("the connection was given up")
+	errUnwanted    = errors.New("the replica is to get nothing more")
 	errRestarted   = errors.New("the replica has started again since")
 )
 
@@ -177,7 +178,9 @@
 	}
 }
 
-// Forget closes the idle connections to replicas that are not wanted any more.
+// Forget closes the idle connections to replicas that are not wanted any more, and tells who waits
+// for one that nothing was sent. Otherwise a request that waits for seconds at a busy replica would
+// reach it long after the replica began to leave.
 func (c *Client) Forget(wanted func(life replica.Incarnation) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -186,6 +189,7 @@
 			continue
 		}
 		h.closeIdle(errReplaced)
+		h.endWaits(errUnwanted)
 		if h.open == 0 {
 			delete(c.hosts, life)
 		}
--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -321,3 +321,36 @@
 	_, err := do(t, client, request(one, "r4"))
 	require.NoError(t, err, "it is not refused for former ends")
 }
+
+// A replica begins to leave while requests wait for its only connection. Left to wait, they would reach
+// it seconds later, when its operators count on it having no more work; nothing was sent, so that they
+// can go elsewhere at once. What is in work goes on.
+func TestWhoWaitsForAReplicaThatLeavesIsToldAtOnce(t *testing.T) {
+	client, one := start(t)
+	one.SetAct(always(platformtest.Hang))
+	ctx, leave := context.WithCancel(t.Context())
+	first := make(chan error, 1)
+	go func() {
+		_, err := client.Do(ctx, request(one, "r1"))
+		first <- err
+	}()
+	require.Eventually(t, func() bool { return len(one.Arrivals()) == 1 }, 10*time.Second, time.Millisecond)
+	waiting := make(chan error, 2)
+	for _, id := range []string{"r2", "r3"} {
+		go func() {
+			_, err := client.Do(ctx, request(one, id))
+			waiting <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return client.Waiting() == 2 }, 10*time.Second, time.Millisecond)
+	client.Forget(func(replica.Incarnation) bool { return false })
+	for range 2 {
+		var failed *replicaconn.Error
+		require.ErrorAs(t, <-waiting, &failed)
+		require.False(t, failed.Sent)
+	}
+	require.Empty(t, first, "what is in work goes on")
+	leave()
+	require.ErrorIs(t, <-first, context.Canceled)
+	require.Len(t, one.Arrivals(), 1)
+}
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -16,9 +16,10 @@
 // host is the connections to one incarnation of a replica. Its fields are guarded
 // by the client's mutex.
 type host struct {
-	open    int
-	idle    []*conn
-	waiters []chan struct{}
+	open int
+	idle []*conn
+	// waiters are told nil to look again, or why they wait in vain.
+	waiters []chan error
 	// refusals counts new connections in a row that ended without any answer; until
 	// closedUntil no further one is opened.
 	refusals    int
@@ -55,7 +56,10 @@
 			return c.dial(ctx, request)
 		}
 		select {
-		case <-wait:
+		case vain := <-wait:
+			if vain != nil {
+				return nil, vain
+			}
 		case <-ctx.Done():
 			c.leave(request.Replica, wait)
 			return nil, context.Cause(ctx)
@@ -65,7 +69,7 @@
 
 // take returns an idle connection, or neither a connection nor a wait when the
 // caller may open one, or the wait for a free one.
-func (c *Client) take(request *Request) (*conn, <-chan struct{}, error) {
+func (c *Client) take(request *Request) (*conn, <-chan error, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed {
@@ -89,7 +93,7 @@
 		h.open++
 		return nil, nil, nil
 	}
-	wait := make(chan struct{}, 1)
+	wait := make(chan error, 1)
 	h.waiters = append(h.waiters, wait)
 	return nil, wait, nil
 }
@@ -129,12 +133,20 @@
 	if len(h.waiters) == 0 {
 		return
 	}
-	h.waiters[0] <- struct{}{}
+	h.waiters[0] <- nil
 	h.waiters = h.waiters[1:]
 }
 
+// endWaits tells all waiters that they wait in vain.
+func (h *host) endWaits(why error) {
+	for _, wait := range h.waiters {
+		wait <- why
+	}
+	h.waiters = nil
+}
+
 // leave takes a waiter back. Where it was woken meanwhile, the next one is.
-func (c *Client) leave(life replica.Incarnation, wait <-chan struct{}) {
+func (c *Client) leave(life replica.Incarnation, wait <-chan error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	h := c.hosts[life]
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -51,6 +52,7 @@
 	replicaRestarts kind = "replica starts again under its id"
 	foreignEntry    kind = "entry of another writer"
 	shardsShort     kind = "several shards stand still"
+	evacuated       kind = "a data centre evacuated"
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
@@ -62,7 +64,7 @@
 	storeSlow, linkCut, nodeIsolated, linkPoor, linkSilent,
 	replicaWay, replicaWay, replicaReplaced, shardsChange, settingsChange,
 	serviceFails, serviceActs, serviceActs, allKilled,
-	replicaRestarts, replicaRestarts, foreignEntry, shardsShort,
+	replicaRestarts, replicaRestarts, foreignEntry, shardsShort, evacuated,
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
@@ -143,6 +145,8 @@
 		w.writeForeign(f)
 	case shardsShort:
 		w.stall(f)
+	case evacuated:
+		w.evacuate(f)
 	case replicaWay, replicaReplaced:
 		w.disturbReplica(f)
 	default:
@@ -307,6 +311,13 @@
 	one.drainedAt = time.Now()
 	w.mutex.Unlock()
 	w.store.Put(one.Key(), one.entry(platformtest.StateDraining))
+	w.requireLeft(fmt.Sprintf("replica %s, which drains,", one.ID), func() int { return len(one.Arrivals()) })
+	w.store.Remove(one.Key())
+	one.Close()
+}
+
+// requireLeft checks that what is to get no new work gets none once the time for that is over.
+func (w *world) requireLeft(what string, arrivals func() int) {
 	time.Sleep(drainWait + slack)
 	w.mutex.Lock()
 	calm := time.Since(w.storeCalm) >= stable+drainWait+slack
@@ -314,11 +325,32 @@
 	for _, node := range w.nodes {
 		calm = calm && node.calmFor(stable+drainWait+slack)
 	}
-	before := len(one.Arrivals())
+	before := arrivals()
 	time.Sleep(time.Second)
-	if after := len(one.Arrivals()); calm && after > before {
-		w.fail("replica %s got %d requests later than its drain allows", one.ID, after-before)
+	if after := arrivals(); calm && after > before {
+		w.fail("%s got %d requests later than is allowed", what, after-before)
 	}
-	w.store.Remove(one.Key())
-	one.Close()
+}
+
+// evacuate empties a data centre of work for a while, unless one is evacuated already: the other one
+// then has to serve.
+func (w *world) evacuate(f fault) {
+	if !w.evacuating.CompareAndSwap(false, true) {
+		return
+	}
+	defer w.evacuating.Store(false)
+	dataCentre := dataCentreName(int(f.draw >> 40 % dataCentres))
+	w.store.Evacuate(dataCentre)
+	w.requireLeft("the evacuated "+dataCentre, func() int {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		sum := 0
+		for _, one := range w.replicas {
+			if one.dataCentre == dataCentre {
+				sum += len(one.Arrivals())
+			}
+		}
+		return sum
+	})
+	w.store.EndEvacuation(dataCentre)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,7 +111,7 @@
 	return w.broken
 }
 
-// changeInCalm drains a replica, changes the configuration and the shards, and stops a node
+// changeInCalm drains a replica, evacuates a data centre, changes the configuration and the shards, and stops a node
 // while nothing else happens: the promises with a time bound hold only then, and are checked
 // at least once a seed.
 func (w *world) changeInCalm() {
@@ -118,7 +119,10 @@
 	w.note("a drain and a change in calm")
 	w.configure()
 	w.repartition()
+	var leaving sync.WaitGroup
+	leaving.Go(func() { w.evacuate(fault{draw: w.seed << 40}) })
 	w.drain(fault{draw: w.random.Uint64()})
+	leaving.Wait()
 	w.note("a planned stop in calm")
 	w.disturb(w.nodes[w.random.IntN(nodeCount)], fault{kind: stopNode})
 	time.Sleep(slack)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,11 +61,18 @@
 	// storeCalm is since when the store has been without trouble.
 	storeCalm time.Time
 	troubled  int
-	broken    []string
-	log       []string
-	began     time.Time
+	// evacuating is set while a data centre is evacuated.
+	evacuating atomic.Bool
+	broken     []string
+	log        []string
+	began      time.Time
 }
 
+// dataCentres is the number of data centres that replicas are spread over.
+const dataCentres = 2
+
+func dataCentreName(number int) string { return fmt.Sprint("dc", number) }
+
 // vm is one node's place; its process comes and goes.
 type vm struct {
 	ip string
@@ -171,7 +179,7 @@
 	one, err := platformtest.StartReplica(fmt.Sprintf("i-%s-%d", service, w.made), service, records(service))
 	require.NoError(w.t, err)
 	one.SetWork(usualWork)
-	added := &upstream{Replica: one, dataCentre: fmt.Sprint("dc", w.made%2), born: time.Now().UnixMilli()}
+	added := &upstream{Replica: one, dataCentre: dataCentreName(w.made % dataCentres), born: time.Now().UnixMilli()}
 	w.replicas[one.ID] = added
 	return added
 }
