Pauses of replicas are expected from their rhythm

Ruled out: the bound on extra sends (never spent there), late hedges (a third try is not allowed), processor time (played without it).

Regular pauses show in the log: intervals of 4.4 to 4.6 s between late answers of one replica. A node now learns the interval from all replicas together and each replica's phase from answers that stood; nodes next to the replicas tell what they saw with the parts they send, 2 bytes each. Nothing is expected where no interval stands out.

--- /dev/null
+++ b/internal/core/pauses/pauses_test.go
@@ -0,0 +1,203 @@
+package pauses
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+const (
+	work   = 7 * time.Millisecond
+	every  = 4500 * time.Millisecond
+	length = 200 * time.Millisecond
+)
+
+// machine is a replica that pauses at its own phase.
+type machine struct {
+	phase time.Duration
+	clock Clock
+	// waiting are the requests that stand until the pause is over.
+	waiting []seen
+}
+
+// seen is a request that stood for a time until the end of a pause.
+type seen struct {
+	end   core.Time
+	stood time.Duration
+}
+
+// tell lets the requests that stood end.
+func (m *machine) tell(r *Rhythm, now core.Time) {
+	for len(m.waiting) > 0 && m.waiting[0].end <= now {
+		r.Seen(&m.clock, m.waiting[0].end, m.waiting[0].stood)
+		m.waiting = m.waiting[1:]
+	}
+}
+
+// paused is how long the machine stands still from a moment on; 0 while it works.
+func (m *machine) paused(now core.Time) time.Duration {
+	return max(length-(now+m.phase)%every, 0)
+}
+
+// watch lets requests come to machines at random, so many a second to each, and tells the rhythm those
+// that stood. It returns how many came into a pause, and how many of them were expected to.
+func watch(r *Rhythm, machines []*machine, random *rand.Rand, from, until core.Time, perSecond float64) (met, expected int) {
+	const step = 5 * time.Millisecond
+	for now := from; now < until; now += step {
+		for _, m := range machines {
+			m.tell(r, now)
+			if random.Float64() >= perSecond*step.Seconds() {
+				continue
+			}
+			stood := m.paused(now)
+			if stood > 0 {
+				met++
+				if r.Pausing(&m.clock, work, now) {
+					expected++
+				}
+			}
+			if stood >= 5*work {
+				jitter := time.Duration(random.IntN(8)) * time.Millisecond
+				m.waiting = append(m.waiting, seen{now + stood + jitter, stood})
+			}
+		}
+	}
+	return met, expected
+}
+
+func machines(random *rand.Rand, count int) []*machine {
+	var all []*machine
+	for range count {
+		all = append(all, &machine{phase: time.Duration(random.Float64() * float64(every))})
+	}
+	return all
+}
+
+// Replicas stand still for 200 ms each 4.5 s, each at its own time, and a node sends each two
+// requests a second: it meets one pause in three. What it met must tell most of the later ones, or each
+// question waits for seven replicas anew.
+// Pattern: regular pauses under a light load of each replica.
+func TestRegularPausesAreExpected(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 15*time.Second, 2)
+	got, lasts := r.Interval()
+	require.InDelta(t, every.Seconds(), got.Seconds(), 0.015)
+	require.InDelta(t, length.Seconds(), lasts.Seconds(), 0.05)
+	met, expected := watch(&r, all, random, 15*time.Second, 60*time.Second, 2)
+	require.Greater(t, float64(expected), 0.8*float64(met))
+}
+
+func TestAWorkingReplicaIsSeldomExpectedToPause(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 20*time.Second, 2)
+	wrong, asked := 0, 0
+	for now := 20 * time.Second; now < 30*time.Second; now += 3 * time.Millisecond {
+		for _, m := range all {
+			if m.paused(now) == 0 && m.paused(now+work) == 0 {
+				asked++
+				if r.Pausing(&m.clock, work, now) {
+					wrong++
+				}
+			}
+		}
+	}
+	require.Less(t, float64(wrong), 0.03*float64(asked))
+}
+
+// Long answers come at random: replicas are slow or overloaded now and then. An interval read into
+// them would send requests away from replicas that work.
+func TestNothingIsExpectedOfRandomDelays(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	var r Rhythm
+	clocks := make([]Clock, 90)
+	for now := core.Time(0); now < 120*time.Second; now += 10 * time.Millisecond {
+		for i := range clocks {
+			if random.Float64() < 0.004 {
+				r.Seen(&clocks[i], now, time.Duration(50+random.IntN(200))*time.Millisecond)
+			}
+		}
+		got, _ := r.Interval()
+		require.Zero(t, got)
+	}
+}
+
+// One replica's machine is moved and pauses at another phase since. A single long answer with another
+// cause must not move the expectation, a second one at the same phase must.
+func TestAMovedPauseIsBelievedWhenItIsSeenAgain(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 4))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 30*time.Second, 2)
+	interval, _ := r.Interval()
+	var c Clock
+	first := 31 * time.Second
+	r.Seen(&c, first, length)
+	at := func(end core.Time) core.Time { return end + interval - length/2 }
+	require.True(t, r.Pausing(&c, work, at(first)))
+	stray := first + 2*time.Second
+	r.Seen(&c, stray, length)
+	require.True(t, r.Pausing(&c, work, at(first)))
+	require.False(t, r.Pausing(&c, work, at(stray)))
+	r.Seen(&c, stray+interval, length)
+	require.True(t, r.Pausing(&c, work, at(stray+interval)))
+	require.False(t, r.Pausing(&c, work, first+2*interval-length/2))
+}
+
+func TestAnExpectationEndsWhenItIsNotSeenAgain(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 30*time.Second, 2)
+	interval, _ := r.Interval()
+	var c Clock
+	r.Seen(&c, 31*time.Second, length)
+	require.True(t, r.Pausing(&c, work, 31*time.Second+lastsFor*interval-length/2))
+	require.False(t, r.Pausing(&c, work, 31*time.Second+(lastsFor+1)*interval-length/2))
+}
+
+// A node that has just started knows no pause of a replica; the node next to it does.
+func TestAPauseThatAnotherNodeSawIsTakenOver(t *testing.T) {
+	random := rand.New(rand.NewPCG(6, 6))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 30*time.Second, 2)
+	interval, _ := r.Interval()
+	var c Clock
+	now := 31 * time.Second
+	r.Heard(&c, time.Second, now)
+	require.True(t, r.Pausing(&c, work, now-time.Second+interval-length/2))
+	age, known := c.Age(now)
+	require.True(t, known)
+	require.Equal(t, time.Second, age)
+	r.Heard(&c, 3*time.Second, now)
+	age, _ = c.Age(now)
+	require.Equal(t, time.Second, age, "an older one is no news")
+}
+
+func BenchmarkSeen(b *testing.B) {
+	var r Rhythm
+	var c Clock
+	now := core.Time(0)
+	for b.Loop() {
+		now += every
+		r.Seen(&c, now, length)
+	}
+}
+
+func BenchmarkPausing(b *testing.B) {
+	random := rand.New(rand.NewPCG(7, 7))
+	var r Rhythm
+	all := machines(random, 90)
+	watch(&r, all, random, 0, 30*time.Second, 2)
+	for b.Loop() {
+		r.Pausing(&all[0].clock, work, 31*time.Second)
+	}
+}
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
+	"github.com/pistachiopier/pistachiopier/internal/core/pauses"
 )
 
 // Incarnation names one life of a replica. A replica that starts again may keep its id; it
@@ -108,6 +109,8 @@
 	// coldUntil is until when the replica is cold by its own report; cold counts what it gets.
 	coldUntil core.Time
 	cold      coldstart.Window
+	// pauses is when the replica stands still.
+	pauses pauses.Clock
 }
 
 // Book holds the replicas of all services. It is not safe for concurrent use.
@@ -131,6 +134,8 @@
 	coldBounds map[string]coldstart.Bound
 	self       core.NodeID
 	senders    []core.NodeID
+	// Pauses is what the pauses of all replicas have in common.
+	Pauses pauses.Rhythm
 }
 
 // maxEnded bounds Book.ended. Beyond it all are forgotten: a late report of a former
@@ -328,7 +333,7 @@
 		if !b.usable(one) || slices.Contains(wish.Tried, one.ID) || !b.within(one, wish.Regions) || !b.bears(one, now) {
 			continue
 		}
-		if cost := b.cost(one, now); cost < bestCost {
+		if cost := b.cost(one, wish.Usual, now); cost < bestCost {
 			best, bestCost = one, cost
 		}
 	}
@@ -336,11 +341,11 @@
 		return Choice{}, false
 	}
 	b.takeCold(best, now)
-	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now), Far: best.DataCentre != b.dataCentre, Expect: best.expect(wish.Usual, now), Busy: best.outstanding > 0, Unreachable: best.unreachable(now)}, true
+	return Choice{Replica: best.Replica, Doubtful: best.doubtful(now) || b.pausing(best, wish.Usual, now), Far: best.DataCentre != b.dataCentre, Expect: best.expect(wish.Usual, now), Busy: best.outstanding > 0, Unreachable: best.unreachable(now)}, true
 }
 
 // cost estimates how long a request would take there, in usual answer times.
-func (b *Book) cost(s *state, now core.Time) float64 {
+func (b *Book) cost(s *state, usual time.Duration, now core.Time) float64 {
 	const tieBreak = 0.1
 	cost := s.slownessNow(now) * (1 + s.queued())
 	if rank := b.ranks[s.DataCentre]; rank > 0 {
@@ -349,7 +354,7 @@
 	if b.regions[s.DataCentre] != b.regions[b.dataCentre] {
 		cost += regionCost
 	}
-	if s.overdue(now) {
+	if s.overdue(now) || b.pausing(s, usual, now) {
 		cost += overdueCost
 	}
 	if s.refused(now) {
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -53,6 +53,7 @@
 	if usual <= 0 {
 		return
 	}
+	b.notePause(known, took, usual, now)
 	ratio := min(float64(took)/float64(usual), maxSlowness)
 	known.slowness = known.slownessNow(now)*(1-learning) + ratio*learning
 	known.slownessAt = now
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -96,6 +96,13 @@
 	b.outlook.Skewed(route, b.now())
 }
 
+// pauseAge tells how long ago a pause of a replica ended that this node knows of.
+func (b *beliefs) pauseAge(life replica.Incarnation) (time.Duration, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.outlook.Book.PauseAge(life, b.now())
+}
+
 // note changes the book under the mutex.
 func (b *beliefs) note(change func(book *replica.Book, now core.Time)) {
 	b.mutex.Lock()
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -272,6 +272,7 @@
 		}
 		one.verdict = scatter.Verdict(part.GetVerdict())
 		one.took = time.Duration(part.GetTookUs()) * time.Microsecond
+		one.pauseEnded = time.Duration(part.GetPauseEndedMs()) * time.Millisecond
 		if part.GetStatus() != 0 {
 			one.response = &replicaconn.Response{Status: int(part.GetStatus()), Header: http.Header{}}
 		}
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -52,7 +52,7 @@
 	for _, send := range message.GetSends() {
 		n.startDelegated(ctx, q, send)
 	}
-	replies := &replies{inbound: inbound, apart: message.GetApart(), sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
+	replies := &replies{inbound: inbound, pauseAge: n.beliefs.pauseAge, apart: message.GetApart(), sender: topk.NewSender(int(message.GetTopK()), int(message.GetParts()))}
 	replies.run(ctx, q, time.Duration(message.GetFlushUs())*time.Microsecond, len(message.GetSends()))
 }
 
@@ -105,6 +105,8 @@
 type replies struct {
 	inbound *peer.Inbound
 	sender  *topk.Sender
+	// pauseAge tells how long ago a pause of a replica ended.
+	pauseAge func(life replica.Incarnation) (time.Duration, bool)
 	// apart is set when each part is to have its own records.
 	apart   bool
 	pending []*exchange
@@ -147,7 +149,7 @@
 	reply := &peerpb.DelegateReply{Apart: r.apart}
 	var parts [][]byte
 	for _, one := range r.pending {
-		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds())}
+		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds()), PauseEndedMs: r.pauseEnded(one)}
 		switch {
 		case one.verdict == scatter.Whole:
 			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
@@ -169,3 +171,16 @@
 	r.told = true
 	r.inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_DelegateReply{DelegateReply: reply}}, last)
 }
+
+// pauseEnded is what is told of the pauses of a replica. Nodes next to it see them more often than
+// each of those that send through them.
+func (r *replies) pauseEnded(one *exchange) uint32 {
+	age, known := r.pauseAge(one.send.Replica.Life())
+	if !known || age > maxPauseAge {
+		return 0
+	}
+	return uint32(age.Milliseconds()) + 1
+}
+
+// maxPauseAge bounds the ages of pauses that are told: older ones say nothing of the next.
+const maxPauseAge = time.Minute
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -55,7 +55,9 @@
 	verdict  scatter.Verdict
 	// took is how long the replica took, without the way through another node.
 	took time.Duration
-	over bool
+	// pauseEnded is how long ago, by another node, a pause of the replica ended; 0 where it knows none.
+	pauseEnded time.Duration
+	over       bool
 	// late is set once the replica was noted as late.
 	late bool
 }
@@ -301,6 +303,11 @@
 // learnDelegated takes the end of a delegated send into the beliefs. After the
 // request's end the answer was waited for no more.
 func (q *request) learnDelegated(one *exchange) {
+	if one.pauseEnded > 0 {
+		q.node.beliefs.note(func(book *replica.Book, now core.Time) {
+			book.PauseHeard(one.send.Replica.Life(), one.pauseEnded, now)
+		})
+	}
 	select {
 	case <-q.over:
 		q.node.beliefs.note(func(book *replica.Book, _ core.Time) { book.Ended(one.send.Replica.Life()) })
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -111,5 +111,5 @@
 	if c.refused {
 		credit = (credit + worth(now-c.tried)) / 2
 	}
-	c.world.report.earned(c, credit*coverage*coverage, now-c.began)
+	c.world.report.earned(c, credit*coverage*coverage, coverage, now-c.began)
 }
--- a/internal/loadmodel/compare.go
+++ b/internal/loadmodel/compare.go
@@ -20,9 +20,11 @@
 // Means are those of several plays of a pattern. Shares are of all requests, 0 to 1.
 type Means struct {
 	// Credit is earned over owed, Worst that of the two worst windows of each play.
-	Credit  float64 `json:"credit"`
-	Worst   float64 `json:"worst_windows"`
-	InAim   float64 `json:"in_aim"`
+	Credit float64 `json:"credit"`
+	Worst  float64 `json:"worst_windows"`
+	InAim  float64 `json:"in_aim"`
+	// Whole are those whose answer lacks no part.
+	Whole   float64 `json:"whole"`
 	Late    float64 `json:"late"`
 	Refused float64 `json:"refused"`
 	Failed  float64 `json:"failed"`
@@ -64,6 +66,7 @@
 	m.Credit += r.All.Share() / seeds
 	m.Worst += r.Worst(worstWindows) / seeds
 	m.InAim += float64(r.All.InAim) / asked
+	m.Whole += float64(r.All.Whole) / asked
 	m.Late += float64(r.All.Late) / asked
 	m.Refused += float64(r.All.Refused) / asked
 	m.Failed += float64(r.All.Failed) / asked
@@ -116,9 +119,9 @@
 func (c *Comparison) WriteText(out io.Writer) {
 	_, _ = fmt.Fprintf(out, "%s: %s; %d seeds\n", c.Pattern, c.About, c.Seeds)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "variant\tcredit\tworst windows\tin aim\tlate\trefused\tfailed\twrongly rejected\thedges")
+	_, _ = fmt.Fprintln(table, "variant\tcredit\tworst windows\tin aim\twhole\tlate\trefused\tfailed\twrongly rejected\thedges")
 	for _, v := range c.Variants {
-		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n", v.Name, v.Credit, v.Worst, v.InAim, v.Late, v.Refused, v.Failed, v.Wrong, v.Hedges)
+		_, _ = fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n", v.Name, v.Credit, v.Worst, v.InAim, v.Whole, v.Late, v.Refused, v.Failed, v.Wrong, v.Hedges)
 	}
 	_ = table.Flush()
 }
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -87,3 +87,16 @@
 		require.Greater(t, own.Credit, known.Credit-0.06, p.Name)
 	}
 }
+
+// A question asks 90 shards, of which four have their replica in a pause and three slow ones; where the
+// second replica asked is in a pause too, the answer lacks a part. Pattern: regular pauses and noise
+// under a light load. Measured over 12 seeds: 0.82 of the answers are whole when each pause is
+// found out by being late, 0.93 when it is expected; the bound asked for is half of that gain.
+func TestExpectedPausesLeaveMoreAnswersWhole(t *testing.T) {
+	p := named(t, "quick-calm")
+	late := play(p, Options{Without: []Mechanism{Pauses}})
+	expected := play(p, Options{})
+	require.Greater(t, expected.Whole, late.Whole+0.055)
+	require.Less(t, expected.Hedges, late.Hedges)
+	require.Greater(t, expected.Credit, late.Credit)
+}
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -50,6 +50,7 @@
 		bound.Ratio, bound.Allowance = 1000, 1000
 	}
 	n := &node{world: w, place: place, outlook: outlook.New(place.Name, nil, bound, w.random.Float64), pools: map[*upstream]*pool{}}
+	n.outlook.Book.Pauses.Off = w.options.without(Pauses)
 	for _, u := range w.upstreams {
 		n.outlook.Book.Put(u.entry)
 		n.pools[u] = &pool{free: w.connections(place.Name, u.entry.DataCentre)}
@@ -195,6 +196,9 @@
 	q, w := t.request, t.request.node.world
 	life, now := t.send.Replica.Life(), w.clock.now
 	took := now - t.began
+	if t.via != q.node {
+		t.tell(took, verdict)
+	}
 	if t.withdrawn {
 		if verdict == scatter.Whole {
 			q.node.outlook.AnsweredLate(q.route, life, took, now)
@@ -225,6 +229,18 @@
 	q.step(scatter.Ended{Send: t.send.ID, Verdict: verdict})
 }
 
+// tell lets the node that sent learn from an answer, and the one that asked it from what that one
+// knows of the replica's pauses.
+func (t *transfer) tell(took time.Duration, verdict scatter.Verdict) {
+	q, life, now := t.request, t.send.Replica.Life(), t.request.node.world.clock.now
+	if verdict == scatter.Whole {
+		t.via.outlook.AnsweredLate(q.route, life, took-2*(farWay-nearWay), now)
+	}
+	if age, known := t.via.outlook.Book.PauseAge(life, now); known {
+		q.node.outlook.Book.PauseHeard(life, age, now)
+	}
+}
+
 // withdraw ends a send whose answer is not wanted: one that waits leaves, another one may go on
 // for a moment.
 func (t *transfer) withdraw() {
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -41,6 +41,13 @@
 	Down    bool
 }
 
+// Noise is what other work on a replica's machine does to it: in so many of the moments of a length, work
+// takes so many times as long. The zero value is none.
+type Noise struct {
+	Share, Times float64
+	Every        time.Duration
+}
+
 // Pattern is a load with its faults.
 type Pattern struct {
 	Name, About string
@@ -51,6 +58,8 @@
 	Slots, Queue, Connections int
 	// Pause is how long a replica stands still each PauseEvery.
 	Pause, PauseEvery time.Duration
+	// Noise slows replicas down for moments, each by itself.
+	Noise Noise
 	// Rate is the number of requests a second.
 	Rate   float64
 	Length core.Time
@@ -103,6 +112,27 @@
 	return p
 }
 
+// quick is the search of a customer whose callers ask more for quick answers: 90 shards of three replicas in
+// three of four data centres, two nodes in each; replicas pause for 200 ms each 4.5 s and share their
+// machines with other work, so that a question meets seven slow ones on average.
+func quick() Pattern {
+	return Pattern{
+		Name: "quick-calm", About: "90 shards of three replicas, quick questions, pauses and noise alone",
+		Places: []Place{
+			{Name: "a", Nodes: 2, Replicas: 1, Callers: 0.25}, {Name: "b", Nodes: 2, Replicas: 1, Callers: 0.25},
+			{Name: "c", Nodes: 2, Replicas: 1, Callers: 0.25}, {Name: "d", Nodes: 2, Callers: 0.25},
+		},
+		Kinds: []Kind{
+			{Name: "full", Share: 0.63, Worth: 2, LateWorth: 0.1, Aim: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Work: 20 * time.Millisecond, Least: 0.95},
+			{Name: "quick", Share: 0.37, Worth: 1, LateWorth: 0.1, Aim: 60 * time.Millisecond, Deadline: 600 * time.Millisecond, Work: 6700 * time.Microsecond, Least: 0.85},
+		},
+		Shards: 90, Slots: 2, Queue: 12, Connections: 55,
+		Pause: 200 * time.Millisecond, PauseEvery: 4500 * time.Millisecond,
+		Noise: Noise{Share: 0.03, Times: 4, Every: 500 * time.Millisecond},
+		Rate:  45, Length: 30 * time.Second,
+	}
+}
+
 // Patterns lists the loads by name.
 func Patterns() []Pattern {
 	return []Pattern{
@@ -110,6 +140,7 @@
 		large("large-slow", "of 180 shards of three replicas 80 have a slow one", func(p *Pattern) {
 			p.Faults = []Fault{{At: 2 * time.Second, For: 8 * time.Second, Shards: 80, Slow: 8}}
 		}),
+		quick(),
 		pattern("calm", "pauses alone", func(*Pattern) {}),
 		pattern("some-slow", "of six shards one replica is slow, at two thirds of the usual rate", func(p *Pattern) {
 			p.Rate = 54
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -13,7 +13,9 @@
 // Sum is what some requests were worth.
 type Sum struct {
 	Asked, InAim, Late, Refused, Failed int
-	Owed, Earned                        float64
+	// Whole counts the answers that lack no part.
+	Whole        int
+	Owed, Earned float64
 }
 
 // Share is the earned part of the credit owed.
@@ -52,9 +54,12 @@
 	}
 }
 
-func (r *Report) earned(c *caller, credit float64, took core.Time) {
+func (r *Report) earned(c *caller, credit, coverage float64, took core.Time) {
 	r.Took = append(r.Took, took)
 	for _, s := range r.sums(c) {
+		if coverage == 1 {
+			s.Whole++
+		}
 		s.Earned += credit * c.kind.Worth
 		if took <= c.kind.Aim {
 			s.InAim++
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -1,6 +1,7 @@
 package loadmodel
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -58,7 +59,7 @@
 func (u *upstream) start(j *job) {
 	u.working = append(u.working, j)
 	j.running = true
-	done := u.workedOff(u.world.clock.now, time.Duration(float64(j.work)*u.slow))
+	done := u.workedOff(u.world.clock.now, time.Duration(float64(j.work)*u.slow*u.noise(u.world.clock.now)))
 	u.world.clock.at(done, func() {
 		if !j.running {
 			return
@@ -103,6 +104,20 @@
 	}
 }
 
+// noise is how many times as long work takes at a moment. It draws from the replica, the moment and the
+// seed alone, so that variants of a play meet the same noise.
+func (u *upstream) noise(now core.Time) float64 {
+	n := u.world.pattern.Noise
+	if n.Share == 0 {
+		return 1
+	}
+	moment := uint64(now / n.Every)
+	if rand.New(rand.NewPCG(u.world.options.Seed^uint64(u.phase), moment)).Float64() < n.Share {
+		return n.Times
+	}
+	return 1
+}
+
 // workedOff is when work that begins now is done, with the pauses in between.
 func (u *upstream) workedOff(now core.Time, work time.Duration) core.Time {
 	every, length := u.world.pattern.PauseEvery, u.world.pattern.Pause
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -26,6 +26,8 @@
 	Partial  Mechanism = "partial answers"
 	Overdue  Mechanism = "overdue marks"
 	Slowness Mechanism = "slowness"
+	// Pauses expects the next pause of a replica from those that were seen.
+	Pauses   Mechanism = "pauses"
 	Failures Mechanism = "failures"
 	Refusals Mechanism = "refusals"
 	Extra    Mechanism = "bound on extra sends"
@@ -35,7 +37,7 @@
 
 // Mechanisms lists those that can be left out.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Hedges, Retries, Partial, Overdue, Slowness, Failures, Refusals, Extra, Early, Reach}
+	return []Mechanism{Hedges, Retries, Partial, Overdue, Pauses, Slowness, Failures, Refusals, Extra, Early, Reach}
 }
 
 // Options change how a pattern is played.
