--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -50,6 +50,8 @@
 	}
 	before := arrivals(east...)
 	for i, one := range w.nodes {
+		_, page := w.get("http://"+one.Settings.MetricsAddress+"/metrics", nil)
+		require.Contains(t, page, "\npistachiopier_data_centres_evacuated 1\n")
 		w.askAll(one, fmt.Sprint("during", i), 10, "0")
 	}
 	require.Equal(t, before, arrivals(east...))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -209,6 +209,17 @@
 	watch("peer_links", func() int64 { return int64(n.pool.Links()) })
 	watch("peer_links_inbound", n.server.Links)
 	watch("nodes_live", func() int64 { return int64(len(n.view().Nodes())) })
+	watch("data_centres_evacuated", func() (count int64) {
+		n.beliefs.note(func(book *replica.Book, _ core.Time) { count = int64(len(book.Evacuated())) })
+		return count
+	})
+	watch("pause_interval_ms", func() (ms int64) {
+		n.beliefs.note(func(book *replica.Book, _ core.Time) {
+			every, _ := book.Pauses.Interval()
+			ms = every.Milliseconds()
+		})
+		return ms
+	})
 	watch("store_calls_total", func() int64 { return n.follower.Counts().StoreCalls })
 	watch("store_calls_failed_total", func() int64 { return n.follower.Counts().StoreFailures })
 	watch("copy_reads_from_nodes_total", func() int64 { return n.follower.Counts().PeerReads })
