--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -111,3 +112,44 @@
 		w.line(one, "evacuation_ended")
 	}
 }
+
+// Replicas come back cold and crash under the load that they bear when warm. While one of two is cold, the
+// other one has nearly all requests; where the cold one is the only one, what it cannot bear is told
+// at once that it has not run. Kept back, it would wait for nothing.
+func TestAColdReplicaGetsWhatItsServiceStates(t *testing.T) {
+	const perSecond, asked = 4, 30
+	w := newWorld(t)
+	cold := w.replica("notes", "east", "a note")
+	warm := w.replica("notes", "east", "a note")
+	only := w.replica("invoices", "east", "done")
+	for _, one := range []*platformtest.Replica{cold, only} {
+		entry := one.Entry("east", platformtest.StateReady)
+		entry["warmupLeftMs"] = time.Hour.Milliseconds()
+		w.store.Put(one.Key(), entry)
+	}
+	config := w.config(1)
+	for i := range config.Services {
+		config.Services[i].WarmupS, config.Services[i].WarmupPerS = 3, perSecond
+	}
+	w.store.Publish(config)
+	w.start("east")
+	w.ready()
+	began := time.Now()
+	refused := 0
+	for i := range asked {
+		response, _ := w.ask(w.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		response, _ = w.ask(w.nodes[0], http.MethodPost, "/once/x", fmt.Sprint("o", i), "")
+		if response.StatusCode != http.StatusOK {
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.Zero(t, only.Runs(fmt.Sprint("o", i)))
+			refused++
+		}
+	}
+	seconds := int(time.Since(began)/time.Second) + 1
+	require.LessOrEqual(t, len(cold.Arrivals()), perSecond*seconds)
+	require.LessOrEqual(t, len(only.Arrivals()), perSecond*seconds)
+	require.Equal(t, asked, len(cold.Arrivals())+len(warm.Arrivals()))
+	require.Equal(t, asked, refused+len(only.Arrivals()))
+}
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -176,6 +176,11 @@
 // configure publishes a configuration with a plain route, one that must not be
 // repeated, and one over three shards.
 func (w *world) configure(version uint64, more ...platformtest.Route) {
+	w.store.Publish(w.config(version, more...))
+}
+
+// config is the configuration that configure publishes.
+func (w *world) config(version uint64, more ...platformtest.Route) platformtest.Config {
 	config := platformtest.Config{Version: version, Limits: platformtest.DefaultLimits(), Routes: append([]platformtest.Route{
 		route("plain", platformtest.KindIdempotent, to("notes")),
 		route("once", platformtest.KindOnce, to("invoices")),
@@ -185,5 +190,5 @@
 	for _, name := range []string{"notes", "invoices", "s1", "s2", "s3"} {
 		config.Services = append(config.Services, platformtest.Service{Name: name, HealthPath: "/health", MaxConns: 26})
 	}
-	w.store.Publish(config)
+	return config
 }
