--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -20,7 +20,7 @@
 
 // world is a platform with nodes and replicas in this process.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	fleet    *edgefleet.Fleet
 	store    *platformtest.Store
 	replicas []*platformtest.Replica
@@ -33,7 +33,7 @@
 	log *logs.Buffer
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	fleet, err := edgefleet.Start()
 	require.NoError(t, err)
