Times that do not fit the rhythm of pauses say nothing of their length

Found by reading: requests that hang for seconds went into the same quantile; with 180 of them among 300 sights a pause was taken for 0.9 s, a fifth of the interval. The test fails without the change.

--- a/internal/core/pauses/pauses.go
+++ b/internal/core/pauses/pauses.go
@@ -75,10 +75,13 @@
 		}
 		return
 	}
+	// What does not fit the rhythm stood for another reason, and may have stood much longer.
+	if r.every == 0 || c.end > 0 && fits(end-c.end, r.every) {
+		r.lengths.Record(stood)
+	}
 	if c.end > 0 {
 		r.count(end - c.end)
 	}
-	r.lengths.Record(stood)
 	r.look()
 	c.take(end, r.every)
 }
--- a/internal/core/pauses/pauses_test.go
+++ b/internal/core/pauses/pauses_test.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// Beside the pauses, some requests hang for seconds. Their times say nothing of how long a pause lasts: taken for
+// it, replicas that work would be left alone for a good part of the time.
+func TestHangingRequestsDoNotStretchThePauses(t *testing.T) {
+	random := rand.New(rand.NewPCG(8, 8))
+	r, _ := learnt(t, 8)
+	clocks := make([]Clock, 90)
+	for i := range 180 {
+		end := 31*time.Second + time.Duration(i/90*9000+random.IntN(8000))*time.Millisecond
+		r.Seen(&clocks[i%90], end, 900*time.Millisecond)
+	}
+	_, lasts := r.Interval()
+	require.Less(t, lasts, 2*length)
+}
+
 // One replica's machine is moved and pauses at another phase since. A single long answer with another
 // cause must not move the expectation, a second one at the same phase must.
 func TestAMovedPauseIsBelievedWhenItIsSeenAgain(t *testing.T) {
