--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -24,6 +24,18 @@
 var beliefEvents = map[string]bool{
 	"node_started": true, "config_in_force": true, "entries_changed": true, "view_changed": true,
 	"dependency_lost": true, "dependency_back": true, "node_stopping": true, "settings_reloaded": true,
+	"evacuation_in_force": true, "evacuation_ended": true,
+}
+
+// subject is what a line's belief is about: a later line on the same subject replaces it. Each data
+// centre is evacuated and taken back by itself.
+func (l logLine) subject() string {
+	switch l.Event {
+	case "evacuation_in_force", "evacuation_ended":
+		return fmt.Sprint("evacuation of ", l.fields["data_centre"])
+	default:
+		return l.Event
+	}
 }
 
 func explainCommand() *command {
@@ -125,12 +137,12 @@
 	}
 }
 
-// inForce picks the last belief of each kind that the request's node wrote before its end.
+// inForce picks the last belief on each subject that the request's node wrote before its end.
 func (s *story) inForce(end logLine) []logLine {
 	last := map[string]logLine{}
 	for _, line := range s.beliefs {
 		if line.Node == end.Node && line.Time <= end.Time {
-			last[line.Event] = line
+			last[line.subject()] = line
 		}
 	}
 	chosen := slices.Collect(maps.Values(last))
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -38,3 +38,22 @@
 	code, _, _ = run("explain", "r1", path+".missing")
 	require.Equal(t, ExitUsage, code)
 }
+
+// A user's list was thin while a data centre was evacuated. The story must say which one was at that time:
+// another one had been taken back before, and this one was after.
+func TestExplainTellsWhichDataCentresWereEvacuated(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(`
+{"event":"evacuation_in_force","node":"vm-1","time":"2030-01-01T00:00:01Z","data_centre":"east"}
+{"event":"evacuation_ended","node":"vm-1","time":"2030-01-01T00:00:02Z","data_centre":"east"}
+{"event":"evacuation_in_force","node":"vm-1","time":"2030-01-01T00:00:03Z","data_centre":"west"}
+{"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"partial"}
+{"event":"evacuation_ended","node":"vm-1","time":"2030-01-01T00:00:05Z","data_centre":"west"}
+`), 0o600))
+	code, out, errors := run("explain", "r1", path)
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, "evacuation_in_force data_centre=west")
+	require.Contains(t, out, "evacuation_ended data_centre=east")
+	require.NotContains(t, out, "evacuation_in_force data_centre=east")
+	require.NotContains(t, out, "evacuation_ended data_centre=west")
+}
