A node whose usual sources are all turned away by the store reaches one that knows more

Readers, heads and spare readers of those nodes were all turned away, each held the question for 0.4 s, and nobody else was asked. Ruled out: the store's pace of retries (0.6 s at most).

Behind the usual ones a further node of the data centre is asked, each turn another; those asked since the one before was stale do not hold the question. Virtual time, one in three further nodes fresh: oldest belief 5.6 s before, under 3.5 s now.

--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,16 +26,24 @@
 // copies names the nodes whose copies of the store can be read.
 type copies struct {
 	node *Node
+	// turn counts the lists that were made.
+	turn *atomic.Uint64
 	mirror.Links
 }
 
 // Sources implements mirror.Peers. Readers and heads follow from one hashed order of the
 // live nodes, so that nodes with the same view agree on them.
 func (c copies) Sources(readers int) ([]peer.Target, bool) {
-	return sources(c.node.view(), c.node.views.Self(), readers)
+	return sources(c.node.view(), c.node.views.Self(), readers, c.turn.Add(1))
 }
 
-func sources(view *route.View, self route.Node, readers int) ([]peer.Target, bool) {
+// sources lists readers and heads, and behind them one further node of the data centre, each turn another.
+//
+// The failure: the store turns a third of the nodes away, among them most readers and the heads of a data
+// centre. Their followers that the store serves read it themselves; the others had nobody to ask who
+// knows more, and went on with what was in force ten seconds before. The further node
+// is asked only when all others are stale; two of three such nodes have what the store gives.
+func sources(view *route.View, self route.Node, readers int, turn uint64) ([]peer.Target, bool) {
 	all := view.Order(mirrorKey, "")
 	reading := all[:min(readers, len(all))]
 	heads := headsOf(view, self.DataCentre, reading)
@@ -53,6 +62,12 @@
 		order = append(order, heads...)
 		order = append(order, reading[:min(spareSources, len(reading))]...)
 	}
+	near := slices.DeleteFunc(view.Order(mirrorKey, self.DataCentre), func(one route.Node) bool {
+		return one.DataCentre != self.DataCentre || same(one) || slices.Contains(order, one)
+	})
+	if len(near) > 0 {
+		order = append(order, near[turn%uint64(len(near))])
+	}
 	var targets []peer.Target
 	for _, one := range order {
 		target := peer.Target{Node: one.ID, Address: one.PeerAddress}
--- a/internal/edge/copies_test.go
+++ b/internal/edge/copies_test.go
@@ -23,7 +23,7 @@
 	readers, crossing := 0, 0
 	followers := map[core.NodeID]int{}
 	for _, self := range nodes {
-		targets, reader := sources(view, self, 3)
+		targets, reader := sources(view, self, 3, 0)
 		require.NotEmpty(t, targets)
 		if reader {
 			readers++
@@ -44,9 +44,38 @@
 	}
 }
 
+// The store turns away the readers and a data centre's heads. A node that it turns away too must in turn reach
+// all others of its data centre, behind those that it always asks, or it learns of no change.
+func TestFurtherNodesAreAskedInTurnBehindTheOthers(t *testing.T) {
+	var nodes []route.Node
+	for i := range 24 {
+		id := fmt.Sprintf("10.0.0.%d:7380", i)
+		nodes = append(nodes, route.Node{ID: core.NodeID(id), PeerAddress: id, DataCentre: fmt.Sprint("dc", i%2)})
+	}
+	view := route.NewView(nodes)
+	for _, self := range nodes {
+		first, _ := sources(view, self, 3, 0)
+		usual := first[:len(first)-1]
+		reached := map[core.NodeID]bool{}
+		for turn := range uint64(len(nodes)) {
+			targets, _ := sources(view, self, 3, turn)
+			require.Equal(t, usual, targets[:len(targets)-1])
+			last := targets[len(targets)-1]
+			require.NotEqual(t, self.ID, last.Node)
+			reached[last.Node] = true
+		}
+		for _, one := range usual {
+			reached[one.Node] = true
+		}
+		for _, one := range nodes {
+			require.True(t, reached[one.ID] || one.ID == self.ID || one.DataCentre != self.DataCentre)
+		}
+	}
+}
+
 func TestALoneNodeReadsTheStore(t *testing.T) {
 	self := route.Node{ID: "a", PeerAddress: "a", DataCentre: "dc"}
-	targets, reader := sources(route.NewView([]route.Node{self}), self, 3)
+	targets, reader := sources(route.NewView([]route.Node{self}), self, 3, 0)
 	require.Empty(t, targets)
 	require.True(t, reader)
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -140,7 +140,7 @@
 	}
 	n.setBound()
 	store := platform.NewStore(s.StoreAddress, storeDialTimeout)
-	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.copied, store, copies{node: n, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
+	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.copied, store, copies{node: n, turn: &atomic.Uint64{}, Links: mirror.Links{Asker: n.pool}}, n.registry, n.now)
 	n.mirror = mirror.NewServer(n.copied, n.follower.Age)
 	n.watchMetrics()
 	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -304,6 +304,9 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		// The next one is asked since this one is stale. Were it to hold the question too, a node whose
+		// usual sources are all turned away by the store would reach one that knows more after seconds.
+		waiting = 0
 	}
 	return false
 }
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -314,6 +315,62 @@
 	})
 }
 
+// stalePeers are several nodes that the store turns away too, and behind them, each third turn, one that
+// it serves.
+type stalePeers struct {
+	fresh *Copy
+	turn  int
+	asked atomic.Int64
+}
+
+func (p *stalePeers) Sources(int) ([]peer.Target, bool) {
+	p.turn++
+	last := peer.Target{Node: "stale 5"}
+	if p.turn%3 == 0 {
+		last.Node = "fresh"
+	}
+	return []peer.Target{{Node: "stale 1"}, {Node: "stale 2"}, {Node: "stale 3"}, {Node: "stale 4"}, last}, false
+}
+
+func (p *stalePeers) Fetch(_ context.Context, from peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error) {
+	p.asked.Add(1)
+	if from.Node != "fresh" {
+		time.Sleep(wait)
+		return Delta{After: after, UpTo: after}, time.Minute, nil
+	}
+	return p.fresh.Since(after), 0, nil
+}
+
+// The store turns away this node and all that it follows. One that knows more comes last among those that it
+// can ask, and not each time. Held by each of the others for 0.4 s, it would take up a change after six seconds.
+func TestAStaleNodeDoesNotWaitForOthersAsStale(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		store := &fakeStore{state: NewCopy()}
+		store.state.Apply(Delta{Whole: true, UpTo: 1})
+		store.put("a", false)
+		peers := &stalePeers{fresh: NewCopy()}
+		started := time.Now()
+		f := NewFollower(DefaultConfig(), NewCopy(), store, peers, &heard{}, func() core.Time { return time.Since(started) + 1 })
+		f.Start()
+		defer f.Close()
+		time.Sleep(time.Second)
+		store.set(func(s *fakeStore) { s.busy = true })
+		time.Sleep(10 * time.Second)
+		store.put("b", false)
+		peers.fresh.Apply(store.state.Since(0))
+		asked, most := peers.asked.Load(), time.Duration(0)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			age, _ := f.Age()
+			most = max(most, age)
+		}
+		_, held := f.copy.Get("b")
+		require.True(t, held)
+		require.Less(t, most, DefaultConfig().Stale+time.Second)
+		require.Less(t, peers.asked.Load()-asked, int64(100*5), "it does not ask without end")
+	})
+}
+
 // A node that is not a reader leaves the store alone while its peers are fresh. When the
 // readers are cut off from the store it reads itself.
 func TestAFollowerReadsTheStoreOnlyWhenItsPeersAreStale(t *testing.T) {
