--- a/internal/core/replica/choice.go
+++ b/internal/core/replica/choice.go
@@ -41,7 +41,7 @@
 // Choice is a replica for a request.
 type Choice struct {
 	Replica
-	// Doubtful is set when the replica is overdue, failing or out of room: good
+	// Doubtful is set when the replica is overdue, failing, out of room or expected to pause: good
 	// enough for a first try where there is no other, not for a hedge.
 	Doubtful bool
 	// Far is set when the replica is in another data centre.
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -76,7 +76,8 @@
 	TriesUsed Reason = "the route's tries are used up"
 	// NoOtherReplica means that no replica is left that was not tried.
 	NoOtherReplica Reason = "no other replica"
-	// OtherDoubtful means that the other one is itself overdue or failing.
+	// OtherDoubtful means that the other one is itself overdue or failing, or is expected to pause
+	// just now.
 	OtherDoubtful Reason = "the other replica is overdue or failing too"
 	// OtherSlow means that the other one is expected to answer much later than usual.
 	OtherSlow Reason = "the other replica is slow or busy"
