Sight: readings that a copy does not take are told and counted, and the store's era is shown

No node's log or metric told what the store had offered: revision and era of a whole reading that the copy threw away were nowhere, while age and lag of the copy said that it was up to date. No decision changes.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -223,6 +223,8 @@
 	watch("store_calls_total", func() int64 { return n.follower.Counts().StoreCalls })
 	watch("store_calls_failed_total", func() int64 { return n.follower.Counts().StoreFailures })
 	watch("copy_reads_from_nodes_total", func() int64 { return n.follower.Counts().PeerReads })
+	watch("readings_not_taken_total", func() int64 { return n.follower.Counts().NotTaken })
+	watch("store_era", func() int64 { return n.follower.Counts().StoreEra })
 	watch("copy_lag_ms", func() int64 { return n.follower.Counts().Lag.Milliseconds() })
 	watch("beliefs_age_ms", func() int64 {
 		if age, known := n.follower.Age(); known {
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -206,6 +206,11 @@
 	r.log.Life("dependency_lost", decisionlog.Fields{"dependency": source, "error": cause.Error()})
 }
 
+// NotTaken implements mirror.Listener.
+func (r *registry) NotTaken(one mirror.NotTaken) {
+	r.log.Life("reading_not_taken", decisionlog.Fields{"dependency": one.Source, "era": one.Era, "revision": one.Revision, "reached_revision": one.Reached, "outcome": "what was read before stays in force"})
+}
+
 // SourceBack implements mirror.Listener.
 func (r *registry) SourceBack(source string, after time.Duration) {
 	r.log.Life("dependency_back", decisionlog.Fields{"dependency": source, "after_ms": after.Milliseconds()})
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -23,6 +23,9 @@
 
 // Delta is what changed in the store up to a revision.
 type Delta struct {
+	// Era counts how often the store came back from a copy of itself, which gives revisions out
+	// again; 0 where it tells none.
+	Era uint64
 	// After is the revision that the delta starts behind; 0 with Whole.
 	After uint64
 	// UpTo is the revision that a copy has after taking the delta.
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -82,6 +82,15 @@
 	// followed, does not answer or answers again.
 	SourceFailed(source string, cause error)
 	SourceBack(source string, after time.Duration)
+	// NotTaken tells the first of a series of readings that the copy did not take.
+	NotTaken(NotTaken)
+}
+
+// NotTaken is a reading that stands behind what the copy has reached.
+type NotTaken struct {
+	Source string
+	// Era and Revision are those of the reading, Reached is the copy's revision.
+	Era, Revision, Reached uint64
 }
 
 // Follower keeps a Copy up to date from the store or from peers.
@@ -107,8 +116,13 @@
 	// peersUntil is until when only readers turn to the store.
 	peersUntil  core.Time
 	returnUntil core.Time
+	// behind is set while readings stand behind the copy.
+	behind bool
 }
 
+// storeSource is the name of the store among the sources that a Listener is told.
+const storeSource = "store"
+
 // NewFollower makes a follower; Start begins to keep the copy up to date.
 func NewFollower(config Config, copied *Copy, store Store, peers Peers, listener Listener, now func() core.Time) *Follower {
 	return &Follower{config: config, copy: copied, store: store, peers: peers, listener: listener, now: now, stop: func() {}}
@@ -142,7 +156,7 @@
 }
 
 // counts are the counts of a Follower, read by others while it runs.
-type counts struct{ storeCalls, storeFailures, peerReads, lagMs atomic.Int64 }
+type counts struct{ storeCalls, storeFailures, peerReads, lagMs, notTaken, storeEra atomic.Int64 }
 
 // Counts says what keeping the copy up to date took so far.
 type Counts struct {
@@ -151,6 +165,10 @@
 	StoreCalls, StoreFailures int64
 	// PeerReads counts the readings of other nodes' copies that succeeded.
 	PeerReads int64
+	// NotTaken counts the readings that stood behind what the copy has reached.
+	NotTaken int64
+	// StoreEra is the era that the store told last; 0 is none.
+	StoreEra int64
 	// Lag is how old the last reading was when it came: about 0 from the store, what the
 	// nodes in between add to it otherwise.
 	Lag time.Duration
@@ -160,6 +178,7 @@
 func (f *Follower) Counts() Counts {
 	return Counts{
 		StoreCalls: f.counts.storeCalls.Load(), StoreFailures: f.counts.storeFailures.Load(), PeerReads: f.counts.peerReads.Load(),
+		NotTaken: f.counts.notTaken.Load(), StoreEra: f.counts.storeEra.Load(),
 		Lag: time.Duration(f.counts.lagMs.Load()) * time.Millisecond,
 	}
 }
@@ -217,6 +236,7 @@
 		return false
 	}
 	f.storeBack()
+	f.noteReading(storeSource, delta)
 	if first {
 		f.begin(delta)
 		if delta.UpTo == 0 {
@@ -277,7 +297,7 @@
 	f.failures++
 	if f.failedSince == 0 {
 		f.failedSince = max(f.now(), 1)
-		f.listener.SourceFailed("store", cause)
+		f.listener.SourceFailed(storeSource, cause)
 	}
 }
 
@@ -285,7 +305,7 @@
 	if f.failedSince == 0 {
 		return
 	}
-	f.listener.SourceBack("store", f.now()-f.failedSince)
+	f.listener.SourceBack(storeSource, f.now()-f.failedSince)
 	f.failedSince = 0
 	f.failures = 0
 }
@@ -319,10 +339,29 @@
 		return false
 	}
 	f.counts.peerReads.Add(1)
+	f.noteReading(string(source.Node), delta)
 	f.take(delta, f.now()-age)
 	return age <= f.config.Stale
 }
 
+// noteReading tells the first reading of a series that stands behind the copy. A whole reading
+// that does is thrown away item by item, while the node calls itself up to date.
+func (f *Follower) noteReading(source string, delta Delta) {
+	reached := f.copy.UpTo()
+	if source == storeSource {
+		f.counts.storeEra.Store(int64(delta.Era))
+	}
+	if delta.UpTo >= reached {
+		f.behind = false
+		return
+	}
+	f.counts.notTaken.Add(1)
+	if !f.behind && delta.Whole {
+		f.behind = true
+		f.listener.NotTaken(NotTaken{Source: source, Era: delta.Era, Revision: delta.UpTo, Reached: reached})
+	}
+}
+
 // noteOutage notes at a reading whether the store was away for long before it.
 func (f *Follower) noteOutage(read core.Time) {
 	before := core.Time(f.confirmed.Load())
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -194,6 +194,8 @@
 	h.back++
 }
 
+func (h *heard) NotTaken(NotTaken) {}
+
 func (h *heard) last() Change {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/mirror/source.go
+++ b/internal/mirror/source.go
@@ -19,6 +19,8 @@
 	More bool
 	// Revision is the store's revision at the reading of the page.
 	Revision uint64
+	// Era is the store's era at that moment; 0 where it tells none.
+	Era uint64
 }
 
 // Store is where items are published.
@@ -53,7 +55,7 @@
 			return Delta{}, err
 		}
 		if after == "" {
-			delta.UpTo = page.Revision
+			delta.Era, delta.UpTo = page.Era, page.Revision
 		}
 		delta.Items = append(delta.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
