What the store writes after it came back from a copy is taken: revisions order one era, versions order configurations

Callers were served as a former configuration says for up to 18 s after a newer one was acknowledged, and some versions never came into force. Cause: copies took items by rising revision only, and a store that came back from a copy gives revisions out again. A whole reading was thrown away item by item, the next watch began at a revision that the store had not reached, or had reached with other contents.

A copy is now of one era of the store. A whole reading of a newer era takes the place of all; nothing of an older one is laid on it; nodes tell each other theirs. What the writers order themselves stays in their order: a configuration never falls in version, a replica's report in sequence. Entries and evacuations that the new era lacks lapse after the time in which they are written again; a replica that had left and is back in the list gets nothing until it reports anew. Nodes that do not read the store for the others leave the whole reading to those that do.

Ruled out: other nodes' older copies (readers that read the store alone were behind too), refused configurations (no such line).

--- a/internal/core/replica/place.go
+++ b/internal/core/replica/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
@@ -9,18 +10,47 @@
 // Evacuate notes whether the operators want the replicas of a data centre to get nothing, and
 // reports whether that is news. What is in work there goes on: it was sent before.
 func (b *Book) Evacuate(dataCentre string, wanted bool, now core.Time) (changed bool) {
-	if b.evacuated[dataCentre] == wanted {
-		return false
-	}
+	_, evacuated := b.evacuated[dataCentre]
 	if wanted {
-		b.evacuated[dataCentre] = true
-		return true
+		b.evacuated[dataCentre] = 0
+		return !evacuated
+	}
+	if !evacuated {
+		return false
 	}
 	delete(b.evacuated, dataCentre)
 	b.returned[dataCentre] = now
 	return true
 }
 
+// empties reports whether a data centre's replicas are to get nothing.
+func (b *Book) empties(dataCentre string) bool {
+	_, evacuated := b.evacuated[dataCentre]
+	return evacuated
+}
+
+// LapseEvacuation notes that the wish for a data centre is no longer listed, for a reason that may be the
+// registry's own: it binds until ExpireEvacuations.
+func (b *Book) LapseEvacuation(dataCentre string, now core.Time) {
+	if lapsedAt, evacuated := b.evacuated[dataCentre]; evacuated && lapsedAt == 0 {
+		b.evacuated[dataCentre] = max(now, 1)
+	}
+}
+
+// ExpireEvacuations ends the wishes that lapsed longer than the given time ago and returns their data centres.
+func (b *Book) ExpireEvacuations(after time.Duration, now core.Time) []string {
+	var ended []string
+	for dataCentre, lapsedAt := range b.evacuated {
+		if lapsedAt > 0 && now-lapsedAt >= after {
+			ended = append(ended, dataCentre)
+		}
+	}
+	for _, dataCentre := range ended {
+		b.Evacuate(dataCentre, false, now)
+	}
+	return ended
+}
+
 // Evacuated lists the data centres whose replicas get nothing.
 func (b *Book) Evacuated() []string {
 	names := make([]string, 0, len(b.evacuated))
@@ -49,7 +79,7 @@
 
 // usable reports whether a replica may get requests.
 func (b *Book) usable(s *state) bool {
-	return !s.Draining && !s.misdirected && !b.evacuated[s.DataCentre]
+	return !s.Draining && !s.misdirected && s.doubtedAt == 0 && !b.empties(s.DataCentre)
 }
 
 // Wanted reports whether an incarnation is one that may get requests.
@@ -64,7 +94,7 @@
 func (b *Book) Unwanted(chosen Replica) bool {
 	known := b.byID[chosen.ID]
 	switch {
-	case b.evacuated[chosen.DataCentre]:
+	case b.empties(chosen.DataCentre):
 		return true
 	case known == nil || known.Born < chosen.Born:
 		return false
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -52,11 +52,11 @@
 	ranks map[string]int
 	// regions names the region of each data centre.
 	regions map[string]string
-	// ended holds the last incarnation of ids that are no longer listed.
-	ended map[string]int64
-	// evacuated are the data centres whose replicas are to get nothing; returned is when the others
-	// were last taken back.
-	evacuated map[string]bool
+	// ended holds the last report of ids that are no longer listed.
+	ended map[string]lastReport
+	// evacuated are the data centres whose replicas are to get nothing, with the time since when the wish is
+	// no longer listed, 0 while it is; returned is when the others were last taken back.
+	evacuated map[string]core.Time
 	returned  map[string]core.Time
 	// coldBounds are what cold replicas of a service bear; self and senders are the nodes that share it.
 	coldBounds map[string]coldstart.Bound
@@ -66,6 +66,9 @@
 	Pauses pauses.Rhythm
 }
 
+// lastReport names the last report of a replica that was taken.
+type lastReport struct{ born, sequence int64 }
+
 // maxEnded bounds Book.ended. Beyond it all are forgotten: a late report of a former
 // incarnation may then list a replica that is gone, which answers nothing.
 const maxEnded = 4096
@@ -73,7 +76,7 @@
 // NewBook makes an empty book for a node of the given data centre. The random
 // source, 0 to 1, breaks ties.
 func NewBook(dataCentre string, regions map[string]string, random func() float64) *Book {
-	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}, ended: map[string]int64{}, evacuated: map[string]bool{}, returned: map[string]core.Time{}}
+	return &Book{dataCentre: dataCentre, regions: regions, byID: map[string]*state{}, byService: map[string][]*state{}, random: random, ranks: map[string]int{dataCentre: 0}, ended: map[string]lastReport{}, evacuated: map[string]core.Time{}, returned: map[string]core.Time{}}
 }
 
 // rank takes a data centre that may be new into the ring.
@@ -102,6 +105,8 @@
 	Restarted
 	// Outdated is a report that is older than what is known; it changes nothing.
 	Outdated
+	// Doubted lists a replica that may have left; it gets nothing yet.
+	Doubted
 )
 
 // Put takes a report of a replica.
@@ -112,7 +117,7 @@
 func (b *Book) Put(replica Replica) Listing {
 	known := b.byID[replica.ID]
 	switch {
-	case known == nil && replica.Born < b.ended[replica.ID]:
+	case known == nil && replica.Born < b.ended[replica.ID].born:
 		return Outdated
 	case known == nil:
 		b.add(replica)
@@ -125,6 +130,10 @@
 		return Restarted
 	}
 	known.misdirected = known.misdirected && known.Address == replica.Address
+	if replica.Sequence > known.Sequence {
+		// It lives.
+		known.doubtedAt = 0
+	}
 	known.Replica = replica
 	known.lapsedAt = 0
 	return Updated
@@ -148,9 +157,7 @@
 	if len(b.ended) >= maxEnded {
 		clear(b.ended)
 	}
-	if known.Born > 0 {
-		b.ended[id] = known.Born
-	}
+	b.ended[id] = lastReport{born: known.Born, sequence: known.Sequence}
 	kept := make([]*state, 0, len(b.byService[known.Service]))
 	for _, one := range b.byService[known.Service] {
 		if one != known {
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -113,6 +113,33 @@
 	}
 }
 
+// Left reports whether a report is none that a replica which is no longer listed could have made since it
+// left: a registry that came back from a copy lists replicas that are gone.
+func (b *Book) Left(listed Replica) bool {
+	last, gone := b.ended[listed.ID]
+	return gone && listed.Born == last.born && listed.Sequence <= last.sequence
+}
+
+// Doubt keeps requests from a replica that may have left, until Trust or a newer report of it.
+func (b *Book) Doubt(life Incarnation, now core.Time) {
+	if known := b.of(life); known != nil {
+		known.doubtedAt = max(now, 1)
+	}
+}
+
+// Trust ends the doubts that began longer than the given time ago, and returns the replicas' ids: an entry
+// that is still listed then is renewed by somebody.
+func (b *Book) Trust(after time.Duration, now core.Time) []string {
+	var trusted []string
+	for id, known := range b.byID {
+		if known.doubtedAt > 0 && now-known.doubtedAt >= after {
+			known.doubtedAt = 0
+			trusted = append(trusted, id)
+		}
+	}
+	return trusted
+}
+
 // Expire removes the replicas that lapsed longer than the given time ago and
 // returns their ids.
 func (b *Book) Expire(after time.Duration, now core.Time) []string {
--- a/internal/core/replica/state.go
+++ b/internal/core/replica/state.go
@@ -54,6 +54,8 @@
 	misdirected bool
 	// lapsedAt is when the registry lost the entry, 0 while it is listed.
 	lapsedAt core.Time
+	// doubtedAt is since when the replica may have left although it is listed, 0 where it has not.
+	doubtedAt core.Time
 	// coldUntil is until when the replica is cold by its own report; cold counts what it gets.
 	coldUntil core.Time
 	cold      coldstart.Window
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -102,6 +102,9 @@
 // entryRefused counts a registry entry that names no replica.
 func (m *nodeMetrics) entryRefused() { observe.Counter(m.registry, "entries_refused_total").Inc(1) }
 
+// configOutdated counts a configuration that was offered and is older than the one in force.
+func (m *nodeMetrics) configOutdated() { observe.Counter(m.registry, "configs_outdated_total").Inc(1) }
+
 // rejectedEarly counts a request of which too few answers were expected in time.
 func (m *nodeMetrics) rejectedEarly() {
 	observe.Counter(m.registry, "requests_rejected_early_total").Inc(1)
@@ -224,7 +227,8 @@
 	watch("store_calls_failed_total", func() int64 { return n.follower.Counts().StoreFailures })
 	watch("copy_reads_from_nodes_total", func() int64 { return n.follower.Counts().PeerReads })
 	watch("readings_not_taken_total", func() int64 { return n.follower.Counts().NotTaken })
-	watch("store_era", func() int64 { return n.follower.Counts().StoreEra })
+	watch("store_era", func() int64 { return int64(n.copied.Reached().Era) })
+	watch("store_era_changes_total", func() int64 { return n.follower.Counts().EraChanges })
 	watch("copy_lag_ms", func() int64 { return n.follower.Counts().Lag.Milliseconds() })
 	watch("beliefs_age_ms", func() int64 {
 		if age, known := n.follower.Age(); known {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -120,7 +120,7 @@
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
-	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
+	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, heartbeat: func() time.Duration { return n.settings.Load().Heartbeat }, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
 	return n
 }
 
@@ -333,7 +333,7 @@
 	s := n.settings.Load()
 	state := map[string]any{
 		"node": s.Node, "data_centre": s.DataCentre, "stopping": n.stopping.Load(), "in_flight": n.inFlight.Load(),
-		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.copied.UpTo(), "connections": n.replicas.Open(),
+		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.copied.UpTo(), "store_era": n.copied.Reached().Era, "connections": n.replicas.Open(),
 	}
 	if config := n.beliefs.config.Load(); config != nil {
 		state["config_version"] = config.Version
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -39,6 +39,8 @@
 	// ConfigApply is the time within which an acknowledged configuration is to
 	// be in force.
 	ConfigApply time.Duration
+	// Heartbeat is the pause between two reports of a replica; 0 is not known.
+	Heartbeat time.Duration
 	// ExtraRatio, ExtraWindow and ExtraAllowance bound the arrivals at a service
 	// beyond the first of each request, over all nodes.
 	ExtraRatio     float64
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -16,7 +16,7 @@
 	c := NewCopy()
 	c.Apply(Delta{Whole: true, UpTo: 10, Items: []Item{put("a", 3), put("b", 10)}})
 	changed := c.Apply(Delta{Whole: true, UpTo: 20, Items: []Item{put("b", 10), put("c", 15)}})
-	require.Len(t, changed, 2)
+	require.Len(t, changed.Changed, 2)
 	_, ok := c.Get("a")
 	require.False(t, ok)
 	require.EqualValues(t, 20, c.UpTo())
@@ -27,7 +27,7 @@
 func TestAnOlderSourceTakesNothingBack(t *testing.T) {
 	c := NewCopy()
 	c.Apply(Delta{Whole: true, UpTo: 20, Items: []Item{put("op", 20), put("new", 18)}})
-	require.Empty(t, c.Apply(Delta{Whole: true, UpTo: 10, Items: []Item{put("op", 10), put("gone", 5)}}))
+	require.Empty(t, c.Apply(Delta{Whole: true, UpTo: 10, Items: []Item{put("op", 10), put("gone", 5)}}).Changed)
 	item, _ := c.Get("op")
 	require.EqualValues(t, 20, item.Revision)
 	_, ok := c.Get("new")
@@ -48,7 +48,7 @@
 	for i := range uint64(maxRemoved + 2) {
 		c.Apply(Delta{After: i + 1, UpTo: i + 2, Items: []Item{{Key: fmt.Sprint(i), Revision: i + 2, Removed: true}}})
 	}
-	require.True(t, c.Since(2).Whole)
+	require.True(t, c.Since(Reached{Revision: 2}).Whole)
 	require.Len(t, c.removed, 2)
 }
 
@@ -68,15 +68,15 @@
 				store.Apply(Delta{After: revision - 1, UpTo: revision, Items: []Item{{Key: key, Revision: revision, Removed: step%3 == 0}}})
 			case step < 70:
 				reader := copies[step%3]
-				reader.Apply(store.Since(reader.UpTo()))
+				reader.Apply(store.Since(reader.Reached()))
 			default:
 				reader, from := copies[step%3], copies[(step/3)%3]
-				reader.Apply(from.Since(reader.UpTo()))
+				reader.Apply(from.Since(reader.Reached()))
 			}
 		}
-		copies[0].Apply(store.Since(copies[0].UpTo()))
+		copies[0].Apply(store.Since(copies[0].Reached()))
 		for _, one := range copies[1:] {
-			one.Apply(copies[0].Since(one.UpTo()))
+			one.Apply(copies[0].Since(one.Reached()))
 			require.Equal(t, store.items, one.items)
 		}
 	})
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -69,9 +69,27 @@
 // Change is what a reading brought.
 type Change struct {
 	Items []Item
+	// Era is that of the items' revisions.
+	Era uint64
 	// AfterOutage is set when removals among the items may not mean that a
 	// replica is gone.
 	AfterOutage bool
+	// NewEra is set when the store came back from a copy of itself: what it lacks may have been lost
+	// and be written again, and what it has may have been removed since.
+	NewEra bool
+	// Outranked are items that were not taken, since values of a higher rank are known.
+	Outranked []Item
+}
+
+// EraChange is a copy's step into another era of the store.
+type EraChange struct {
+	Source      string
+	Former, Now Reached
+	// Lost counts the items that the new era lacks, Differing those that it has otherwise or the former
+	// one had not, Stood those that are the same in both.
+	Lost, Differing, Stood int
+	// Outranked counts the items that stayed since the new era has an older value.
+	Outranked int
 }
 
 // Listener takes what happens to a copy. Its calls come from one goroutine.
@@ -82,6 +100,12 @@
 	// followed, does not answer or answers again.
 	SourceFailed(source string, cause error)
 	SourceBack(source string, after time.Duration)
+	// EraChanged tells that the store came back from a copy of itself, or tells its era for the
+	// first time.
+	EraChanged(EraChange)
+	// EraUntold tells the first of a series of answers of the store that name no era, or none that
+	// can be read, while one is known.
+	EraUntold(known uint64)
 	// NotTaken tells the first of a series of readings that the copy did not take.
 	NotTaken(NotTaken)
 }
@@ -89,8 +113,9 @@
 // NotTaken is a reading that stands behind what the copy has reached.
 type NotTaken struct {
 	Source string
-	// Era and Revision are those of the reading, Reached is the copy's revision.
-	Era, Revision, Reached uint64
+	// Era and Revision are those of the reading, Reached is the copy's place.
+	Era, Revision uint64
+	Reached       Reached
 }
 
 // Follower keeps a Copy up to date from the store or from peers.
@@ -116,8 +141,11 @@
 	// peersUntil is until when only readers turn to the store.
 	peersUntil  core.Time
 	returnUntil core.Time
-	// behind is set while readings stand behind the copy.
-	behind bool
+	// behind is set while readings stand behind the copy, untold while the store names no era though
+	// one is known.
+	behind, untold bool
+	// gapAt is when the store was found to lack the history behind the copy; 0 while it has it.
+	gapAt core.Time
 }
 
 // storeSource is the name of the store among the sources that a Listener is told.
@@ -156,7 +184,7 @@
 }
 
 // counts are the counts of a Follower, read by others while it runs.
-type counts struct{ storeCalls, storeFailures, peerReads, lagMs, notTaken, storeEra atomic.Int64 }
+type counts struct{ storeCalls, storeFailures, peerReads, lagMs, notTaken, eraChanges atomic.Int64 }
 
 // Counts says what keeping the copy up to date took so far.
 type Counts struct {
@@ -167,8 +195,8 @@
 	PeerReads int64
 	// NotTaken counts the readings that stood behind what the copy has reached.
 	NotTaken int64
-	// StoreEra is the era that the store told last; 0 is none.
-	StoreEra int64
+	// EraChanges counts the eras of the store that the copy went over to.
+	EraChanges int64
 	// Lag is how old the last reading was when it came: about 0 from the store, what the
 	// nodes in between add to it otherwise.
 	Lag time.Duration
@@ -178,7 +206,7 @@
 func (f *Follower) Counts() Counts {
 	return Counts{
 		StoreCalls: f.counts.storeCalls.Load(), StoreFailures: f.counts.storeFailures.Load(), PeerReads: f.counts.peerReads.Load(),
-		NotTaken: f.counts.notTaken.Load(), StoreEra: f.counts.storeEra.Load(),
+		NotTaken: f.counts.notTaken.Load(), EraChanges: f.counts.eraChanges.Load(),
 		Lag: time.Duration(f.counts.lagMs.Load()) * time.Millisecond,
 	}
 }
@@ -194,14 +222,14 @@
 		// which every request was refused.
 		reader = reader || len(sources) == 0 || f.copy.UpTo() == 0
 		if reader && f.now() >= f.storeRetryAt {
-			f.readStore(ctx)
+			f.readStore(ctx, reader)
 			continue
 		}
 		if f.readPeers(ctx, sources, reader) {
 			continue
 		}
 		if f.now() >= max(f.storeRetryAt, f.peersUntil) {
-			f.readStore(ctx)
+			f.readStore(ctx, reader)
 			continue
 		}
 		wait.For(ctx, max(f.storeRetryAt, f.peersUntil)-f.now())
@@ -216,28 +244,31 @@
 // start, that takes several calls. A node that turns to the store only when all readers are
 // cut off would otherwise take a part of the changes for all of them, and the next part 4 s
 // later: a configuration behind 1,200 changes was in force after 6 s.
-func (f *Follower) readStore(ctx context.Context) {
-	for f.readOnce(ctx) {
+func (f *Follower) readStore(ctx context.Context, reader bool) {
+	for f.readOnce(ctx, reader) {
 	}
 }
 
 // readOnce makes one call, or those of a whole reading. It reports whether there is more to
 // read at once.
-func (f *Follower) readOnce(ctx context.Context) bool {
+func (f *Follower) readOnce(ctx context.Context, reader bool) bool {
 	started := f.now()
 	first := f.copy.UpTo() == 0
 	f.counts.storeCalls.Add(1)
-	delta, err := f.fromStore(ctx)
+	delta, err := f.fromStore(ctx, reader)
 	if ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(err, errLeftToReaders) {
+		f.storeBack()
+		return false
+	}
 	if err != nil {
 		f.storeFailed(err)
 		return false
 	}
-	f.storeBack()
-	f.noteReading(storeSource, delta)
 	if first {
+		f.storeBack()
 		f.begin(delta)
 		if delta.UpTo == 0 {
 			// An old reading of a store that had nothing yet.
@@ -247,10 +278,14 @@
 	}
 	if !delta.Whole && len(delta.Items) >= cutFrom {
 		f.noteOutage(f.now())
-		f.take(delta, core.Time(f.confirmed.Load()))
+		f.take(storeSource, delta, core.Time(f.confirmed.Load()))
 		return true
 	}
-	f.take(delta, f.now())
+	if !f.take(storeSource, delta, f.now()) {
+		f.storeFailed(errBehind)
+		return false
+	}
+	f.storeBack()
 	if len(delta.Items) > 0 || f.now()-started < f.config.Gather {
 		// The second case is a watch that ends at once with nothing new: were it
 		// repeated at once, one node would use up what the store gives to all.
@@ -265,31 +300,92 @@
 // 295 processes that start at once cost the store a tenth.
 func (f *Follower) begin(delta Delta) {
 	f.peersUntil = f.now() + f.config.FirstPeers
-	if changed := f.copy.Apply(delta); len(changed) > 0 {
-		f.listener.Changed(Change{Items: changed})
+	if applied := f.copy.Apply(delta); len(applied.Changed) > 0 {
+		f.listener.Changed(Change{Items: applied.Changed, Era: delta.Era})
 	}
 }
 
-func (f *Follower) fromStore(ctx context.Context) (Delta, error) {
+// errBehind is a whole reading of the store that stands behind the copy, in the same era as far as the
+// store tells.
+var errBehind = errors.New("the store is behind what it told before")
+
+// errLeftToReaders is a whole reading that is left to the nodes that read the store for the others.
+var errLeftToReaders = errors.New("the whole reading is left to the readers")
+
+// fromStore reads what is new, or everything where the store lacks the history behind the copy.
+//
+// That a store came back from a copy does not show by its revisions: once they have passed the
+// copy's, a watch brings what came after and hides that what lies before is another history. The era of
+// each answer tells, and the whole reading that follows takes the place of everything.
+func (f *Follower) fromStore(ctx context.Context, reader bool) (Delta, error) {
 	timeout := f.config.WatchWait + f.config.Slack
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	after := f.copy.UpTo()
-	if after == 0 {
+	reached := f.copy.Reached()
+	if reached.Revision == 0 {
 		return readAll(ctx, f.store, true)
 	}
+	_, confirmed := f.Age()
 	waiting := f.config.WatchWait
-	if _, known := f.Age(); !known {
-		// The first copy is to be confirmed at once.
+	if !confirmed || f.gapAt > 0 {
+		// The first copy is to be confirmed at once, and a gap to be closed.
 		waiting = 0
 	}
-	delta, err := f.store.Watch(ctx, after, waiting)
-	if errors.Is(err, ErrHistoryGone) {
-		return readAll(ctx, f.store, false)
+	delta, err := f.store.Watch(ctx, reached.Revision, waiting)
+	if err == nil {
+		delta.Era, err = f.eraOf(delta, reached)
+	}
+	gone := errors.Is(err, ErrHistoryGone) || err == nil && delta.Era != reached.Era
+	if !gone {
+		f.gapAt = 0
+		return delta, err
+	}
+	if !f.mayReadAll(reader) {
+		return Delta{}, errLeftToReaders
+	}
+	if delta, err = readAll(ctx, f.store, false); err != nil {
+		return Delta{}, err
 	}
+	f.gapAt = 0
+	delta.Anew = !confirmed
+	delta.Era, err = f.eraOf(delta, reached)
 	return delta, err
 }
 
+// eraOf is the era that a reading of the store counts as. One that names none counts as of the known one: its
+// revisions then take nothing back.
+func (f *Follower) eraOf(delta Delta, reached Reached) (uint64, error) {
+	untold := delta.Era == 0 && reached.Era > 0
+	if untold && !f.untold {
+		f.listener.EraUntold(reached.Era)
+	}
+	f.untold = untold
+	switch {
+	case untold:
+		return reached.Era, nil
+	case delta.Era < reached.Era:
+		return 0, &OlderEraError{Told: delta.Era, Known: reached.Era}
+	default:
+		return delta.Era, nil
+	}
+}
+
+// mayReadAll reports whether this node is to read the whole store where that lacks the history behind its copy.
+// Readers do so at once; the others have it from them, and read it themselves when that
+// takes too long. While a store is away all nodes turn to it, so that else all of them would read it
+// whole in the moment of its return.
+func (f *Follower) mayReadAll(reader bool) bool {
+	if reader {
+		return true
+	}
+	if f.gapAt == 0 {
+		f.gapAt = f.now()
+		f.peersUntil = f.gapAt + f.config.FirstPeers
+		return false
+	}
+	return f.now() >= f.peersUntil
+}
+
 func (f *Follower) storeFailed(cause error) {
 	f.counts.storeFailures.Add(1)
 	f.store.Close()
@@ -334,32 +430,16 @@
 func (f *Follower) readPeer(ctx context.Context, source peer.Target, waiting time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, waiting+f.config.Slack)
 	defer cancel()
-	delta, age, err := f.peers.Fetch(ctx, source, f.copy.UpTo(), waiting)
+	delta, age, err := f.peers.Fetch(ctx, source, f.copy.Reached(), waiting)
 	if err != nil {
 		return false
 	}
 	f.counts.peerReads.Add(1)
-	f.noteReading(string(source.Node), delta)
-	f.take(delta, f.now()-age)
-	return age <= f.config.Stale
-}
-
-// noteReading tells the first reading of a series that stands behind the copy. A whole reading
-// that does is thrown away item by item, while the node calls itself up to date.
-func (f *Follower) noteReading(source string, delta Delta) {
-	reached := f.copy.UpTo()
-	if source == storeSource {
-		f.counts.storeEra.Store(int64(delta.Era))
-	}
-	if delta.UpTo >= reached {
-		f.behind = false
-		return
-	}
-	f.counts.notTaken.Add(1)
-	if !f.behind && delta.Whole {
-		f.behind = true
-		f.listener.NotTaken(NotTaken{Source: source, Era: delta.Era, Revision: delta.UpTo, Reached: reached})
+	if !f.take(string(source.Node), delta, f.now()-age) || age > f.config.Stale {
+		return false
 	}
+	f.gapAt = 0
+	return true
 }
 
 // noteOutage notes at a reading whether the store was away for long before it.
@@ -370,14 +450,57 @@
 	}
 }
 
-// take takes up a delta that was the store's newest state at a time.
-func (f *Follower) take(delta Delta, confirmed core.Time) {
-	before := core.Time(f.confirmed.Load())
+// take takes up a delta that was the store's newest state at a time. It reports whether the copy is
+// confirmed by it: a delta of an older era says nothing of the store as it is, nor does a whole reading
+// of it that stands behind the copy.
+func (f *Follower) take(source string, delta Delta, confirmed core.Time) bool {
+	reached := f.copy.Reached()
+	applied := f.copy.Apply(delta)
+	if applied.OtherEra || delta.Whole && !applied.Replaced && delta.UpTo < reached.Revision {
+		f.notTaken(source, delta, reached)
+		return false
+	}
+	f.behind = false
 	f.noteOutage(confirmed)
-	changed := f.copy.Apply(delta)
+	newEra := applied.Replaced && delta.Era != applied.Former.Era
+	if newEra {
+		f.eraChanged(source, applied)
+	}
+	before := core.Time(f.confirmed.Load())
+	if newEra {
+		// What confirmed the former era says nothing of this one.
+		before = 0
+	}
 	f.confirmed.Store(int64(max(confirmed, before, 1)))
 	f.counts.lagMs.Store((f.now() - confirmed).Milliseconds())
-	if len(changed) > 0 {
-		f.listener.Changed(Change{Items: changed, AfterOutage: f.now() < f.returnUntil})
+	if len(applied.Changed)+len(applied.Outranked) > 0 {
+		f.listener.Changed(Change{Items: applied.Changed, Era: delta.Era, AfterOutage: f.now() < f.returnUntil, NewEra: newEra, Outranked: applied.Outranked})
+	}
+	return true
+}
+
+// eraChanged notes that the copy went over to another era of the store. Entries that were written since
+// the copy that the store came back from are written again, as after an outage.
+func (f *Follower) eraChanged(source string, applied Applied) {
+	f.gapAt = 0
+	f.returnUntil = f.now() + f.config.Return
+	f.counts.eraChanges.Add(1)
+	change := EraChange{Source: source, Former: applied.Former, Now: f.copy.Reached(), Stood: applied.Stood, Outranked: len(applied.Outranked)}
+	for _, item := range applied.Changed {
+		if item.Removed {
+			change.Lost++
+		} else {
+			change.Differing++
+		}
+	}
+	f.listener.EraChanged(change)
+}
+
+// notTaken tells the first of a series of readings that the copy did not take.
+func (f *Follower) notTaken(source string, delta Delta, reached Reached) {
+	f.counts.notTaken.Add(1)
+	if !f.behind {
+		f.behind = true
+		f.listener.NotTaken(NotTaken{Source: source, Era: delta.Era, Revision: delta.UpTo, Reached: reached})
 	}
 }
--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -56,11 +56,15 @@
 		return Page{}, err
 	}
 	if stale && s.before != nil {
-		delta := s.before.Since(0)
-		return Page{Items: delta.Items, Revision: delta.UpTo}, nil
+		return pageOf(s.before), nil
 	}
-	delta := s.state.Since(0)
-	return Page{Items: delta.Items, Revision: delta.UpTo}, nil
+	return pageOf(s.state), nil
+}
+
+// pageOf is all that a state holds.
+func pageOf(state *Copy) Page {
+	delta := state.Since(Reached{})
+	return Page{Items: delta.Items, Revision: delta.UpTo, Era: delta.Era}
 }
 
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Delta, error) {
@@ -85,7 +89,7 @@
 			return Delta{}, ctx.Err()
 		}
 	}
-	return s.cut(s.state.Since(after)), nil
+	return s.cut(s.state.Since(Reached{Era: s.state.Reached().Era, Revision: after})), nil
 }
 
 // cut leaves the oldest changes, as many as one answer holds.
@@ -146,16 +150,16 @@
 	return []peer.Target{{Node: "peer"}}, p.reader
 }
 
-func (p *fakePeers) Fetch(ctx context.Context, _ peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error) {
+func (p *fakePeers) Fetch(ctx context.Context, _ peer.Target, reached Reached, wait time.Duration) (Delta, time.Duration, error) {
 	p.mutex.Lock()
 	follows := p.follows
 	p.mutex.Unlock()
 	if follows != nil {
 		time.Sleep(wait)
 		age, _ := follows.Age()
-		return Delta{After: after, UpTo: after}, age, nil
+		return Delta{Era: reached.Era, After: reached.Revision, UpTo: reached.Revision}, age, nil
 	}
-	if p.copied.UpTo() <= after {
+	if !news(p.copied.Reached(), reached) {
 		select {
 		case <-p.copied.Changed():
 		case <-time.After(wait):
@@ -165,7 +169,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.copied.Since(after), p.age, nil
+	return p.copied.Since(reached), p.age, nil
 }
 
 // heard collects what a listener is told.
@@ -174,6 +178,10 @@
 	changes []Change
 	lost    int
 	back    int
+	// eras, notTaken and untold are what was told of eras and readings.
+	eras     []EraChange
+	notTaken []NotTaken
+	untold   int
 }
 
 func (h *heard) Changed(change Change) {
@@ -194,7 +202,23 @@
 	h.back++
 }
 
-func (h *heard) NotTaken(NotTaken) {}
+func (h *heard) NotTaken(one NotTaken) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.notTaken = append(h.notTaken, one)
+}
+
+func (h *heard) EraChanged(change EraChange) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.eras = append(h.eras, change)
+}
+
+func (h *heard) EraUntold(uint64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.untold++
+}
 
 func (h *heard) last() Change {
 	h.mutex.Lock()
@@ -307,7 +331,7 @@
 		f.store.set(func(s *fakeStore) { s.busy = true })
 		before := f.store.count()
 		f.store.put("b", false)
-		f.peers.copied.Apply(f.store.state.Since(0))
+		f.peers.copied.Apply(f.store.state.Since(Reached{}))
 		time.Sleep(5 * time.Second)
 		_, held := f.copy.Get("b")
 		require.True(t, held)
@@ -334,13 +358,13 @@
 	return []peer.Target{{Node: "stale 1"}, {Node: "stale 2"}, {Node: "stale 3"}, {Node: "stale 4"}, last}, false
 }
 
-func (p *stalePeers) Fetch(_ context.Context, from peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error) {
+func (p *stalePeers) Fetch(_ context.Context, from peer.Target, reached Reached, wait time.Duration) (Delta, time.Duration, error) {
 	p.asked.Add(1)
 	if from.Node != "fresh" {
 		time.Sleep(wait)
-		return Delta{After: after, UpTo: after}, time.Minute, nil
+		return Delta{Era: reached.Era, After: reached.Revision, UpTo: reached.Revision}, time.Minute, nil
 	}
-	return p.fresh.Since(after), 0, nil
+	return p.fresh.Since(reached), 0, nil
 }
 
 // The store turns away this node and all that it follows. One that knows more comes last among those that it
@@ -359,7 +383,7 @@
 		store.set(func(s *fakeStore) { s.busy = true })
 		time.Sleep(10 * time.Second)
 		store.put("b", false)
-		peers.fresh.Apply(store.state.Since(0))
+		peers.fresh.Apply(store.state.Since(Reached{}))
 		asked, most := peers.asked.Load(), time.Duration(0)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
@@ -481,7 +505,7 @@
 			require.EqualValues(t, 4, item.Revision, "an old configuration serves")
 			_, known := f.Age()
 			require.False(t, known, "but is not told to others as confirmed")
-			peers.copied.Apply(store.state.Since(0))
+			peers.copied.Apply(store.state.Since(Reached{}))
 			peers.setAge(0)
 			time.Sleep(time.Second)
 			item, _ = f.copy.Get("config")
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -23,9 +23,11 @@
 type Links struct{ Asker peer.Asker }
 
 // Fetch is Peers.Fetch over the links between nodes.
-func (l Links) Fetch(ctx context.Context, from peer.Target, after uint64, waiting time.Duration) (Delta, time.Duration, error) {
+func (l Links) Fetch(ctx context.Context, from peer.Target, reached Reached, waiting time.Duration) (Delta, time.Duration, error) {
 	request := &peerpb.Envelope{Body: &peerpb.Envelope_MirrorRequest{MirrorRequest: &peerpb.MirrorRequest{
-		After:  after,
+		After:  reached.Revision,
+		Era:    &reached.Era,
+		Rank:   reached.Rank,
 		WaitMs: uint64(waiting.Milliseconds()),
 	}}}
 	type answer struct {
@@ -57,7 +59,7 @@
 // decode reads a reply. One whose items cannot be read is an error: taken without them
 // it would move the copy's revision past changes that it does not have.
 func decode(reply *peerpb.MirrorReply) (Delta, time.Duration, error) {
-	delta := Delta{After: reply.GetAfter(), UpTo: reply.GetUpTo(), Whole: reply.GetWhole()}
+	delta := Delta{Era: reply.GetEra(), After: reply.GetAfter(), UpTo: reply.GetUpTo(), Whole: reply.GetWhole()}
 	items := reply.GetItems()
 	if len(reply.GetPacked()) > 0 {
 		unpacked, err := unpack(reply.GetPacked())
@@ -67,7 +69,7 @@
 		items = unpacked
 	}
 	for _, one := range items {
-		delta.Items = append(delta.Items, Item{Key: one.GetKey(), Value: one.GetValue(), Revision: one.GetRevision(), Removed: one.GetRemoved()})
+		delta.Items = append(delta.Items, Item{Key: one.GetKey(), Value: one.GetValue(), Revision: one.GetRevision(), Rank: one.GetRank(), Removed: one.GetRemoved()})
 	}
 	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
 }
@@ -87,10 +89,11 @@
 // changes at the same moment: with 75 of them, making and compressing each reply anew kept a
 // VM of a tenth of a core busy for two seconds.
 type servedItems struct {
-	after, version uint64
-	delta          Delta
-	items          []*peerpb.MirrorItem
-	packed         []byte
+	reached Reached
+	version uint64
+	delta   Delta
+	items   []*peerpb.MirrorItem
+	packed  []byte
 }
 
 // NewServer makes a server of a copy.
@@ -117,7 +120,7 @@
 	defer cancel()
 	for {
 		changed := s.Copy.Changed()
-		if s.Copy.UpTo() > request.GetAfter() {
+		if news(s.Copy.Reached(), s.reachedBy(request)) {
 			break
 		}
 		select {
@@ -130,36 +133,55 @@
 	if inbound.Context.Err() != nil {
 		return
 	}
-	inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_MirrorReply{MirrorReply: s.reply(request.GetAfter())}}, true)
+	inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_MirrorReply{MirrorReply: s.reply(s.reachedBy(request))}}, true)
 }
 
-func (s *Server) reply(after uint64) *peerpb.MirrorReply {
+// reachedBy is how far the asker's copy has come. One whose program does not know eras is taken to
+// be of this copy's: told that it is behind, it would ask for everything without end.
+func (s *Server) reachedBy(request *peerpb.MirrorRequest) Reached {
+	if request.Era == nil {
+		own := s.Copy.Reached()
+		return Reached{Era: own.Era, Revision: request.GetAfter(), Rank: own.Rank}
+	}
+	return Reached{Era: request.GetEra(), Revision: request.GetAfter(), Rank: request.GetRank()}
+}
+
+// news reports whether an asker is to be answered at once: there is something that it lacks, or it has
+// reached a newer era and must turn to others.
+func news(own, asker Reached) bool {
+	if own.Revision == 0 {
+		return false
+	}
+	return own.Era != asker.Era || own.Revision > asker.Revision || own.Rank > asker.Rank
+}
+
+func (s *Server) reply(reached Reached) *peerpb.MirrorReply {
 	age, known := s.Age()
 	if !known {
 		age = unconfirmed
 	}
-	served := s.serve(after)
+	served := s.serve(reached)
 	delta := served.delta
 	return &peerpb.MirrorReply{
-		After: delta.After, UpTo: delta.UpTo, Whole: delta.Whole && delta.UpTo > 0, AgeMs: uint64(age.Milliseconds()),
+		Era: delta.Era, After: delta.After, UpTo: delta.UpTo, Whole: delta.Whole && delta.UpTo > 0, AgeMs: uint64(age.Milliseconds()),
 		Items: served.items, Packed: served.packed,
 	}
 }
 
 // serve makes the items of a reply, or takes those of the last one.
-func (s *Server) serve(after uint64) servedItems {
+func (s *Server) serve(reached Reached) servedItems {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	version, upTo := s.Copy.Mark()
-	if s.last.version == version && s.last.after == after && s.last.delta.UpTo > 0 {
-		s.last.delta.UpTo = max(s.last.delta.UpTo, upTo)
+	version, own := s.Copy.Mark()
+	if s.last.version == version && s.last.reached == reached && s.last.delta.UpTo > 0 {
+		s.last.delta.UpTo = max(s.last.delta.UpTo, own.Revision)
 		return s.last
 	}
-	served := servedItems{after: after, version: version, delta: s.Copy.Since(after)}
+	served := servedItems{reached: reached, version: version, delta: s.Copy.Since(reached)}
 	size := 0
 	for _, item := range served.delta.Items {
 		size += len(item.Key) + len(item.Value)
-		served.items = append(served.items, &peerpb.MirrorItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+		served.items = append(served.items, &peerpb.MirrorItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Rank: item.Rank, Removed: item.Removed})
 	}
 	served.delta.Items = nil
 	if size >= packFrom {
--- a/internal/mirror/source.go
+++ b/internal/mirror/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -12,6 +13,18 @@
 // copy has to be read anew.
 var ErrHistoryGone = errors.New("the store has dropped the history that was asked for")
 
+// OlderEraError is an answer of the store from an era before the one that is known: whatever is in
+// it was replaced since.
+type OlderEraError struct{ Told, Known uint64 }
+
+// Error implements error.
+func (e *OlderEraError) Error() string {
+	return fmt.Sprintf("the store answers from era %d, era %d is known already", e.Told, e.Known)
+}
+
+// errEraChanged is a store that came back from a copy while its pages were read.
+var errEraChanged = errors.New("the store came back from a copy while it was read")
+
 // Page is a part of all items.
 type Page struct {
 	Items []Item
@@ -38,10 +51,10 @@
 	// Sources lists the nodes to read from, the best first, and whether this node is
 	// one of the given number that read the store.
 	Sources(readers int) (sources []peer.Target, reader bool)
-	// Fetch reads what changed behind a revision in a node's copy and how long ago
+	// Fetch reads what a node's copy has beyond what was reached, and how long ago
 	// that copy was confirmed by the store. It waits for changes at most for the
 	// given time.
-	Fetch(ctx context.Context, from peer.Target, after uint64, wait time.Duration) (Delta, time.Duration, error)
+	Fetch(ctx context.Context, from peer.Target, reached Reached, wait time.Duration) (Delta, time.Duration, error)
 }
 
 // readAll reads every item. Pages are not a snapshot: what changes between them is
@@ -57,6 +70,9 @@
 		if after == "" {
 			delta.Era, delta.UpTo = page.Era, page.Revision
 		}
+		if page.Era != delta.Era {
+			return Delta{}, errEraChanged
+		}
 		delta.Items = append(delta.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return delta, nil
