--- a/internal/mirror/follow_test.go
+++ b/internal/mirror/follow_test.go
@@ -29,6 +29,10 @@
 	// hasty watches end at once with nothing new.
 	hasty     bool
 	forgotten uint64
+	// untold stores name no era.
+	untold bool
+	// whole counts the readings of everything.
+	whole int
 	// most is how many changes one watch gives; 0 is all.
 	most  int
 	calls int
@@ -55,10 +59,17 @@
 	if err := s.call(ctx); err != nil {
 		return Page{}, err
 	}
+	s.set(func(s *fakeStore) {
+		if !stale {
+			s.whole++
+		}
+	})
 	if stale && s.before != nil {
 		return pageOf(s.before), nil
 	}
-	return pageOf(s.state), nil
+	page := pageOf(s.contents())
+	page.Era = s.told(page.Era)
+	return page, nil
 }
 
 // pageOf is all that a state holds.
@@ -71,8 +82,9 @@
 	if err := s.call(ctx); err != nil {
 		return Delta{}, err
 	}
+	state := s.contents()
 	s.mutex.Lock()
-	gone, hasty := after < s.forgotten, s.hasty
+	gone, hasty := after < s.forgotten || after > state.UpTo(), s.hasty
 	s.mutex.Unlock()
 	if hasty {
 		return Delta{After: after, UpTo: after}, nil
@@ -80,8 +92,8 @@
 	if gone {
 		return Delta{}, ErrHistoryGone
 	}
-	changed := s.state.Changed()
-	if s.state.UpTo() <= after {
+	changed := state.Changed()
+	if state.UpTo() <= after {
 		select {
 		case <-changed:
 		case <-time.After(wait):
@@ -89,7 +101,9 @@
 			return Delta{}, ctx.Err()
 		}
 	}
-	return s.cut(s.state.Since(Reached{Era: s.state.Reached().Era, Revision: after})), nil
+	delta := s.cut(state.Since(Reached{Era: state.Reached().Era, Revision: after}))
+	delta.Era = s.told(delta.Era)
+	return delta, nil
 }
 
 // cut leaves the oldest changes, as many as one answer holds.
@@ -119,10 +133,54 @@
 	change(s)
 }
 
+// contents are what the store holds now.
+func (s *fakeStore) contents() *Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state
+}
+
+// told is the era that answers name.
+func (s *fakeStore) told(era uint64) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.untold {
+		return 0
+	}
+	return era
+}
+
+// wholeReadings counts the readings of everything that need be the newest.
+func (s *fakeStore) wholeReadings() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.whole
+}
+
 // put changes an item in the store.
-func (s *fakeStore) put(key string, removed bool) {
-	at := s.state.UpTo()
-	s.state.Apply(Delta{After: at, UpTo: at + 1, Items: []Item{{Key: key, Revision: at + 1, Removed: removed}}})
+func (s *fakeStore) put(key string, removed bool) { s.write(Item{Key: key, Removed: removed}) }
+
+// configure writes a configuration of a version.
+func (s *fakeStore) configure(version uint64) {
+	s.write(Item{Key: "config", Value: fmt.Append(nil, version), Rank: version})
+}
+
+func (s *fakeStore) write(item Item) {
+	state := s.contents()
+	reached := state.Reached()
+	item.Revision = reached.Revision + 1
+	state.Apply(Delta{Era: reached.Era, After: reached.Revision, UpTo: item.Revision, Items: []Item{item}})
+}
+
+// backup copies what the store holds.
+func (s *fakeStore) backup() Delta { return s.contents().Since(Reached{}) }
+
+// restore puts a backup in place of what the store holds, in the next era.
+func (s *fakeStore) restore(from Delta) {
+	from.Era = s.contents().Reached().Era + 1
+	restored := NewCopy()
+	restored.Apply(from)
+	s.set(func(s *fakeStore) { s.state = restored })
 }
 
 // fakePeers is one peer with a copy of its own.
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
 
 // A large change travels compressed. What cannot be unpacked must not count as read: the
@@ -38,3 +40,8 @@
 	_, _, err = decode(reply)
 	require.Error(t, err)
 }
+
+// request asks for what lies behind a revision of an era; nil is a program that knows none.
+func request(after uint64, era *uint64) *peerpb.MirrorRequest {
+	return &peerpb.MirrorRequest{After: after, Era: era}
+}
