After a restore a node that starts has the newer configuration from others, also when it reads the store itself

Heartbeats of the tier name the version in force, and a node that lacks it for a second asks who has it.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -184,11 +184,35 @@
 		Now:         n.now,
 		Log:         n.log.Logger(),
 		Problems:    observe.NewProblems(n.now),
+		InForce:     func() (uint64, uint64) { return n.configVersion(), 0 },
+		Heard:       n.heardVersion,
 	})
 	n.pool.OnLink(n.linkNews)
 	return nil
 }
 
+// configVersion is that of the configuration in force; 0 is none.
+func (n *Node) configVersion() uint64 {
+	if config := n.beliefs.config.Load(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// heardVersion takes the version that another node has in force.
+//
+// The failure: a store that came back from a copy shows an older configuration for a while, and a node that
+// starts then and reads the store itself asks no other node. Its callers would be sent back
+// to what they have seen replaced.
+func (n *Node) heardVersion(from core.NodeID, version, _ uint64) {
+	if version <= n.configVersion() {
+		return
+	}
+	if known, ok := n.view().Node(from); ok && n.ready.Load() {
+		n.follower.Hint(peer.Target{Node: known.ID, Address: known.PeerAddress}, version)
+	}
+}
+
 // linkNews takes the evidence of data traffic about the node behind a link.
 func (n *Node) linkNews(news peer.LinkNews) {
 	if news.State == peer.LinkAnswers {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,6 +41,8 @@
 	Now      func() core.Time
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
+	// InForce, when set, names the configuration in force in place of Belief.
+	InForce func() (revision, digest uint64)
 	// Heard, when set, is told the configuration that each heartbeat names.
 	Heard func(node core.NodeID, revision, digest uint64)
 }
@@ -155,6 +157,10 @@
 }
 
 func (d *Duty) tick() member.Tick {
+	if d.options.InForce != nil {
+		revision, digest := d.options.InForce()
+		return member.Tick{Revision: revision, Digest: digest}
+	}
 	config := d.options.Belief.Config()
 	if config == nil {
 		return member.Tick{}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -42,6 +42,9 @@
 	// FirstPeers is how long a node that has just started turns to its peers only, once it has a
 	// first copy: the readers among them confirm theirs meanwhile.
 	FirstPeers time.Duration
+	// HintAfter is how long a copy may lack what another node is known to have before that node is
+	// asked: a few times what a change takes over the nodes in between.
+	HintAfter time.Duration
 	// Return is how long after an outage entries may take to come back.
 	Return time.Duration
 }
@@ -59,6 +62,7 @@
 		Stale:      2500 * time.Millisecond,
 		Outage:     2200 * time.Millisecond,
 		FirstPeers: 600 * time.Millisecond,
+		HintAfter:  time.Second,
 		Return:     2200 * time.Millisecond,
 	}
 }
@@ -131,8 +135,10 @@
 	// on this node's clock; 0 is never.
 	confirmed atomic.Int64
 	counts    counts
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	// hinted is a node that has something of a higher rank than this one.
+	hinted atomic.Pointer[hint]
+	stop   context.CancelFunc
+	done   sync.WaitGroup
 
 	// The rest is used by the following goroutine alone.
 	failedSince  core.Time
@@ -174,6 +180,37 @@
 	f.store.Close()
 }
 
+// hint is another node's word that it has something of a rank, and since when that is known.
+type hint struct {
+	from  peer.Target
+	rank  uint64
+	since core.Time
+}
+
+// Hint names a node that has something of a rank which this copy lacks. It is asked only if that does not
+// come in the usual way: each change is heard of by somebody before it has arrived.
+func (f *Follower) Hint(from peer.Target, rank uint64) {
+	one := &hint{from: from, rank: rank, since: f.now()}
+	if open := f.hinted.Load(); open != nil {
+		one.since = open.since
+	}
+	f.hinted.Store(one)
+}
+
+// followHint asks the node that was named, once the copy has lacked what it has for long enough.
+func (f *Follower) followHint(ctx context.Context) {
+	open := f.hinted.Load()
+	reached := f.copy.Reached()
+	switch {
+	case open == nil || reached.Revision == 0:
+	case reached.Rank >= open.rank:
+		f.hinted.Store(nil)
+	case f.now()-open.since >= f.config.HintAfter:
+		f.hinted.Store(nil)
+		f.readPeer(ctx, open.from, 0)
+	}
+}
+
 // Age is how long ago the copy was confirmed; false when it never was.
 func (f *Follower) Age() (time.Duration, bool) {
 	confirmed := core.Time(f.confirmed.Load())
@@ -216,6 +253,7 @@
 // turns away follows peers until it may try again.
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.followHint(ctx)
 		sources, reader := f.peers.Sources(f.config.Readers)
 		// A process that has just started reads the store itself: after the loss of
 		// all nodes its peers know as little, and asking them in turn took 0.7 s in
