The soak brings the store back from a copy, among other faults and in calm; mutants of it

Writes that are lost are written again by each writer at its own moment, unless it has written something newer. In calm one node is cut off from the store meanwhile and a change is published at a revision that nodes have passed.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -53,6 +53,7 @@
 	foreignEntry    kind = "entry of another writer"
 	shardsShort     kind = "several shards stand still"
 	evacuated       kind = "a data centre evacuated"
+	storeRestored   kind = "store comes back from a copy"
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
@@ -65,6 +66,7 @@
 	replicaWay, replicaWay, replicaReplaced, shardsChange, settingsChange,
 	serviceFails, serviceActs, serviceActs, allKilled,
 	replicaRestarts, replicaRestarts, foreignEntry, shardsShort, evacuated,
+	storeRestored, storeRestored,
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
@@ -147,6 +149,10 @@
 		w.stall(f)
 	case evacuated:
 		w.evacuate(f)
+	case storeRestored:
+		backup := w.store.Backup()
+		time.Sleep(f.lasts)
+		w.restore(backup, f)
 	case replicaWay, replicaReplaced:
 		w.disturbReplica(f)
 	default:
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -55,14 +55,30 @@
 	n.callers.mutex.Unlock()
 	n.log.Life("settings_reloaded"`},
 	{"what was reset has not run", "internal/replicaconn/conn.go", `outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}`, `outcome{err: &Error{Step: "await answer", Sent: errors.Is(cause, io.ErrUnexpectedEOF), Cause: cause}}`},
+	{"the era is not read", "platform/store.go", "	return era\n", "	return era * 0\n"},
+	{"the era is not passed to other nodes", "internal/mirror/peers.go", "Delta{Era: reply.GetEra(), ", "Delta{"},
 	{"an outage of the store takes the configuration away", "internal/edge/registry.go", "	r.log.Life(\"dependency_lost\"", "	r.beliefs.config.Store(nil)\n	r.log.Life(\"dependency_lost\""},
 }
 
+// rareDefects need two failures within a moment, which seeds draw too rarely: the tests of a package must find
+// them.
+var rareDefects = []struct {
+	mutant
+	by string
+}{
+	{mutant{"an era is another one, not a newer one", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era != c.era && !delta.Whole {"}, "./internal/mirror"},
+	{mutant{"deltas of an older era are taken", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era > c.era && !delta.Whole {"}, "./internal/mirror"},
+	{mutant{"a restore takes the configuration back", "platform/store.go", "	return numbered.Version\n", "	return numbered.Version * 0\n"}, "./internal/edge"},
+}
+
 // TestMutants shows that no check is blind: each defect must be found by a few seeds.
 func TestMutants(t *testing.T) {
 	if *mutants == 0 {
 		t.Skip("by hand: go test ./test/soak -run TestMutants -soak.mutants 4 -timeout 60m")
 	}
+	for _, one := range rareDefects {
+		t.Run(strings.ReplaceAll(one.name, " ", "_"), func(t *testing.T) { one.requireFound(t, one.by) })
+	}
 	for number, one := range defects {
 		t.Run(strings.ReplaceAll(one.name, " ", "_"), func(t *testing.T) {
 			t.Parallel()
@@ -80,8 +96,28 @@
 	}
 }
 
+// requireFound requires that the tests of a package fail with the defect.
+func (m mutant) requireFound(t *testing.T, by string) {
+	root, overlay := m.overlay(t)
+	test := exec.Command("go", "test", "-overlay", overlay, by)
+	test.Dir = root
+	out, err := test.CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(out), "--- FAIL", "it must build: %s", out)
+}
+
 // build builds the program with the defect in place of the text.
 func (m mutant) build(t *testing.T) string {
+	_, overlay := m.overlay(t)
+	binary := filepath.Join(t.TempDir(), "pistachiopier")
+	build := exec.Command("go", "build", "-overlay", overlay, "-o", binary, "github.com/pistachiopier/pistachiopier/cmd/pistachiopier")
+	build.Stderr = os.Stderr
+	require.NoError(t, build.Run())
+	return binary
+}
+
+// overlay writes the source with the defect, and the overlay that puts it in place of the file.
+func (m mutant) overlay(t *testing.T) (root, overlay string) {
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
 	source := filepath.Join(root, m.file)
@@ -89,13 +125,10 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, strings.Count(string(text), m.old), "%s must hold the text once", m.file)
 	folder := t.TempDir()
-	changed, overlay, binary := filepath.Join(folder, "changed.go"), filepath.Join(folder, "overlay.json"), filepath.Join(folder, "pistachiopier")
+	changed, overlay := filepath.Join(folder, "changed.go"), filepath.Join(folder, "overlay.json")
 	require.NoError(t, os.WriteFile(changed, []byte(strings.Replace(string(text), m.old, m.new, 1)), 0o600))
 	replaced, err := json.Marshal(map[string]any{"Replace": map[string]string{source: changed}})
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(overlay, replaced, 0o600))
-	build := exec.Command("go", "build", "-overlay", overlay, "-o", binary, "github.com/pistachiopier/pistachiopier/cmd/pistachiopier")
-	build.Stderr = os.Stderr
-	require.NoError(t, build.Run())
-	return binary
+	return root, overlay
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -117,12 +117,14 @@
 func (w *world) changeInCalm() {
 	time.Sleep(stable + slack)
 	w.note("a drain and a change in calm")
+	backup := w.store.Backup()
 	w.configure()
 	w.repartition()
 	var leaving sync.WaitGroup
 	leaving.Go(func() { w.evacuate(fault{draw: w.seed << 40}) })
 	w.drain(fault{draw: w.random.Uint64()})
 	leaving.Wait()
+	w.restoreInCalm(backup)
 	w.note("a planned stop in calm")
 	w.disturb(w.nodes[w.random.IntN(nodeCount)], fault{kind: stopNode})
 	time.Sleep(slack)
@@ -145,6 +147,7 @@
 // process failed.
 func (w *world) checkLogs() {
 	for _, one := range w.nodes {
+		w.checkVersions(one)
 		failures, err := os.ReadFile(one.failures.Name())
 		require.NoError(w.t, err)
 		if len(failures) > 0 {
