--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -29,8 +29,8 @@
 	// MaxUpdates and MaxDrains bound the lists in one heartbeat.
 	MaxUpdates int
 	// MaxRepairs bounds the states that a heartbeat repeats while views differ. They differ
-	// often while nodes are restarted in turn, and each state has its addresses: 24 a
-	// heartbeat were 25 of the 33 MB between 76 nodes in half a minute of restarts.
+	// often while nodes are restarted in turn, and each state has its addresses: long lists would be
+	// most of what nodes send then.
 	MaxRepairs int
 	MaxDrains  int
 	// PauseLimit is how late a tick may come before beliefs count as expired.
--- a/internal/core/member/doubt.go
+++ b/internal/core/member/doubt.go
@@ -104,8 +104,8 @@
 }
 
 // aheadOfLoss is how many nodes behind a lost neighbour are tried at once. Losses come together:
-// while a node turned to the next one only after the former was found lost, 3 s each, the loss of
-// half of 295 nodes took 36 s to be seen by all, and of one data centre of six 15 s.
+// if a node turned to the next one only after the former was found lost, the loss of half of a fleet would be
+// seen by all after as many checks as nodes are lost in a row.
 const aheadOfLoss = 3
 
 // lookAhead tries the nodes behind a lost neighbour.
--- a/internal/core/member/exchange.go
+++ b/internal/core/member/exchange.go
@@ -11,10 +11,9 @@
 // heartbeat and reply, those behind the place that the neighbour confirmed last. So a piece of
 // news crosses each link once, and what was lost with a message goes with the next one.
 //
-// The failure that this guards against: 295 nodes start at once. While each let ten of its messages carry
-// each piece of news, to whichever neighbours came next, some neighbours had it several times and
-// others never; the fleet agreed on its nodes after 61 s and 91 MB (model, 781 nodes: 113 s and
-// 587 MB). TestALargeFleetFindsItselfSoon has today's figures.
+// The failure that this guards against: hundreds of nodes start at once. If each let a number of its messages carry
+// each piece of news, to whichever neighbours come next, some neighbours would have it several times and
+// others never, and the fleet would not agree on its nodes for a minute (TestALargeFleetFindsItselfSoon).
 
 // exchange is how far this node and a neighbour have told each other what changed.
 type exchange struct {
@@ -96,8 +95,8 @@
 }
 
 // confirmed takes up what the sender confirms. One that confirms nothing yet and routes by the
-// same view has nothing to learn: rings close up behind every lost node, and to tell each new
-// neighbour everything took 13 KB a time.
+// same view has nothing to learn: rings close up behind every lost node, and each new
+// neighbour would be told everything.
 func (m *Machine) confirmed(x *exchange, message *Message) {
 	x.acked = 0
 	if message.SeenOf == m.config.Incarnation {
--- a/internal/core/once/entry.go
+++ b/internal/core/once/entry.go
@@ -5,7 +5,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
-// entryBytes is what an entry is charged besides its texts: the measured size
+// entryBytes is what an entry is charged besides its texts: the size
 // of the struct, its place in the map and its alarm, rounded up.
 const entryBytes = 512
 
--- a/internal/core/scatter/early.go
+++ b/internal/core/scatter/early.go
@@ -21,8 +21,7 @@
 // them, most to its deadline, and then fails; and each fills the queues that the next one waits
 // in, so that with too little room for all nearly everyone is late. It holds since what is not
 // sent leaves its room to the others, and the caller learns at once what it would have learnt at its
-// deadline. In the model (all-slow) 0.79 of the credit in place of 0.71; with one shard too few 9 of 100
-// requests that failed at their deadline are told so at once.
+// deadline.
 //
 // In time is within the aim, counted anew for each try of a caller. A replica with nothing in
 // work always counts: only a request can tell that it is fast again.
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -13,9 +13,7 @@
 
 // hedgeReach is how many hedge times another replica may be expected to take where extra arrivals
 // are scarce. When all replicas are slow, hedges take the room of first sends and come too late
-// themselves: in the model (all-slow) they were 13 of 100 arrivals, and 0.79 of the credit is earned
-// in place of 0.76 with this bound. Held to it always, calm days give half as many incomplete answers
-// more: what is expected of a replica that is asked seldom is often too much.
+// themselves. Held to it always, calm days would give more incomplete answers: what is expected of a replica that is asked seldom is often too much.
 const hedgeReach = 2
 
 // afterFailure tries another replica, or gives the service up when there is none
--- a/internal/core/topk/excerpt.go
+++ b/internal/core/topk/excerpt.go
@@ -8,8 +8,7 @@
 // A node that gathers parts for another one sends an excerpt of them: not all the records that
 // the answer could hold, but as many as it will almost surely hold. The records of an answer are
 // spread over its parts; the greatest fifty of twenty parts are rarely more than thirteen of one.
-// Without this, replies with parts were 13.8 of about 29 MB that nodes of six VMs sent to other data centres on
-// a loaded day; with it 7.4 of 20.
+// It halves what replies with parts take between data centres.
 //
 // The guard: an excerpt says whether it left records out that the answer might need, and the
 // merge uses it only if the answer as it stands proves that none of those belongs into it.
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -40,9 +40,9 @@
 // sources lists readers and heads, and behind them one further node of the data centre, each turn another.
 //
 // The failure: the store turns a third of the nodes away, among them most readers and the heads of a data
-// centre. Their followers that the store serves read it themselves; the others had nobody to ask who
-// knows more, and went on with what was in force ten seconds before. The further node
-// is asked only when all others are stale; two of three such nodes have what the store gives.
+// centre. Their followers that the store serves read it themselves; the others would have nobody to ask who
+// knows more, and go on with an outdated configuration. The further node
+// is asked only when all others are stale; most such nodes have what the store gives.
 func sources(view *route.View, self route.Node, readers int, turn uint64) ([]peer.Target, bool) {
 	all := view.Order(mirrorKey, "")
 	reading := all[:min(readers, len(all))]
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -140,8 +140,8 @@
 }
 
 // flush replies what has ended, and once that nothing has ended yet. Without that one a node that sends
-// to one slow replica looks silent itself: its entry then turned for a second to the replicas themselves,
-// at 1.3 KB between data centres for each part.
+// to one slow replica looks silent itself, and its entry turns to the replicas themselves, at the cost of a request between data
+// centres for each part.
 func (r *replies) flush(last bool) {
 	if len(r.pending) == 0 && (r.told || last) {
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -47,8 +47,7 @@
 
 // idleLink is how long a link to another node without requests is kept. Links that are in use
 // carry heartbeats, polls or sends each second; the others are left from the start, when every
-// node turns to the seeds: kept for a minute, one of 76 nodes held links from all 75 others at
-// about 90 KB each. Opening one again takes 2.4 ms of processor time and 7.6 KB.
+// node turns to the seeds: a seed would hold one from each node of the fleet, at about 90 KB each.
 const idleLink = 15 * time.Second
 
 // logCloseLimit bounds the wait for the log's reader at the stop.
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -256,8 +256,7 @@
 		f.followHint(ctx)
 		sources, reader := f.peers.Sources(f.config.Readers)
 		// A process that has just started reads the store itself: after the loss of
-		// all nodes its peers know as little, and asking them in turn took 0.7 s in
-		// which every request was refused.
+		// all nodes its peers know as little, and every request is refused while they are asked in turn.
 		reader = reader || len(sources) == 0 || f.copy.UpTo() == 0
 		if reader && f.now() >= f.storeRetryAt {
 			f.readStore(ctx, reader)
@@ -280,8 +279,8 @@
 
 // readStore reads until the copy is the store's newest state. While hundreds of replicas
 // start, that takes several calls. A node that turns to the store only when all readers are
-// cut off would otherwise take a part of the changes for all of them, and the next part 4 s
-// later: a configuration behind 1,200 changes was in force after 6 s.
+// cut off would otherwise take a part of the changes for all of them, and the next part only when
+// that is stale: a configuration behind such a row of changes would be in force too late.
 func (f *Follower) readStore(ctx context.Context, reader bool) {
 	for f.readOnce(ctx, reader) {
 	}
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -86,8 +86,8 @@
 }
 
 // servedItems are the items of the reply made last. The followers of a head ask for the same
-// changes at the same moment: with 75 of them, making and compressing each reply anew kept a
-// VM of a tenth of a core busy for two seconds.
+// changes at the same moment: to make and compress each reply anew would keep a small VM busy for
+// longer than a change may take.
 type servedItems struct {
 	reached Reached
 	version uint64
