--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -38,9 +38,11 @@
 // that sleep: timers with a channel or a function made the race detector's own
 // code crash in such a bubble now and then (go 1.26.8).
 type world struct {
-	t       *testing.T
-	mutex   sync.Mutex
-	config  confservice.Config
+	t      *testing.T
+	mutex  sync.Mutex
+	config confservice.Config
+	// era counts how often the service came back from a copy.
+	era     uint64
 	changed chan struct{}
 	reads   int
 	down    bool
