The tier behind serve follows its service into the next era; what a drill takes at 780 nodes

After the service came back from a copy the next text was never in force: revisions only rise, and the VM list's sequence has the same order. The client puts the era above the revision, so that all that compares and passes on revisions does so with what rises over eras; a text of before that the service shows again, known by revision and digest, is preferred to, and the next one follows.

--- a/internal/confwatch/confwatch.go
+++ b/internal/confwatch/confwatch.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/config"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -212,7 +213,7 @@
 		Catalog:  reading.Catalog,
 	})
 	w.answerParked()
-	w.Log.WithFields(logrus.Fields{"event": "config_in_force", "revision": reading.Mark.Revision}).Info("revision in force")
+	w.Log.WithFields(logrus.Fields{"event": "config_in_force", "revision": era.Revision(reading.Mark.Revision), "era": era.Of(reading.Mark.Revision)}).Info("revision in force")
 	w.gauge()
 }
 
--- a/internal/confwatch/fleet_test.go
+++ b/internal/confwatch/fleet_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/confservice"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 	"github.com/pistachiopier/pistachiopier/internal/fleet"
+	"github.com/pistachiopier/pistachiopier/internal/standin"
 )
 
 const fleetNodes = 16
@@ -31,6 +34,24 @@
 	}
 }
 
+// The service comes back from a copy while the fleet runs: revisions are given out again. Over real links and calls each text
+// that is published afterwards is in force at every node, also under a revision that stood for another one.
+func TestFleetFollowsItsServiceIntoTheNextEra(t *testing.T) {
+	running, err := fleet.Start(fleet.Options{Nodes: fleetNodes, LogTo: io.Discard})
+	require.NoError(t, err)
+	defer running.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for told := range uint64(3) {
+		running.Platform.Change(func(b *standin.PlatformBehaviour) { b.Era = told })
+		running.Platform.SetConfig(confservice.Config{Revision: 1, Text: fleetText(0)})
+		for n := range 3 {
+			revision := running.Platform.Publish(fleetText(100*int(told) + n + 1))
+			require.NoError(t, running.AwaitReady(ctx, era.Place(told, revision)))
+		}
+	}
+}
+
 // BenchmarkPublishToInForce measures a change from its publication until it is
 // in force at all nodes, over loopback.
 func BenchmarkPublishToInForce(b *testing.B) {
--- a/internal/confwatch/world_test.go
+++ b/internal/confwatch/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/config"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
@@ -231,7 +232,7 @@
 	w.mutex.Unlock()
 	for {
 		w.mutex.Lock()
-		present, changed, unreached := w.config, w.changed, w.down || w.cut(n.ID, "")
+		present, told, changed, unreached := w.config, w.era, w.changed, w.down || w.cut(n.ID, "")
 		if w.shown != nil {
 			present = w.shown(n.ID)
 		}
@@ -239,7 +240,8 @@
 		if unreached {
 			return confservice.Config{}, false, errUnreached
 		}
-		if wait == 0 || present.Revision != after {
+		if wait == 0 || era.Of(after) != told || present.Revision != era.Revision(after) {
+			present.Revision = era.Place(told, present.Revision)
 			return present, true, nil
 		}
 		select {
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -10,6 +10,7 @@
 // Mark identifies a text: its revision, and its digest to tell two texts under
 // one revision apart. The zero value stands for no text.
 type Mark struct {
+	// Revision is a place (package era): it rises over eras of the service.
 	Revision uint64 `json:"revision"`
 	Digest   uint64 `json:"digest"`
 }
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 )
 
@@ -174,7 +175,7 @@
 }
 
 func anyEvent(t *rapid.T, m *Machine, now core.Time, nodes []route.Node) []Action {
-	mark := Mark{rapid.Uint64Range(0, 6).Draw(t, "revision"), rapid.Uint64Range(1, 3).Draw(t, "digest")}
+	mark := Mark{era.Place(rapid.Uint64Range(0, 2).Draw(t, "era"), rapid.Uint64Range(0, 6).Draw(t, "revision")), rapid.Uint64Range(1, 3).Draw(t, "digest")}
 	node := rapid.SampledFrom(nodes).Draw(t, "node").ID
 	one := &Reading{Mark: mark, Source: Source(rapid.IntRange(0, 1).Draw(t, "source"))}
 	if rapid.Bool().Draw(t, "valid") {
--- a/internal/core/config/lifecycle.go
+++ b/internal/core/config/lifecycle.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/pistachiopier/pistachiopier/internal/chart"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 )
 
 // lifeCycle is a node's way to a configuration in force.
@@ -101,7 +102,7 @@
 		return
 	}
 	m.refused = Refusal{m.offered.Mark, m.offered.Fault}
-	m.emit(Report{ProblemRefused, fmt.Sprintf("revision %d is invalid, revision %d stays in force: %s", m.refused.Mark.Revision, m.current.Mark.Revision, m.offered.Fault)})
+	m.emit(Report{ProblemRefused, fmt.Sprintf("revision %s is invalid, revision %s stays in force: %s", era.String(m.refused.Mark.Revision), era.String(m.current.Mark.Revision), m.offered.Fault)})
 }
 
 // confirm takes note that a source offers what is in force.
--- a/internal/core/config/machine.go
+++ b/internal/core/config/machine.go
@@ -43,7 +43,9 @@
 	confirmed   core.Time
 	gather      gather
 	fetch       fetch
-	actions     []Action
+	// seen are the texts that were offered lately, under the service's own revisions.
+	seen    []seenText
+	actions []Action
 }
 
 // fetch is the text that was asked of a peer and has not come yet.
@@ -103,7 +105,11 @@
 		m.heard()
 	}
 	m.offered = reading
+	if m.restored(reading) {
+		m.keepOver(reading)
+	}
 	m.fire(m.judge(reading))
+	m.noteSeen(reading)
 	return m.finish()
 }
 
--- a/internal/core/config/problems.go
+++ b/internal/core/config/problems.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 )
 
 // Refusal is a text that was refused, and why.
@@ -32,14 +33,14 @@
 	m.begin(now)
 	if m.Age(now) > StaleAfter && (!m.staleNoted || now-m.staleAt >= staleEvery) {
 		m.staleNoted, m.staleAt = true, now
-		m.emit(Report{ProblemStale, fmt.Sprintf("revision %d was last confirmed %s ago and stays in force", m.current.Mark.Revision, m.Age(now).Round(time.Second))})
+		m.emit(Report{ProblemStale, fmt.Sprintf("revision %s was last confirmed %s ago and stays in force", era.String(m.current.Mark.Revision), m.Age(now).Round(time.Second))})
 	}
 	return m.finish()
 }
 
 func (m *Machine) reportOlder() {
 	m.olderNoted = true
-	m.emit(Report{ProblemOlder, fmt.Sprintf("the service offers revision %d, revision %d stays in force", m.serviceSeen, m.current.Mark.Revision)})
+	m.emit(Report{ProblemOlder, fmt.Sprintf("the service offers revision %s, revision %s stays in force", era.String(m.serviceSeen), era.String(m.current.Mark.Revision))})
 }
 
 // clearOlder ends the problem that the service offers an older revision.
@@ -54,5 +55,5 @@
 
 func (m *Machine) noteConflict(other Mark) {
 	m.conflict = true
-	m.emit(Report{ProblemConflict, fmt.Sprintf("revision %d has texts with digests %016x and %016x; publish a higher revision", other.Revision, m.current.Mark.Digest, other.Digest)})
+	m.emit(Report{ProblemConflict, fmt.Sprintf("revision %s has texts with digests %016x and %016x; publish a higher revision", era.String(other.Revision), m.current.Mark.Digest, other.Digest)})
 }
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -45,3 +46,20 @@
 func request(after uint64, era *uint64) *peerpb.MirrorRequest {
 	return &peerpb.MirrorRequest{After: after, Era: era}
 }
+
+// A store that comes back from a copy sends each node everything once. What that takes for the replicas of the aim is told by
+// the log; it must stay a small part of what the links bear in the time within which changes are in force.
+func TestAWholeCopyOfTheAimIsSmall(t *testing.T) {
+	const replicas, most = 6000, 512 << 10
+	random := rand.New(rand.NewPCG(1, 2))
+	c := NewCopy()
+	delta := Delta{Era: 2, Whole: true, UpTo: replicas}
+	for i := range uint64(replicas) {
+		entry := fmt.Sprintf(`{"service":"shard-%d","address":"10.%d.%d.%d:8468","zone":"hall-%d","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"seq":%d}`, i/3, 1+i%4, i/200, i%200, i%4, random.IntN(100))
+		delta.Items = append(delta.Items, Item{Key: fmt.Sprintf("servers/i-%010x", random.Uint64()>>24), Value: []byte(entry), Revision: i + 1})
+	}
+	c.Apply(delta)
+	reply := NewServer(c, func() (time.Duration, bool) { return 0, true }).reply(Reached{Era: 1, Revision: 5})
+	t.Logf("%d replicas: %d bytes", replicas, len(reply.GetPacked()))
+	require.Less(t, len(reply.GetPacked()), most)
+}
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,11 +235,15 @@
 	require.False(t, news(Reached{}, Reached{Era: 3}), "an empty copy has nothing to tell yet")
 }
 
+var large = flag.Int("large", 60, "nodes of the fleet that a drill is played with")
+
 // chain is a node's peers in a fleet: a reader, or one that follows the node before it.
 type chain struct {
 	reader bool
 	from   *Copy
 	age    func() (time.Duration, bool)
+	// whole counts the whole deltas that were given.
+	whole *atomic.Int64
 }
 
 func (c *chain) Sources(int) ([]peer.Target, bool) { return []peer.Target{{Node: "before"}}, c.reader }
@@ -256,14 +262,19 @@
 	if !known {
 		age = unconfirmed
 	}
-	return c.from.Since(reached), age, nil
+	delta := c.from.Since(reached)
+	if delta.Whole {
+		c.whole.Add(1)
+	}
+	return delta, age, nil
 }
 
 // The store is away for three seconds, so that all of 60 nodes turn to it, and comes back from a copy. All at once they
 // would read it whole, 780 nodes three times what it bears in a second. Those that read it for the others do; the rest has
 // it from them, over up to three nodes in a row, and a change is in force everywhere in time.
 func TestADrillDoesNotMakeAllNodesReadTheStoreWhole(t *testing.T) {
-	const nodes, readers, heads = 60, 3, 6
+	const readers, heads = 3, 6
+	nodes := *large
 	synctest.Test(t, func(*testing.T) {
 		started := time.Now()
 		now := func() core.Time { return time.Since(started) + 1 }
@@ -271,6 +282,7 @@
 		store.state.Apply(Delta{Era: 1, Whole: true, UpTo: 1})
 		store.configure(3)
 		var fleet []*Follower
+		var given atomic.Int64
 		for i := range nodes {
 			before := 0
 			switch {
@@ -281,7 +293,7 @@
 			default:
 				before = readers + i%heads
 			}
-			peers := &chain{reader: i < readers}
+			peers := &chain{reader: i < readers, whole: &given}
 			node := NewFollower(DefaultConfig(), NewCopy(), store, peers, &heard{}, now)
 			fleet = append(fleet, node)
 			peers.from, peers.age = NewCopy(), func() (time.Duration, bool) { return 0, false }
@@ -305,13 +317,14 @@
 		store.configure(5)
 		store.set(func(s *fakeStore) { s.busy = false })
 		whole, calls := store.wholeReadings(), store.count()
+		given.Store(0)
 		time.Sleep(3 * time.Second)
 		for i, one := range fleet {
 			item, _ := one.copy.Get("config")
 			require.EqualValues(t, 5, item.Rank, "node %d", i)
 			require.EqualValues(t, 2, one.copy.Reached().Era)
 		}
-		t.Logf("%d whole readings, %d calls in 3 s of %d nodes", store.wholeReadings()-whole, store.count()-calls, nodes)
+		t.Logf("%d nodes: %d whole readings and %d calls at the store in 3 s, %d whole copies between nodes", nodes, store.wholeReadings()-whole, store.count()-calls, given.Load())
 		require.Positive(t, store.wholeReadings()-whole)
 		require.LessOrEqual(t, store.wholeReadings()-whole, readers)
 		require.Less(t, store.count()-calls, 3*nodes)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -20,6 +20,8 @@
 type PlatformBehaviour struct {
 	// Down makes every call fail.
 	Down bool `yaml:"down"`
+	// Era is told in every answer: how often the service came back from a copy. 0 tells none.
+	Era uint64 `yaml:"era"`
 	// FreezeConfig and FreezeVMs keep answering what was there when they were
 	// set, whatever is published meanwhile.
 	FreezeConfig bool `yaml:"freeze_config"`
@@ -201,6 +203,9 @@
 		p.mutex.Lock()
 		number, value := read()
 		down, changed := p.behaviour.Down, p.changed
+		if p.behaviour.Era > 0 {
+			w.Header().Set(confservice.HeaderEra, strconv.FormatUint(p.behaviour.Era, 10))
+		}
 		if down {
 			p.counts.Failed++
 		}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -190,3 +190,40 @@
 	p.Change(func(b *PlatformBehaviour) { b.Down = true; b.ReadsPerSecond = 0 })
 	await(t, "a read while down fails", func() bool { return limited() && p.Counts().Failed > 0 })
 }
+
+// A service comes back from a copy. What it has comes after all of before, to readers of the text and of the VM list, also where
+// the revision is the same as the one that they know; a header that vanishes takes nothing back, and an
+// older era is no answer.
+func TestWhatARestoredPlatformHasComesAfter(t *testing.T) {
+	p, err := StartPlatform("127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = p.Close() }()
+	client := confservice.NewClient(p.URL())
+	defer client.Close()
+	told := func(number uint64) { p.Change(func(b *PlatformBehaviour) { b.Era = number }) }
+	told(1)
+	p.SetConfig(confservice.Config{Revision: 5, Text: "five"})
+	p.SetVMs([]confservice.VM{{ID: "a"}})
+	before, _, err := client.ReadConfig(t.Context(), 0, 0)
+	require.NoError(t, err)
+	listed, _, err := client.ReadVMs(t.Context(), 0, 0)
+	require.NoError(t, err)
+	told(2)
+	p.SetConfig(confservice.Config{Revision: 5, Text: "another"})
+	after, changed, err := client.ReadConfig(t.Context(), before.Revision, time.Millisecond)
+	require.NoError(t, err)
+	require.True(t, changed, "the same revision in another era")
+	require.Equal(t, "another", after.Text)
+	require.Greater(t, after.Revision, before.Revision)
+	again, changed, err := client.ReadVMs(t.Context(), listed.Sequence, time.Millisecond)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Greater(t, again.Sequence, listed.Sequence)
+	told(0)
+	untold, changed, err := client.ReadConfig(t.Context(), after.Revision, time.Millisecond)
+	require.NoError(t, err)
+	require.False(t, changed, untold)
+	told(1)
+	_, _, err = client.ReadConfig(t.Context(), 0, 0)
+	require.ErrorContains(t, err, "era 2 is known already")
+}
