--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -33,7 +33,7 @@
 
 // Sources implements mirror.Peers. Readers and heads follow from one hashed order of the
 // live nodes, so that nodes with the same view agree on them.
-func (c copies) Sources(readers int) ([]peer.Target, bool) {
+func (c copies) Sources(readers int) ([]peer.Target, mirror.Role) {
 	return sources(c.node.view(), c.node.views.Self(), readers, c.turn.Add(1))
 }
 
@@ -43,16 +43,22 @@
 // centre. Their followers that the store serves read it themselves; the others would have nobody to ask who
 // knows more, and go on with an outdated configuration. The further node
 // is asked only when all others are stale; most such nodes have what the store gives.
-func sources(view *route.View, self route.Node, readers int, turn uint64) ([]peer.Target, bool) {
+func sources(view *route.View, self route.Node, readers int, turn uint64) ([]peer.Target, mirror.Role) {
 	all := view.Order(mirrorKey, "")
 	reading := all[:min(readers, len(all))]
 	// Sorted once: a data centre's nodes stand in the same order among all.
 	near := slices.DeleteFunc(slices.Clone(all), func(one route.Node) bool { return one.DataCentre != self.DataCentre })
 	heads := headsOf(near, reading)
 	same := func(one route.Node) bool { return one.ID == self.ID }
-	isReader := slices.ContainsFunc(reading, same)
+	role := mirror.Other
+	switch {
+	case slices.ContainsFunc(reading, same):
+		role = mirror.Reader
+	case slices.ContainsFunc(heads, same):
+		role = mirror.Head
+	}
 	var order []route.Node
-	if isReader || slices.ContainsFunc(heads, same) {
+	if role != mirror.Other {
 		order = append(order, reading...)
 		order = append(order, heads...)
 	} else {
@@ -75,7 +81,7 @@
 			targets = append(targets, target)
 		}
 	}
-	return targets, isReader
+	return targets, role
 }
 
 // headsOf lists those of a data centre's nodes, given in their order, that follow the readers; those that
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -254,19 +254,21 @@
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.followHint(ctx)
-		sources, reader := f.peers.Sources(f.config.Readers)
+		sources, role := f.peers.Sources(f.config.Readers)
 		// A process that has just started reads the store itself: after the loss of
 		// all nodes its peers know as little, and every request is refused while they are asked in turn.
-		reader = reader || len(sources) == 0 || f.copy.UpTo() == 0
-		if reader && f.now() >= f.storeRetryAt {
-			f.readStore(ctx, reader)
+		if len(sources) == 0 || f.copy.UpTo() == 0 {
+			role = Reader
+		}
+		if role == Reader && f.now() >= f.storeRetryAt {
+			f.readStore(ctx, role)
 			continue
 		}
-		if f.readPeers(ctx, sources, reader) {
+		if f.readPeers(ctx, sources, role) {
 			continue
 		}
 		if f.now() >= max(f.storeRetryAt, f.peersUntil) {
-			f.readStore(ctx, reader)
+			f.readStore(ctx, role)
 			continue
 		}
 		wait.For(ctx, max(f.storeRetryAt, f.peersUntil)-f.now())
@@ -281,18 +283,18 @@
 // start, that takes several calls. A node that turns to the store only when all readers are
 // cut off would otherwise take a part of the changes for all of them, and the next part only when
 // that is stale: a configuration behind such a row of changes would be in force too late.
-func (f *Follower) readStore(ctx context.Context, reader bool) {
-	for f.readOnce(ctx, reader) {
+func (f *Follower) readStore(ctx context.Context, role Role) {
+	for f.readOnce(ctx, role) {
 	}
 }
 
 // readOnce makes one call, or those of a whole reading. It reports whether there is more to
 // read at once.
-func (f *Follower) readOnce(ctx context.Context, reader bool) bool {
+func (f *Follower) readOnce(ctx context.Context, role Role) bool {
 	started := f.now()
 	first := f.copy.UpTo() == 0
 	f.counts.storeCalls.Add(1)
-	delta, err := f.fromStore(ctx, reader)
+	delta, err := f.fromStore(ctx, role)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -354,7 +356,7 @@
 // That a store came back from a copy does not show by its revisions: once they have passed the
 // copy's, a watch brings what came after and hides that what lies before is another history. The era of
 // each answer tells, and the whole reading that follows takes the place of everything.
-func (f *Follower) fromStore(ctx context.Context, reader bool) (Delta, error) {
+func (f *Follower) fromStore(ctx context.Context, role Role) (Delta, error) {
 	timeout := f.config.WatchWait + f.config.Slack
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -377,7 +379,7 @@
 		f.gapAt = 0
 		return delta, err
 	}
-	if !f.mayReadAll(reader) {
+	if !f.mayReadAll(role) {
 		return Delta{}, errLeftToReaders
 	}
 	if delta, err = readAll(ctx, f.store, false); err != nil {
@@ -409,15 +411,15 @@
 
 // mayReadAll reports whether this node is to read the whole store where that lacks the history behind its copy.
 // Readers do so at once; the others have it from them, and read it themselves when that
-// takes too long. While a store is away all nodes turn to it, so that else all of them would read it
-// whole in the moment of its return.
-func (f *Follower) mayReadAll(reader bool) bool {
-	if reader {
+// takes too long, the heads of data centres first. While a store is away all nodes turn to it, so that
+// else all of them would read it whole in the moment of its return.
+func (f *Follower) mayReadAll(role Role) bool {
+	if role == Reader {
 		return true
 	}
 	if f.gapAt == 0 {
 		f.gapAt = f.now()
-		f.peersUntil = f.gapAt + f.config.FirstPeers
+		f.peersUntil = f.gapAt + time.Duration(role)*f.config.FirstPeers
 		return false
 	}
 	return f.now() >= f.peersUntil
@@ -445,9 +447,9 @@
 
 // readPeers reads from the first peer whose copy is fresh. A reader of the store
 // asks without waiting long, since it is to try the store again.
-func (f *Follower) readPeers(ctx context.Context, sources []peer.Target, reader bool) bool {
+func (f *Follower) readPeers(ctx context.Context, sources []peer.Target, role Role) bool {
 	waiting := f.config.PeerWait
-	if reader {
+	if role == Reader {
 		waiting = min(waiting, max(f.storeRetryAt-f.now(), 0))
 	}
 	for _, source := range sources {
--- a/internal/mirror/source.go
+++ b/internal/mirror/source.go
@@ -46,11 +46,24 @@
 	Close()
 }
 
+// Role is a node's part in reading the store.
+type Role int
+
+// The roles, in the order in which a change reaches them.
+const (
+	// Reader nodes read the store for all.
+	Reader Role = iota
+	// Head nodes follow the readers for the others of their data centre.
+	Head
+	// Other nodes follow the heads.
+	Other
+)
+
 // Peers are the other nodes' copies.
 type Peers interface {
-	// Sources lists the nodes to read from, the best first, and whether this node is
-	// one of the given number that read the store.
-	Sources(readers int) (sources []peer.Target, reader bool)
+	// Sources lists the nodes to read from, the best first, and this node's role where the given
+	// number of nodes read the store.
+	Sources(readers int) (sources []peer.Target, role Role)
 	// Fetch reads what a node's copy has beyond what was reached, and how long ago
 	// that copy was confirmed by the store. It waits for changes at most for the
 	// given time.
