serve: places hold revisions that are times, and one that none holds is an error

A service whose revisions are above 2^40, such as times in microseconds, would have looked like one of another era: watches would have asked for another revision and returned at once, again and again. Found by reading; below the era there are 51 bits now, and beyond them the answer is refused with the value and the limit.

--- a/internal/confservice/confservice.go
+++ b/internal/confservice/confservice.go
@@ -87,17 +87,29 @@
 // revision than after is there or the wait is over; changed is false then.
 func (c *Client) ReadConfig(ctx context.Context, after uint64, wait time.Duration) (config Config, changed bool, err error) {
 	told, changed, err := c.read(ctx, PathConfig, after, wait, &config)
-	config.Revision = era.Place(told, config.Revision)
+	if err == nil {
+		config.Revision, err = place(told, config.Revision)
+	}
 	return config, changed, err
 }
 
 // ReadVMs returns the present VM list, in the manner of ReadConfig.
 func (c *Client) ReadVMs(ctx context.Context, after uint64, wait time.Duration) (list VMList, changed bool, err error) {
 	told, changed, err := c.read(ctx, PathVMs, after, wait, &list)
-	list.Sequence = era.Place(told, list.Sequence)
+	if err == nil {
+		list.Sequence, err = place(told, list.Sequence)
+	}
 	return list, changed, err
 }
 
+// place puts a revision into its era; one that no place holds is an error.
+func place(told, revision uint64) (uint64, error) {
+	if revision > era.MostRevision {
+		return 0, platformFault(fmt.Sprintf("the platform's revision is %d, at most %d is possible", revision, uint64(era.MostRevision)), nil)
+	}
+	return era.Place(told, revision), nil
+}
+
 // read makes a call, and a second one at once where the first found nothing new in another era: the same
 // revision stands for other contents there.
 func (c *Client) read(ctx context.Context, path string, after uint64, wait time.Duration, out any) (told uint64, changed bool, err error) {
--- a/internal/core/era/era.go
+++ b/internal/core/era/era.go
@@ -8,13 +8,15 @@
 import "fmt"
 
 const (
-	// shift is where the era begins in a place.
-	shift = 40
+	// shift is where the era begins in a place: below it there is room for revisions that are times in
+	// microseconds.
+	shift = 52
 	// keptBit is set in the place of what stays over a restore: it comes after what the service shows
 	// and before what is written next.
 	keptBit  = 1
 	keptBits = 1
-	// Most is the greatest era, MostRevision the greatest revision, that a place holds.
+	// Most is the greatest era, MostRevision the greatest revision, that a place holds. One beyond would
+	// look like another era.
 	Most         = 1<<(64-shift) - 1
 	MostRevision = 1<<(shift-keptBits) - 1
 )
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiopier/pistachiopier/internal/confservice"
+	"github.com/pistachiopier/pistachiopier/internal/core/era"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
 
@@ -226,4 +227,14 @@
 	told(1)
 	_, _, err = client.ReadConfig(t.Context(), 0, 0)
 	require.ErrorContains(t, err, "era 2 is known already")
+	told(2)
+	for _, one := range []struct {
+		revision uint64
+		possible bool
+	}{{uint64(time.Now().UnixMicro()), true}, {era.MostRevision, true}, {era.MostRevision + 1, false}, {1 << 63, false}} {
+		p.SetConfig(confservice.Config{Revision: one.revision, Text: "text"})
+		got, _, err := client.ReadConfig(t.Context(), 0, 0)
+		require.Equal(t, one.possible, err == nil, "revision %d: %v", one.revision, err)
+		require.True(t, !one.possible || era.Of(got.Revision) == 2)
+	}
 }
