--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -13,7 +13,8 @@
 
 // hedgeReach is how many hedge times another replica may be expected to take where extra arrivals
 // are scarce. When all replicas are slow, hedges take the room of first sends and come too late
-// themselves. Held to it always, calm days would give more incomplete answers: what is expected of a replica that is asked seldom is often too much.
+// themselves. Held to it always, calm days would give more incomplete answers: what is expected of a
+// replica that is asked seldom is often too much.
 const hedgeReach = 2
 
 // afterFailure tries another replica, or gives the service up when there is none
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -68,7 +68,7 @@
 }{
 	{mutant{"an era is another one, not a newer one", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era != c.era && !delta.Whole {"}, "./internal/mirror"},
 	{mutant{"deltas of an older era are taken", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era > c.era && !delta.Whole {"}, "./internal/mirror"},
-	{mutant{"a restore takes the configuration back", "platform/store.go", "	return config.Version\n", "	return config.Version * 0\n"}, "./internal/edge"},
+	{mutant{"a restore takes the configuration back", "platform/store.go", "	return wire.Version\n", "	return wire.Version * 0\n"}, "./internal/edge"},
 }
 
 // TestMutants shows that no check is blind: each defect must be found by a few seeds.
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -1,15 +1,10 @@
 package soak_test
 
 import (
-	"encoding/json"
 	"math/rand/v2"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
@@ -68,27 +63,24 @@
 	time.Sleep(stable)
 }
 
-// checkVersions checks in a node's log that no process put an older configuration in force.
-func (w *world) checkVersions(one *vm) {
-	text, err := os.ReadFile(one.out.Name())
-	require.NoError(w.t, err)
-	var highest uint64
-	for line := range strings.Lines(string(text)) {
-		var read struct {
-			Event   string
-			Version uint64
-		}
-		if json.Unmarshal([]byte(line), &read) != nil {
-			continue
-		}
-		switch read.Event {
-		case "node_started":
-			highest = 0
-		case "config_in_force":
-			if read.Version < highest {
-				w.fail("vm %s put version %d in force after %d", one.ip, read.Version, highest)
-			}
-			highest = max(highest, read.Version)
+// logLine is what the checks read of a line of a node's log.
+type logLine struct {
+	Event, Node string
+	Version     uint64
+}
+
+// checkVersion checks that no process puts an older configuration in force than the highest so far, and returns the
+// highest with this line.
+func (w *world) checkVersion(one *vm, read logLine, highest uint64) uint64 {
+	switch read.Event {
+	case "node_started":
+		return 0
+	case "config_in_force":
+		if read.Version < highest {
+			w.fail("vm %s put version %d in force after %d", one.ip, read.Version, highest)
 		}
+		return max(highest, read.Version)
+	default:
+		return highest
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -147,7 +147,6 @@
 // process failed.
 func (w *world) checkLogs() {
 	for _, one := range w.nodes {
-		w.checkVersions(one)
 		failures, err := os.ReadFile(one.failures.Name())
 		require.NoError(w.t, err)
 		if len(failures) > 0 {
@@ -155,11 +154,13 @@
 		}
 		text, err := os.ReadFile(one.out.Name())
 		require.NoError(w.t, err)
+		var highest uint64
 		for line := range strings.Lines(string(text)) {
-			var read struct{ Event, Node string }
+			var read logLine
 			if err := json.Unmarshal([]byte(line), &read); err != nil || read.Event == "" || read.Node == "" {
 				w.fail("vm %s wrote a line that is no event: %s", one.ip, line)
 			}
+			highest = w.checkVersion(one, read, highest)
 		}
 	}
 }
