Sight: a replica that ends, and the requests that were in work there, in one line

The logs could not tell a replica that ended from a lost answer, what came of sends that nobody waited for any more, or that two requests are one and the same under other ids. A connection that breaks under a request is followed by one more, which a replica that has ended refuses. Nothing is decided by it yet.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -118,6 +118,11 @@
 // excerptUnused counts an excerpt that turned out too short for its answer.
 func (m *nodeMetrics) excerptUnused() { observe.Counter(m.registry, "excerpts_unused_total").Inc(1) }
 
+// replicaEnded counts a replica that ended while requests were in work there.
+func (m *nodeMetrics) replicaEnded() {
+	observe.Counter(m.registry, "replicas_ended_in_work_total").Inc(1)
+}
+
 // restarted counts a replica that started again under its id.
 func (m *nodeMetrics) restarted() { observe.Counter(m.registry, "replicas_restarted_total").Inc(1) }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -118,6 +118,7 @@
 	n.traffic = traffic.New(n.metrics.registry)
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.replicas.OnEnded(n.replicaEnded)
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
 	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, heartbeat: func() time.Duration { return n.settings.Load().Heartbeat }, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
 	return n
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -22,10 +23,12 @@
 
 // request is one caller's request on its way through the node.
 type request struct {
-	node     *Node
-	route    *policy.Route
-	config   *policy.Config
-	id       string
+	node   *Node
+	route  *policy.Route
+	config *policy.Config
+	id     string
+	// caller is the address that the request came from.
+	caller   netip.Addr
 	template replicaconn.Request
 	services []string
 	plan     scatter.Plan
@@ -241,6 +244,7 @@
 	wire.Replica = one.send.Replica.Life()
 	wire.Address = one.send.Replica.Address
 	wire.Bytes = q.node.traffic.Counter(traffic.Flow{Purpose: traffic.Replicas, To: one.send.Replica.DataCentre})
+	wire.Work = inWork{request: q, send: one}
 	wire.Late = func(response *replicaconn.Response) { q.lateAnswer(one, response) }
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -77,6 +77,8 @@
 	// Late, when set, is told a whole answer that came after the context had ended:
 	// the replica is slow, not dead. It must not block.
 	Late func(*Response)
+	// Work is handed to Client.OnEnded as it is.
+	Work any
 }
 
 // Response is an answer.
@@ -96,8 +98,10 @@
 type Error struct {
 	Step string
 	// Sent is set when any byte of the request may have left.
-	Sent  bool
-	Cause error
+	Sent bool
+	// Broken is set when the replica ended the connection in place of an answer.
+	Broken bool
+	Cause  error
 }
 
 // Error implements error.
@@ -134,6 +138,15 @@
 	hosts  map[replica.Incarnation]*host
 	closed bool
 	opened int64
+	// onEnded is told an incarnation that has ended, and what was in work there.
+	onEnded func(life replica.Incarnation, inWork []*Request)
+}
+
+// OnEnded sets who is told that a replica has ended while requests were in work there. It is told after the
+// requests' own ends, also of those whose answers nobody waited for any more, and may be told again of
+// the same incarnation. It must be set before the first request, and must not block.
+func (c *Client) OnEnded(listener func(life replica.Incarnation, inWork []*Request)) {
+	c.onEnded = listener
 }
 
 // NewClient makes a client without connections.
@@ -228,7 +241,7 @@
 	}
 	if written, err := conn.write(ctx, call); err != nil {
 		conn.close(err)
-		return nil, &Error{Step: "send", Sent: written > 0, Cause: err}
+		return nil, &Error{Step: "send", Sent: written > 0, Broken: written > 0 && brokenByReplica(err), Cause: err}
 	}
 	select {
 	case end := <-call.done:
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -325,7 +325,8 @@
 	if errors.Is(cause, io.EOF) {
 		cause = io.ErrUnexpectedEOF
 	}
-	one.done <- outcome{err: &Error{Step: "await answer", Sent: true, Cause: cause}}
+	one.done <- outcome{err: &Error{Step: "await answer", Sent: true, Broken: brokenByReplica(cause), Cause: cause}}
+	c.client.broke(c.replica, one.request, cause)
 }
 
 // endedHere reports whether this node ended the connection, of its own will.
--- /dev/null
+++ b/internal/replicaconn/ended.go
@@ -0,0 +1,88 @@
+package replicaconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+)
+
+// A connection that ends under a request says little: the answer may have been lost, or the connection
+// been reset on its way. A replica that has ended refuses new connections as well. One more is therefore opened
+// at once: it is refused within a round trip by the VM of a replica that has ended, and serves the next
+// request otherwise. A replica that fell silent, with its VM or behind a partition, is not found to have
+// ended: nothing there says so.
+
+// brokenByReplica reports whether the other side ended a connection.
+func brokenByReplica(cause error) bool {
+	return errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
+}
+
+// broke takes a connection that ended under a request. Requests that break off while it is being found
+// out whether the replica has ended await the same outcome.
+func (c *Client) broke(life replica.Incarnation, request *Request, cause error) {
+	if c.onEnded == nil {
+		return
+	}
+	if errors.Is(cause, errRestarted) {
+		c.onEnded(life, []*Request{request})
+		return
+	}
+	if !brokenByReplica(cause) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.hosts[life]
+	if h == nil || c.closed {
+		return
+	}
+	h.inDoubt = append(h.inDoubt, request)
+	if len(h.inDoubt) == 1 {
+		go c.settleDoubt(h, request)
+	}
+}
+
+// settleDoubt tells the requests in doubt that their replica has ended, if it has.
+func (c *Client) settleDoubt(h *host, request *Request) {
+	ended := c.refusesConnections(h, request)
+	c.mutex.Lock()
+	inWork := h.inDoubt
+	h.inDoubt = nil
+	c.mutex.Unlock()
+	if ended {
+		c.onEnded(request.Replica, inWork)
+	}
+}
+
+// refusesConnections opens a connection and keeps it where the bound leaves room for it.
+func (c *Client) refusesConnections(h *host, request *Request) bool {
+	c.mutex.Lock()
+	room := h.open < max(request.MaxConnections, 1) && !h.restarted
+	if room {
+		h.open++
+	}
+	c.mutex.Unlock()
+	if !room {
+		return c.refusesProbe(request.Address)
+	}
+	opened := c.open(request)
+	if opened.err != nil {
+		return errors.Is(opened.err, syscall.ECONNREFUSED)
+	}
+	c.free(opened.conn)
+	return false
+}
+
+// refusesProbe opens a connection only to see whether it is refused.
+func (c *Client) refusesProbe(address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	stream, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = stream.Close()
+	return false
+}
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -28,6 +28,8 @@
 	connections map[*conn]struct{}
 	// restarted is set once a later incarnation is known: nothing more is sent to this one.
 	restarted bool
+	// inDoubt are the requests whose connections broke while it is being found out whether the replica has ended.
+	inDoubt []*Request
 }
 
 // Pauses after a replica ended a new connection without an answer. It resets those beyond
