--- a/internal/edgefleet/edgefleet.go
+++ b/internal/edgefleet/edgefleet.go
@@ -45,6 +45,9 @@
 	Store    *platformtest.Store
 	Replicas []*platformtest.Replica
 	Nodes    []*Node
+	// dataCentres are those of the replicas, in their order; born counts the revived ones.
+	dataCentres []string
+	born        int
 }
 
 // Node is one node of the tier.
@@ -76,10 +79,32 @@
 		return nil, fault.Step("start a stand-in of a replica", err)
 	}
 	f.Replicas = append(f.Replicas, one)
+	f.dataCentres = append(f.dataCentres, dataCentre)
 	f.Store.Put(one.Key(), one.Entry(dataCentre, platformtest.StateReady))
 	return one, nil
 }
 
+// Revive starts a new incarnation of each replica that has ended under a request, at its address and under an
+// id of its own, and returns how many. Their acts are those of the former ones.
+func (f *Fleet) Revive() (int, error) {
+	revived := 0
+	for i, former := range f.Replicas {
+		if !former.Ended() {
+			continue
+		}
+		f.born++
+		one, err := former.Again(fmt.Sprintf("i-%s-%d-%d", former.Service, i, f.born))
+		if err != nil {
+			return revived, fault.Step("start a stand-in of a replica again", err)
+		}
+		f.Replicas[i] = one
+		f.Store.Remove(former.Key())
+		f.Store.Put(one.Key(), one.Entry(f.dataCentres[i], platformtest.StateReady))
+		revived++
+	}
+	return revived, nil
+}
+
 // AddNode starts a node whose settings are changed first; the first node is the seed of all.
 func (f *Fleet) AddNode(dataCentre string, log io.Writer, change func(*settings.Edge)) (*Node, error) {
 	free, err := FreeAddresses(addressesOfNode)
