A request under which replicas end is sent to one at a time, and set aside once that is proven

What callers saw: no question over all shards was answered for seconds at a time, since one request ended all replicas of a service each time it came. Cause: each try was judged by itself. A broken answer was the replica's failure, for which another one was asked, in every shard at once; nothing on a request outlived its try, and nodes told each other nothing of requests. Ruled out: retries alone (the failing test reaches replicas at each of 12 tries; bounding them leaves that), overload (it needs no other load). Mended: within a try, further sends wait for the first answer once a replica has ended the connection; without one, a single send follows. Over tries, a ledger holds at which incarnations of replicas a request was in work when they ended. A suspected request goes to one replica at a time until one answers, which clears it; three ended replicas, two of them under such trials and with no other suspected request in work that has as many, set it aside. News goes over all links at once; heartbeats carry a digest, and nodes that differ tell each other all. Marks are only ever set, so that their order does not matter. Why it holds: an innocent request is answered at its first trial, at the cost of one answer time; the ends that it witnessed count against the request that has more of them.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -24,7 +24,7 @@
 var beliefEvents = map[string]bool{
 	"node_started": true, "config_in_force": true, "entries_changed": true, "view_changed": true,
 	"dependency_lost": true, "dependency_back": true, "node_stopping": true, "settings_reloaded": true,
-	"evacuation_in_force": true, "evacuation_ended": true, "evacuation_lapsed": true,
+	"request_set_aside": true, "evacuation_in_force": true, "evacuation_ended": true, "evacuation_lapsed": true,
 	"store_era_changed": true, "store_era_untold": true, "config_outdated": true, "reading_not_taken": true,
 }
 
@@ -34,6 +34,8 @@
 	switch l.Event {
 	case "evacuation_in_force", "evacuation_ended", "evacuation_lapsed":
 		return fmt.Sprint("evacuation of ", l.fields["data_centre"])
+	case "request_set_aside":
+		return fmt.Sprint("request ", l.fields["key"])
 	default:
 		return l.Event
 	}
--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -41,14 +41,25 @@
 	Body   []byte
 }
 
-// Key is the identity's key. Each part goes with its length: the end of one is not the beginning of the next.
-func (i Identity) Key() Key {
-	digest := sha256.New()
-	for _, part := range []string{i.Method, i.Host, i.Target, i.Caller, string(i.Body)} {
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		digest.Write(length[:])
-		digest.Write([]byte(part))
+// Head is the key of the request without its body. Each part goes with its length: the end of one is not the
+// beginning of the next.
+func (i Identity) Head() Key {
+	var joined []byte
+	for _, part := range []string{i.Method, i.Host, i.Target, i.Caller} {
+		joined = binary.BigEndian.AppendUint64(joined, uint64(len(part)))
+		joined = append(joined, part...)
 	}
+	digest := sha256.Sum256(joined)
+	return Key(digest[:keyBytes])
+}
+
+// Key is the identity's key.
+func (i Identity) Key() Key { return i.Head().With(i.Body) }
+
+// With is the key of a request with the head that k is of, and a body.
+func (k Key) With(body []byte) Key {
+	digest := sha256.New()
+	digest.Write(k[:])
+	digest.Write(body)
 	return Key(digest.Sum(nil)[:keyBytes])
 }
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -20,6 +20,8 @@
 type Ended struct {
 	Send    int
 	Verdict Verdict
+	// Broken is set when the replica ended the connection in place of an answer.
+	Broken bool
 }
 
 // GiveUp says that nobody can wait any longer: the request ends now as at its deadline.
@@ -41,6 +43,8 @@
 	// Far is set when the replica is in another data centre.
 	Far   bool
 	Cause Cause
+	// Alone is set when the request goes to one replica at a time, and this is the one.
+	Alone bool
 }
 
 // Withdraw ends a send whose answer is no longer wanted.
@@ -81,6 +85,8 @@
 	OtherDoubtful Reason = "the other replica is overdue or failing too"
 	// OtherSlow means that the other one is expected to answer much later than usual.
 	OtherSlow Reason = "the other replica is slow or busy"
+	// Unproven means that replicas have ended under the request, and none has answered it.
+	Unproven Reason = "replicas ended under it and none has answered"
 	// ExtraUsed means that the bound on extra sends is reached.
 	ExtraUsed Reason = "the bound on extra sends is reached"
 )
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -26,6 +26,10 @@
 		s.failed = true
 		return
 	}
+	if m.oneAtATime() {
+		s.held = s.live == 0
+		return
+	}
 	if m.again(i, Retry) || s.live > 0 {
 		return
 	}
@@ -80,6 +84,10 @@
 
 // retryRefused asks a replica again that had no room; all of them were tried.
 func (m *Machine) retryRefused(i int) {
+	if m.oneAtATime() {
+		m.services[i].held = true
+		return
+	}
 	choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
 	if !ok || !m.spend(i) {
 		why := ExtraUsed
@@ -108,5 +116,9 @@
 		m.withhold(i, Hedge, MustNotRepeat)
 		return
 	}
+	if m.oneAtATime() {
+		m.withhold(i, Hedge, Unproven)
+		return
+	}
 	m.again(i, Hedge)
 }
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -31,6 +31,8 @@
 	Hedge time.Duration
 	// FarExtra is how much longer that is for a replica in another data centre.
 	FarExtra time.Duration
+	// Suspect is set when replicas have ended under the request before: see oneAtATime.
+	Suspect bool
 }
 
 // Chooser is what the machine asks of the node's beliefs.
@@ -64,6 +66,8 @@
 type send struct {
 	service int
 	live    bool
+	// alone is set when nothing else of a request that goes to one replica at a time was in work.
+	alone bool
 }
 
 // service is one shard of the request.
@@ -74,6 +78,8 @@
 	live   int
 	part   int
 	failed bool
+	// held is set while a send waits for the first answer to the request.
+	held bool
 	// lates counts how often the running send was found late.
 	lates int
 	// hedgeAt is when the running send is late, 0 for never; retryAt is when a
@@ -92,8 +98,13 @@
 	sends    []send
 	result   Result
 	finished bool
-	now      core.Time
-	actions  []Action
+	// broken counts the replicas that ended the connection in place of an answer; proven is set once one has
+	// answered, and gaveUp once one broke off that nothing else of the request was in work at.
+	broken  int
+	proven  bool
+	gaveUp  bool
+	now     core.Time
+	actions []Action
 }
 
 // New makes the machine of one request.
@@ -123,6 +134,7 @@
 	case GiveUp:
 		m.plan.Deadline = min(m.plan.Deadline, now)
 	}
+	m.sendHeld()
 	m.conclude()
 	if !m.finished {
 		m.wake()
@@ -150,6 +162,10 @@
 	if found < m.plan.Least || m.rejectEarly(choices) {
 		return
 	}
+	if m.oneAtATime() {
+		m.hold(choices)
+		return
+	}
 	for i, choice := range choices {
 		if choice != nil {
 			m.send(i, *choice, First)
@@ -159,6 +175,7 @@
 
 func (m *Machine) send(i int, to replica.Choice, cause Cause) {
 	s := &m.services[i]
+	alone := m.oneAtATime()
 	s.tried = append(s.tried, to.ID)
 	s.sent++
 	s.live++
@@ -169,8 +186,8 @@
 	if to.Far && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.FarExtra
 	}
-	m.sends = append(m.sends, send{service: i, live: true})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause})
+	m.sends = append(m.sends, send{service: i, live: true, alone: alone})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause, Alone: alone})
 }
 
 func (m *Machine) ended(e Ended) {
@@ -184,6 +201,7 @@
 	if e.Verdict == Failed {
 		m.result.MayHaveRun = true
 	}
+	m.noteProof(one, e)
 	if s.settled() {
 		return
 	}
--- /dev/null
+++ b/internal/core/scatter/unproven.go
@@ -0,0 +1,96 @@
+package scatter
+
+import "github.com/pistachiopier/pistachiopier/internal/core/replica"
+
+// oneAtATime reports whether the request may end the replicas that run it: some have ended the connection in place
+// of an answer, in this try or under the request before, and none has answered.
+//
+// The failure: a request ends each replica that begins to run it. Sent to all shards at once, and then to
+// the other replica of each, it ends them all. It holds since further sends wait for the first answer: a
+// request that harms nobody has one within an answer time, mostly from another shard; the one that does harm ends the
+// replicas of its first sends and one more.
+func (m *Machine) oneAtATime() bool {
+	return (m.plan.Suspect || m.broken > 0) && !m.proven
+}
+
+// noteProof takes up what an end says of the request.
+func (m *Machine) noteProof(one *send, e Ended) {
+	switch {
+	case e.Verdict == Whole:
+		m.proven = true
+	case e.Verdict == Failed && e.Broken:
+		m.broken++
+		m.gaveUp = m.gaveUp || one.alone
+	}
+}
+
+// hold lets the first sends wait for a first answer.
+func (m *Machine) hold(choices []*replica.Choice) {
+	for i, choice := range choices {
+		m.services[i].held = choice != nil
+	}
+}
+
+// sendHeld makes the sends that waited, all once the request is proven, one when nothing else of it is in work.
+func (m *Machine) sendHeld() {
+	switch {
+	case m.gaveUp && !m.proven:
+		m.dropHeld()
+	case !m.oneAtATime():
+		for i := range m.services {
+			m.release(i)
+		}
+	case !m.inWork():
+		for i := range m.services {
+			if m.release(i) {
+				return
+			}
+		}
+	}
+}
+
+// dropHeld gives up what waited: the request has most probably ended another replica.
+func (m *Machine) dropHeld() {
+	for i := range m.services {
+		s := &m.services[i]
+		if s.held {
+			m.withhold(i, Retry, Unproven)
+			s.held, s.failed = false, true
+		}
+	}
+}
+
+// release makes a send that waited and reports whether there was one. Where none can be made the service
+// is given up.
+func (m *Machine) release(i int) bool {
+	s := &m.services[i]
+	if !s.held {
+		return false
+	}
+	s.held = false
+	if s.settled() {
+		return false
+	}
+	if m.again(i, s.nextCause()) {
+		return true
+	}
+	s.failed = s.live == 0
+	return false
+}
+
+// nextCause is that of the service's next send.
+func (s *service) nextCause() Cause {
+	if len(s.tried) == 0 {
+		return First
+	}
+	return Retry
+}
+
+func (m *Machine) inWork() bool {
+	for _, one := range m.sends {
+		if one.live {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -143,7 +143,7 @@
 	var direct []*exchange
 	ways := map[way][]*exchange{}
 	for _, one := range started {
-		if !one.send.Far || one.send.Cause == scatter.Retry {
+		if !one.send.Far || one.send.Cause == scatter.Retry || one.send.Alone {
 			direct = append(direct, one)
 			continue
 		}
@@ -270,7 +270,7 @@
 		if one == nil {
 			continue
 		}
-		one.verdict = scatter.Verdict(part.GetVerdict())
+		one.verdict, one.broken = scatter.Verdict(part.GetVerdict()), part.GetBroken()
 		one.took = time.Duration(part.GetTookUs()) * time.Microsecond
 		one.pauseEnded = time.Duration(part.GetPauseEndedMs()) * time.Millisecond
 		if part.GetStatus() != 0 {
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -152,7 +152,7 @@
 	reply := &peerpb.DelegateReply{Apart: r.apart}
 	var parts [][]byte
 	for _, one := range r.pending {
-		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds()), PauseEndedMs: r.pauseEnded(one)}
+		part := &peerpb.DelegatedPart{Id: uint32(one.send.ID), Verdict: uint32(one.verdict), TookUs: uint64(one.took.Microseconds()), PauseEndedMs: r.pauseEnded(one), Broken: one.broken}
 		switch {
 		case one.verdict == scatter.Whole:
 			part.Status, part.Stamp = uint32(one.response.Status), platform.Stamp(one.response.Header)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform"
@@ -78,6 +79,10 @@
 		n.refuse(w, r, "the route has no service with a weight", retryNoReplica)
 		return
 	}
+	if q.standing == quarantine.SetAside {
+		n.rejectSetAside(w, q)
+		return
+	}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	defer q.closeRests()
@@ -117,8 +122,12 @@
 }
 
 func writeRefusal(w http.ResponseWriter, retryAfter time.Duration) {
+	writeRefusalFor(w, "not run, come back later", retryAfter)
+}
+
+func writeRefusalFor(w http.ResponseWriter, why string, retryAfter time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
-	http.Error(w, "not run, come back later", http.StatusServiceUnavailable)
+	http.Error(w, why, http.StatusServiceUnavailable)
 }
 
 // newRequest reads a request whole and plans it. The second result is the status of
@@ -143,6 +152,8 @@
 	}
 	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
 	q.services = q.plan.Services
+	_, q.standing = n.quarantine.Standing(q.identity)
+	q.plan.Suspect = q.standing == quarantine.Suspect
 	return q, 0
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -123,6 +123,9 @@
 	observe.Counter(m.registry, "replicas_ended_in_work_total").Inc(1)
 }
 
+// setAside counts a request that is rejected from now on.
+func (m *nodeMetrics) setAside() { observe.Counter(m.registry, "requests_set_aside_total").Inc(1) }
+
 // restarted counts a replica that started again under its id.
 func (m *nodeMetrics) restarted() { observe.Counter(m.registry, "replicas_restarted_total").Inc(1) }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -33,6 +33,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/mirror"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	shared "github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/internal/traffic"
 	"github.com/pistachiopier/pistachiopier/platform"
@@ -79,6 +80,8 @@
 	lastCall chan struct{}
 	inFlight atomic.Int64
 	helpers  helpers
+	// quarantine knows the requests that may end the replicas that run them.
+	quarantine *shared.Duty
 	// delegated counts the groups of sends in work for other nodes.
 	delegated atomic.Int64
 	ready     atomic.Bool
@@ -119,6 +122,7 @@
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replicas.OnEnded(n.replicaEnded)
+	n.quarantine = shared.New(shared.Options{Now: n.now, Changed: n.standingChanged})
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
 	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, heartbeat: func() time.Duration { return n.settings.Load().Heartbeat }, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
 	return n
@@ -186,7 +190,11 @@
 		Problems:    observe.NewProblems(n.now),
 		InForce:     func() (uint64, uint64) { return n.configVersion(), 0 },
 		Heard:       n.heardVersion,
+
+		Quarantine:      n.quarantine.Digest,
+		HeardQuarantine: n.heardQuarantine,
 	})
+	n.quarantine.Start(n.pool)
 	n.pool.OnLink(n.linkNews)
 	return nil
 }
@@ -213,6 +221,13 @@
 	}
 }
 
+// heardQuarantine takes what another node knows of requests that are set aside.
+func (n *Node) heardQuarantine(from core.NodeID, digest uint64) {
+	if known, ok := n.view().Node(from); ok && n.ready.Load() {
+		n.quarantine.Heard(peer.Target{Node: known.ID, Address: known.PeerAddress}, digest)
+	}
+}
+
 // linkNews takes the evidence of data traffic about the node behind a link.
 func (n *Node) linkNews(news peer.LinkNews) {
 	if news.State == peer.LinkAnswers {
@@ -262,6 +277,8 @@
 		n.mirror.Handle(inbound)
 	case inbound.Envelope.GetDelegateRequest() != nil:
 		n.handleDelegate(inbound)
+	case inbound.Envelope.GetQuarantineNews() != nil:
+		n.quarantine.Handle(inbound)
 	default:
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 	}
@@ -369,6 +386,7 @@
 		state["evacuated"] = book.Evacuated()
 	})
 	state["replicas"] = replicas
+	state["quarantine"] = n.quarantine.Requests()
 	return state
 }
 
--- /dev/null
+++ b/internal/edge/quarantine.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
+	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
+	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+)
+
+// inWork is a send that the connections to replicas hold for its request.
+type inWork struct {
+	request *request
+	send    *exchange
+}
+
+// identity is what makes the request the same over all its tries.
+func (q *request) identity() quarantine.Identity {
+	return quarantine.Identity{Method: q.template.Method, Host: q.template.Host, Target: q.template.Target, Caller: q.caller.String(), Body: q.template.Body}
+}
+
+// maxDescribed bounds the path in a description, in bytes.
+const maxDescribed = 100
+
+// describe names the request to operators.
+func (q *request) describe() string {
+	return q.template.Method + " " + q.template.Host + q.template.Target[:min(len(q.template.Target), maxDescribed)] + " (" + q.route.Name + ") from " + q.caller.String()
+}
+
+// noteAnswered takes that a replica has answered the request: it ends none by itself.
+func (q *request) noteAnswered() {
+	if q.answered.Swap(true) {
+		return
+	}
+	q.node.quarantine.Answered(q.identity)
+}
+
+// noteTrial takes the end of a send that was the only one of a suspected request in work. Whether the replica ended
+// may not be seen by anyone, so that a trial without an answer counts by itself.
+func (q *request) noteTrial(one *exchange) {
+	if one.send.Alone && one.verdict == scatter.Failed {
+		q.node.quarantine.Seen(q.identity(), q.describe(), one.send.Replica.Life(), quarantine.Trial)
+	}
+}
+
+// maxEndedRequests bounds the requests that the line on an ended replica names: a replica that runs more
+// has very many slots.
+const maxEndedRequests = 16
+
+// endedRequest is a request that was in work at a replica that ended, as the log names it.
+type endedRequest struct {
+	ID     string `json:"id"`
+	Key    string `json:"key"`
+	Caller string `json:"caller"`
+	Route  string `json:"route"`
+}
+
+// replicaEnded takes that a replica has ended, with the sends that were in work there. A request that another
+// replica has answered meanwhile is not suspected.
+func (n *Node) replicaEnded(life replica.Incarnation, requests []*replicaconn.Request) {
+	var named []endedRequest
+	fields := decisionlog.Fields{"replica": life.ID, "born": life.Born, "in_work": len(requests)}
+	for _, one := range requests {
+		work, ok := one.Work.(inWork)
+		if !ok {
+			continue
+		}
+		q := work.request
+		fields["service"] = work.send.send.Replica.Service
+		if len(named) < maxEndedRequests {
+			named = append(named, endedRequest{ID: q.id, Key: q.identity().Key().String(), Caller: q.caller.String(), Route: q.route.Name})
+		}
+		if q.answered.Load() {
+			continue
+		}
+		fact := quarantine.Ended
+		if work.send.send.Alone {
+			fact |= quarantine.Trial
+		}
+		n.quarantine.Seen(q.identity(), q.describe(), life, fact)
+	}
+	fields["requests"] = named
+	n.metrics.replicaEnded()
+	n.log.Life("replica_ended", fields)
+}
+
+// standingEvents are the log's names for what a request becomes.
+var standingEvents = map[quarantine.Standing]string{
+	quarantine.Trusted: "request_cleared", quarantine.Suspect: "request_suspected", quarantine.SetAside: "request_set_aside",
+}
+
+// standingChanged tells what a request has become, and by whom that is known. Requests that are set aside are told
+// whatever else is in the log: operators have to find them at once.
+func (n *Node) standingChanged(change quarantine.Change, from core.NodeID) {
+	record := change.Record
+	if record.Standing() == change.Former {
+		return
+	}
+	fields := decisionlog.Fields{"key": record.Key.String(), "what": record.What, "former": change.Former.String(), "replicas_ended": record.Ended(), "from": from}
+	event := standingEvents[record.Standing()]
+	if record.Standing() == quarantine.SetAside {
+		n.metrics.setAside()
+		n.log.Life(event, fields)
+		return
+	}
+	n.log.Decision(event, fields)
+}
+
+// retrySetAside is the time to come back that goes with the rejection of a request that is set aside.
+const retrySetAside = time.Minute
+
+// rejectSetAside answers a request under which replicas ended. It has not run.
+func (n *Node) rejectSetAside(w http.ResponseWriter, q *request) {
+	n.metrics.refused()
+	n.log.Decision("request_refused", decisionlog.Fields{"request": q.id, "cause": "replicas ended under it each time it ran", "key": q.identity().Key().String(), "retry_after_ms": retrySetAside.Milliseconds()})
+	writeRefusalFor(w, "not run: replicas ended under this request each time it ran", retrySetAside)
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
@@ -39,8 +40,11 @@
 	// over is closed when nobody waits for the ends of sends any more.
 	over chan struct{}
 	// left is set when the caller went away.
-	left  atomic.Bool
-	trail []step
+	left atomic.Bool
+	// standing is what was known of the request when it came; answered is set once a replica has answered it.
+	standing quarantine.Standing
+	answered atomic.Bool
+	trail    []step
 }
 
 // exchange is one send and how it ended.
@@ -56,6 +60,8 @@
 	response *replicaconn.Response
 	err      error
 	verdict  scatter.Verdict
+	// broken is set when the replica ended the connection in place of an answer.
+	broken bool
 	// took is how long the replica took, without the way through another node.
 	took time.Duration
 	// pauseEnded is how long ago, by another node, a pause of the replica ended; 0 where it knows none.
@@ -100,7 +106,7 @@
 		q.noteEnd(one)
 	}
 	for _, one := range ends {
-		result := q.perform(ctx, machine.Step(q.node.now(), scatter.Ended{Send: one.send.ID, Verdict: one.verdict}), timer)
+		result := q.perform(ctx, machine.Step(q.node.now(), scatter.Ended{Send: one.send.ID, Verdict: one.verdict, Broken: one.broken}), timer)
 		if result != nil {
 			return result
 		}
@@ -249,6 +255,8 @@
 	wire.MaxConnections = q.node.connectionShare(q.config, one.send.Replica)
 	one.response, one.err = q.node.replicas.Do(ctx, &wire)
 	one.verdict = q.judge(one)
+	one.broken = brokenByReplica(one.err)
+	q.noteTrial(one)
 	one.took = q.node.now() - one.startAt
 	q.learn(one)
 }
@@ -276,6 +284,12 @@
 	}
 }
 
+// brokenByReplica reports whether the replica ended the connection in place of an answer.
+func brokenByReplica(err error) bool {
+	var failed *replicaconn.Error
+	return errors.As(err, &failed) && failed.Broken
+}
+
 func success(status int) bool { return status >= 200 && status < 300 }
 
 // learn takes the end of an exchange into the node's beliefs. A send that was given
@@ -290,6 +304,7 @@
 	q.node.metrics.send(one.send.Replica.Service, one.verdict, one.took)
 	switch one.verdict {
 	case scatter.Whole:
+		q.noteAnswered()
 		b.answered(q.route, life, one.took)
 	case scatter.Failed:
 		b.note(func(book *replica.Book, now core.Time) { book.Failed(life, now) })
@@ -329,6 +344,7 @@
 	if platform.Stamp(response.Header) == "" || response.Status >= 500 {
 		return
 	}
+	q.noteAnswered()
 	q.node.beliefs.answeredLate(q.route, one.send.Replica.Life(), q.node.now()-one.startAt)
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -64,6 +64,7 @@
 	}
 	if n.members != nil {
 		n.members.Close()
+		n.quarantine.Close()
 	}
 	if n.server != nil {
 		_ = n.server.Close()
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -15,13 +15,14 @@
 
 // HandleHeartbeat takes a peer's heartbeat. A full ring refuses it.
 func (d *Duty) HandleHeartbeat(inbound *peer.Inbound) {
-	message := Decode(inbound.Envelope.GetHeartbeat())
+	heartbeat := inbound.Envelope.GetHeartbeat()
+	message := Decode(heartbeat)
 	if message.From.ID != inbound.From.Node {
 		// Only the node that its certificate names speaks for itself.
 		inbound.Reply(peer.Refused(core.ReasonNotAsked), true)
 		return
 	}
-	d.heard(message)
+	d.heard(message, heartbeat.GetQuarantine())
 	ticket := d.keep(inbound)
 	if !d.events.TryPut(member.Received{Ticket: ticket, Message: message}) {
 		d.take(ticket)
@@ -29,11 +30,23 @@
 	}
 }
 
-// heard passes on the configuration that the sender has in force.
-func (d *Duty) heard(message *member.Message) {
+// heard passes on the configuration that the sender has in force, and what it knows of requests that are set aside.
+func (d *Duty) heard(message *member.Message, quarantine uint64) {
 	if d.options.Heard != nil {
 		d.options.Heard(message.From.ID, message.Revision, message.Digest)
 	}
+	if d.options.HeardQuarantine != nil {
+		d.options.HeardQuarantine(message.From.ID, quarantine)
+	}
+}
+
+// heartbeat is a message as it travels.
+func (d *Duty) heartbeat(message *member.Message) *peerpb.Envelope {
+	heartbeat := Encode(message)
+	if d.options.Quarantine != nil {
+		heartbeat.Quarantine = d.options.Quarantine()
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: heartbeat}}
 }
 
 // keep holds a heartbeat until the machine answers it by its ticket.
@@ -55,7 +68,7 @@
 
 // send asks a node; its reply or failure comes back as an event.
 func (d *Duty) send(a member.Send) {
-	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: Encode(a.Message)}}
+	envelope := d.heartbeat(a.Message)
 	target := peer.Target{Node: a.To.ID, Address: a.To.PeerAddress}
 	ticket := d.options.Peers.Ask(target, envelope, func(reply *peerpb.Envelope, failure *peer.LinkError) {
 		if failure != nil || reply.GetHeartbeat() == nil {
@@ -63,7 +76,7 @@
 			return
 		}
 		message := Decode(reply.GetHeartbeat())
-		d.heard(message)
+		d.heard(message, reply.GetHeartbeat().GetQuarantine())
 		d.events.TryPut(member.Replied{Probe: a.Probe, Message: message})
 	})
 	d.asked[a.Probe] = asked{ticket: ticket, at: d.options.Now()}
@@ -72,7 +85,7 @@
 func (d *Duty) reply(a member.Reply) {
 	inbound := d.take(a.Ticket)
 	if inbound != nil {
-		inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: Encode(a.Message)}}, true)
+		inbound.Reply(d.heartbeat(a.Message), true)
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -45,6 +45,10 @@
 	InForce func() (revision, digest uint64)
 	// Heard, when set, is told the configuration that each heartbeat names.
 	Heard func(node core.NodeID, revision, digest uint64)
+	// Quarantine, when set, sums up what this node knows of requests that are set aside; HeardQuarantine is told
+	// what each heartbeat says of them.
+	Quarantine      func() uint64
+	HeardQuarantine func(node core.NodeID, digest uint64)
 }
 
 // Duty is one node's membership. Its machine runs on one goroutine; the VM list
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -104,6 +104,17 @@
 	return len(p.links)
 }
 
+// Linked lists the peers with a link.
+func (p *Pool) Linked() []Target {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	targets := make([]Target, 0, len(p.links))
+	for _, one := range p.links {
+		targets = append(targets, one.target)
+	}
+	return targets
+}
+
 // Ask implements Asker.
 func (p *Pool) Ask(target Target, request *peerpb.Envelope, sink Sink) Ticket {
 	request.Id = p.nextID.Add(1)
--- /dev/null
+++ b/internal/quarantine/codec.go
@@ -0,0 +1,46 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+const (
+	// maxWhat bounds the description that is taken from another node, in bytes.
+	maxWhat = 256
+	// maxLives bounds the incarnations in one record, whoever sends it.
+	maxLives = 256
+)
+
+func encode(record *quarantine.Record, now core.Time) *peerpb.QuarantineRecord {
+	out := &peerpb.QuarantineRecord{Key: record.Key[:], Head: record.Head[:], What: record.What, AgeMs: uint64(max(now-record.SeenAt, 0).Milliseconds())}
+	for _, life := range slices.Sorted(maps.Keys(record.Facts)) {
+		out.Lives = append(out.Lives, uint64(life))
+		out.Marks = append(out.Marks, byte(record.Facts[life]))
+	}
+	return out
+}
+
+// decode reads a record; false when it names no request or its lists do not fit together.
+func decode(in *peerpb.QuarantineRecord, now core.Time) (quarantine.Record, bool) {
+	key, named := quarantine.KeyFrom(in.GetKey())
+	head, headed := quarantine.KeyFrom(in.GetHead())
+	lives, marks := in.GetLives(), in.GetMarks()
+	if !named || !headed || len(lives) != len(marks) || len(lives) > maxLives {
+		return quarantine.Record{}, false
+	}
+	what := in.GetWhat()
+	record := quarantine.Record{
+		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{},
+		SeenAt: now - time.Duration(in.GetAgeMs())*time.Millisecond,
+	}
+	for i, life := range lives {
+		record.Facts[quarantine.Life(life)] = quarantine.Fact(marks[i])
+	}
+	return record, true
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,327 @@
+// Package quarantine is the duty that tells the other nodes which requests replicas have ended under, and takes up
+// what they tell. The decisions are those of internal/core/quarantine.
+package quarantine
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+)
+
+const (
+	// gather is how long news is gathered before it is told: the replicas of many shards end within milliseconds of
+	// each other.
+	gather = 5 * time.Millisecond
+	// compareEvery is how often two nodes that know different things of requests that are set aside tell each other all.
+	compareEvery = time.Second
+	// maxWhole bounds the records in one message, at up to 0.7 KB each.
+	maxWhole = 64
+	// expireEvery is how often requests that have not come for long are looked for.
+	expireEvery = time.Minute
+)
+
+// Links are the other nodes that this one has links to, and asks.
+type Links interface {
+	peer.Asker
+	Linked() []peer.Target
+}
+
+// Options are the parts of a Duty.
+type Options struct {
+	// Now reads the node's monotonic clock.
+	Now func() core.Time
+	// Changed, when set, is told each change; from is the node that told it, "" for this one. It must not block.
+	Changed func(change quarantine.Change, from core.NodeID)
+}
+
+// Duty holds what a node knows of requests that may end the replicas that run them.
+type Duty struct {
+	options Options
+	links   Links
+	ctx     context.Context
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	// wake holds one element when there is news to tell.
+	wake chan struct{}
+	// known is the number of requests that are remembered: on calm days each request pays for reading it.
+	known atomic.Int64
+	// digest is the ledger's.
+	digest atomic.Uint64
+
+	mutex  sync.Mutex
+	ledger *quarantine.Ledger
+	// news are the requests to be told of, and the node that told this one, which need not hear it again.
+	news map[quarantine.Key]core.NodeID
+	// compared is when each node was last asked for all.
+	compared map[core.NodeID]core.Time
+}
+
+// New makes a duty that knows of no request; Start lets it tell others.
+func New(options Options) *Duty {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Duty{
+		options: options, ctx: ctx, stop: stop, wake: make(chan struct{}, 1),
+		ledger: quarantine.NewLedger(), news: map[quarantine.Key]core.NodeID{}, compared: map[core.NodeID]core.Time{},
+	}
+}
+
+// Start begins to tell the other nodes.
+func (d *Duty) Start(links Links) {
+	d.links = links
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		d.run()
+	}()
+}
+
+// Close ends the duty.
+func (d *Duty) Close() {
+	d.stop()
+	d.done.Wait()
+}
+
+// Digest sums up what is known of requests that are set aside; 0 is nothing.
+func (d *Duty) Digest() uint64 { return d.digest.Load() }
+
+// Standing is how a request that has come is treated. Where no request is remembered, or none that differs by
+// its body alone, identity is not read further.
+func (d *Duty) Standing(identity func() quarantine.Identity) (quarantine.Key, quarantine.Standing) {
+	if d.known.Load() == 0 {
+		return quarantine.Key{}, quarantine.Trusted
+	}
+	one := identity()
+	head := one.Head()
+	d.mutex.Lock()
+	likely := d.ledger.KnowsHead(head)
+	d.mutex.Unlock()
+	if !likely {
+		return quarantine.Key{}, quarantine.Trusted
+	}
+	key := head.With(one.Body)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return key, d.ledger.See(key, d.options.Now())
+}
+
+// Seen takes what came of a request at a replica: that it ended, or gave a trial no answer.
+func (d *Duty) Seen(identity quarantine.Identity, what string, life replica.Incarnation, fact quarantine.Fact) {
+	now := d.options.Now()
+	head := identity.Head()
+	record := quarantine.Record{Key: head.With(identity.Body), Head: head, What: what, SeenAt: now, Facts: map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}}
+	d.take("", func() []quarantine.Change { return d.ledger.Merge(record, now) })
+}
+
+// Answered takes that a replica has answered a request.
+func (d *Duty) Answered(identity func() quarantine.Identity) {
+	if d.known.Load() == 0 {
+		return
+	}
+	key := identity().Key()
+	d.take("", func() []quarantine.Change { return d.ledger.Answered(key) })
+}
+
+// lifeOf names an incarnation of a replica.
+func lifeOf(life replica.Incarnation) quarantine.Life {
+	var born [8]byte
+	binary.BigEndian.PutUint64(born[:], uint64(life.Born))
+	return quarantine.Life(xxhash.Sum64String(life.ID + string(born[:])))
+}
+
+// take changes the ledger, and tells what is new.
+func (d *Duty) take(from core.NodeID, change func() []quarantine.Change) {
+	d.mutex.Lock()
+	changes := change()
+	for _, one := range changes {
+		if one.New {
+			d.news[one.Record.Key] = from
+		}
+		if d.options.Changed != nil {
+			d.options.Changed(one, from)
+		}
+	}
+	d.note()
+	d.mutex.Unlock()
+	if len(changes) == 0 {
+		return
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// note keeps what is read without the mutex, which must be held.
+func (d *Duty) note() {
+	d.known.Store(int64(d.ledger.Len()))
+	d.digest.Store(d.ledger.Digest())
+}
+
+// Request is what operators see of a request that is remembered.
+type Request struct {
+	Key      string        `json:"key"`
+	What     string        `json:"what"`
+	Standing string        `json:"standing"`
+	Ended    int           `json:"replicas_ended"`
+	Since    time.Duration `json:"-"`
+	SinceMs  int64         `json:"since_ms"`
+}
+
+// Requests lists the requests that are not trusted, the most severe first.
+func (d *Duty) Requests() []Request {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.options.Now()
+	var list []Request
+	for _, one := range d.ledger.Records() {
+		if one.Standing() == quarantine.Trusted {
+			continue
+		}
+		since := now - one.FirstAt
+		list = append(list, Request{Key: one.Key.String(), What: one.What, Standing: one.Standing().String(), Ended: one.Ended(), Since: since, SinceMs: since.Milliseconds()})
+	}
+	return list
+}
+
+func (d *Duty) run() {
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-expire.C:
+			d.expire()
+		case <-d.wake:
+			if !d.pause() {
+				return
+			}
+			d.tell()
+		}
+	}
+}
+
+// pause lets news gather; it reports false when the duty ends.
+func (d *Duty) pause() bool {
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *Duty) expire() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.ledger.Expire(d.options.Now())
+	d.note()
+}
+
+// tell passes news on over each link. Links make a net that joins all nodes, and each passes on what it did not know: so
+// news reaches every node within some round trips, over whichever links hold.
+func (d *Duty) tell() {
+	records, sources := d.takeNews()
+	if len(records) == 0 {
+		return
+	}
+	for _, target := range d.links.Linked() {
+		message := &peerpb.QuarantineNews{}
+		for i, one := range records {
+			if sources[i] != target.Node {
+				message.Records = append(message.Records, one)
+			}
+		}
+		if len(message.Records) > 0 {
+			d.ask(target, message)
+		}
+	}
+}
+
+func (d *Duty) takeNews() (records []*peerpb.QuarantineRecord, sources []core.NodeID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.options.Now()
+	for key, from := range d.news {
+		if known := d.ledger.Get(key); known != nil {
+			records, sources = append(records, encode(known, now)), append(sources, from)
+		}
+	}
+	clear(d.news)
+	return records, sources
+}
+
+func (d *Duty) ask(target peer.Target, message *peerpb.QuarantineNews) {
+	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_QuarantineNews{QuarantineNews: message}}
+	d.links.Ask(target, envelope, func(reply *peerpb.Envelope, failure *peer.LinkError) {
+		// What a lost link did not carry is found by comparing digests.
+		if failure == nil {
+			d.takeUp(target.Node, reply.GetQuarantineNews())
+		}
+	})
+}
+
+// Heard compares what another node knows of requests that are set aside, and asks it for all where that differs. A
+// node that has started, or comes back from behind a partition, so has what it missed with the first heartbeat.
+func (d *Duty) Heard(from peer.Target, digest uint64) {
+	if digest == d.digest.Load() {
+		return
+	}
+	now := d.options.Now()
+	d.mutex.Lock()
+	last, asked := d.compared[from.Node]
+	if asked && now-last < compareEvery {
+		d.mutex.Unlock()
+		return
+	}
+	d.compared[from.Node] = now
+	message := &peerpb.QuarantineNews{Records: d.all(now), All: true}
+	d.mutex.Unlock()
+	d.ask(from, message)
+}
+
+// all lists what is known, the most severe first; the mutex must be held.
+func (d *Duty) all(now core.Time) []*peerpb.QuarantineRecord {
+	var list []*peerpb.QuarantineRecord
+	for _, one := range d.ledger.Records() {
+		if one.Standing() == quarantine.Trusted || len(list) >= maxWhole {
+			break
+		}
+		list = append(list, encode(one, now))
+	}
+	return list
+}
+
+// Handle takes what another node tells.
+func (d *Duty) Handle(inbound *peer.Inbound) {
+	message := inbound.Envelope.GetQuarantineNews()
+	d.takeUp(inbound.From.Node, message)
+	reply := &peerpb.QuarantineNews{}
+	if message.GetAll() {
+		d.mutex.Lock()
+		reply.Records = d.all(d.options.Now())
+		d.mutex.Unlock()
+	}
+	inbound.Reply(&peerpb.Envelope{Body: &peerpb.Envelope_QuarantineNews{QuarantineNews: reply}}, true)
+}
+
+func (d *Duty) takeUp(from core.NodeID, message *peerpb.QuarantineNews) {
+	for _, one := range message.GetRecords() {
+		now := d.options.Now()
+		if record, ok := decode(one, now); ok {
+			d.take(from, func() []quarantine.Change { return d.ledger.Merge(record, now) })
+		}
+	}
+}
