A request is known by what replicas see of it, and by a broad name where it comes in other forms

The identity held the address that a request comes from, which replicas do not see and which differs where a caller comes through several hosts. It is now the method, host, path, query, body and the header lines that all tries have in common. Besides, a broad name passes over query and header lines: it speaks against a request once replicas have ended under two exact names of it and no request that bears it was answered since, so that a path that others use is cleared by them. Hedges of a question over shards wait for the first answer of any shard: those of a deadly one end the other replica of each shard before the first has ended. The test of reasons for sends that are not made now gives one answer first; that hedges wait before has a test of its own. Tests: other addresses, other queries, the body alone, a node that joins later, a popular question at a crash of its data centre.

--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -30,36 +30,53 @@
 	return key, true
 }
 
-// Identity is what makes two tries the same request.
+// Identity is what two tries of one request have in common.
 type Identity struct {
 	Method string
 	Host   string
-	// Target is the path with the query, as the caller sent it.
-	Target string
-	// Caller is the address that the request came from, without its port.
+	// Path is the path as the caller sent it, Query what follows it.
+	Path  string
+	Query string
+	// Caller is what replicas are told of the caller: the header lines that are the same for all tries. The address
+	// that a request comes from is no part of it. Replicas do not see it, and a caller has several.
 	Caller string
 	Body   []byte
 }
 
-// Head is the key of the request without its body. Each part goes with its length: the end of one is not the
-// beginning of the next.
-func (i Identity) Head() Key {
-	var joined []byte
-	for _, part := range []string{i.Method, i.Host, i.Target, i.Caller} {
-		joined = binary.BigEndian.AppendUint64(joined, uint64(len(part)))
-		joined = append(joined, part...)
-	}
-	digest := sha256.Sum256(joined)
-	return Key(digest[:keyBytes])
+// Names are the keys of a request: an exact one, and a broad one that passes over the query and the caller.
+//
+// The failure: the same request comes with another query, or with a header line that differs each time, and looks like
+// one that is not known. The broad name speaks against a request only where replicas have ended under several exact ones
+// of it, and none that bears it has been answered since: a path that others use as well is cleared by them.
+type Names struct{ Exact, Broad Key }
+
+// Heads are the names of the request without its body.
+func (i Identity) Heads() Names {
+	return Names{Exact: join(i.Method, i.Host, i.Path, i.Query, i.Caller), Broad: join(i.Method, i.Host, i.Path)}
 }
 
-// Key is the identity's key.
-func (i Identity) Key() Key { return i.Head().With(i.Body) }
+// Names are the identity's names.
+func (i Identity) Names() Names { return i.Heads().With(i.Body) }
+
+// With are the names of a request with these heads and a body.
+func (n Names) With(body []byte) Names {
+	return Names{Exact: n.Exact.with(body), Broad: n.Broad.with(body)}
+}
 
-// With is the key of a request with the head that k is of, and a body.
-func (k Key) With(body []byte) Key {
+func (k Key) with(body []byte) Key {
 	digest := sha256.New()
 	digest.Write(k[:])
 	digest.Write(body)
 	return Key(digest.Sum(nil)[:keyBytes])
 }
+
+// join makes a key of parts. Each goes with its length: the end of one is not the beginning of the next.
+func join(parts ...string) Key {
+	var joined []byte
+	for _, part := range parts {
+		joined = binary.BigEndian.AppendUint64(joined, uint64(len(part)))
+		joined = append(joined, part...)
+	}
+	digest := sha256.Sum256(joined)
+	return Key(digest[:keyBytes])
+}
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -30,9 +30,14 @@
 	// mostTrials is the number of trials without an answer that a request gets, whatever came of them: a trial may
 	// end a replica without any node seeing that.
 	mostTrials = 3
-	// maxRecords bounds the requests that are remembered, maxFacts the replicas of each.
-	maxRecords = 256
-	maxFacts   = 64
+	// enoughVariants is the number of exact names under which replicas must have ended for their broad one to
+	// speak against others.
+	enoughVariants = 2
+	// maxRecords bounds the names that are remembered, maxFacts the replicas of each and maxVariants the exact
+	// names of a broad one.
+	maxRecords  = 512
+	maxFacts    = 64
+	maxVariants = 8
 	// lasts is how long a request that does not come again is remembered.
 	lasts = time.Hour
 )
@@ -83,6 +88,8 @@
 	// What describes the request to operators.
 	What  string
 	Facts map[Life]Fact
+	// Variants are hashes of the exact names under which replicas ended, where Key is a broad one; none otherwise.
+	Variants map[uint64]struct{}
 	// FirstAt is when this node first heard of it, SeenAt when it or news of it came last.
 	FirstAt core.Time
 	SeenAt  core.Time
@@ -132,11 +139,19 @@
 // Len is the number of requests that are remembered.
 func (l *Ledger) Len() int { return len(l.records) }
 
-// KnowsHead reports whether any request is remembered that differs by its body alone.
-func (l *Ledger) KnowsHead(head Key) bool { return l.heads[head] > 0 }
+// KnowsHead reports whether any request is remembered that differs by its body alone, by its broad name or its exact
+// one.
+func (l *Ledger) KnowsHead(heads Names) bool {
+	return l.heads[heads.Exact] > 0 || l.heads[heads.Broad] > 0
+}
+
+// See is the standing of a request that has come, the more severe one of its names. It is remembered from now
+// on for as long again.
+func (l *Ledger) See(names Names, now core.Time) Standing {
+	return max(l.see(names.Exact, now), l.see(names.Broad, now))
+}
 
-// See is the standing of a request that has come; it is remembered from now on for as long again.
-func (l *Ledger) See(key Key, now core.Time) Standing {
+func (l *Ledger) see(key Key, now core.Time) Standing {
 	known := l.records[key]
 	if known == nil {
 		return Trusted
@@ -163,14 +178,31 @@
 	for life, fact := range told.Facts {
 		fresh = l.add(known, life, fact) || fresh
 	}
+	fresh = known.addVariants(told.Variants) || fresh
 	if !fresh {
 		return nil
 	}
 	return l.judge(known)
 }
 
-// Answered clears a request: a replica has answered it.
-func (l *Ledger) Answered(key Key) []Change {
+// addVariants takes up exact names of a broad one and reports whether any was not known.
+func (r *Record) addVariants(told map[uint64]struct{}) bool {
+	fresh := false
+	for one := range told {
+		if _, held := r.Variants[one]; !held && len(r.Variants) < maxVariants {
+			r.Variants[one] = struct{}{}
+			fresh = true
+		}
+	}
+	return fresh
+}
+
+// Answered clears a request by both of its names: a replica has answered it.
+func (l *Ledger) Answered(names Names) []Change {
+	return append(l.answered(names.Exact), l.answered(names.Broad)...)
+}
+
+func (l *Ledger) answered(key Key) []Change {
 	known := l.records[key]
 	if known == nil {
 		return nil
@@ -192,7 +224,7 @@
 	if len(l.records) >= maxRecords {
 		l.evict()
 	}
-	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Facts: map[Life]Fact{}, FirstAt: now, SeenAt: told.SeenAt}
+	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Facts: map[Life]Fact{}, Variants: map[uint64]struct{}{}, FirstAt: now, SeenAt: told.SeenAt}
 	l.records[told.Key] = begun
 	l.heads[told.Head]++
 	return begun
@@ -292,7 +324,7 @@
 
 func (l *Ledger) standing(r *Record) Standing {
 	weight := r.Ended()
-	if weight == 0 {
+	if weight == 0 || r.broad() && len(r.Variants) < enoughVariants {
 		return Trusted
 	}
 	trials, ended := 0, 0
@@ -311,13 +343,16 @@
 	return Suspect
 }
 
+func (r *Record) broad() bool { return len(r.Variants) > 0 }
+
 // contested reports whether another request was in work at a replica that ended, under which as many have ended.
 func (l *Ledger) contested(r *Record, weight int, life Life) bool {
 	for _, key := range l.at[life] {
-		if key == r.Key {
+		other := l.records[key]
+		if key == r.Key || other.broad() != r.broad() {
 			continue
 		}
-		if other := l.records[key]; other.Facts[life].counts(Ended) && other.Ended() >= weight {
+		if other.Facts[life].counts(Ended) && other.Ended() >= weight {
 			return true
 		}
 	}
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -116,7 +116,7 @@
 		m.withhold(i, Hedge, MustNotRepeat)
 		return
 	}
-	if m.oneAtATime() {
+	if m.oneAtATime() || m.mayEndAll() {
 		m.withhold(i, Hedge, Unproven)
 		return
 	}
--- a/internal/core/scatter/scatter_test.go
+++ b/internal/core/scatter/scatter_test.go
@@ -259,6 +259,7 @@
 	reason := func(plan Plan, chooser *fakeChooser) Reason {
 		m := New(plan, chooser)
 		m.Step(0, Begin{})
+		m.Step(5*ms, whole(0))
 		for _, action := range m.Step(15*ms, Tick{}) {
 			if withheld, ok := action.(Withheld); ok {
 				return withheld.Why
--- a/internal/core/scatter/unproven.go
+++ b/internal/core/scatter/unproven.go
@@ -13,6 +13,11 @@
 	return (m.plan.Suspect || m.broken > 0) && !m.proven
 }
 
+// mayEndAll reports whether a request over several shards has been answered by none yet. Its hedges wait for the first
+// answer: one that ends replicas would end the other one of each shard before the first has ended. Shards differ by
+// more than a hedge takes, so that nearly always one has answered by then.
+func (m *Machine) mayEndAll() bool { return len(m.services) > 1 && !m.proven }
+
 // noteProof takes up what an end says of the request.
 func (m *Machine) noteProof(one *send, e Ended) {
 	switch {
--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,21 +46,28 @@
 	return w
 }
 
-// tries sends a request once to each node in turn, whose replicas are all back before, and returns how
-// many replicas had ended before each try that reached some.
-func (w *world) tries(count int, method, target, body string) (endedBefore []int) {
+// deadlyTry is one try of the deadly request.
+type deadlyTry struct {
+	method, target, body string
+	// from is the address that it comes from.
+	from string
+}
+
+// tries sends the deadly request once to each node in turn, whose replicas are all back before, and returns how
+// many replicas had ended before each try that was begun by some.
+func (w *world) tries(count int, number func(i int) deadlyTry) (endedBefore []int) {
 	w.t.Helper()
 	ended := 0
 	for i := range count {
 		w.recover()
 		id := fmt.Sprintf("deadly-%d", i)
-		_, _, _ = w.try(w.nodes[i%len(w.nodes)], method, target, id, body)
-		reached, died := false, 0
+		w.tryDeadly(w.nodes[i%len(w.nodes)], number(i), id)
+		begun, died := false, 0
 		require.Eventually(w.t, func() bool {
-			reached, died = w.reachedBy(id)
-			return !reached || died > 0
-		}, patience, time.Millisecond, "the request ends what it reaches")
-		if reached {
+			begun, died = w.begun(id)
+			return !begun || died > 0
+		}, patience, time.Millisecond, "the request ends what begins it")
+		if begun {
 			endedBefore = append(endedBefore, ended)
 		}
 		ended += died
@@ -66,16 +75,35 @@
 	return endedBefore
 }
 
-// reachedBy reports whether a request was begun by any replica, and how many have ended in all. One that is
-// meant for a former incarnation is not begun.
-func (w *world) reachedBy(id string) (reached bool, died int) {
+// tryDeadly sends one try and returns its status, 0 for none.
+func (w *world) tryDeadly(one *node, try deadlyTry, id string) int {
+	w.t.Helper()
+	request, err := http.NewRequestWithContext(w.t.Context(), try.method, "http://"+one.Settings.CallerAddress+try.target, strings.NewReader(try.body))
+	require.NoError(w.t, err)
+	request.Host = "search.example"
+	request.Header.Set("Pistachiopier-Request-Id", id)
+	request.Header.Set("Pistachiopier-Deadline-Ms", "2000")
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(try.from)}}
+	client := http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// begun reports whether a request was begun by any replica, and how many have ended. One that is meant for a
+// former incarnation is not begun.
+func (w *world) begun(id string) (begun bool, died int) {
 	for _, one := range w.fleet.Replicas {
-		reached = reached || one.Runs(id) > 0
+		begun = begun || one.Runs(id) > 0
 		if one.Ended() {
 			died++
 		}
 	}
-	return reached, died
+	return begun, died
 }
 
 // recover starts what has ended again and waits until each node gives whole answers.
@@ -93,22 +121,94 @@
 	}
 }
 
-// Each kind of route sends the deadly request on each time it comes, and its replicas end each time.
+// requireFewSends requires that the deadly request reached replicas in few tries once it had ended three.
+func requireFewSends(t *testing.T, endedBefore []int) {
+	t.Helper()
+	left := 0
+	for _, ended := range endedBefore {
+		if ended >= enoughEnded {
+			left++
+		}
+	}
+	require.LessOrEqual(t, left, sendsLeft, "tries that were begun after it had ended three")
+}
+
+func everyTime(try deadlyTry) func(int) deadlyTry { return func(int) deadlyTry { return try } }
+
+// Each kind of route sends the deadly request on each time it comes, and its replicas end each time. It may come
+// through another gateway or with another query.
 func TestARequestThatEndsReplicasIsSetAside(t *testing.T) {
-	for name, one := range map[string]struct{ method, target, body string }{
-		"gathered":           {http.MethodGet, "/all/deadly?q=1", ""},
-		"plain":              {http.MethodGet, "/plain/deadly", ""},
-		"not to be repeated": {http.MethodPost, "/once/x", "deadly"},
+	const here = "127.0.0.1"
+	for name, number := range map[string]func(int) deadlyTry{
+		"gathered":           everyTime(deadlyTry{http.MethodGet, "/all/deadly?q=1", "", here}),
+		"plain":              everyTime(deadlyTry{http.MethodGet, "/plain/deadly", "", here}),
+		"not to be repeated": everyTime(deadlyTry{http.MethodPost, "/once/x", "deadly", here}),
+		"from several addresses": func(i int) deadlyTry {
+			return deadlyTry{http.MethodGet, "/all/deadly", "", fmt.Sprintf("127.0.0.%d", i+1)}
+		},
+		"with several queries": func(i int) deadlyTry {
+			return deadlyTry{http.MethodGet, fmt.Sprintf("/all/deadly?page=%d", i), "", here}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := deadlyWorld(t, func(seen platformtest.Seen) bool { return seen.Target == one.target && seen.Body == one.body })
-			left := 0
-			for _, ended := range w.tries(12, one.method, one.target, one.body) {
-				if ended >= enoughEnded {
-					left++
-				}
-			}
-			require.LessOrEqual(t, left, sendsLeft, "tries that reached replicas after it had ended three")
+			w := deadlyWorld(t, func(seen platformtest.Seen) bool {
+				return strings.Contains(seen.Target, "deadly") || seen.Body == "deadly"
+			})
+			requireFewSends(t, w.tries(12, number))
 		})
 	}
 }
+
+// Two requests differ by their bodies alone. The one ends replicas; the other, by the same caller, must not be
+// refused for it.
+func TestTheBodyAloneTellsTwoRequestsApart(t *testing.T) {
+	w := deadlyWorld(t, func(seen platformtest.Seen) bool { return seen.Body == "deadly" })
+	number := everyTime(deadlyTry{http.MethodPost, "/all/x", "deadly", "127.0.0.1"})
+	requireFewSends(t, w.tries(6, number))
+	w.recover()
+	for i, one := range w.nodes {
+		require.Equal(t, http.StatusServiceUnavailable, w.tryDeadly(one, number(0), fmt.Sprint("again-", i)))
+		require.Equal(t, http.StatusOK, w.tryDeadly(one, deadlyTry{http.MethodPost, "/all/x", "harmless", "127.0.0.1"}, fmt.Sprint("other-", i)))
+	}
+}
+
+// A node that joins later has heard nothing of the request when it starts, and would send it to all shards.
+func TestANodeThatJoinsLaterKnowsWhatIsSetAside(t *testing.T) {
+	w := deadlyWorld(t, func(seen platformtest.Seen) bool { return seen.Target == "/all/deadly" })
+	try := deadlyTry{http.MethodGet, "/all/deadly", "", "127.0.0.1"}
+	w.tries(4, everyTime(try))
+	w.startOne("west", nil)
+	w.ready()
+	w.recover()
+	late := w.nodes[len(w.nodes)-1]
+	w.line(late, "request_set_aside")
+	require.Equal(t, http.StatusServiceUnavailable, w.tryDeadly(late, try, "late"))
+	begun, _ := w.begun("late")
+	require.False(t, begun)
+}
+
+// All replicas of the nearest data centre crash at once, with a popular question in work that harms nobody. Its
+// next tries must be answered.
+func TestAQuestionInWorkAtACrashOfADataCentreIsServedOn(t *testing.T) {
+	w := deadlyWorld(t, func(platformtest.Seen) bool { return false })
+	for range 3 {
+		for i, one := range w.fleet.Replicas {
+			if i%2 == 0 {
+				one.SetAct(func(seen platformtest.Seen) platformtest.Act {
+					if strings.HasSuffix(seen.Target, "/popular") {
+						return platformtest.End
+					}
+					return platformtest.Answer
+				})
+			}
+		}
+		w.tryDeadly(w.nodes[0], deadlyTry{http.MethodGet, "/all/popular", "", "127.0.0.1"}, fmt.Sprint("popular-", time.Now().UnixNano()))
+		for _, one := range w.fleet.Replicas {
+			one.SetAct(always(platformtest.Answer))
+		}
+		w.recover()
+		for i, one := range w.nodes {
+			require.Equal(t, http.StatusOK, w.tryDeadly(one, deadlyTry{http.MethodGet, "/all/popular", "", "127.0.0.1"}, fmt.Sprint("served-", i, time.Now().UnixNano())))
+		}
+	}
+}
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -174,7 +174,7 @@
 		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
 		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
 		FlushUs: uint64((q.plan.Hedge / flushShare).Microseconds()), TopK: uint32(q.route.Gather.TopK),
-		Parts: uint32(q.node.beliefs.excerptParts(q.route)), Apart: apart, Caller: q.caller.AsSlice(),
+		Parts: uint32(q.node.beliefs.excerptParts(q.route)), Apart: apart,
 	}
 	for name, values := range q.template.Header {
 		for _, value := range values {
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -69,8 +68,6 @@
 		return nil
 	}
 	q := &request{node: n, route: route, config: config, id: message.GetRequestId(), arrived: n.now()}
-	// A node that does not tell the caller leaves the zero address.
-	q.caller, _ = netip.AddrFromSlice(message.GetCaller())
 	q.plan.Deadline = n.now() + time.Duration(message.GetTimeLeftUs())*time.Microsecond
 	header := http.Header{}
 	for _, field := range message.GetHeaders() {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -152,7 +152,7 @@
 	}
 	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
 	q.services = q.plan.Services
-	_, q.standing = n.quarantine.Standing(q.identity)
+	q.standing = n.quarantine.Standing(q.identity)
 	q.plan.Suspect = q.standing == quarantine.Suspect
 	return q, 0
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -10,6 +11,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
 )
 
 // inWork is a send that the connections to replicas hold for its request.
@@ -20,7 +22,8 @@
 
 // identity is what makes the request the same over all its tries.
 func (q *request) identity() quarantine.Identity {
-	return quarantine.Identity{Method: q.template.Method, Host: q.template.Host, Target: q.template.Target, Caller: q.caller.String(), Body: q.template.Body}
+	path, query, _ := strings.Cut(q.template.Target, "?")
+	return quarantine.Identity{Method: q.template.Method, Host: q.template.Host, Path: path, Query: query, Caller: platform.CallerLines(q.template.Header), Body: q.template.Body}
 }
 
 // maxDescribed bounds the path in a description, in bytes.
@@ -28,7 +31,15 @@
 
 // describe names the request to operators.
 func (q *request) describe() string {
-	return q.template.Method + " " + q.template.Host + q.template.Target[:min(len(q.template.Target), maxDescribed)] + " (" + q.route.Name + ") from " + q.caller.String()
+	return q.template.Method + " " + q.template.Host + q.template.Target[:min(len(q.template.Target), maxDescribed)] + " (" + q.route.Name + ")" + q.origin()
+}
+
+// origin tells where the request came from, where that is known.
+func (q *request) origin() string {
+	if !q.caller.IsValid() {
+		return ""
+	}
+	return " from " + q.caller.String()
 }
 
 // noteAnswered takes that a replica has answered the request: it ends none by itself.
@@ -55,7 +66,7 @@
 type endedRequest struct {
 	ID     string `json:"id"`
 	Key    string `json:"key"`
-	Caller string `json:"caller"`
+	Caller string `json:"caller,omitempty"`
 	Route  string `json:"route"`
 }
 
@@ -72,7 +83,7 @@
 		q := work.request
 		fields["service"] = work.send.send.Replica.Service
 		if len(named) < maxEndedRequests {
-			named = append(named, endedRequest{ID: q.id, Key: q.identity().Key().String(), Caller: q.caller.String(), Route: q.route.Name})
+			named = append(named, endedRequest{ID: q.id, Key: q.identity().Names().Exact.String(), Caller: strings.TrimPrefix(q.origin(), " from "), Route: q.route.Name})
 		}
 		if q.answered.Load() {
 			continue
@@ -116,6 +127,6 @@
 // rejectSetAside answers a request under which replicas ended. It has not run.
 func (n *Node) rejectSetAside(w http.ResponseWriter, q *request) {
 	n.metrics.refused()
-	n.log.Decision("request_refused", decisionlog.Fields{"request": q.id, "cause": "replicas ended under it each time it ran", "key": q.identity().Key().String(), "retry_after_ms": retrySetAside.Milliseconds()})
+	n.log.Decision("request_refused", decisionlog.Fields{"request": q.id, "cause": "replicas ended under it each time it ran", "key": q.identity().Names().Exact.String(), "retry_after_ms": retrySetAside.Milliseconds()})
 	writeRefusalFor(w, "not run: replicas ended under this request each time it ran", retrySetAside)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -28,7 +28,7 @@
 	route  *policy.Route
 	config *policy.Config
 	id     string
-	// caller is the address that the request came from.
+	// caller is the address that the request came from; it is not known of another node's request.
 	caller   netip.Addr
 	template replicaconn.Request
 	services []string
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -19,6 +19,7 @@
 
 func encode(record *quarantine.Record, now core.Time) *peerpb.QuarantineRecord {
 	out := &peerpb.QuarantineRecord{Key: record.Key[:], Head: record.Head[:], What: record.What, AgeMs: uint64(max(now-record.SeenAt, 0).Milliseconds())}
+	out.Variants = slices.Sorted(maps.Keys(record.Variants))
 	for _, life := range slices.Sorted(maps.Keys(record.Facts)) {
 		out.Lives = append(out.Lives, uint64(life))
 		out.Marks = append(out.Marks, byte(record.Facts[life]))
@@ -36,9 +37,13 @@
 	}
 	what := in.GetWhat()
 	record := quarantine.Record{
-		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{},
+		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{}, Variants: map[uint64]struct{}{},
 		SeenAt: now - time.Duration(in.GetAgeMs())*time.Millisecond,
 	}
+	variants := in.GetVariants()
+	for _, one := range variants[:min(len(variants), maxLives)] {
+		record.Variants[one] = struct{}{}
+	}
 	for i, life := range lives {
 		record.Facts[quarantine.Life(life)] = quarantine.Fact(marks[i])
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -96,39 +96,46 @@
 
 // Standing is how a request that has come is treated. Where no request is remembered, or none that differs by
 // its body alone, identity is not read further.
-func (d *Duty) Standing(identity func() quarantine.Identity) (quarantine.Key, quarantine.Standing) {
+func (d *Duty) Standing(identity func() quarantine.Identity) quarantine.Standing {
 	if d.known.Load() == 0 {
-		return quarantine.Key{}, quarantine.Trusted
+		return quarantine.Trusted
 	}
 	one := identity()
-	head := one.Head()
+	heads := one.Heads()
 	d.mutex.Lock()
-	likely := d.ledger.KnowsHead(head)
+	likely := d.ledger.KnowsHead(heads)
 	d.mutex.Unlock()
 	if !likely {
-		return quarantine.Key{}, quarantine.Trusted
+		return quarantine.Trusted
 	}
-	key := head.With(one.Body)
+	names := heads.With(one.Body)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return key, d.ledger.See(key, d.options.Now())
+	return d.ledger.See(names, d.options.Now())
 }
 
 // Seen takes what came of a request at a replica: that it ended, or gave a trial no answer.
 func (d *Duty) Seen(identity quarantine.Identity, what string, life replica.Incarnation, fact quarantine.Fact) {
 	now := d.options.Now()
-	head := identity.Head()
-	record := quarantine.Record{Key: head.With(identity.Body), Head: head, What: what, SeenAt: now, Facts: map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}}
-	d.take("", func() []quarantine.Change { return d.ledger.Merge(record, now) })
+	heads := identity.Heads()
+	names := heads.With(identity.Body)
+	exact := quarantine.Record{Key: names.Exact, Head: heads.Exact, What: what, SeenAt: now, Facts: map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}}
+	broad := exact
+	broad.Key, broad.Head, broad.What = names.Broad, heads.Broad, what+anyVariant
+	broad.Variants = map[uint64]struct{}{binary.BigEndian.Uint64(names.Exact[:]): {}}
+	d.take("", func() []quarantine.Change { return append(d.ledger.Merge(exact, now), d.ledger.Merge(broad, now)...) })
 }
 
+// anyVariant ends the description of a broad name.
+const anyVariant = ", or with another query or caller"
+
 // Answered takes that a replica has answered a request.
 func (d *Duty) Answered(identity func() quarantine.Identity) {
 	if d.known.Load() == 0 {
 		return
 	}
-	key := identity().Key()
-	d.take("", func() []quarantine.Change { return d.ledger.Answered(key) })
+	names := identity().Names()
+	d.take("", func() []quarantine.Change { return d.ledger.Answered(names) })
 }
 
 // lifeOf names an incarnation of a replica.
