--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -46,8 +46,9 @@
 // Names are the keys of a request: an exact one, and a broad one that passes over the query and the caller.
 //
 // The failure: the same request comes with another query, or with a header line that differs each time, and looks like
-// one that is not known. The broad name speaks against a request only where replicas have ended under several exact ones
-// of it, and none that bears it has been answered since: a path that others use as well is cleared by them.
+// one that is not known. Once enough replicas have ended under it, all requests with its broad name are suspected, and
+// set aside when replicas have ended under several exact ones. Any of them that is answered clears the broad name: others
+// that use the same path are delayed by one answer.
 type Names struct{ Exact, Broad Key }
 
 // Heads are the names of the request without its body.
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -30,8 +30,8 @@
 	// mostTrials is the number of trials without an answer that a request gets, whatever came of them: a trial may
 	// end a replica without any node seeing that.
 	mostTrials = 3
-	// enoughVariants is the number of exact names under which replicas must have ended for their broad one to
-	// speak against others.
+	// enoughVariants is the number of exact names under which replicas must have ended for the requests that bear
+	// their broad one to be set aside.
 	enoughVariants = 2
 	// maxRecords bounds the names that are remembered, maxFacts the replicas of each and maxVariants the exact
 	// names of a broad one.
@@ -164,13 +164,10 @@
 func (l *Ledger) Get(key Key) *Record { return l.records[key] }
 
 // Merge takes facts up, this node's own or another one's, and returns what changed by them: the record itself, and others
-// whose standing they change. A record without facts that speak against it is not begun.
+// whose standing they change.
 func (l *Ledger) Merge(told Record, now core.Time) []Change {
 	known := l.records[told.Key]
 	if known == nil {
-		if (&told).count(0) == 0 {
-			return nil
-		}
 		known = l.begin(told, now)
 	}
 	known.SeenAt = max(known.SeenAt, told.SeenAt)
@@ -324,9 +321,12 @@
 
 func (l *Ledger) standing(r *Record) Standing {
 	weight := r.Ended()
-	if weight == 0 || r.broad() && len(r.Variants) < enoughVariants {
+	if weight == 0 || r.broad() && weight < enoughEnded {
 		return Trusted
 	}
+	if r.broad() && len(r.Variants) < enoughVariants {
+		return Suspect
+	}
 	trials, ended := 0, 0
 	for life, fact := range r.Facts {
 		if !fact.counts(Trial) || l.contested(r, weight, life) {
