A trial that is answered with a failure counts for nothing; gauges of what is suspected and set aside

A replica that answers 500 has not ended, and may not have run the request: such a trial neither clears it nor counts as one without an answer.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -224,6 +225,8 @@
 		n.beliefs.note(func(book *replica.Book, _ core.Time) { count = int64(len(book.Evacuated())) })
 		return count
 	})
+	watch("requests_suspected", func() int64 { return n.quarantine.Count(quarantine.Suspect) })
+	watch("requests_set_aside", func() int64 { return n.quarantine.Count(quarantine.SetAside) })
 	watch("pause_interval_ms", func() (ms int64) {
 		n.beliefs.note(func(book *replica.Book, _ core.Time) {
 			every, _ := book.Pauses.Interval()
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -51,9 +51,10 @@
 }
 
 // noteTrial takes the end of a send that was the only one of a suspected request in work. Whether the replica ended
-// may not be seen by anyone, so that a trial without an answer counts by itself.
+// may not be seen by anyone, so that a trial without an answer counts by itself. A replica that answers with a failure
+// has not ended, and may not have run the request.
 func (q *request) noteTrial(one *exchange) {
-	if one.send.Alone && one.verdict == scatter.Failed {
+	if one.send.Alone && one.verdict == scatter.Failed && one.response == nil {
 		q.node.quarantine.Seen(q.identity(), q.describe(), one.send.Replica.Life(), quarantine.Trial)
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -200,6 +200,19 @@
 	return list
 }
 
+// Count is the number of names with a standing.
+func (d *Duty) Count(standing quarantine.Standing) int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	total := int64(0)
+	for _, one := range d.ledger.Records() {
+		if one.Standing() == standing {
+			total++
+		}
+	}
+	return total
+}
+
 func (d *Duty) run() {
 	expire := time.NewTicker(expireEvery)
 	defer expire.Stop()
