--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -187,6 +187,30 @@
 	require.False(t, begun)
 }
 
+// All replicas of two shards are in the other data centre, and the node there sends to them. What it sees at the first try counts
+// as what the entry sees itself at its trials: the third try is rejected.
+func TestTheEndsThatAHelperSawCount(t *testing.T) {
+	w := newWorld(t)
+	for service, dataCentre := range map[string]string{"notes": "east", "invoices": "east", "s1": "east", "s2": "west", "s3": "west"} {
+		for range 2 {
+			w.replica(service, dataCentre, service).SetDeadly(func(seen platformtest.Seen) bool { return seen.Target == "/far/deadly" })
+		}
+	}
+	w.configure(1, route("far", platformtest.KindIdempotent, gather(3, 0.5, "s2", "s3")))
+	w.start("east", "west")
+	w.ready()
+	try := deadlyTry{http.MethodGet, "/far/deadly", "", "127.0.0.1"}
+	for i := range 2 {
+		w.recover()
+		w.tryDeadly(w.nodes[0], try, fmt.Sprint("deadly-", i))
+	}
+	w.line(w.nodes[0], "request_set_aside")
+	w.recover()
+	require.Equal(t, http.StatusServiceUnavailable, w.tryDeadly(w.nodes[0], try, "third"))
+	begun, _ := w.begun("third")
+	require.False(t, begun)
+}
+
 // All replicas of the nearest data centre crash at once, with a popular question in work that harms nobody. Its
 // next tries must be answered.
 func TestAQuestionInWorkAtACrashOfADataCentreIsServedOn(t *testing.T) {
--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -33,12 +33,35 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &TCP{switchboard: newSwitchboard(seed), target: target, listener: listener, ctx: ctx, stop: stop, flows: map[*tcpFlow]struct{}{}}
 	p.done.Add(1)
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
 // Address is the address to connect to.
-func (p *TCP) Address() string { return p.listener.Addr().String() }
+func (p *TCP) Address() string { return p.listening().Addr().String() }
+
+func (p *TCP) listening() net.Listener {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.listener
+}
+
+// Refuse refuses new connections, as the address of a program that has ended does. Present flows go on.
+func (p *TCP) Refuse() error { return p.listening().Close() }
+
+// Accept takes new connections again at the same address, after Refuse.
+func (p *TCP) Accept() error {
+	listener, err := net.Listen("tcp", p.Address())
+	if err != nil {
+		return err
+	}
+	p.mutex.Lock()
+	p.listener = listener
+	p.mutex.Unlock()
+	p.done.Add(1)
+	go p.accept(listener)
+	return nil
+}
 
 // Retarget forwards the flows that open from now on to another target.
 func (p *TCP) Retarget(target string) {
@@ -50,7 +73,7 @@
 // Close ends all flows and frees the address.
 func (p *TCP) Close() error {
 	p.stop()
-	err := p.listener.Close()
+	err := p.listening().Close()
 	p.Reset()
 	p.done.Wait()
 	return err
@@ -98,10 +121,10 @@
 	p.Set(ToClient, faults)
 }
 
-func (p *TCP) accept() {
+func (p *TCP) accept(listener net.Listener) {
 	defer p.done.Done()
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -151,7 +151,7 @@
 	changes := change()
 	for _, one := range changes {
 		if one.New {
-			d.news[one.Record.Key] = from
+			d.noteNews(one.Record.Key, from)
 		}
 		if d.options.Changed != nil {
 			d.options.Changed(one, from)
@@ -168,6 +168,15 @@
 	}
 }
 
+// noteNews notes that a request is to be told of; the mutex must be held. What came from several nodes, or was seen here as
+// well, is told to all: each of them lacks a part of it.
+func (d *Duty) noteNews(key quarantine.Key, from core.NodeID) {
+	if former, queued := d.news[key]; queued && former != from {
+		from = ""
+	}
+	d.news[key] = from
+}
+
 // note keeps what is read without the mutex, which must be held.
 func (d *Duty) note() {
 	d.known.Store(int64(d.ledger.Len()))
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -157,6 +157,8 @@
 		c.checkGathered(id, sentAt, node, response, body)
 	case response.StatusCode == http.StatusOK:
 		c.checkForwarded(kind, id, sentAt, node, response, body)
+	case strings.Contains(string(body), "replicas ended under"):
+		c.w.fail("request %s, under which no replica ends, was set aside", id)
 	case response.StatusCode < 500:
 		c.w.fail("request %s got status %d, though each configuration allows it", id, response.StatusCode)
 	}
--- a/test/soak/entries_test.go
+++ b/test/soak/entries_test.go
@@ -30,8 +30,10 @@
 	again, err := platformtest.StartReplica(one.ID, one.Service, records(one.Service))
 	require.NoError(w.t, err)
 	again.SetWork(usualWork)
+	again.SetDeadly(deadly)
 	w.made++
 	next := &upstream{Replica: again, proxy: one.proxy, dataCentre: one.dataCentre, born: max(time.Now().UnixMilli(), one.born+1)}
+	again.OnEnd(func() { w.revive(next) })
 	w.replicas[fmt.Sprintf("%s#%d", one.ID, w.made)] = next
 	w.mutex.Unlock()
 	if dark {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -54,6 +54,7 @@
 	shardsShort     kind = "several shards stand still"
 	evacuated       kind = "a data centre evacuated"
 	storeRestored   kind = "store comes back from a copy"
+	deadlyComes     kind = "a request ends the replicas that run it"
 )
 
 // drawn are the kinds that a schedule draws from, some of them several times: what replicas
@@ -66,7 +67,7 @@
 	replicaWay, replicaWay, replicaReplaced, shardsChange, settingsChange,
 	serviceFails, serviceActs, serviceActs, allKilled,
 	replicaRestarts, replicaRestarts, foreignEntry, shardsShort, evacuated,
-	storeRestored, storeRestored,
+	storeRestored, storeRestored, deadlyComes, deadlyComes,
 }
 
 // schedule draws the faults of a seed. They come in series and overlap.
@@ -153,6 +154,8 @@
 		backup := w.store.Backup()
 		time.Sleep(f.lasts)
 		w.restore(backup, f)
+	case deadlyComes:
+		w.sendDeadly(f)
 	case replicaWay, replicaReplaced:
 		w.disturbReplica(f)
 	default:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -122,6 +122,7 @@
 	w.repartition()
 	var leaving sync.WaitGroup
 	leaving.Go(func() { w.evacuate(fault{draw: w.seed << 40}) })
+	leaving.Go(func() { w.sendDeadly(fault{draw: w.seed}) })
 	w.drain(fault{draw: w.random.Uint64()})
 	leaving.Wait()
 	w.restoreInCalm(backup)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -63,9 +63,11 @@
 	troubled  int
 	// evacuating is set while a data centre is evacuated.
 	evacuating atomic.Bool
-	broken     []string
-	log        []string
-	began      time.Time
+	// reviving counts the replicas that ended under a request and are to start again.
+	reviving sync.WaitGroup
+	broken   []string
+	log      []string
+	began    time.Time
 }
 
 // dataCentres is the number of data centres that replicas are spread over.
@@ -179,7 +181,9 @@
 	one, err := platformtest.StartReplica(fmt.Sprintf("i-%s-%d", service, w.made), service, records(service))
 	require.NoError(w.t, err)
 	one.SetWork(usualWork)
+	one.SetDeadly(deadly)
 	added := &upstream{Replica: one, dataCentre: dataCentreName(w.made % dataCentres), born: time.Now().UnixMilli()}
+	one.OnEnd(func() { w.revive(added) })
 	w.replicas[one.ID] = added
 	return added
 }
@@ -306,6 +310,7 @@
 
 // close ends every process and stand-in that this world started.
 func (w *world) close() {
+	w.reviving.Wait()
 	for _, one := range w.nodes {
 		cmd := one.signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
