--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -1,9 +1,11 @@
 package edge_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -187,6 +189,24 @@
 	require.False(t, begun)
 }
 
+// quarantined is what a node's dump tells of a request under which replicas ended.
+type quarantined struct {
+	Ended int `json:"replicas_ended"`
+}
+
+// awaitEnded waits until a node knows of so many replicas that ended under one request.
+func (w *world) awaitEnded(one *node, ended int) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		_, body := w.get("http://"+one.Settings.MetricsAddress+"/dump", nil)
+		var state struct {
+			Quarantine []quarantined `json:"quarantine"`
+		}
+		require.NoError(w.t, json.Unmarshal([]byte(body), &state))
+		return slices.ContainsFunc(state.Quarantine, func(known quarantined) bool { return known.Ended >= ended })
+	}, patience, time.Millisecond, "the node knows of %d replicas that ended", ended)
+}
+
 // All replicas of two shards are in the other data centre, and the node there sends to them. What it sees at the first try counts
 // as what the entry sees itself at its trials: the third try is rejected.
 func TestTheEndsThatAHelperSawCount(t *testing.T) {
@@ -203,6 +223,8 @@
 	for i := range 2 {
 		w.recover()
 		w.tryDeadly(w.nodes[0], try, fmt.Sprint("deadly-", i))
+		// The first try ends one replica of each shard and one more.
+		w.awaitEnded(w.nodes[0], 3+i)
 	}
 	w.line(w.nodes[0], "request_set_aside")
 	w.recover()
