--- a/internal/standin/behaviour.go
+++ b/internal/standin/behaviour.go
@@ -22,6 +22,8 @@
 	Draw func() time.Duration `yaml:"-"`
 	// Hold, when set, keeps each request that has begun until it is closed.
 	Hold <-chan struct{} `yaml:"-"`
+	// Deadly, when set, tells the questions that end the replica once it has begun to run them. It must not block.
+	Deadly func(question string) bool `yaml:"-"`
 	// Versions are the index versions it has; the last is the newest.
 	Versions []uint64 `yaml:"versions"`
 	Draining bool     `yaml:"draining"`
--- a/internal/standin/reply.go
+++ b/internal/standin/reply.go
@@ -44,6 +44,10 @@
 		refuse(w, behaviour, refusal)
 		return
 	}
+	if behaviour.Deadly != nil && behaviour.Deadly(string(body.Question)) {
+		_ = u.Close()
+		panic(http.ErrAbortHandler)
+	}
 	finished := work(r, behaviour, plan)
 	u.end(!finished)
 	switch {
