--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -82,7 +82,7 @@
 	// on this node's clock; 0 is never.
 	confirmed atomic.Int64
 	counts    counts
-	// hinted is a node that has something of a higher rank than this one.
+	// hinted is a node whose configuration has a higher version than this one's.
 	hinted atomic.Pointer[hint]
 	stop   context.CancelFunc
 	done   sync.WaitGroup
@@ -94,14 +94,14 @@
 	// peersUntil is until when only readers turn to the store.
 	peersUntil  core.Time
 	returnUntil core.Time
-	// behind is set while readings stand behind the copy, untold while the store names no era though
+	// behind is set while readings are older than the copy, untold while the store's answers name no era though
 	// one is known.
 	behind, untold bool
 	// gapAt is when the store was found to lack the history behind the copy; 0 while it has it.
 	gapAt core.Time
 }
 
-// storeSource is the name of the store among the sources that a Listener is told.
+// storeSource is the name of the store as a source, in calls of a Listener.
 const storeSource = "store"
 
 // NewFollower makes a follower; Start begins to keep the copy up to date.
@@ -146,7 +146,7 @@
 	StoreCalls, StoreFailures int64
 	// PeerReads counts the readings of other nodes' copies that succeeded.
 	PeerReads int64
-	// NotTaken counts the readings that stood behind what the copy has reached.
+	// NotTaken counts the readings that were older than the copy and left it unchanged.
 	NotTaken int64
 	// EraChanges counts the eras of the store that the copy went over to.
 	EraChanges int64
--- a/internal/mirror/fromstore.go
+++ b/internal/mirror/fromstore.go
@@ -78,13 +78,14 @@
 	}
 }
 
-// errBehind is a whole reading of the store that stands behind the copy, in the same era as far as the
-// store tells.
+// errBehind is a whole reading of the store that is older than the copy although the store names no newer era.
 var errBehind = errors.New("the store is behind what it told before")
 
 // errLeftToReaders is a whole reading that is left to the nodes that read the store for the others.
 var errLeftToReaders = errors.New("the whole reading is left to the readers")
 
+// What does a node read from the store itself, and when?
+
 // fromStore reads what is new, or everything where the store lacks the history behind the copy.
 //
 // That a store came back from a copy does not show by its revisions: once they have passed the
@@ -132,8 +133,8 @@
 	return delta, err
 }
 
-// eraOf is the era that a reading of the store counts as. One that names none counts as of the known one: its
-// revisions then take nothing back.
+// eraOf is the era that the revisions of a reading belong to. A reading that names no era is taken to be of the known
+// one, so that it removes nothing and replaces nothing newer.
 func (f *Follower) eraOf(delta Delta, reached Reached) (uint64, error) {
 	untold := delta.Era == 0 && reached.Era > 0
 	if untold && !f.untold {
--- a/internal/mirror/hint.go
+++ b/internal/mirror/hint.go
@@ -7,15 +7,17 @@
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 )
 
-// hint is another node's word that it has something of a rank, and since when that is known.
+// Which node has a newer configuration than this one, and when is it asked for it?
+
+// hint is a node whose configuration has a higher version (Item.Rank) than any here, and since when this node knows.
 type hint struct {
 	from  peer.Target
 	rank  uint64
 	since core.Time
 }
 
-// Hint names a node that has something of a rank which this copy lacks. It is asked only if that does not
-// come in the usual way: each change is heard of by somebody before it has arrived.
+// Hint names a node whose configuration has a version that this copy lacks. The node is asked only if that version does
+// not arrive in the usual way: heartbeats often tell of a change before the copy has it.
 func (f *Follower) Hint(from peer.Target, rank uint64) {
 	one := &hint{from: from, rank: rank, since: f.now()}
 	if open := f.hinted.Load(); open != nil {
@@ -24,7 +26,7 @@
 	f.hinted.Store(one)
 }
 
-// followHint asks the node that was named, once the copy has lacked what it has for long enough.
+// followHint asks the node of the hint, once this copy has lacked its version for Config.HintAfter.
 func (f *Follower) followHint(ctx context.Context) {
 	open := f.hinted.Load()
 	reached := f.copy.Reached()
--- a/internal/mirror/listener.go
+++ b/internal/mirror/listener.go
@@ -13,7 +13,7 @@
 	// NewEra is set when the store came back from a copy of itself: what it lacks may have been lost
 	// and be written again, and what it has may have been removed since.
 	NewEra bool
-	// Outranked are items that were not taken, since values of a higher rank are known.
+	// Outranked are items that the copy left unchanged, since it has values of a higher rank.
 	Outranked []Item
 }
 
@@ -21,16 +21,16 @@
 type EraChange struct {
 	Source      string
 	Former, Now Reached
-	// Lost counts the items that the new era lacks, Differing those that it has otherwise or the former
-	// one had not, Stood those that are the same in both.
+	// Lost counts the items that only the former era had, Differing those with another value in the new one or
+	// only there, Stood those that are equal in both.
 	Lost, Differing, Stood int
-	// Outranked counts the items that stayed since the new era has an older value.
+	// Outranked counts the items of which the copy kept the former era's value, as the new one's has a lower rank.
 	Outranked int
 }
 
 // Listener takes what happens to a copy. Its calls come from one goroutine.
 type Listener interface {
-	// Changed is told each change.
+	// Changed takes each change of the copy.
 	Changed(Change)
 	// SourceFailed and SourceBack tell that the store, or a peer that was
 	// followed, does not answer or answers again.
@@ -39,14 +39,13 @@
 	// EraChanged tells that the store came back from a copy of itself, or tells its era for the
 	// first time.
 	EraChanged(EraChange)
-	// EraUntold tells the first of a series of answers of the store that name no era, or none that
-	// can be read, while one is known.
+	// EraUntold reports the first of a series of answers of the store without a readable era, while one is known.
 	EraUntold(known uint64)
-	// NotTaken tells the first of a series of readings that the copy did not take.
+	// NotTaken reports the first of a series of readings that left the copy unchanged.
 	NotTaken(NotTaken)
 }
 
-// NotTaken is a reading that stands behind what the copy has reached.
+// NotTaken is a reading that is older than the copy.
 type NotTaken struct {
 	Source string
 	// Era and Revision are those of the reading, Reached is the copy's place.
--- a/internal/mirror/take.go
+++ b/internal/mirror/take.go
@@ -2,7 +2,7 @@
 
 import "github.com/pistachiopier/pistachiopier/internal/core"
 
-// noteOutage notes at a reading whether the store was away for long before it.
+// noteOutage notes whether the store was away for longer than Config.Outage before a reading.
 func (f *Follower) noteOutage(read core.Time) {
 	before := core.Time(f.confirmed.Load())
 	if before > 0 && read-before > f.config.Outage {
@@ -10,9 +10,11 @@
 	}
 }
 
-// take takes up a delta that was the store's newest state at a time. It reports whether the copy is
-// confirmed by it: a delta of an older era says nothing of the store as it is, nor does a whole reading
-// of it that stands behind the copy.
+// What does a reading change in the copy, and is the copy the store's newest state after it?
+
+// take applies a delta that was the store's newest state at the time confirmed. It reports whether the copy is that state
+// too: a delta of an older era says nothing of the present store, nor does a whole reading that is older
+// than the copy.
 func (f *Follower) take(source string, delta Delta, confirmed core.Time) bool {
 	reached := f.copy.Reached()
 	applied := f.copy.Apply(delta)
@@ -56,7 +58,7 @@
 	f.listener.EraChanged(change)
 }
 
-// notTaken tells the first of a series of readings that the copy did not take.
+// notTaken counts a reading that left the copy unchanged, and reports the first one of a series.
 func (f *Follower) notTaken(source string, delta Delta, reached Reached) {
 	f.counts.notTaken.Add(1)
 	if !f.behind {
