--- a/test/soak/deadly_test.go
+++ b/test/soak/deadly_test.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	// deadlyTries is how often a deadly request comes, each time at a node drawn anew.
-	deadlyTries = 14
+	// deadlyTries is how often a deadly request comes, each time at a node drawn anew. They go on for about as long again
+	// as news has to be everywhere, so that a request that is not set aside shows.
+	deadlyTries = 40
 	// deadlyPause is the longest pause between two tries.
-	deadlyPause = 800 * time.Millisecond
+	deadlyPause = 400 * time.Millisecond
 	// longestEnded is the longest that a replica is away that ended under a request.
-	longestEnded = 2 * time.Second
+	longestEnded = time.Second
 	// enoughEnded replicas must have ended before the tries are counted, of which sendsLeft may reach replicas.
 	enoughEnded, sendsLeft = 3, 3
 )
