--- a/internal/replicaconn/ended_test.go
+++ b/internal/replicaconn/ended_test.go
@@ -30,12 +30,19 @@
 	client, one := start(t)
 	told := ends(client)
 	one.SetAct(func(seen platformtest.Seen) platformtest.Act {
-		if seen.ID == "lost" {
+		switch seen.ID {
+		case "first":
+			return platformtest.Answer
+		case "lost":
 			return platformtest.Lose
+		default:
+			return platformtest.End
 		}
-		return platformtest.End
 	})
-	_, err := do(t, client, request(one, "lost"))
+	// A replica that ends a new connection without any answer is left alone for a moment.
+	_, err := do(t, client, request(one, "first"))
+	require.NoError(t, err)
+	_, err = do(t, client, request(one, "lost"))
 	var failed *replicaconn.Error
 	require.ErrorAs(t, err, &failed)
 	require.True(t, failed.Broken)
