A connection that breaks while an earlier doubt is settled is a doubt of its own

What was seen: the end of a replica under a request was sometimes never told, and TestAReplicaThatEndsIsToldFromALostAnswer hung. Cause: a request whose connection broke while one more connection was opened for an earlier one shared its outcome; the replica still lived then. Shown by TestAnEndWhileAnEarlierDoubtIsSettledIsTold, which fails on the code before. The requests in doubt are now taken before the connection is opened, and those that come meanwhile get one of their own.

--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -140,6 +140,8 @@
 	opened int64
 	// onEnded is told an incarnation that has ended, and what was in work there.
 	onEnded func(life replica.Incarnation, inWork []*Request)
+	// refuses finds out whether a replica refuses connections; tests replace it.
+	refuses func(h *host, request *Request) bool
 }
 
 // OnEnded sets who is told that a replica has ended while requests were in work there. It is told after the
@@ -150,7 +152,11 @@
 }
 
 // NewClient makes a client without connections.
-func NewClient(wire Wire) *Client { return &Client{wire: wire, hosts: map[replica.Incarnation]*host{}} }
+func NewClient(wire Wire) *Client {
+	c := &Client{wire: wire, hosts: map[replica.Incarnation]*host{}}
+	c.refuses = c.refusesConnections
+	return c
+}
 
 // Opened counts the connections opened since the start.
 func (c *Client) Opened() int64 {
--- a/internal/replicaconn/ended.go
+++ b/internal/replicaconn/ended.go
@@ -20,8 +20,7 @@
 	return errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
 }
 
-// broke takes a connection that ended under a request. Requests that break off while it is being found
-// out whether the replica has ended await the same outcome.
+// broke takes a connection that ended under a request. Of one replica one doubt is settled at a time.
 func (c *Client) broke(life replica.Incarnation, request *Request, cause error) {
 	if c.onEnded == nil {
 		return
@@ -40,21 +39,34 @@
 		return
 	}
 	h.inDoubt = append(h.inDoubt, request)
-	if len(h.inDoubt) == 1 {
-		go c.settleDoubt(h, request)
+	if !h.settling {
+		h.settling = true
+		go c.settleDoubts(h)
 	}
 }
 
-// settleDoubt tells the requests in doubt that their replica has ended, if it has.
-func (c *Client) settleDoubt(h *host, request *Request) {
-	ended := c.refusesConnections(h, request)
+// settleDoubts tells the requests in doubt that their replica has ended, if it has. A request that breaks off meanwhile
+// is a doubt of its own: that the replica still lived before says nothing of its end under this one.
+func (c *Client) settleDoubts(h *host) {
+	for {
+		inWork := c.takeDoubts(h)
+		if len(inWork) == 0 {
+			return
+		}
+		if c.refuses(h, inWork[0]) {
+			c.onEnded(inWork[0].Replica, inWork)
+		}
+	}
+}
+
+// takeDoubts takes the requests in doubt; none ends the settling.
+func (c *Client) takeDoubts(h *host) []*Request {
 	c.mutex.Lock()
-	inWork := h.inDoubt
+	defer c.mutex.Unlock()
+	taken := h.inDoubt
 	h.inDoubt = nil
-	c.mutex.Unlock()
-	if ended {
-		c.onEnded(request.Replica, inWork)
-	}
+	h.settling = len(taken) > 0
+	return taken
 }
 
 // refusesConnections opens a connection and keeps it where the bound leaves room for it.
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -28,8 +28,10 @@
 	connections map[*conn]struct{}
 	// restarted is set once a later incarnation is known: nothing more is sent to this one.
 	restarted bool
-	// inDoubt are the requests whose connections broke while it is being found out whether the replica has ended.
-	inDoubt []*Request
+	// inDoubt are the requests whose connections broke, of which it is not being found out yet whether the replica has
+	// ended; settling is set while that is found out of others.
+	inDoubt  []*Request
+	settling bool
 }
 
 // Pauses after a replica ended a new connection without an answer. It resets those beyond
