Read again: what was derived, counted or read without need

A flag in place of a count that was only compared with 0; the caller's address is read from its connection only when a line tells it, not for each request; gauges count without sorting; what the ledger sums up is summed up anew only where it changed; one field that nothing read is gone; the stand-ins' deadly requests serve the tests of three nodes too. A record of another node without any fact is not remembered: it said nothing. The remaining files of the follower open with their questions.

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -167,6 +167,9 @@
 // whose standing they change.
 func (l *Ledger) Merge(told Record, now core.Time) []Change {
 	known := l.records[told.Key]
+	if known == nil && len(told.Facts) == 0 {
+		return nil
+	}
 	if known == nil {
 		known = l.begin(told, now)
 	}
@@ -359,6 +362,17 @@
 	return false
 }
 
+// Count is the number of names with a standing.
+func (l *Ledger) Count(standing Standing) int {
+	total := 0
+	for _, one := range l.records {
+		if one.standing == standing {
+			total++
+		}
+	}
+	return total
+}
+
 // Records lists what is remembered, the most severe and the last seen first.
 func (l *Ledger) Records() []*Record {
 	list := make([]*Record, 0, len(l.records))
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -98,9 +98,9 @@
 	sends    []send
 	result   Result
 	finished bool
-	// broken counts the replicas that ended the connection in place of an answer; proven is set once one has
+	// broken is set once a replica has ended the connection in place of an answer, proven once one has
 	// answered, and gaveUp once one broke off that nothing else of the request was in work at.
-	broken  int
+	broken  bool
 	proven  bool
 	gaveUp  bool
 	now     core.Time
--- a/internal/core/scatter/unproven.go
+++ b/internal/core/scatter/unproven.go
@@ -10,7 +10,7 @@
 // request that harms nobody has one within an answer time, mostly from another shard; the one that does harm ends the
 // replicas of its first sends and one more.
 func (m *Machine) oneAtATime() bool {
-	return (m.plan.Suspect || m.broken > 0) && !m.proven
+	return (m.plan.Suspect || m.broken) && !m.proven
 }
 
 // mayEndAll reports whether a request over several shards has been answered by none yet. Its hedges wait for the first
@@ -24,7 +24,7 @@
 	case e.Verdict == Whole:
 		m.proven = true
 	case e.Verdict == Failed && e.Broken:
-		m.broken++
+		m.broken = true
 		m.gaveUp = m.gaveUp || one.alone
 	}
 }
--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -33,15 +33,9 @@
 func deadlyWorld(t *testing.T, deadly func(platformtest.Seen) bool) *world {
 	t.Helper()
 	w := newWorld(t)
-	act := func(seen platformtest.Seen) platformtest.Act {
-		if deadly(seen) {
-			return platformtest.End
-		}
-		return platformtest.Answer
-	}
 	for _, service := range []string{"notes", "invoices", "s1", "s2", "s3"} {
 		for _, dataCentre := range []string{"east", "west"} {
-			w.replica(service, dataCentre, service).SetAct(act)
+			w.replica(service, dataCentre, service).SetDeadly(deadly)
 		}
 	}
 	w.serve("east", "west", "east")
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -133,7 +132,7 @@
 // newRequest reads a request whole and plans it. The second result is the status of
 // a request that cannot be read, or 0.
 func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, config *policy.Config, route *policy.Route, target string) (*request, int) {
-	q := &request{node: n, route: route, config: config, id: platform.RequestID(r.Header), caller: callerAddress(r.RemoteAddr), arrived: n.now()}
+	q := &request{node: n, route: route, config: config, id: platform.RequestID(r.Header), remote: r.RemoteAddr, arrived: n.now()}
 	body, status := readBody(w, r, config.Limits.MaxBodyBytes, n.patience(r, route))
 	if status != 0 {
 		return nil, status
@@ -157,15 +156,6 @@
 	return q, 0
 }
 
-// callerAddress is the IP address of a caller's connection; the zero one where it cannot be read.
-func callerAddress(remote string) netip.Addr {
-	read, err := netip.ParseAddrPort(remote)
-	if err != nil {
-		return netip.Addr{}
-	}
-	return read.Addr().Unmap()
-}
-
 // readBody reads the whole body, so that it can be sent again and its end is known. A
 // caller that stops within it is not waited for longer than it would wait itself. The time
 // limit is lifted afterwards: net/http reads on in the background to notice callers that
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -34,12 +35,21 @@
 	return q.template.Method + " " + q.template.Host + q.template.Target[:min(len(q.template.Target), maxDescribed)] + " (" + q.route.Name + ")" + q.origin()
 }
 
-// origin tells where the request came from, where that is known.
+// origin ends a description with the caller's address, where that is known.
 func (q *request) origin() string {
-	if !q.caller.IsValid() {
+	if caller := q.caller(); caller != "" {
+		return " from " + caller
+	}
+	return ""
+}
+
+// caller is the address that the request came from, without its port; empty where it is not known.
+func (q *request) caller() string {
+	read, err := netip.ParseAddrPort(q.remote)
+	if err != nil {
 		return ""
 	}
-	return " from " + q.caller.String()
+	return read.Addr().Unmap().String()
 }
 
 // noteAnswered takes that a replica has answered the request: it ends none by itself.
@@ -82,9 +92,10 @@
 			continue
 		}
 		q := work.request
+		identity := q.identity()
 		fields["service"] = work.send.send.Replica.Service
 		if len(named) < maxEndedRequests {
-			named = append(named, endedRequest{ID: q.id, Key: q.identity().Names().Exact.String(), Caller: strings.TrimPrefix(q.origin(), " from "), Route: q.route.Name})
+			named = append(named, endedRequest{ID: q.id, Key: identity.Names().Exact.String(), Caller: q.caller(), Route: q.route.Name})
 		}
 		if q.answered.Load() {
 			continue
@@ -93,7 +104,7 @@
 		if work.send.send.Alone {
 			fact |= quarantine.Trial
 		}
-		n.quarantine.Seen(q.identity(), q.describe(), life, fact)
+		n.quarantine.Seen(identity, q.describe(), life, fact)
 	}
 	fields["requests"] = named
 	n.metrics.replicaEnded()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -28,8 +27,8 @@
 	route  *policy.Route
 	config *policy.Config
 	id     string
-	// caller is the address that the request came from; it is not known of another node's request.
-	caller   netip.Addr
+	// remote is the address and port that the request came from; it is empty for another node's request.
+	remote   string
 	template replicaconn.Request
 	services []string
 	plan     scatter.Plan
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -11,6 +11,8 @@
 	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
+// From whom does a node have its copy, and at what pace?
+
 // Config sets the pace of a Follower.
 type Config struct {
 	// Readers is the number of nodes that watch the store; the others follow
--- a/internal/mirror/fromstore.go
+++ b/internal/mirror/fromstore.go
@@ -9,6 +9,8 @@
 	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
+// What does a node read from the store itself, and when?
+
 // cutFrom is the number of changes from which on an answer may have been cut: the users'
 // store gives 500 at a time.
 const cutFrom = 400
@@ -84,8 +86,6 @@
 // errLeftToReaders is a whole reading that is left to the nodes that read the store for the others.
 var errLeftToReaders = errors.New("the whole reading is left to the readers")
 
-// What does a node read from the store itself, and when?
-
 // fromStore reads what is new, or everything where the store lacks the history behind the copy.
 //
 // That a store came back from a copy does not show by its revisions: once they have passed the
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,7 +138,11 @@
 // take changes the ledger, and tells what is new.
 func (d *Duty) take(from core.NodeID, change func() []quarantine.Change) {
 	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	changes := change()
+	if len(changes) == 0 {
+		return
+	}
 	for _, one := range changes {
 		if one.New {
 			d.noteNews(one.Record.Key, from)
@@ -148,10 +152,6 @@
 		}
 	}
 	d.note()
-	d.mutex.Unlock()
-	if len(changes) == 0 {
-		return
-	}
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -175,12 +175,11 @@
 
 // Request is what operators see of a request that is remembered.
 type Request struct {
-	Key      string        `json:"key"`
-	What     string        `json:"what"`
-	Standing string        `json:"standing"`
-	Ended    int           `json:"replicas_ended"`
-	Since    time.Duration `json:"-"`
-	SinceMs  int64         `json:"since_ms"`
+	Key      string `json:"key"`
+	What     string `json:"what"`
+	Standing string `json:"standing"`
+	Ended    int    `json:"replicas_ended"`
+	SinceMs  int64  `json:"since_ms"`
 }
 
 // Requests lists the requests that are not trusted, the most severe first.
@@ -193,8 +192,7 @@
 		if one.Standing() == quarantine.Trusted {
 			continue
 		}
-		since := now - one.FirstAt
-		list = append(list, Request{Key: one.Key.String(), What: one.What, Standing: one.Standing().String(), Ended: one.Ended(), Since: since, SinceMs: since.Milliseconds()})
+		list = append(list, Request{Key: one.Key.String(), What: one.What, Standing: one.Standing().String(), Ended: one.Ended(), SinceMs: (now - one.FirstAt).Milliseconds()})
 	}
 	return list
 }
@@ -203,13 +201,7 @@
 func (d *Duty) Count(standing quarantine.Standing) int64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	total := int64(0)
-	for _, one := range d.ledger.Records() {
-		if one.Standing() == standing {
-			total++
-		}
-	}
-	return total
+	return int64(d.ledger.Count(standing))
 }
 
 func (d *Duty) run() {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -224,7 +224,7 @@
 	n := newNet(t, 3)
 	key := make([]byte, 16)
 	for _, one := range []*peerpb.QuarantineRecord{
-		{}, {Key: key}, {Key: key[:3], Head: key}, {Key: key, Head: key, Lives: []uint64{1, 2}, Marks: []byte{1}}, {Key: key, Head: key, Lives: make([]uint64, 10000), Marks: make([]byte, 10000)},
+		{}, {Key: key}, {Key: key[:3], Head: key}, {Key: key, Head: key}, {Key: key, Head: key, Lives: []uint64{1, 2}, Marks: []byte{1}}, {Key: key, Head: key, Lives: make([]uint64, 10000), Marks: make([]byte, 10000)},
 	} {
 		n.duties[0].takeUp("other", &peerpb.QuarantineNews{Records: []*peerpb.QuarantineRecord{one}})
 	}
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -59,7 +59,7 @@
 	{"the era is not passed to other nodes", "internal/mirror/peers.go", "Delta{Era: reply.GetEra(), ", "Delta{"},
 	{"deadly requests are not told to other nodes", "internal/quarantine/share.go", "if record, ok := decode(one, now); ok {", "if record, ok := decode(one, now); ok && false {"},
 	{"deadly requests are known by their ids", "internal/edge/quarantine.go", "Host: q.template.Host, Path: path, ", "Host: q.template.Host + q.id, Path: path + q.id, "},
-	{"deadly requests are known by each send", "internal/core/scatter/unproven.go", "return (m.plan.Suspect || m.broken > 0) && !m.proven", "return m.broken > 0 && !m.proven && false"},
+	{"deadly requests are known by each send", "internal/core/scatter/unproven.go", "return (m.plan.Suspect || m.broken) && !m.proven", "return m.broken && !m.proven && false"},
 	{"bodies do not tell requests apart", "internal/core/quarantine/key.go", "	digest.Write(body)\n", "	digest.Write(body[:0])\n"},
 	{"an outage of the store takes the configuration away", "internal/edge/registry.go", "	r.log.Life(\"dependency_lost\"", "	r.beliefs.config.Store(nil)\n	r.log.Life(\"dependency_lost\""},
 }
@@ -72,7 +72,7 @@
 }{
 	{mutant{"an era is another one, not a newer one", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era != c.era && !delta.Whole {"}, "./internal/mirror"},
 	{mutant{"deltas of an older era are taken", "internal/mirror/copy.go", "	if delta.Era < c.era || delta.Era > c.era && !delta.Whole {", "	if delta.Era > c.era && !delta.Whole {"}, "./internal/mirror"},
-	{mutant{"the ends that a helper saw are not counted", "internal/edge/quarantine.go", "		if q.answered.Load() {\n", "		if q.answered.Load() || !q.caller.IsValid() {\n"}, "./internal/edge"},
+	{mutant{"the ends that a helper saw are not counted", "internal/edge/quarantine.go", "		if q.answered.Load() {\n", "		if q.answered.Load() || q.remote == \"\" {\n"}, "./internal/edge"},
 	{mutant{"deadly requests are forgotten at the restart of a node", "internal/quarantine/share.go", "	if digest == d.digest.Load() {\n", "	if digest == d.digest.Load() || true {\n"}, "./internal/edge"},
 	{mutant{"an answer clears no request", "internal/core/quarantine/ledger.go", "			known.Facts[life] = fact | Cleared\n", "			known.Facts[life] = fact\n"}, "./internal/core/quarantine"},
 	{mutant{"a restore takes the configuration back", "platform/store.go", "	return wire.Version\n", "	return wire.Version * 0\n"}, "./internal/edge"},
