Quarantine a request per shard when it ends the replicas of one shard only

Symptom: a request over several shards ended the replicas of one of them each time it came, and every request lacked that shard until its replicas were back.

Cause: evidence was kept per request only, and an answer from any shard cleared all of it.

Fix: each fact now names the shard of the replica. A request is judged as a whole, as before, and also at each shard, where only an answer from that shard clears it. A shard where the request is suspected gets one send at a time and no hedge. A shard where it is set aside gets no send, and the answer names that shard as missing. If too few shards remain, the request is rejected as not run.

False positives: a harmless request is cleared at a shard by that shard's answer to its next try. An unanswered trial, for example at a shard that stops responding after a crash, does not set a broad name aside at a shard, because other requests share that name.

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -76,9 +76,43 @@
 	Trial
 	// Cleared marks what no longer speaks against the request: it was answered later, or did not run.
 	Cleared
+	// ShardTrial marks a replica that did not answer the request while it had no other send in flight at that shard.
+	ShardTrial
+	// ShardCleared marks a fact that no longer counts at its shard: a replica of that shard answered later.
+	ShardCleared
 )
 
-func (f Fact) counts(marks Fact) bool { return f&marks == marks && f&Cleared == 0 }
+// counts reports whether the fact has all the marks and does not have the cleared mark.
+func (f Fact) counts(marks, cleared Fact) bool { return f&marks == marks && f&cleared == 0 }
+
+// Shard is a hash that identifies the shard of a replica; 0 is unknown.
+type Shard uint64
+
+// ShardOf returns the Shard for a name. A service that is not split has one shard, named after it.
+func ShardOf(name string) Shard {
+	key := join(name)
+	return Shard(binary.BigEndian.Uint64(key[:]))
+}
+
+// scope selects the facts that a standing is computed from: those of all shards, or those of one.
+//
+// A separate standing per shard guards against a request that ends the replicas of one shard while other shards answer
+// it: their answers clear the request as a whole, so it would be sent to the failing shard again each time.
+type scope struct {
+	// shard is 0 for all shards.
+	shard Shard
+	// trial and cleared are the marks used in this scope.
+	trial, cleared Fact
+}
+
+func requestScope() scope { return scope{trial: Trial, cleared: Cleared} }
+
+func shardScope(shard Shard) scope {
+	return scope{shard: shard, trial: ShardTrial, cleared: ShardCleared}
+}
+
+// includes reports whether the fact of an incarnation belongs to the scope.
+func (s scope) includes(r *Record, life Life) bool { return s.shard == 0 || r.Shards[life] == s.shard }
 
 // Record is what is known of one request.
 type Record struct {
@@ -88,25 +122,60 @@
 	// What describes the request to operators.
 	What  string
 	Facts map[Life]Fact
+	// Shards maps incarnations to their shards, where known.
+	Shards map[Life]Shard
 	// Variants are hashes of the exact names under which replicas ended, where Key is a broad one; none otherwise.
 	Variants map[uint64]struct{}
 	// FirstAt is when this node first heard of it, SeenAt when it or news of it came last.
 	FirstAt core.Time
 	SeenAt  core.Time
-	// standing is kept up to date by the ledger.
+	// standing and shards are maintained by the ledger. shards holds only shards where the request is not trusted.
 	standing Standing
+	shards   map[Shard]Standing
 }
 
-// Standing is how the request is treated.
+// Standing returns the standing of the request as a whole.
 func (r *Record) Standing() Standing { return r.standing }
 
-// Ended counts the replicas that ended under the request and speak against it.
-func (r *Record) Ended() int { return r.count(Ended) }
+// ShardStanding returns the standing of the request at one shard.
+func (r *Record) ShardStanding(shard Shard) Standing { return r.shards[shard] }
+
+// Severity returns the most severe standing of the request, as a whole or at any shard.
+func (r *Record) Severity() Standing {
+	severity := r.standing
+	for _, standing := range r.shards {
+		severity = max(severity, standing)
+	}
+	return severity
+}
+
+// SetAsideShards counts the shards where the request is set aside. It is 0 if the request is set aside as a whole.
+func (r *Record) SetAsideShards() int {
+	total := 0
+	for _, standing := range r.shards {
+		if standing == SetAside && r.standing != SetAside {
+			total++
+		}
+	}
+	return total
+}
 
-func (r *Record) count(marks Fact) int {
+// Ended counts the replicas that ended under the request and were not cleared both as a whole and at their shard.
+func (r *Record) Ended() int {
 	total := 0
 	for _, fact := range r.Facts {
-		if fact.counts(marks) {
+		if fact.counts(Ended, Cleared) || fact.counts(Ended, ShardCleared) {
+			total++
+		}
+	}
+	return total
+}
+
+// ended counts the replicas in a scope that ended under the request and were not cleared there.
+func (r *Record) ended(within scope) int {
+	total := 0
+	for life, fact := range r.Facts {
+		if within.includes(r, life) && fact.counts(Ended, within.cleared) {
 			total++
 		}
 	}
@@ -116,7 +185,7 @@
 // Change is a record whose facts or standing changed.
 type Change struct {
 	Record *Record
-	// Former is the standing before.
+	// Former is the severity before the change.
 	Former Standing
 	// New is set when the change holds facts that were not known.
 	New bool
@@ -160,6 +229,18 @@
 	return known.standing
 }
 
+// SeeShard returns the standing of an incoming request at one shard: the more severe one of its two names.
+func (l *Ledger) SeeShard(names Names, shard Shard) Standing {
+	return max(l.seeShard(names.Exact, shard), l.seeShard(names.Broad, shard))
+}
+
+func (l *Ledger) seeShard(key Key, shard Shard) Standing {
+	if known := l.records[key]; known != nil {
+		return known.ShardStanding(shard)
+	}
+	return Trusted
+}
+
 // Get finds the record of a request; nil is none.
 func (l *Ledger) Get(key Key) *Record { return l.records[key] }
 
@@ -174,15 +255,34 @@
 		known = l.begin(told, now)
 	}
 	known.SeenAt = max(known.SeenAt, told.SeenAt)
-	fresh := false
+	fresh := known.addVariants(told.Variants)
+	affected := map[Shard]bool{}
+	if len(known.Facts)+len(told.Facts) > maxFacts {
+		// Facts of other shards may have to make room.
+		affected = known.allShards()
+	}
 	for life, fact := range told.Facts {
-		fresh = l.add(known, life, fact) || fresh
+		if l.add(known, life, told.Shards[life], fact) {
+			fresh = true
+			affected[known.Shards[life]] = true
+		}
 	}
-	fresh = known.addVariants(told.Variants) || fresh
 	if !fresh {
 		return nil
 	}
-	return l.judge(known)
+	if len(affected) == 0 || len(told.Variants) > 0 {
+		affected = known.allShards()
+	}
+	return l.judge(known, affected)
+}
+
+// allShards returns the shards of all facts of the record.
+func (r *Record) allShards() map[Shard]bool {
+	all := map[Shard]bool{}
+	for life := range r.Facts {
+		all[r.Shards[life]] = true
+	}
+	return all
 }
 
 // addVariants takes up exact names of a broad one and reports whether any was not known.
@@ -197,34 +297,37 @@
 	return fresh
 }
 
-// Answered clears a request by both of its names: a replica has answered it.
-func (l *Ledger) Answered(names Names) []Change {
-	return append(l.answered(names.Exact), l.answered(names.Broad)...)
+// Answered records that a replica of the shard has answered a request. It clears both names of the request as a whole
+// and at that shard, but not at other shards.
+func (l *Ledger) Answered(names Names, shard Shard) []Change {
+	return append(l.answered(names.Exact, shard), l.answered(names.Broad, shard)...)
 }
 
-func (l *Ledger) answered(key Key) []Change {
+func (l *Ledger) answered(key Key, shard Shard) []Change {
 	known := l.records[key]
 	if known == nil {
 		return nil
 	}
 	fresh := false
 	for life, fact := range known.Facts {
-		if fact&Cleared == 0 {
-			known.Facts[life] = fact | Cleared
-			fresh = true
+		cleared := fact | Cleared
+		if held := known.Shards[life]; held == shard || held == 0 {
+			cleared |= ShardCleared
 		}
+		fresh = fresh || cleared != fact
+		known.Facts[life] = cleared
 	}
 	if !fresh {
 		return nil
 	}
-	return l.judge(known)
+	return l.judge(known, map[Shard]bool{shard: true})
 }
 
 func (l *Ledger) begin(told Record, now core.Time) *Record {
 	if len(l.records) >= maxRecords {
 		l.evict()
 	}
-	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Facts: map[Life]Fact{}, Variants: map[uint64]struct{}{}, FirstAt: now, SeenAt: told.SeenAt}
+	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Facts: map[Life]Fact{}, Shards: map[Life]Shard{}, Variants: map[uint64]struct{}{}, FirstAt: now, SeenAt: told.SeenAt, shards: map[Shard]Standing{}}
 	l.records[told.Key] = begun
 	l.heads[told.Head]++
 	return begun
@@ -232,15 +335,19 @@
 
 // add takes one fact up and reports whether it was not known. Of too many replicas those of trials stay, and of
 // the others those with the lowest names, so that nodes which hear of them in another order keep the same.
-func (l *Ledger) add(r *Record, life Life, fact Fact) bool {
+func (l *Ledger) add(r *Record, life Life, shard Shard, fact Fact) bool {
 	known, held := r.Facts[life]
-	if held && known|fact == known {
+	shardLearned := held && r.Shards[life] == 0 && shard != 0
+	if held && known|fact == known && !shardLearned {
 		return false
 	}
 	if !held && len(r.Facts) >= maxFacts && !l.makeRoom(r, life, fact) {
 		return false
 	}
 	r.Facts[life] = known | fact
+	if shard != 0 {
+		r.Shards[life] = shard
+	}
 	if !held {
 		l.at[life] = append(l.at[life], r.Key)
 	}
@@ -250,14 +357,15 @@
 func (l *Ledger) makeRoom(r *Record, life Life, fact Fact) bool {
 	worst, found := Life(0), false
 	for other, held := range r.Facts {
-		if held&Trial == 0 && (!found || other > worst) {
+		if held&(Trial|ShardTrial) == 0 && (!found || other > worst) {
 			worst, found = other, true
 		}
 	}
-	if !found || fact&Trial == 0 && life > worst {
+	if !found || fact&(Trial|ShardTrial) == 0 && life > worst {
 		return false
 	}
 	delete(r.Facts, worst)
+	delete(r.Shards, worst)
 	l.leave(worst, r.Key)
 	return true
 }
@@ -275,7 +383,7 @@
 func (l *Ledger) evict() {
 	var first *Record
 	for _, one := range l.records {
-		if first == nil || cmp.Or(cmp.Compare(one.standing, first.standing), cmp.Compare(one.SeenAt, first.SeenAt), slices.Compare(one.Key[:], first.Key[:])) < 0 {
+		if first == nil || cmp.Or(cmp.Compare(one.Severity(), first.Severity()), cmp.Compare(one.SeenAt, first.SeenAt), slices.Compare(one.Key[:], first.Key[:])) < 0 {
 			first = one
 		}
 	}
@@ -301,10 +409,10 @@
 	}
 }
 
-// judge judges a record whose facts changed, and those that it shares replicas with.
-func (l *Ledger) judge(changed *Record) []Change {
-	changes := []Change{{Record: changed, Former: changed.standing, New: true}}
-	changed.standing = l.standing(changed)
+// judge updates the standings of a record whose facts changed at the affected shards, and of records that share
+// replicas with it.
+func (l *Ledger) judge(changed *Record, affected map[Shard]bool) []Change {
+	changes := []Change{{Record: changed, Former: l.judgeOne(changed, affected), New: true}}
 	seen := map[Key]bool{changed.Key: true}
 	for life := range changed.Facts {
 		for _, key := range l.at[life] {
@@ -313,17 +421,33 @@
 				continue
 			}
 			seen[key] = true
-			if next := l.standing(other); next != other.standing {
-				changes = append(changes, Change{Record: other, Former: other.standing})
-				other.standing = next
+			if former := l.judgeOne(other, affected); former != other.Severity() {
+				changes = append(changes, Change{Record: other, Former: former})
 			}
 		}
 	}
 	return changes
 }
 
-func (l *Ledger) standing(r *Record) Standing {
-	weight := r.Ended()
+// judgeOne updates the standings of a record as a whole and at the given shards, and returns its former severity.
+func (l *Ledger) judgeOne(r *Record, shards map[Shard]bool) (former Standing) {
+	former = r.Severity()
+	r.standing = l.standing(r, requestScope())
+	for shard := range shards {
+		if shard == 0 {
+			continue
+		}
+		if standing := l.standing(r, shardScope(shard)); standing != Trusted {
+			r.shards[shard] = standing
+		} else {
+			delete(r.shards, shard)
+		}
+	}
+	return former
+}
+
+func (l *Ledger) standing(r *Record, within scope) Standing {
+	weight := r.ended(within)
 	if weight == 0 || r.broad() && weight < enoughEnded {
 		return Trusted
 	}
@@ -332,41 +456,45 @@
 	}
 	trials, ended := 0, 0
 	for life, fact := range r.Facts {
-		if !fact.counts(Trial) || l.contested(r, weight, life) {
+		if !within.includes(r, life) || !fact.counts(within.trial, within.cleared) || l.contested(r, within, weight, life) {
 			continue
 		}
 		trials++
-		if fact.counts(Ended) {
+		if fact.counts(Ended, within.cleared) {
 			ended++
 		}
 	}
-	if weight >= enoughEnded && (ended >= enoughTrials || trials >= mostTrials) {
+	if weight >= enoughEnded && (ended >= enoughTrials || trials >= mostTrials && within.countsUnconfirmedTrials(r)) {
 		return SetAside
 	}
 	return Suspect
 }
 
+// countsUnconfirmedTrials reports whether trials count even if no replica is known to have ended in them. For a broad name
+// at one shard they don't: a shard that stops responding after a crash would have unrelated requests set aside.
+func (s scope) countsUnconfirmedTrials(r *Record) bool { return s.shard == 0 || !r.broad() }
+
 func (r *Record) broad() bool { return len(r.Variants) > 0 }
 
 // contested reports whether another request was in work at a replica that ended, under which as many have ended.
-func (l *Ledger) contested(r *Record, weight int, life Life) bool {
+func (l *Ledger) contested(r *Record, within scope, weight int, life Life) bool {
 	for _, key := range l.at[life] {
 		other := l.records[key]
 		if key == r.Key || other.broad() != r.broad() {
 			continue
 		}
-		if other.Facts[life].counts(Ended) && other.Ended() >= weight {
+		if other.Facts[life].counts(Ended, within.cleared) && other.ended(within) >= weight {
 			return true
 		}
 	}
 	return false
 }
 
-// Count is the number of names with a standing.
+// Count returns the number of names whose severity is the given standing.
 func (l *Ledger) Count(standing Standing) int {
 	total := 0
 	for _, one := range l.records {
-		if one.standing == standing {
+		if one.Severity() == standing {
 			total++
 		}
 	}
@@ -380,7 +508,7 @@
 		list = append(list, one)
 	}
 	slices.SortFunc(list, func(a, b *Record) int {
-		return cmp.Or(cmp.Compare(b.standing, a.standing), cmp.Compare(b.SeenAt, a.SeenAt), slices.Compare(a.Key[:], b.Key[:]))
+		return cmp.Or(cmp.Compare(b.Severity(), a.Severity()), cmp.Compare(b.SeenAt, a.SeenAt), slices.Compare(a.Key[:], b.Key[:]))
 	})
 	return list
 }
@@ -390,7 +518,7 @@
 func (l *Ledger) Digest() uint64 {
 	var digest uint64
 	for _, one := range l.records {
-		if one.standing != SetAside {
+		if one.Severity() != SetAside {
 			continue
 		}
 		seed := core.Mix64(binary.BigEndian.Uint64(one.Key[:]))
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -42,7 +42,7 @@
 		l.tell("popular", life, Ended)
 	}
 	require.Equal(t, Suspect, l.of("popular"))
-	l.Answered(Identity{Path: "popular"}.Names())
+	l.Answered(Identity{Path: "popular"}.Names(), 0)
 	require.Equal(t, Trusted, l.of("popular"))
 }
 
@@ -98,7 +98,10 @@
 		var facts []Record
 		for range rapid.IntRange(1, 60).Draw(t, "facts") {
 			name := fmt.Sprint("request-", rapid.IntRange(0, 3).Draw(t, "request"))
-			one := fact(name, Life(rapid.IntRange(0, 12).Draw(t, "life")), Fact(rapid.IntRange(1, 7).Draw(t, "marks")))
+			one := fact(name, Life(rapid.IntRange(0, 12).Draw(t, "life")), Fact(rapid.IntRange(1, 31).Draw(t, "marks")))
+			for life := range one.Facts {
+				one.Shards = map[Life]Shard{life: Shard(life % 3)}
+			}
 			if rapid.Bool().Draw(t, "broad") {
 				one.Key, one.Variants = exactKey(name+" broad"), map[uint64]struct{}{rapid.Uint64Range(0, 3).Draw(t, "variant"): {}}
 			}
@@ -114,6 +117,9 @@
 		}
 		for _, told := range facts {
 			require.Equal(t, one.see(told.Key, 0), other.see(told.Key, 0))
+			for shard := range Shard(3) {
+				require.Equal(t, one.seeShard(told.Key, shard), other.seeShard(told.Key, shard))
+			}
 		}
 		require.Equal(t, one.Digest(), other.Digest())
 	})
@@ -180,7 +186,7 @@
 	tell(l, "q=bad", 21, Trial|Ended)
 	require.Equal(t, SetAside, l.See(search("q=bad"), 0))
 	require.Equal(t, Suspect, l.See(search("q=good"), 0), "under one exact name alone nobody else is refused")
-	l.Answered(search("q=good"))
+	l.Answered(search("q=good"), 0)
 	require.Equal(t, Trusted, l.See(search("q=better"), 0))
 	require.Equal(t, SetAside, l.See(search("q=bad"), 0))
 	for life := Life(30); life < 33; life++ {
@@ -213,3 +219,62 @@
 		}
 	}
 }
+
+func shardFact(name string, life Life, shard string, marks Fact) Record {
+	one := fact(name, life, marks)
+	one.Shards = map[Life]Shard{life: ShardOf(shard)}
+	return one
+}
+
+// Guards against answers of other shards clearing a request at the shard whose replicas it ends.
+func TestAnswersOfOtherShardsDoNotClearARequestAtTheShardThatItEnds(t *testing.T) {
+	l := NewLedger()
+	names := Names{Exact: exactKey("deadly")}
+	l.Merge(shardFact("deadly", 1, "a", Ended), 0)
+	l.Answered(names, ShardOf("b"))
+	require.Equal(t, Trusted, l.See(names, 0))
+	require.Equal(t, Suspect, l.SeeShard(names, ShardOf("a")))
+	require.Equal(t, Trusted, l.SeeShard(names, ShardOf("b")))
+	for life := Life(2); life < 4; life++ {
+		l.Merge(shardFact("deadly", life, "a", Ended|ShardTrial), 0)
+		l.Answered(names, ShardOf("b"))
+	}
+	require.Equal(t, Trusted, l.See(names, 0))
+	require.Equal(t, SetAside, l.SeeShard(names, ShardOf("a")))
+	require.NotZero(t, l.Digest())
+	l.Answered(names, ShardOf("a"))
+	require.Equal(t, Trusted, l.SeeShard(names, ShardOf("a")))
+}
+
+// Guards against setting aside frequent requests at a shard whose replicas crash repeatedly: an answer of the shard
+// between two crashes clears them there.
+func TestRepeatedCrashesOfAShardSetNothingAside(t *testing.T) {
+	l := NewLedger()
+	for life := range Life(50) {
+		for _, name := range []string{"popular", "other"} {
+			l.Merge(shardFact(name, life, "a", Ended|ShardTrial), 0)
+			require.NotEqual(t, SetAside, l.SeeShard(Names{Exact: exactKey(name)}, ShardOf("a")))
+		}
+		l.Answered(Names{Exact: exactKey("popular")}, ShardOf("a"))
+		l.Answered(Names{Exact: exactKey("other")}, ShardOf("a"))
+	}
+}
+
+// Guards against setting a broad name aside at a shard whose replicas crashed with searches on one path in flight and then
+// stopped responding: other searches on that path must not be rejected there.
+func TestAnUnresponsiveShardDoesNotSetABroadNameAside(t *testing.T) {
+	l := NewLedger()
+	search := func(query string) Names { return Identity{Path: "/search", Query: query}.Names() }
+	for life := range Life(6) {
+		names := search(fmt.Sprint("q=", life))
+		marks := Ended
+		if life >= 3 {
+			marks = ShardTrial
+		}
+		l.Merge(Record{
+			Key: names.Broad, Facts: map[Life]Fact{life: marks}, Shards: map[Life]Shard{life: ShardOf("a")},
+			Variants: map[uint64]struct{}{uint64(life): {}},
+		}, 0)
+	}
+	require.Equal(t, Suspect, l.SeeShard(search("q=new"), ShardOf("a")))
+}
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -45,6 +45,8 @@
 	Cause Cause
 	// Alone is set when the request goes to one replica at a time, and this is the one.
 	Alone bool
+	// ShardAlone is set when the request is limited to one send at a time at the shard, and this is that send.
+	ShardAlone bool
 }
 
 // Withdraw ends a send whose answer is no longer wanted.
@@ -87,6 +89,8 @@
 	OtherSlow Reason = "the other replica is slow or busy"
 	// Unproven means that replicas have ended under the request, and none has answered it.
 	Unproven Reason = "replicas ended under it and none has answered"
+	// ShardSetAside means that the request is set aside at the shard.
+	ShardSetAside Reason = "replicas of the shard ended under it each time it ran"
 	// ExtraUsed means that the bound on extra sends is reached.
 	ExtraUsed Reason = "the bound on extra sends is reached"
 )
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -30,6 +30,11 @@
 		s.held = s.live == 0
 		return
 	}
+	if m.shardSuspect(i) && (s.live > 0 || s.gaveUp) {
+		m.withhold(i, Retry, Unproven)
+		s.failed = s.live == 0
+		return
+	}
 	if m.again(i, Retry) || s.live > 0 {
 		return
 	}
@@ -116,7 +121,7 @@
 		m.withhold(i, Hedge, MustNotRepeat)
 		return
 	}
-	if m.oneAtATime() || m.mayEndAll() {
+	if m.oneAtATime() || m.mayEndAll() || m.shardSuspect(i) {
 		m.withhold(i, Hedge, Unproven)
 		return
 	}
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -33,6 +33,9 @@
 	FarExtra time.Duration
 	// Suspect is set when replicas have ended under the request before: see oneAtATime.
 	Suspect bool
+	// SuspectShards holds the indexes in Services of shards whose replicas have ended under the request before: see
+	// shardSuspect. SetAsideShards holds the indexes of shards that the request is not sent to.
+	SuspectShards, SetAsideShards map[int]bool
 }
 
 // Chooser is what the machine asks of the node's beliefs.
@@ -66,8 +69,9 @@
 type send struct {
 	service int
 	live    bool
-	// alone is set when nothing else of a request that goes to one replica at a time was in work.
-	alone bool
+	// alone is set when the request was limited to one send at a time and this was the only one in flight, shardAlone
+	// when that holds for the sends to the shard.
+	alone, shardAlone bool
 }
 
 // service is one shard of the request.
@@ -78,6 +82,9 @@
 	live   int
 	part   int
 	failed bool
+	// broken is set once a replica of the shard has closed the connection instead of answering, gaveUp once that has
+	// happened to a send with shardAlone set.
+	broken, gaveUp bool
 	// held is set while a send waits for the first answer to the request.
 	held bool
 	// lates counts how often the running send was found late.
@@ -150,6 +157,11 @@
 	choices := make([]*replica.Choice, len(m.services))
 	found := 0
 	for i := range m.services {
+		if m.plan.SetAsideShards[i] {
+			m.withhold(i, First, ShardSetAside)
+			m.services[i].failed = true
+			continue
+		}
 		choice, ok := m.chooser.Pick(m.plan.Services[i], nil, m.now)
 		if !ok {
 			m.result.NoReplica = true
@@ -176,6 +188,7 @@
 func (m *Machine) send(i int, to replica.Choice, cause Cause) {
 	s := &m.services[i]
 	alone := m.oneAtATime()
+	shardAlone := alone || m.shardSuspect(i) && s.live == 0
 	s.tried = append(s.tried, to.ID)
 	s.sent++
 	s.live++
@@ -186,8 +199,8 @@
 	if to.Far && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.FarExtra
 	}
-	m.sends = append(m.sends, send{service: i, live: true, alone: alone})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause, Alone: alone})
+	m.sends = append(m.sends, send{service: i, live: true, alone: alone, shardAlone: shardAlone})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Far: to.Far, Cause: cause, Alone: alone, ShardAlone: shardAlone})
 }
 
 func (m *Machine) ended(e Ended) {
--- a/internal/core/scatter/unproven.go
+++ b/internal/core/scatter/unproven.go
@@ -13,6 +13,14 @@
 	return (m.plan.Suspect || m.broken) && !m.proven
 }
 
+// shardSuspect reports whether the request may end the replicas of one shard: some of them have closed the connection
+// instead of answering, in this try or in an earlier one. Such a shard gets one send at a time, and none after that send's
+// connection was closed.
+//
+// This guards against retries and hedges ending all replicas of one shard: oneAtATime does not limit the request once
+// another shard has answered it.
+func (m *Machine) shardSuspect(i int) bool { return m.plan.SuspectShards[i] || m.services[i].broken }
+
 // mayEndAll reports whether a request over several shards has been answered by none yet. Its hedges wait for the first
 // answer: one that ends replicas would end the other one of each shard before the first has ended. Shards differ by
 // more than a hedge takes, so that nearly always one has answered by then.
@@ -25,6 +33,9 @@
 		m.proven = true
 	case e.Verdict == Failed && e.Broken:
 		m.broken = true
+		s := &m.services[one.service]
+		s.broken = true
+		s.gaveUp = s.gaveUp || one.shardAlone
 		m.gaveUp = m.gaveUp || one.alone
 	}
 }
@@ -46,8 +57,15 @@
 			m.release(i)
 		}
 	case !m.inWork():
+		m.releaseOne()
+	}
+}
+
+// releaseOne makes one of the waiting sends, trying shards that are not suspect first.
+func (m *Machine) releaseOne() {
+	for _, suspect := range []bool{false, true} {
 		for i := range m.services {
-			if m.release(i) {
+			if m.shardSuspect(i) == suspect && m.release(i) {
 				return
 			}
 		}
--- a/internal/core/scatter/unproven_test.go
+++ b/internal/core/scatter/unproven_test.go
@@ -99,3 +99,56 @@
 	require.Empty(t, sends(actions))
 	require.NotNil(t, finish(actions))
 }
+
+// Guards against a request ending all replicas of one shard that the other shards answer: the shard gets one more send,
+// and the request is answered without it.
+func TestARequestThatEndsTheReplicasOfOneShardIsAnsweredWithoutIt(t *testing.T) {
+	m := New(gatherPlan(), &fakeChooser{replicas: 3, extras: 9})
+	m.Step(0, Begin{})
+	m.Step(5*ms, broken(0))
+	further := sends(m.Step(6*ms, whole(1)))
+	require.Len(t, further, 1)
+	require.True(t, further[0].ShardAlone)
+	require.Empty(t, sends(m.Step(7*ms, broken(4))), "the only send in flight at the shard failed")
+	m.Step(8*ms, whole(2))
+	result := finish(m.Step(8*ms, whole(3)))
+	require.NotNil(t, result)
+	require.Equal(t, 3, result.Got)
+}
+
+// Guards against hedges and retries at a shard whose replicas ended under the request before. Other shards are not
+// restricted.
+func TestAShardWhereReplicasEndedBeforeHasOneSendAtATime(t *testing.T) {
+	plan := gatherPlan()
+	plan.SuspectShards = map[int]bool{0: true}
+	m := New(plan, &fakeChooser{replicas: 3, extras: 9})
+	first := sends(m.Step(0, Begin{}))
+	require.Len(t, first, 4)
+	for i, one := range first {
+		require.Equal(t, i == 0, one.ShardAlone)
+	}
+	m.Step(5*ms, whole(1))
+	for at := 10 * ms; at < 400*ms; at += 10 * ms {
+		for _, one := range sends(m.Step(at, Tick{})) {
+			require.NotZero(t, one.Service, "the suspect shard is not hedged")
+		}
+	}
+	require.Empty(t, sends(m.Step(400*ms, broken(0))))
+}
+
+// Guards against sending a request to a shard where it is set aside.
+func TestARequestIsNotSentToAShardWhereItIsSetAside(t *testing.T) {
+	plan := gatherPlan()
+	plan.SetAsideShards = map[int]bool{2: true}
+	m := New(plan, &fakeChooser{replicas: 3, extras: 9})
+	actions := m.Step(0, Begin{})
+	require.Len(t, sends(actions), 3)
+	for _, one := range sends(actions) {
+		require.NotEqual(t, 2, one.Service)
+	}
+	for i := range 2 {
+		m.Step(5*ms, whole(i))
+	}
+	result := finish(m.Step(5*ms, whole(2)))
+	require.Equal(t, 3, result.Got)
+}
--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -252,3 +252,43 @@
 		}
 	}
 }
+
+// Guards against answers of other shards keeping a request from being set aside at the shard whose replicas it ends. Once
+// set aside there, it is answered without that shard.
+func TestARequestThatEndsOneShardsReplicasIsAnsweredWithoutIt(t *testing.T) {
+	w := newWorld(t)
+	for _, service := range []string{"notes", "invoices", "s1", "s2", "s3"} {
+		for _, dataCentre := range []string{"east", "west", "east"} {
+			one := w.replica(service, dataCentre, service)
+			if service == "s2" {
+				one.SetDeadly(func(seen platformtest.Seen) bool { return strings.Contains(seen.Target, "deadly") })
+			}
+		}
+	}
+	w.serve("east", "west", "east")
+	try := deadlyTry{http.MethodGet, "/all/deadly", "", "127.0.0.1"}
+	ended, late, status := 0, 0, 0
+	for i := range 12 {
+		w.recover()
+		before := ended
+		status = w.tryDeadly(w.nodes[i%len(w.nodes)], try, fmt.Sprint("deadly-", i))
+		for _, one := range w.fleet.Replicas {
+			if one.Ended() {
+				ended++
+			}
+		}
+		if before >= enoughEnded && ended > before {
+			late++
+		}
+	}
+	require.GreaterOrEqual(t, ended, enoughEnded)
+	require.LessOrEqual(t, late, sendsLeft, "tries that were begun after it had ended three")
+	require.Equal(t, http.StatusOK, status, "the other shards answer it")
+	require.Eventually(t, func() bool {
+		response, _, err := w.try(w.nodes[0], http.MethodGet, "/all/deadly", "last", "")
+		return err == nil && response.Header.Get("Pistachiopier-Missing-Parts") == "1"
+	}, patience, time.Millisecond)
+	for _, one := range w.fleet.Replicas {
+		require.False(t, one.Ended(), "the request is no longer sent to the shard")
+	}
+}
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -143,7 +143,7 @@
 	var direct []*exchange
 	ways := map[way][]*exchange{}
 	for _, one := range started {
-		if !one.send.Far || one.send.Cause == scatter.Retry || one.send.Alone {
+		if !one.send.Far || one.send.Cause == scatter.Retry || one.send.ShardAlone {
 			direct = append(direct, one)
 			continue
 		}
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/core/topk"
@@ -75,6 +77,7 @@
 	}
 	q.template.Method, q.template.Target, q.template.Host = message.GetMethod(), message.GetTarget(), message.GetHost()
 	q.template.Header, q.template.Body, q.template.ID = header, message.GetBody(), q.id
+	q.names = sync.OnceValue(func() quarantine.Names { return q.identity().Names() })
 	return q
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
@@ -78,7 +79,7 @@
 		n.refuse(w, r, "the route has no service with a weight", retryNoReplica)
 		return
 	}
-	if q.standing == quarantine.SetAside {
+	if q.setAside() {
 		n.rejectSetAside(w, q)
 		return
 	}
@@ -151,8 +152,8 @@
 	}
 	q.plan = n.beliefs.plan(outlook.Ask{Route: route, Arrived: q.arrived, Wait: n.patience(r, route), Left: left, Way: way})
 	q.services = q.plan.Services
-	q.standing = n.quarantine.Standing(q.identity)
-	q.plan.Suspect = q.standing == quarantine.Suspect
+	q.names = sync.OnceValue(func() quarantine.Names { return q.identity().Names() })
+	q.assess()
 	return q, 0
 }
 
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -52,23 +52,69 @@
 	return read.Addr().Unmap().String()
 }
 
-// noteAnswered takes that a replica has answered the request: it ends none by itself.
-func (q *request) noteAnswered() {
-	if q.answered.Swap(true) {
-		return
+// assess applies the standings of the request, as a whole and at each shard, to its plan.
+func (q *request) assess() {
+	assessment := q.node.quarantine.Assess(q.identity, q.services)
+	q.standing = assessment.Request
+	q.plan.Suspect = q.standing == quarantine.Suspect
+	for i, standing := range assessment.Shards {
+		switch standing {
+		case quarantine.Suspect:
+			q.plan.SuspectShards = addIndex(q.plan.SuspectShards, i)
+		case quarantine.SetAside:
+			q.plan.SetAsideShards = addIndex(q.plan.SetAsideShards, i)
+		}
+	}
+}
+
+func addIndex(indexes map[int]bool, index int) map[int]bool {
+	if indexes == nil {
+		indexes = map[int]bool{}
 	}
-	q.node.quarantine.Answered(q.identity)
+	indexes[index] = true
+	return indexes
 }
 
-// noteTrial takes the end of a send that was the only one of a suspected request in work. Whether the replica ended
-// may not be seen by anyone, so that a trial without an answer counts by itself. A replica that answers with a failure
-// has not ended, and may not have run the request.
+// setAside reports whether the request is set aside as a whole, or at so many shards that too few remain to answer it.
+func (q *request) setAside() bool {
+	return q.standing == quarantine.SetAside || len(q.plan.SetAsideShards) > 0 && len(q.services)-len(q.plan.SetAsideShards) < max(q.plan.Least, 1)
+}
+
+// noteAnswered records that a replica of a shard has answered the request, which clears it as a whole and at that shard.
+func (q *request) noteAnswered(shard string) {
+	q.answered.Store(true)
+	q.node.quarantine.Answered(q.names, shard)
+}
+
+// trialMarks returns the trial marks for a send that was not answered.
+func trialMarks(send scatter.Send) quarantine.Fact {
+	var marks quarantine.Fact
+	if send.Alone {
+		marks |= quarantine.Trial
+	}
+	if send.ShardAlone {
+		marks |= quarantine.ShardTrial
+	}
+	return marks
+}
+
+// noteTrial records a failed send that was the only one of a suspected request in flight, or the only one at its shard. No
+// node may see the replica end, so a trial without an answer counts by itself. A replica that answers with a failure has not
+// ended, and may not have run the request.
 func (q *request) noteTrial(one *exchange) {
-	if one.send.Alone && one.verdict == scatter.Failed && one.response == nil {
-		q.node.quarantine.Seen(q.identity(), q.describe(), one.send.Replica.Life(), quarantine.Trial)
+	if marks := trialMarks(one.send); marks != 0 && one.verdict == scatter.Failed && one.response == nil {
+		q.node.quarantine.Seen(q.identity(), q.describe(), one.send.Replica.Service, one.send.Replica.Life(), marks|q.clearedMark())
 	}
 }
 
+// clearedMark returns Cleared if any replica has answered the request, so that the fact counts only at its shard.
+func (q *request) clearedMark() quarantine.Fact {
+	if q.answered.Load() {
+		return quarantine.Cleared
+	}
+	return 0
+}
+
 // maxEndedRequests bounds the requests that the line on an ended replica names: a replica that runs more
 // has very many slots.
 const maxEndedRequests = 16
@@ -82,7 +128,7 @@
 }
 
 // replicaEnded takes that a replica has ended, with the sends that were in work there. A request that another
-// replica has answered meanwhile is not suspected.
+// replica has answered in the meantime is suspected only at the shard of the ended replica.
 func (n *Node) replicaEnded(life replica.Incarnation, requests []*replicaconn.Request) {
 	var named []endedRequest
 	fields := decisionlog.Fields{"replica": life.ID, "born": life.Born, "in_work": len(requests)}
@@ -97,14 +143,8 @@
 		if len(named) < maxEndedRequests {
 			named = append(named, endedRequest{ID: q.id, Key: identity.Names().Exact.String(), Caller: q.caller(), Route: q.route.Name})
 		}
-		if q.answered.Load() {
-			continue
-		}
-		fact := quarantine.Ended
-		if work.send.send.Alone {
-			fact |= quarantine.Trial
-		}
-		n.quarantine.Seen(identity, q.describe(), life, fact)
+		marks := quarantine.Ended | trialMarks(work.send.send) | q.clearedMark()
+		n.quarantine.Seen(identity, q.describe(), work.send.send.Replica.Service, life, marks)
 	}
 	fields["requests"] = named
 	n.metrics.replicaEnded()
@@ -120,12 +160,13 @@
 // whatever else is in the log: operators have to find them at once.
 func (n *Node) standingChanged(change quarantine.Change, from core.NodeID) {
 	record := change.Record
-	if record.Standing() == change.Former {
+	severity := record.Severity()
+	if severity == change.Former {
 		return
 	}
-	fields := decisionlog.Fields{"key": record.Key.String(), "what": record.What, "former": change.Former.String(), "replicas_ended": record.Ended(), "from": from}
-	event := standingEvents[record.Standing()]
-	if record.Standing() == quarantine.SetAside {
+	fields := decisionlog.Fields{"key": record.Key.String(), "what": record.What, "former": change.Former.String(), "replicas_ended": record.Ended(), "from": from, "shards_set_aside": record.SetAsideShards()}
+	event := standingEvents[severity]
+	if severity == quarantine.SetAside {
 		n.metrics.setAside()
 		n.log.Life(event, fields)
 		return
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -40,10 +40,12 @@
 	over chan struct{}
 	// left is set when the caller went away.
 	left atomic.Bool
-	// standing is what was known of the request when it came; answered is set once a replica has answered it.
+	// standing is that of the request as a whole on arrival; answered is set once a replica has answered it.
 	standing quarantine.Standing
 	answered atomic.Bool
-	trail    []step
+	// names returns the names of the request in the quarantine, computed on first use.
+	names func() quarantine.Names
+	trail []step
 }
 
 // exchange is one send and how it ended.
@@ -303,7 +305,7 @@
 	q.node.metrics.send(one.send.Replica.Service, one.verdict, one.took)
 	switch one.verdict {
 	case scatter.Whole:
-		q.noteAnswered()
+		q.noteAnswered(one.send.Replica.Service)
 		b.answered(q.route, life, one.took)
 	case scatter.Failed:
 		b.note(func(book *replica.Book, now core.Time) { book.Failed(life, now) })
@@ -343,7 +345,7 @@
 	if platform.Stamp(response.Header) == "" || response.Status >= 500 {
 		return
 	}
-	q.noteAnswered()
+	q.noteAnswered(one.send.Replica.Service)
 	q.node.beliefs.answeredLate(q.route, one.send.Replica.Life(), q.node.now()-one.startAt)
 }
 
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -23,6 +23,7 @@
 	for _, life := range slices.Sorted(maps.Keys(record.Facts)) {
 		out.Lives = append(out.Lives, uint64(life))
 		out.Marks = append(out.Marks, byte(record.Facts[life]))
+		out.Shards = append(out.Shards, uint64(record.Shards[life]))
 	}
 	return out
 }
@@ -32,12 +33,13 @@
 	key, named := quarantine.KeyFrom(in.GetKey())
 	head, headed := quarantine.KeyFrom(in.GetHead())
 	lives, marks := in.GetLives(), in.GetMarks()
-	if !named || !headed || len(lives) != len(marks) || len(lives) > maxLives {
+	shards := in.GetShards()
+	if !named || !headed || len(lives) != len(marks) || len(lives) > maxLives || len(shards) > 0 && len(shards) != len(lives) {
 		return quarantine.Record{}, false
 	}
 	what := in.GetWhat()
 	record := quarantine.Record{
-		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{}, Variants: map[uint64]struct{}{},
+		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{}, Shards: map[quarantine.Life]quarantine.Shard{}, Variants: map[uint64]struct{}{},
 		SeenAt: now - time.Duration(in.GetAgeMs())*time.Millisecond,
 	}
 	variants := in.GetVariants()
@@ -47,5 +49,8 @@
 	for i, life := range lives {
 		record.Facts[quarantine.Life(life)] = quarantine.Fact(marks[i])
 	}
+	for i, shard := range shards {
+		record.Shards[quarantine.Life(lives[i])] = quarantine.Shard(shard)
+	}
 	return record, true
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -84,11 +84,19 @@
 // Digest sums up what is known of requests that are set aside; 0 is nothing.
 func (d *Duty) Digest() uint64 { return d.digest.Load() }
 
-// Standing is how a request that has come is treated. Where no request is remembered, or none that differs by
-// its body alone, identity is not read further.
-func (d *Duty) Standing(identity func() quarantine.Identity) quarantine.Standing {
+// Assessment holds the standings of an incoming request.
+type Assessment struct {
+	// Request is the standing of the request as a whole.
+	Request quarantine.Standing
+	// Shards holds the standings at the requested shards, in the same order; nil if the request is trusted at all of them.
+	Shards []quarantine.Standing
+}
+
+// Assess returns the standings of an incoming request, as a whole and at the given shards. identity is not called if no
+// request is remembered, and the body is not hashed if no remembered request matches in everything else.
+func (d *Duty) Assess(identity func() quarantine.Identity, shards []string) Assessment {
 	if d.known.Load() == 0 {
-		return quarantine.Trusted
+		return Assessment{}
 	}
 	one := identity()
 	heads := one.Heads()
@@ -96,20 +104,33 @@
 	likely := d.ledger.KnowsHead(heads)
 	d.mutex.Unlock()
 	if !likely {
-		return quarantine.Trusted
+		return Assessment{}
 	}
 	names := heads.With(one.Body)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.ledger.See(names, d.options.Now())
+	assessment := Assessment{Request: d.ledger.See(names, d.options.Now())}
+	for i, shard := range shards {
+		standing := d.ledger.SeeShard(names, quarantine.ShardOf(shard))
+		if standing == quarantine.Trusted {
+			continue
+		}
+		if assessment.Shards == nil {
+			assessment.Shards = make([]quarantine.Standing, len(shards))
+		}
+		assessment.Shards[i] = standing
+	}
+	return assessment
 }
 
-// Seen takes what came of a request at a replica: that it ended, or gave a trial no answer.
-func (d *Duty) Seen(identity quarantine.Identity, what string, life replica.Incarnation, fact quarantine.Fact) {
+// Seen records the outcome of a request at a replica of a shard: the replica ended, or did not answer a trial.
+func (d *Duty) Seen(identity quarantine.Identity, what, shard string, life replica.Incarnation, fact quarantine.Fact) {
 	now := d.options.Now()
 	heads := identity.Heads()
 	names := heads.With(identity.Body)
-	exact := quarantine.Record{Key: names.Exact, Head: heads.Exact, What: what, SeenAt: now, Facts: map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}}
+	exact := quarantine.Record{Key: names.Exact, Head: heads.Exact, What: what, SeenAt: now}
+	exact.Facts = map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}
+	exact.Shards = map[quarantine.Life]quarantine.Shard{lifeOf(life): quarantine.ShardOf(shard)}
 	broad := exact
 	broad.Key, broad.Head, broad.What = names.Broad, heads.Broad, what+anyVariant
 	broad.Variants = map[uint64]struct{}{binary.BigEndian.Uint64(names.Exact[:]): {}}
@@ -119,13 +140,13 @@
 // anyVariant ends the description of a broad name.
 const anyVariant = ", or with another query or caller"
 
-// Answered takes that a replica has answered a request.
-func (d *Duty) Answered(identity func() quarantine.Identity) {
+// Answered records that a replica of a shard has answered a request. names is called only if any request is remembered.
+func (d *Duty) Answered(names func() quarantine.Names, shard string) {
 	if d.known.Load() == 0 {
 		return
 	}
-	names := identity().Names()
-	d.take("", func() []quarantine.Change { return d.ledger.Answered(names) })
+	resolved := names()
+	d.take("", func() []quarantine.Change { return d.ledger.Answered(resolved, quarantine.ShardOf(shard)) })
 }
 
 // lifeOf names an incarnation of a replica.
@@ -178,8 +199,10 @@
 	Key      string `json:"key"`
 	What     string `json:"what"`
 	Standing string `json:"standing"`
-	Ended    int    `json:"replicas_ended"`
-	SinceMs  int64  `json:"since_ms"`
+	// SetAsideShards counts the shards where the request is set aside; 0 if it is set aside as a whole.
+	SetAsideShards int   `json:"set_aside_shards,omitempty"`
+	Ended          int   `json:"replicas_ended"`
+	SinceMs        int64 `json:"since_ms"`
 }
 
 // Requests lists the requests that are not trusted, the most severe first.
@@ -189,15 +212,15 @@
 	now := d.options.Now()
 	var list []Request
 	for _, one := range d.ledger.Records() {
-		if one.Standing() == quarantine.Trusted {
+		if one.Severity() == quarantine.Trusted {
 			continue
 		}
-		list = append(list, Request{Key: one.Key.String(), What: one.What, Standing: one.Standing().String(), Ended: one.Ended(), SinceMs: (now - one.FirstAt).Milliseconds()})
+		list = append(list, Request{Key: one.Key.String(), What: one.What, Standing: one.Severity().String(), SetAsideShards: one.SetAsideShards(), Ended: one.Ended(), SinceMs: (now - one.FirstAt).Milliseconds()})
 	}
 	return list
 }
 
-// Count is the number of names with a standing.
+// Count returns the number of names whose severity is the given standing.
 func (d *Duty) Count(standing quarantine.Standing) int64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -83,7 +83,7 @@
 // agree reports whether all nodes treat a request alike.
 func (n *net) agree(identity quarantine.Identity, standing quarantine.Standing) bool {
 	for _, one := range n.duties {
-		if one.Standing(func() quarantine.Identity { return identity }) != standing {
+		if one.Assess(func() quarantine.Identity { return identity }, nil).Request != standing {
 			return false
 		}
 	}
@@ -129,7 +129,7 @@
 		if i > 0 {
 			marks |= quarantine.Trial
 		}
-		n.duties[i*(len(n.duties)-1)/2].Seen(deadly, "deadly", replica.Incarnation{ID: fmt.Sprint("i-", i)}, marks)
+		n.duties[i*(len(n.duties)-1)/2].Seen(deadly, "deadly", "s", replica.Incarnation{ID: fmt.Sprint("i-", i)}, marks)
 	}
 }
 
@@ -164,8 +164,8 @@
 	n.parted = func(one, other int) bool { return one%2 != other%2 }
 	other := quarantine.Identity{Path: "/other"}
 	for i := range 3 {
-		n.duties[0].Seen(deadly, "deadly", replica.Incarnation{ID: fmt.Sprint("i-", i)}, quarantine.Ended|quarantine.Trial)
-		n.duties[1].Seen(other, "other", replica.Incarnation{ID: fmt.Sprint("j-", i)}, quarantine.Ended|quarantine.Trial)
+		n.duties[0].Seen(deadly, "deadly", "s", replica.Incarnation{ID: fmt.Sprint("i-", i)}, quarantine.Ended|quarantine.Trial)
+		n.duties[1].Seen(other, "other", "s", replica.Incarnation{ID: fmt.Sprint("j-", i)}, quarantine.Ended|quarantine.Trial)
 	}
 	require.Eventually(t, func() bool { return n.duties[0].Digest() != 0 && n.duties[1].Digest() != 0 }, patience, time.Millisecond)
 	n.mutex.Lock()
@@ -184,7 +184,7 @@
 	popular := func(i int) quarantine.Identity { return quarantine.Identity{Path: fmt.Sprint("/popular/", i)} }
 	for lost := range 200 {
 		for question := range 3 {
-			n.duties[lost%30].Seen(popular(question), "popular", replica.Incarnation{ID: fmt.Sprint("i-", lost)}, quarantine.Ended)
+			n.duties[lost%30].Seen(popular(question), "popular", "s", replica.Incarnation{ID: fmt.Sprint("i-", lost)}, quarantine.Ended)
 		}
 	}
 	require.Eventually(t, func() bool { return n.agree(popular(0), quarantine.Suspect) }, patience, time.Millisecond)
@@ -192,8 +192,8 @@
 		require.True(t, n.agree(popular(question), quarantine.Suspect))
 	}
 	require.Zero(t, n.duties[0].Digest())
-	n.duties[7].Answered(func() quarantine.Identity { return popular(0) })
-	require.Equal(t, quarantine.Trusted, n.duties[7].Standing(func() quarantine.Identity { return popular(0) }))
+	n.duties[7].Answered(func() quarantine.Names { return popular(0).Names() }, "s")
+	require.Equal(t, quarantine.Trusted, n.duties[7].Assess(func() quarantine.Identity { return popular(0) }, nil).Request)
 }
 
 // More requests are set aside than a message holds, and two nodes know different ones. They do not tell each other
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -99,7 +99,7 @@
 func (d *Duty) all(now core.Time) []*peerpb.QuarantineRecord {
 	var list []*peerpb.QuarantineRecord
 	for _, one := range d.ledger.Records() {
-		if one.Standing() == quarantine.Trusted || len(list) >= maxWhole {
+		if one.Severity() == quarantine.Trusted || len(list) >= maxWhole {
 			break
 		}
 		list = append(list, encode(one, now))
