Set aside questions that end replicas behind `serve`, per shard

Other questions to the service got no answer until the replicas were back.

Cause: no information about a question was kept beyond one try. Owners and entries did not report it to other nodes, and within a try the owner retried immediately on the other replica of each shard.

Fix: - The owner holds the connections. When a replica breaks one, the owner checks whether the replica has ended (a new connection is refused) and reports this to the quarantine duty that the forwarding tier already runs. - A question is identified by service, customer and text, and is judged for each service of its closure and for each shard. - The entry first asks one replica of a suspect service, and asks a suspect shard one replica at a time, without hedges or fallbacks. - The entry omits shards where the question is set aside and reports them as missing (`set_aside`). It refuses the question as not run if the service asked is unavailable or the caller's least coverage cannot be reached. - After a broken connection the entry retries instead of the owner, because the entry knows what other shards answered. - Submits are identified by their body, not their key. Their home refuses them, because it knows whether an earlier send of the key may have run.

Why this works: a harmless question is answered at its first trial, which clears it. An answer from another shard or service does not clear a question that ends replicas of this one.

The property test of the query machine draws broken connections and precautions too.

--- a/internal/api/failures.go
+++ b/internal/api/failures.go
@@ -60,7 +60,7 @@
 		return http.StatusTooManyRequests
 	case fault.CodeKeyReused, fault.CodeKeyExpired:
 		return http.StatusConflict
-	case fault.CodeNotReady, fault.CodeDraining, fault.CodeRefused:
+	case fault.CodeNotReady, fault.CodeDraining, fault.CodeRefused, fault.CodeSetAside:
 		return http.StatusServiceUnavailable
 	case fault.CodeHomeGone, fault.CodeLost:
 		return http.StatusBadGateway
--- a/internal/app/handle.go
+++ b/internal/app/handle.go
@@ -28,6 +28,8 @@
 		n.home.HandleSubmit(inbound)
 	case *peerpb.Envelope_HandoverRequest:
 		n.home.HandleHandover(inbound)
+	case *peerpb.Envelope_QuarantineNews:
+		n.quarantine.Handle(inbound)
 	case *peerpb.Envelope_ProblemsRequest:
 		n.gatherer.Answer(inbound)
 	default:
--- a/internal/app/look.go
+++ b/internal/app/look.go
@@ -6,6 +6,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
@@ -60,6 +61,9 @@
 	// OwnerShards are the queues and replicas of the shards served here.
 	OwnerShards []owner.ShardDump `json:"owner_shards"`
 
+	// Quarantine lists the requests that are suspected or set aside because replicas ended while running them.
+	Quarantine []quarantine.Request `json:"quarantine"`
+
 	Config   confwatch.Dump `json:"config"`
 	Problems any            `json:"problems"`
 }
@@ -78,5 +82,6 @@
 		Config:      n.config.Dump(),
 		Problems:    n.gatherer.Own().Problems,
 		OwnerShards: n.owner.Dump(),
+		Quarantine:  n.quarantine.Requests(),
 	}
 }
--- a/internal/app/metrics.go
+++ b/internal/app/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/api"
+	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
@@ -20,6 +21,8 @@
 	observe.Watch(n.metrics, "view_nodes", func() int64 { return int64(len(n.belief.View().Nodes())) })
 	observe.Watch(n.metrics, "peer_links", func() int64 { return int64(n.pool.Links()) })
 	observe.Watch(n.metrics, "upstream_replies_dropped_total", n.upstream.DroppedReplies)
+	observe.Watch(n.metrics, "requests_suspected", func() int64 { return n.quarantine.Count(corequarantine.Suspect) })
+	observe.Watch(n.metrics, "requests_set_aside", n.SetAsideCount)
 	n.watchRings("entry", func() []ring.Stats { return n.entry.Rings() })
 	n.watchRings("owner", func() []ring.Stats { return n.owner.Rings() })
 	n.watchRings("home", func() []ring.Stats { return n.home.Rings() })
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/owner"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/settings"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
@@ -38,20 +39,22 @@
 	problems *observe.Problems
 	metrics  observe.Registry
 	upstream *upstream.Client
-	owner    *owner.Owner
-	entry    *entry.Entry
-	home     *home.Home
-	pool     *peer.Pool
-	server   *peer.Server
-	platform *confservice.Client
-	config   *confwatch.Watcher
-	members  *membership.Duty
-	caller   *httpServer
-	operator *httpServer
-	gatherer *gather.Gatherer
-	prober   *night.Prober
-	expiry   *expiryWatch
-	rotation api.Rotation
+	// quarantine tracks requests that may end the replicas that run them.
+	quarantine *quarantine.Duty
+	owner      *owner.Owner
+	entry      *entry.Entry
+	home       *home.Home
+	pool       *peer.Pool
+	server     *peer.Server
+	platform   *confservice.Client
+	config     *confwatch.Watcher
+	members    *membership.Duty
+	caller     *httpServer
+	operator   *httpServer
+	gatherer   *gather.Gatherer
+	prober     *night.Prober
+	expiry     *expiryWatch
+	rotation   api.Rotation
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 	// ready is set once every duty runs: a peer may ask before that.
@@ -105,6 +108,8 @@
 		upstream: upstream.NewClient(),
 		platform: confservice.NewClient(s.Platform),
 	}
+	node.upstream.DetectEnded()
+	node.quarantine = quarantine.New(quarantine.Options{Now: node.now, Changed: node.standingChanged})
 	return node, nil
 }
 
--- a/internal/app/start.go
+++ b/internal/app/start.go
@@ -46,6 +46,7 @@
 	n.belief.SetSelf(n.self())
 	n.config.Start()
 	n.members = n.startMembership()
+	n.quarantine.Start(n.pool)
 	n.ready.Store(true)
 	n.pool.OnLink(n.linkNews)
 	n.upstream.OnSilent(n.silentUpstream)
@@ -94,6 +95,7 @@
 		Log:      n.log,
 		Problems: n.problems,
 		Metrics:  n.metrics,
+		Recorder: n.quarantine,
 	})
 }
 
@@ -105,6 +107,7 @@
 		Now:      n.now,
 		Log:      n.log,
 		Limits:   n.settings.Once.Limits(),
+		Assessor: n.quarantine,
 		Problems: n.problems,
 		Metrics:  n.metrics,
 	})
@@ -120,6 +123,7 @@
 		Log:         n.log,
 		Problems:    n.problems,
 		Metrics:     n.metrics,
+		Assessor:    n.quarantine,
 		Limits:      entrylimit.Config{Places: n.settings.Limits.InFlight, Headroom: n.settings.Limits.Headroom},
 	})
 }
@@ -150,5 +154,8 @@
 		Log:         n.log,
 		Problems:    n.problems,
 		Heard:       n.config.Hint,
+
+		Quarantine:      n.quarantine.Digest,
+		HeardQuarantine: n.heardQuarantine,
 	})
 }
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -105,6 +105,7 @@
 func (n *Node) closeDuties() {
 	if n.members != nil {
 		n.members.Close()
+		n.quarantine.Close()
 	}
 	if n.config != nil {
 		n.config.Close()
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -69,6 +69,8 @@
 	Deadline core.Time
 	// Once marks a request that must not be repeated.
 	Once bool
+	// Alone marks a request that may end replicas: it is not hedged, so that it runs on one replica at a time.
+	Alone bool
 }
 
 // Withdrawn says that nobody waits for the request any longer.
@@ -82,6 +84,8 @@
 	Draining bool
 	// Refused says that the upstream took no connection.
 	Refused bool
+	// Broken is set when the upstream closed the connection instead of answering.
+	Broken bool
 	// RetryAfter is how long the upstream asked to be left alone.
 	RetryAfter time.Duration
 	// Load is the upstream's own figure, 0 to 1; negative is not given.
--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -80,7 +80,7 @@
 	if kind == KindFirst && s.config.Budget != nil {
 		s.config.Budget.FirstTry(s.config.Service, r.Customer, 1)
 	}
-	if delay, known := s.hedgeDelay(chosen); known && kind != KindHedge && !r.Once {
+	if delay, known := s.hedgeDelay(chosen); known && kind != KindHedge && !r.Once && !r.Alone {
 		t.hedgeAt = now + min(delay, (r.Deadline-now)/lastHedge)
 		s.hedges.fix(t)
 	}
--- a/internal/core/admit/try.go
+++ b/internal/core/admit/try.go
@@ -75,7 +75,7 @@
 // ended may have been the hedge of a try that went silent: without another one
 // the request would wait for the silent replica until its deadline.
 func (s *Shard) hedgeAgain(ended *try, e TryEnded) {
-	if !byReplica(e) {
+	if !byReplica(e) || e.Broken {
 		return
 	}
 	r := ended.request
@@ -104,6 +104,11 @@
 	if !byReplica(e) {
 		return false
 	}
+	if e.Broken {
+		// The request may end every replica that runs it. The entry knows whether other shards have answered, and
+		// decides on the retry.
+		return false
+	}
 	r.turnFrom(t.replica, e)
 	if !s.hasOther(r) {
 		return false
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,8 @@
 	ReasonStraggler Reason = "straggler"
 	// ReasonLayout is a shard whose service was repartitioned meanwhile.
 	ReasonLayout Reason = "layout_changed"
+	// ReasonSetAside is a shard that was not asked because its replicas may end when they run the question.
+	ReasonSetAside Reason = "set_aside"
 	// ReasonCutReply is a reply that ended before it named the shard.
 	ReasonCutReply Reason = "cut_reply"
 )
--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -3,9 +3,13 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
 // Key names a request over all its tries: by any other one it is the same with a probability that nobody
@@ -43,6 +47,32 @@
 	Body   []byte
 }
 
+// The values of Identity.Method for requests of a customer to a service.
+const (
+	verbQuery  = "query"
+	verbSubmit = "submit"
+)
+
+// Query returns the identity of a question at one service of its closure.
+func Query(service string, customer core.Customer, question []byte) Identity {
+	return Identity{Method: verbQuery, Path: service, Caller: string(customer), Body: compactJSON(question)}
+}
+
+// Submit returns the identity of a submit. It leaves out the submit key, because callers may retry under a new key.
+func Submit(service string, customer core.Customer, payload []byte) Identity {
+	return Identity{Method: verbSubmit, Path: service, Caller: string(customer), Body: compactJSON(payload)}
+}
+
+// compactJSON removes insignificant white space, as the encoder does before replicas receive the text. Text that is not
+// valid JSON is returned unchanged.
+func compactJSON(text []byte) []byte {
+	var out bytes.Buffer
+	if json.Compact(&out, text) != nil {
+		return text
+	}
+	return out.Bytes()
+}
+
 // Names are the keys of a request: an exact one, and a broad one that passes over the query and the caller.
 //
 // The failure: the same request comes with another query, or with a header line that differs each time, and looks like
--- a/internal/core/query/ask.go
+++ b/internal/core/query/ask.go
@@ -38,7 +38,7 @@
 func (m *Machine) granted(left []int) []int {
 	var granted []int
 	for _, index := range left {
-		if m.needs[index].open == 1 && m.extra(index) {
+		if m.needs[index].open == 1 && m.needs[index].trial == NoTrial && m.extra(index) {
 			granted = append(granted, index)
 		}
 	}
@@ -87,9 +87,10 @@
 // has a part is not asked: it would compute from nothing.
 func (m *Machine) collect(service int) {
 	s := &m.services[service]
+	first := len(m.due)
 	for _, index := range m.plan.Services[service].Shards {
 		need := &m.needs[index]
-		if need.settled || need.open > 0 || need.retryAt > m.now || m.hasTarget(index) {
+		if need.settled || need.open > 0 || need.retryAt > m.now || m.hasTarget(index) || m.settleExcluded(index) {
 			continue
 		}
 		if s.depShards > 0 && s.depAnswered == 0 {
@@ -98,6 +99,9 @@
 		}
 		m.due = append(m.due, index)
 	}
+	if m.oneAtATime(service) {
+		m.due = append(m.due[:first], m.limitToOne(service, m.due[first:])...)
+	}
 }
 
 // noteTries counts first tries and retries.
@@ -131,6 +135,7 @@
 		m.needs[index].open++
 		m.settleStragglers(index)
 	}
+	action.Trials = m.startTrials(action.Needs)
 	action.ID = m.id(len(m.sends) - 1)
 	action.TimeLeft = m.options.Deadline - m.now
 	m.actions = append(m.actions, action)
--- a/internal/core/query/event.go
+++ b/internal/core/query/event.go
@@ -35,6 +35,8 @@
 	Reason     core.Reason
 	Serves     []core.Version
 	RetryAfter time.Duration
+	// Broken is set when a replica closed the connection instead of answering.
+	Broken bool
 	// Last says that the send brings no more replies.
 	Last bool
 }
@@ -51,7 +53,11 @@
 type Woken struct{}
 
 // Replanned brings the plan of a newer text, in answer to a Replan.
-type Replanned struct{ Plan *Plan }
+type Replanned struct {
+	Plan *Plan
+	// Precautions apply to the newer plan.
+	Precautions Precautions
+}
 
 // Cancelled says that the caller has gone.
 type Cancelled struct{}
@@ -77,6 +83,8 @@
 	TimeLeft time.Duration
 	// Needs lists the shards asked, all of one bundle. It must not be changed.
 	Needs []int
+	// Trials holds the trial of each entry of Needs, in the same order; nil means that none is on trial.
+	Trials []Trial
 	// Fallback marks a send in addition to one whose owner is silent.
 	Fallback bool
 }
--- a/internal/core/query/lifecycle.go
+++ b/internal/core/query/lifecycle.go
@@ -64,11 +64,11 @@
 	case PartFailed:
 		m.partFailed(e)
 	case SendFailed:
-		m.endSend(e.Send, failedTry{e.Outcome, e.Reason, e.RetryAfter})
+		m.endSend(e.Send, failedTry{outcome: e.Outcome, reason: e.Reason, retryAfter: e.RetryAfter})
 	case Woken:
 		m.rang()
 	case Replanned:
-		m.offered = e.Plan
+		m.offered, m.offeredPrecautions = e.Plan, e.Precautions
 		m.fire(eventReplanned)
 		m.offered = nil
 	case Cancelled:
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -39,6 +39,11 @@
 	alarmed bool
 	// offered is the plan of a newer text, while its event is answered.
 	offered *Plan
+	// offeredPrecautions apply to offered.
+	offeredPrecautions Precautions
+	// broken holds the services of which a replica closed the connection instead of answering. gaveUp holds those where
+	// this happened during a ServiceTrial. Both are nil until the first such failure.
+	broken, gaveUp map[int]bool
 	// answered and settled count the needs at the target.
 	answered  int
 	settled   int
@@ -76,6 +81,10 @@
 	// settled is set when the shard gets no further try at the target.
 	settled bool
 	failure failure
+	// broken is set once a replica of the shard closed the connection instead of answering, gaveUp once this happened
+	// during a trial. trial is that of the newest send.
+	broken, gaveUp bool
+	trial          Trial
 }
 
 // failure is why a shard gave no part, and at which version it was asked.
@@ -111,6 +120,7 @@
 // take starts the plan with nothing known of its shards.
 func (m *Machine) take(plan *Plan) {
 	m.plan = plan
+	m.broken, m.gaveUp = nil, nil
 	m.needs = make([]needState, len(plan.Needs))
 	m.services = make([]serviceState, len(plan.Services))
 	// One array holds the first part of every shard: most have only one.
--- a/internal/core/query/plan.go
+++ b/internal/core/query/plan.go
@@ -139,6 +139,8 @@
 	FallbackAfter time.Duration
 	// Budget bounds retries and fallbacks; nil is no bound.
 	Budget Budget
+	// Precautions restrict how the shards of the plan are asked.
+	Precautions Precautions
 }
 
 func (o Options) withDefaults() Options {
--- /dev/null
+++ b/internal/core/query/precaution_test.go
@@ -0,0 +1,114 @@
+package query
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
+
+// shardedPlan has the asked service top depend on a service of four shards, each in its own bundle.
+func shardedPlan() *Plan {
+	needs := []Need{{Ref: core.ShardRef{Service: "top"}, Bundle: 9, Service: 1}}
+	var shards []int
+	for i := range 4 {
+		shards = append(shards, len(needs))
+		needs = append(needs, Need{Ref: core.ShardRef{Service: "base", Shard: i}, Bundle: core.BundleID(i), Service: 0})
+	}
+	return NewPlan([]ServicePlan{{Name: "base", Shards: shards}, {Name: "top", DependsOn: []int{0}, Shards: []int{0}}}, needs)
+}
+
+func brokenReply(send Send) PartFailed {
+	return PartFailed{Send: send.ID, Need: send.Needs[0], Reason: core.ReasonUpstreamFailed, Broken: true, Last: true}
+}
+
+func answerReply(send Send) PartArrived {
+	return PartArrived{Send: send.ID, Need: send.Needs[0], Version: 7, Payload: []byte("p"), Last: true}
+}
+
+// Guards against retries ending all replicas of a service: the first sends end one replica of each shard, the next send
+// ends one more, and no further send is made.
+func TestAQuestionThatEndsReplicasEndsOneOfEachShardAndOneMore(t *testing.T) {
+	m := New(shardedPlan(), testOptions())
+	first := sendsOf(m.Step(0, Started{}))
+	require.Len(t, first, 4)
+	for _, send := range first {
+		require.Nil(t, send.Trials)
+		require.Empty(t, sendsOf(m.Step(1, brokenReply(send))))
+	}
+	further := sendsOf(m.Step(testOptions().RetryPause+1, Woken{}))
+	require.Len(t, further, 1)
+	require.Equal(t, []Trial{ServiceTrial}, further[0].Trials)
+	actions := m.Step(testOptions().RetryPause+2, brokenReply(further[0]))
+	require.Empty(t, sendsOf(actions))
+	require.Zero(t, answerOf(t, actions).Coverage.Answered)
+}
+
+// Guards against repeated sends to a shard whose replicas the question ends while other shards answer: the shard is asked
+// once more, on trial, and the answer names it as missing.
+func TestAQuestionThatEndsTheReplicasOfOneShardIsAnsweredWithoutIt(t *testing.T) {
+	m := New(shardedPlan(), testOptions())
+	first := sendsOf(m.Step(0, Started{}))
+	m.Step(1, brokenReply(first[0]))
+	for _, send := range first[1:] {
+		m.Step(2, answerReply(send))
+	}
+	further := sendsOf(m.Step(testOptions().RetryPause+2, Woken{}))
+	require.Len(t, further, 1)
+	require.Equal(t, []Trial{ShardTrial}, further[0].Trials)
+	top := sendsOf(m.Step(testOptions().RetryPause+3, brokenReply(further[0])))
+	require.Len(t, top, 1)
+	require.Equal(t, []int{0}, top[0].Needs)
+	answer := answerOf(t, m.Step(testOptions().RetryPause+4, answerReply(top[0])))
+	require.Equal(t, []Missing{{Ref: core.ShardRef{Service: "base"}, Reason: core.ReasonUpstreamFailed}}, answer.Coverage.Missing)
+}
+
+// Guards against a known suspect question ending a replica of each shard: one replica of the service is asked first, the
+// other shards only after it has answered.
+func TestASuspectServiceIsAskedOfOneReplicaFirst(t *testing.T) {
+	options := testOptions()
+	options.Precautions = Precautions{SuspectServices: map[int]bool{0: true}, SuspectNeeds: map[int]bool{1: true}}
+	m := New(shardedPlan(), options)
+	first := sendsOf(m.Step(0, Started{}))
+	require.Len(t, first, 1)
+	require.Equal(t, []int{2}, first[0].Needs, "a shard that is not suspect comes first")
+	require.Equal(t, []Trial{ServiceTrial}, first[0].Trials)
+	others := sendsOf(m.Step(1, answerReply(first[0])))
+	require.Len(t, others, 3)
+	for _, send := range others {
+		if send.Needs[0] == 1 {
+			require.Equal(t, []Trial{ShardTrial}, send.Trials)
+		} else {
+			require.Nil(t, send.Trials)
+		}
+	}
+}
+
+// Guards against asking a shard where the question is set aside: the answer names it as missing.
+func TestAShardWhereAQuestionIsSetAsideIsNotAsked(t *testing.T) {
+	options := testOptions()
+	options.Precautions = Precautions{SetAside: map[int]bool{3: true}}
+	m := New(shardedPlan(), options)
+	first := sendsOf(m.Step(0, Started{}))
+	require.Len(t, first, 3)
+	var top []Send
+	for _, send := range first {
+		require.NotEqual(t, 3, send.Needs[0])
+		top = sendsOf(m.Step(1, answerReply(send)))
+	}
+	answer := answerOf(t, m.Step(2, answerReply(top[0])))
+	require.Equal(t, []Missing{{Ref: core.ShardRef{Service: "base", Shard: 2}, Reason: core.ReasonSetAside}}, answer.Coverage.Missing)
+}
+
+// Guards against two replicas ending at once: while the owner of a shard on trial is silent, no other node is asked.
+func TestAShardOnTrialHasNoFallback(t *testing.T) {
+	options := testOptions()
+	options.FallbackAfter = options.Deadline / 4
+	options.Precautions = Precautions{SuspectServices: map[int]bool{0: true}}
+	m := New(shardedPlan(), options)
+	m.Step(0, Started{})
+	for at := options.FallbackAfter; at < options.Deadline; at += options.FallbackAfter {
+		require.Empty(t, sendsOf(m.Step(at, Woken{})))
+	}
+}
--- a/internal/core/query/property_test.go
+++ b/internal/core/query/property_test.go
@@ -57,6 +57,15 @@
 	return granted
 }
 
+// drawIndexes draws up to three indexes from 0 to 3*count, most of them not below count.
+func drawIndexes(t *rapid.T, label string, count int) map[int]bool {
+	indexes := map[int]bool{}
+	for _, index := range rapid.SliceOfN(rapid.IntRange(0, 3*count), 0, 3).Draw(t, label) {
+		indexes[index] = true
+	}
+	return indexes
+}
+
 func drawOptions(t *rapid.T, b Budget) Options {
 	return Options{
 		Deadline:      testDeadline,
@@ -71,6 +80,11 @@
 		MaxReplans:    rapid.IntRange(0, 2).Draw(t, "replans"),
 		FallbackAfter: rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond}).Draw(t, "fallback"),
 		Budget:        b,
+		Precautions: Precautions{
+			SuspectServices: drawIndexes(t, "suspect services", 3),
+			SuspectNeeds:    drawIndexes(t, "suspect needs", 6),
+			SetAside:        drawIndexes(t, "set aside", 6),
+		},
 	}
 }
 
@@ -137,6 +151,7 @@
 			Send: a.send.ID, Need: a.need, Last: last,
 			Outcome: rapid.SampledFrom([]core.Outcome{core.NotRun, core.Unknown}).Draw(t, "outcome"),
 			Reason:  rapid.SampledFrom(testReasons).Draw(t, "reason"),
+			Broken:  rapid.Bool().Draw(t, "broken"),
 		})
 	case "send failed":
 		w.step(SendFailed{Send: a.send.ID, Reason: core.ReasonPeerLost})
--- a/internal/core/query/retry.go
+++ b/internal/core/query/retry.go
@@ -11,12 +11,19 @@
 	outcome    core.Outcome
 	reason     core.Reason
 	retryAfter time.Duration
+	// broken is set when a replica closed the connection instead of answering.
+	broken bool
 }
 
 // failed records a failed try and plans the next one, or settles the shard.
 func (m *Machine) failed(index int, try failedTry) {
 	need := &m.needs[index]
 	need.failure = failure{try.reason, m.target}
+	if try.broken {
+		m.noteBroken(index)
+	}
+	// Other shards of the service may be waiting for this one to end.
+	m.dueChanged = m.dueChanged || m.oneAtATime(m.plan.Needs[index].Service)
 	if try.reason == core.ReasonLayout || try.reason == core.ReasonNotOwner {
 		m.replan = m.replan || m.replans < m.options.MaxReplans
 	}
@@ -24,7 +31,7 @@
 		return
 	}
 	pause := max(try.retryAfter, m.options.RetryPause<<need.reroutes)
-	if m.now+pause >= m.options.Deadline || !m.takeRetry(index, try) {
+	if m.now+pause >= m.options.Deadline || need.gaveUp || !m.takeRetry(index, try) {
 		m.settle(index, try.reason)
 		return
 	}
--- a/internal/core/query/sends.go
+++ b/internal/core/query/sends.go
@@ -84,6 +84,8 @@
 // keep stores the first part of a shard at a version.
 func (m *Machine) keep(e PartArrived) {
 	need := &m.needs[e.Need]
+	// Other shards of the service may be waiting for its first answer.
+	m.dueChanged = m.dueChanged || m.oneAtATime(m.plan.Needs[e.Need].Service)
 	need.parts = append(need.parts, versionPart{version: e.Version, payload: e.Payload})
 	if m.first == 0 {
 		m.first = e.Version
@@ -103,7 +105,7 @@
 		m.dropped++
 	} else {
 		m.learn(&m.needs[e.Need], e.Serves)
-		m.failed(e.Need, failedTry{e.Outcome, e.Reason, e.RetryAfter})
+		m.failed(e.Need, failedTry{e.Outcome, e.Reason, e.RetryAfter, e.Broken})
 	}
 	if e.Last {
 		m.endSend(e.Send, failedTry{reason: core.ReasonCutReply})
--- a/internal/core/query/version.go
+++ b/internal/core/query/version.go
@@ -174,6 +174,7 @@
 		m.withdraw(i)
 	}
 	former, formerNeeds := m.plan, m.needs
+	m.options.Precautions = m.offeredPrecautions
 	m.take(m.offered)
 	m.keepParts(former, formerNeeds)
 	m.settleClosed()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,8 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
+	// Assessor, when set, returns the standings of questions that may end replicas.
+	Assessor Assessor
 	// Limits bound the requests in work; zero values take the defaults.
 	Limits entrylimit.Config
 	// ringDepth is the depth of each loop's ring, in events; 0 takes the default.
@@ -240,6 +242,10 @@
 	defer stop()
 	select {
 	case answer := <-answers:
+		if answer.refused != nil {
+			e.metrics.refused.Inc(1)
+			return nil, answer.refused
+		}
 		return &Result{Answer: answer.Answer, RequestID: question.RequestID, Index: index, Revision: answer.revision, Elapsed: e.options.Now() - started}, nil
 	case <-l.ctx.Done():
 		return nil, &fault.Error{Code: fault.CodeLost, Outcome: core.Unknown, Message: "the entry was stopped", Fix: "ask another entry"}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -33,6 +33,8 @@
 type answered struct {
 	query.Answer
 	revision uint64
+	// refused is the error of a question that was refused and not run.
+	refused error
 }
 
 // stepped is an event for one question's machine.
@@ -137,6 +139,12 @@
 
 func (l *loop) begin(e begun) {
 	plan := l.plan(e.config, e.question.Service)
+	precautions := l.precautions(plan, e.question)
+	if refused := refuseSetAside(plan, precautions, e.question.LeastCoverage); refused != nil {
+		l.metrics.setAside.Inc(1)
+		e.answers <- answered{refused: refused}
+		return
+	}
 	l.open[e.id] = &open{
 		begun: e,
 		machine: query.New(plan, query.Options{
@@ -152,6 +160,7 @@
 			MaxReplans:    maxReplans,
 			FallbackAfter: e.question.Timeout / fallbackShare,
 			Budget:        customerBudget{group: l.budget, customer: e.question.Customer},
+			Precautions:   precautions,
 		}),
 		tickets: map[query.SendID]peer.Ticket{},
 	}
@@ -191,7 +200,7 @@
 		return
 	}
 	q.config = config
-	l.step(q.id, query.Replanned{Plan: plan})
+	l.step(q.id, query.Replanned{Plan: plan, Precautions: l.precautions(plan, q.question)})
 }
 
 func (l *loop) step(id uint64, e query.Event) {
@@ -268,8 +277,12 @@
 		Rank:           uint32(a.Rank),
 		ConfigRevision: q.config.Revision,
 	}
-	for _, need := range a.Needs {
-		message.Asks = append(message.Asks, l.ask(q, need, a.Version))
+	for i, need := range a.Needs {
+		ask := l.ask(q, need, a.Version)
+		if a.Trials != nil {
+			ask.Trial = uint32(a.Trials[i])
+		}
+		message.Asks = append(message.Asks, ask)
 	}
 	target := peer.Target{Node: node.ID, Address: node.PeerAddress}
 	envelope := &peerpb.Envelope{Body: &peerpb.Envelope_BundleRequest{BundleRequest: message}}
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -12,6 +12,22 @@
 type plans struct {
 	config *belief.Config
 	made   map[string]*query.Plan
+	// shards caches the names of the shards of each plan, by service.
+	shards map[*query.Plan][][]string
+}
+
+// shardNames returns the names of the shards of one service of a plan, in the order of its Shards.
+func (p *plans) shardNames(plan *query.Plan, service int) []string {
+	if p.shards[plan] == nil {
+		names := make([][]string, len(plan.Services))
+		for i := range plan.Services {
+			for _, need := range plan.Services[i].Shards {
+				names[i] = append(names[i], plan.Needs[need].Ref.String())
+			}
+		}
+		p.shards[plan] = names
+	}
+	return p.shards[plan][service]
 }
 
 // get returns the service's plan, or nil when the text does not list it.
@@ -19,6 +35,7 @@
 	if p.config != config {
 		p.config = config
 		p.made = map[string]*query.Plan{}
+		p.shards = map[*query.Plan][][]string{}
 	}
 	plan := p.made[service]
 	if plan == nil && config.Catalog.Services[service] != nil {
--- /dev/null
+++ b/internal/entry/precautions.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
+	"github.com/pistachiopier/pistachiopier/internal/core/query"
+	"github.com/pistachiopier/pistachiopier/internal/fault"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
+)
+
+// Assessor returns the standings of an incoming request, as a whole and at the given shards.
+type Assessor interface {
+	Assess(identity func() corequarantine.Identity, shards []string) quarantine.Assessment
+}
+
+// precautions converts the standings of a question at the services and shards of its plan.
+func (l *loop) precautions(plan *query.Plan, question Question) query.Precautions {
+	var precautions query.Precautions
+	if l.options.Assessor == nil {
+		return precautions
+	}
+	for i := range plan.Services {
+		service := &plan.Services[i]
+		assessment := l.options.Assessor.Assess(func() corequarantine.Identity {
+			return corequarantine.Query(service.Name, question.Customer, question.Body)
+		}, l.plans.shardNames(plan, i))
+		if assessment.Request == corequarantine.Suspect {
+			precautions.SuspectServices = addIndex(precautions.SuspectServices, i)
+		}
+		for at, need := range service.Shards {
+			switch {
+			case assessment.Request == corequarantine.SetAside:
+				precautions.SetAside = addIndex(precautions.SetAside, need)
+			case assessment.Shards == nil:
+			case assessment.Shards[at] == corequarantine.SetAside:
+				precautions.SetAside = addIndex(precautions.SetAside, need)
+			case assessment.Shards[at] == corequarantine.Suspect:
+				precautions.SuspectNeeds = addIndex(precautions.SuspectNeeds, need)
+			}
+		}
+	}
+	return precautions
+}
+
+func addIndex(indexes map[int]bool, index int) map[int]bool {
+	if indexes == nil {
+		indexes = map[int]bool{}
+	}
+	indexes[index] = true
+	return indexes
+}
+
+// setAsideRetryAfter is the retry delay returned with the refusal of a question that is set aside.
+const setAsideRetryAfter = time.Minute
+
+// refuseSetAside returns an error if the question is set aside at all shards of the service asked, or at so many shards
+// that the caller's least coverage cannot be reached, and nil otherwise.
+func refuseSetAside(plan *query.Plan, precautions query.Precautions, least float64) error {
+	if len(precautions.SetAside) == 0 {
+		return nil
+	}
+	asked := plan.Services[len(plan.Services)-1].Shards
+	left := 0
+	for _, need := range asked {
+		if !precautions.SetAside[need] {
+			left++
+		}
+	}
+	reachable := float64(len(plan.Needs)-len(precautions.SetAside)) / float64(len(plan.Needs))
+	if left > 0 && reachable >= least {
+		return nil
+	}
+	return &fault.Error{
+		Code: fault.CodeSetAside, Outcome: core.NotRun, Message: "replicas ended under this question each time it ran",
+		Fix: "change the question, or have the service mended", RetryAfter: setAsideRetryAfter,
+	}
+}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -70,6 +70,7 @@
 			Reason:     core.Reason(part.GetReason()),
 			Serves:     serves,
 			RetryAfter: milliseconds(part.GetRetryAfterMs()),
+			Broken:     part.GetBroken(),
 			Last:       last,
 		}
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -15,7 +15,7 @@
 
 // meters are the entry's counters.
 type meters struct {
-	questions, refused               metrics.Counter
+	questions, refused, setAside     metrics.Counter
 	thin, belowLeast                 metrics.Counter
 	sends, retries, fallbacks        metrics.Counter
 	dropped, switches, replans, lost metrics.Counter
@@ -28,6 +28,7 @@
 	return &meters{
 		questions:  counter("questions"),
 		refused:    counter("refused"),
+		setAside:   counter("refused_set_aside"),
 		thin:       counter("answers_thin"),
 		belowLeast: counter("answers_below_least"),
 		sends:      counter("sends"),
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,6 +34,7 @@
 	CodeKeyReused       Code = "key_reused"
 	CodeHomeGone        Code = "home_gone"
 	CodeRefused         Code = "refused"
+	CodeSetAside        Code = "set_aside"
 	CodeLost            Code = "lost"
 	CodeTextInvalid     Code = "text_invalid"
 	CodeSettingsInvalid Code = "settings_invalid"
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -31,9 +31,11 @@
 	Belief *belief.Store
 	Peers  peer.Asker
 	// Now reads the node's monotonic clock.
-	Now      func() core.Time
-	Log      logrus.FieldLogger
-	Limits   once.Limits
+	Now    func() core.Time
+	Log    logrus.FieldLogger
+	Limits once.Limits
+	// Assessor, when set, returns the standings of requests that may end replicas.
+	Assessor Assessor
 	Problems *observe.Problems
 	// Metrics takes the ledger's size; nil takes none.
 	Metrics observe.Registry
--- a/internal/home/send.go
+++ b/internal/home/send.go
@@ -33,6 +33,10 @@
 		l.put(notSent(a, err))
 		return
 	}
+	if ended := l.refuseSetAside(a, to.shard.Ref); ended != nil {
+		l.put(*ended)
+		return
+	}
 	left := a.Deadline - l.options.Now()
 	if left <= 0 {
 		l.put(once.Ended{Key: a.Key, Send: a.Send, Outcome: core.NotRun, Reason: core.ReasonDeadline})
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -71,6 +71,7 @@
 		return upstream.Result{Outcome: core.NotRun, Reason: core.ReasonPeerUnreached, RetryAfter: pausedRetryAfter, Load: -1}
 	}
 	result := l.send(ctx, w, call)
+	l.recordOutcome(w, call, result)
 	if result.Draining {
 		l.options.Belief.SeeDrain(call.Address)
 	}
@@ -93,6 +94,7 @@
 		Reason:     e.result.Reason,
 		Draining:   e.result.Draining,
 		Refused:    e.result.Refused,
+		Broken:     e.result.Broken,
 		RetryAfter: e.result.RetryAfter,
 		Load:       e.result.Load,
 	})
--- a/internal/owner/bundle.go
+++ b/internal/owner/bundle.go
@@ -44,6 +44,7 @@
 			w.refuse(core.ReasonNotOwner, 0)
 			continue
 		}
+		offered.Alone = ask.GetTrial() != 0
 		l.offer(s, e.inbound, w, offered)
 	}
 }
@@ -68,6 +69,7 @@
 		Reason:       string(result.Reason),
 		RetryAfterMs: uint64(result.RetryAfter.Milliseconds()),
 		Tries:        uint32(tries),
+		Broken:       result.Broken,
 	}
 	for _, version := range result.Serves {
 		part.Serves = append(part.Serves, uint64(version))
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 	"github.com/pistachiopier/pistachiopier/internal/core/latency"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -75,6 +76,11 @@
 // Exactly one of settle and refuse is called, unless the request is withdrawn.
 type work interface {
 	call() upstream.Call
+	// identity is the same for all tries of the request. describe returns a description for operators. trialMarks returns
+	// the marks that the quarantine sets if a call ends without an answer.
+	identity() quarantine.Identity
+	describe(call upstream.Call) string
+	trialMarks() quarantine.Fact
 	settle(result upstream.Result, tries int)
 	refuse(reason core.Reason, retryAfter time.Duration)
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -16,8 +16,10 @@
 	// dispatched counts upstream requests by admit.Kind.
 	dispatched [admit.KindHedge + 1]metrics.Counter
 	refused    metrics.Counter
-	depth      metrics.Gauge
-	waiting    atomic.Int64
+	// ended counts replicas that ended while running a request, once for each request they were running.
+	ended   metrics.Counter
+	depth   metrics.Gauge
+	waiting atomic.Int64
 }
 
 func newMeters(registry observe.Registry) *meters {
@@ -27,6 +29,7 @@
 	m.dispatched[admit.KindRetry] = observe.Counter(registry, "owner_retries_total")
 	m.dispatched[admit.KindHedge] = observe.Counter(registry, "owner_hedges_total")
 	m.refused = observe.Counter(registry, "owner_refused_connections_total")
+	m.ended = observe.Counter(registry, "owner_replicas_ended_total")
 	m.depth = observe.Gauge(registry, "owner_queue_depth")
 	return m
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,6 +36,8 @@
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
 	Metrics  observe.Registry
+	// Recorder, when set, receives the outcomes of requests at replicas.
+	Recorder Recorder
 	// Loops is the number of goroutines; 0 takes the default.
 	Loops int
 	// meters and budget are shared by the loops, number tells them apart.
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/pistachiopier/pistachiopier/internal/connerr"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -247,7 +248,7 @@
 	}
 	if written, err := conn.write(ctx, call); err != nil {
 		conn.close(err)
-		return nil, &Error{Step: "send", Sent: written > 0, Broken: written > 0 && brokenByReplica(err), Cause: err}
+		return nil, &Error{Step: "send", Sent: written > 0, Broken: written > 0 && connerr.ClosedByPeer(err), Cause: err}
 	}
 	select {
 	case end := <-call.done:
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/connerr"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -325,7 +326,7 @@
 	if errors.Is(cause, io.EOF) {
 		cause = io.ErrUnexpectedEOF
 	}
-	one.done <- outcome{err: &Error{Step: "await answer", Sent: true, Broken: brokenByReplica(cause), Cause: cause}}
+	one.done <- outcome{err: &Error{Step: "await answer", Sent: true, Broken: connerr.ClosedByPeer(cause), Cause: cause}}
 	c.client.broke(c.replica, one.request, cause)
 }
 
--- a/internal/replicaconn/ended.go
+++ b/internal/replicaconn/ended.go
@@ -2,10 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"net"
-	"syscall"
 
+	"github.com/pistachiopier/pistachiopier/internal/connerr"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -15,11 +14,6 @@
 // request otherwise. A replica that fell silent, with its VM or behind a partition, is not found to have
 // ended: nothing there says so.
 
-// brokenByReplica reports whether the other side ended a connection.
-func brokenByReplica(cause error) bool {
-	return errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
-}
-
 // broke takes a connection that ended under a request. Of one replica one doubt is settled at a time.
 func (c *Client) broke(life replica.Incarnation, request *Request, cause error) {
 	if c.onEnded == nil {
@@ -29,7 +23,7 @@
 		c.onEnded(life, []*Request{request})
 		return
 	}
-	if !brokenByReplica(cause) {
+	if !connerr.ClosedByPeer(cause) {
 		return
 	}
 	c.mutex.Lock()
@@ -82,7 +76,7 @@
 	}
 	opened := c.open(request)
 	if opened.err != nil {
-		return errors.Is(opened.err, syscall.ECONNREFUSED)
+		return connerr.Refused(opened.err)
 	}
 	c.free(opened.conn)
 	return false
@@ -93,7 +87,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	stream, err := dialer.Dial("tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return connerr.Refused(err)
 	}
 	_ = stream.Close()
 	return false
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,8 +63,14 @@
 	Load float64
 	// Refused says that the upstream took no connection.
 	Refused bool
-	Latency time.Duration
-	Cause   error
+	// Broken is set when the upstream closed the connection instead of answering, Ended when it then refused a new one.
+	Broken bool
+	Ended  bool
+	// Incarnation identifies the incarnation of the upstream at its address. It changes when this client detects that the
+	// upstream has ended; 0 is a call without a connection.
+	Incarnation uint64
+	Latency     time.Duration
+	Cause       error
 }
 
 // Client holds the connections to replicas, each within its share.
@@ -72,12 +78,13 @@
 	mutex sync.Mutex
 	hosts map[string]*host
 	// forgotten are the addresses of hosts that may be dropped.
-	forgotten  map[string]struct{}
-	dropped    atomic.Int64
-	suspects   suspects
-	submitIdle time.Duration
-	observer   Observer
-	onDropped  func(address, why string)
+	forgotten   map[string]struct{}
+	dropped     atomic.Int64
+	suspects    suspects
+	submitIdle  time.Duration
+	observer    Observer
+	detectEnded bool
+	onDropped   func(address, why string)
 }
 
 // NewClient makes a client without connections.
@@ -129,7 +136,9 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		c.checkSilence(ctx, call.Address, transport, wire)
-		return failure(ctx, wire, err, 0), wire.refusedStale() && ctx.Err() == nil
+		result := failure(ctx, wire, err, 0)
+		c.checkEnded(call.Address, wire, err, &result)
+		return result, wire.refusedStale() && ctx.Err() == nil
 	}
 	c.replied(call.Address)
 	return c.read(ctx, call, response, wire), false
@@ -141,9 +150,10 @@
 	connection net.Conn
 	wrote      bool
 	// submit asks for a connection that was used lately.
-	submit  bool
-	maxIdle time.Duration
-	stale   bool
+	submit      bool
+	maxIdle     time.Duration
+	stale       bool
+	incarnation uint64
 }
 
 func (w *wire) trace() *httptrace.ClientTrace {
@@ -152,6 +162,9 @@
 			w.mutex.Lock()
 			defer w.mutex.Unlock()
 			w.connection = info.Conn
+			if counted, ok := info.Conn.(*countedConn); ok {
+				w.incarnation = counted.incarnation
+			}
 			if w.submit && info.WasIdle && info.IdleTime > w.maxIdle {
 				// net/http calls this before it writes. On the closed
 				// connection its write fails with nothing sent, and without
@@ -255,7 +268,9 @@
 		return failure(ctx, wire, err, 0)
 	}
 	if err != nil || len(payload) > maxReplyBytes {
-		return c.dropReply(call.Address, wire, "the reply was cut short or is too long")
+		dropped := c.dropReply(call.Address, wire, "the reply was cut short or is too long")
+		c.checkEnded(call.Address, wire, err, &dropped)
+		return dropped
 	}
 	if response.StatusCode != http.StatusOK {
 		return notOK(result, response)
--- a/internal/upstream/share.go
+++ b/internal/upstream/share.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // errNoShare is the failure of a request to an address to which this node may
@@ -50,12 +51,17 @@
 	mutex  sync.Mutex
 	share  int
 	open   int
+	// incarnation identifies the present incarnation of the upstream. ended is set when the upstream is found to have
+	// ended, and the next connection then increments incarnation. It starts at the wall-clock time, so that another
+	// process does not use the same numbers.
+	incarnation uint64
+	ended       bool
 	// changed is closed and made anew when a slot may have become free.
 	changed chan struct{}
 }
 
 func newSlots(share int) *slots {
-	return &slots{dialer: net.Dialer{Timeout: dialTimeout}, share: share, changed: make(chan struct{})}
+	return &slots{dialer: net.Dialer{Timeout: dialTimeout}, share: share, changed: make(chan struct{}), incarnation: uint64(time.Now().UnixNano())}
 }
 
 func (s *slots) setShare(share int) {
@@ -87,7 +93,7 @@
 		s.release()
 		return nil, err
 	}
-	return &countedConn{Conn: connection, release: sync.OnceFunc(s.release)}, nil
+	return &countedConn{Conn: connection, release: sync.OnceFunc(s.release), incarnation: s.currentIncarnation()}, nil
 }
 
 // take waits for a free slot until the context ends.
@@ -131,6 +137,8 @@
 type countedConn struct {
 	net.Conn
 	release func()
+	// incarnation is that of the upstream that the connection leads to.
+	incarnation uint64
 }
 
 // Close implements net.Conn.
