admit: hedge without known latency and retry hedges that found no budget

Symptom: one of a shard's two replicas was paused, and an answer of `serve` lacked the shard ("deadline") after the full time limit, although the other replica was healthy.

The owner's three tries were exhausted: one at the paused replica and two shed by the busy healthy one. After a quarter of the time the entry node asked the next node, which also chose the paused replica and planned no hedge, because it knew fewer than 32 latencies of the service.

Ruled out: a late answer of the healthy replica, and connection problems (each silent try was at the paused replica, and each shed one came back within 12 ms).

Fix: without a known latency, the hedge is sent after half of the time left, which is also the upper bound with a known latency. While a hedge is overdue, the shard is woken every 25 ms.

Whichever node is asked, owner or next node, now asks the other replica while there is time, and retries the hedge when the budget has no token.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -143,6 +143,8 @@
 	Request RequestID
 	Try     TryID
 	Tries   int
+	// Hedge is what came of the request's hedge.
+	Hedge HedgeState
 }
 
 // Refuse ends the request without its having run.
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -194,3 +194,30 @@
 	again := only[Dispatch](t, shard.Step(101*time.Millisecond, TryEnded{Try: hedge.Try, Outcome: core.NotRun, Reason: core.ReasonOverloaded, Load: -1}))
 	require.Equal(t, hedge.Address, again.Address)
 }
+
+// Guards against a request waiting on a silent replica until its deadline because the node has too few latency samples of
+// the service to derive a hedge delay.
+func TestHedgesWithoutLatencySamples(t *testing.T) {
+	shard := pair("a", "b")
+	first := only[Dispatch](t, shard.Step(0, offer(1, 0)))
+	require.Empty(t, shard.Step(400*time.Millisecond, Woken{}))
+	hedge := only[Dispatch](t, shard.Step(500*time.Millisecond, Woken{}))
+	require.Equal(t, KindHedge, hedge.Kind)
+	require.NotEqual(t, first.Address, hedge.Address)
+	settled := only[Settle](t, shard.Step(510*time.Millisecond, TryEnded{Try: hedge.Try, Outcome: core.Done, Load: -1}))
+	require.Equal(t, hedge.Try, settled.Try)
+}
+
+// Guards against an overdue hedge that is never retried when other shards refill the exhausted budget, which produces no
+// event on this shard.
+func TestOverdueHedgeIsRetriedAfterBudgetRefill(t *testing.T) {
+	group := budget.NewGroup(budget.GroupConfig{})
+	shard := NewShard(Config{Service: "s", Slots: 2, Share: 8, MaxQueue: 8, Budget: group, Replicas: []ReplicaConfig{{Address: "a"}, {Address: "b"}}})
+	shard.Step(0, offer(1, 0))
+	for group.TryExtra("s", "chef") {
+	}
+	at := only[WakeAt](t, shard.Step(500*time.Millisecond, Woken{})).At
+	require.Less(t, at, 550*time.Millisecond)
+	group.FirstTry("s", "chef", 10)
+	require.Equal(t, KindHedge, only[Dispatch](t, shard.Step(at, Woken{})).Kind)
+}
--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -80,9 +80,13 @@
 	if kind == KindFirst && s.config.Budget != nil {
 		s.config.Budget.FirstTry(s.config.Service, r.Customer, 1)
 	}
-	if delay, known := s.hedgeDelay(chosen); known && kind != KindHedge && !r.Once && !r.Alone {
-		t.hedgeAt = now + min(delay, (r.Deadline-now)/lastHedge)
+	switch {
+	case kind == KindHedge:
+		r.hedge = HedgeSent
+	case !r.Once && !r.Alone:
+		t.hedgeAt = now + s.hedgeDelay(chosen, r.Deadline-now)
 		s.hedges.fix(t)
+		r.hedge = HedgePlanned
 	}
 	s.actions = append(s.actions, Dispatch{Try: t.id, Request: r.ID, Address: chosen.Address, TimeLeft: r.Deadline - now, Kind: kind})
 }
--- a/internal/core/admit/hedge.go
+++ b/internal/core/admit/hedge.go
@@ -11,8 +11,12 @@
 	// lastHedge is the part of the time left that a try runs alone at most. When
 	// more tries go silent than hedgeQuantile leaves out, they are learnt as long
 	// as their deadlines, and a hedge at that quantile would come too late for
-	// every request.
+	// every request. It is also the delay while too few latencies are known, so that
+	// a request on a silent replica is hedged before its deadline.
 	lastHedge = 2
+	// overdueRetryInterval is how often the shard is woken while a hedge is overdue. First tries of other shards refill
+	// the budget without an event on this shard.
+	overdueRetryInterval = 25 * time.Millisecond
 	// hedgeQuantile is the learnt latency after which a second replica is
 	// asked: of the first tries, one in twenty gets there.
 	hedgeQuantile = 0.95
@@ -27,14 +31,17 @@
 	return a.id < b.id
 }
 
-// hedgeDelay is how long a try runs alone: the service's hedgeQuantile, or its
-// median on a replica that is usually slower than that.
-func (s *Shard) hedgeDelay(chosen *replica) (time.Duration, bool) {
+// hedgeDelay returns how long a try runs alone: the service's hedgeQuantile, or its median on a replica that is usually
+// slower than that. The delay is capped at left/lastHedge, which is also used while the latency is unknown.
+func (s *Shard) hedgeDelay(chosen *replica, left time.Duration) time.Duration {
 	delay, known := s.service.Quantile(hedgeQuantile)
 	if known && chosen.latency > float64(delay) {
-		return s.service.Quantile(medianQuantile)
+		delay, known = s.service.Quantile(medianQuantile)
 	}
-	return delay, known
+	if !known {
+		return left / lastHedge
+	}
+	return min(delay, left/lastHedge)
 }
 
 // hedge sends a second try for the requests that have run longer than usual,
@@ -49,10 +56,18 @@
 	s.overdue = slices.DeleteFunc(s.overdue, func(t *try) bool {
 		r := t.request
 		if r.ended || s.running[t.id] != t || len(r.live) > 1 || r.tries >= maxTries || now+s.quickest() >= r.Deadline {
+			if r.tries >= maxTries {
+				r.hedge = HedgeTriesExhausted
+			}
 			return true
 		}
 		chosen := s.chooseHedge(now, t)
-		if chosen == nil || !s.extra(r) {
+		if chosen == nil {
+			r.hedge = HedgeNoSlot
+			return false
+		}
+		if !s.extra(r) {
+			r.hedge = HedgeNoBudget
 			return false
 		}
 		s.send(now, r, chosen, KindHedge)
--- a/internal/core/admit/request.go
+++ b/internal/core/admit/request.go
@@ -27,6 +27,35 @@
 	best        TryID
 	bestOutcome core.Outcome
 	ended       bool
+	// hedge is the state of the latest hedge; empty means HedgeNone.
+	hedge HedgeState
+}
+
+// HedgeState is the state of a request's latest hedge.
+type HedgeState string
+
+// The states of a request's hedge.
+const (
+	// HedgeNone means that no hedge has been scheduled.
+	HedgeNone HedgeState = "none"
+	// HedgePlanned means that a hedge is scheduled but not yet due.
+	HedgePlanned HedgeState = "planned"
+	// HedgeNoSlot means that a due hedge found no eligible replica with a free slot.
+	HedgeNoSlot HedgeState = "no slot"
+	// HedgeNoBudget means that a due hedge found the budget of extra tries exhausted.
+	HedgeNoBudget HedgeState = "no budget"
+	// HedgeSent means that the hedge was dispatched.
+	HedgeSent HedgeState = "sent"
+	// HedgeTriesExhausted means that the request had no tries left when the hedge was due.
+	HedgeTriesExhausted HedgeState = "tries used up"
+)
+
+// HedgeState returns the state of a request's latest hedge, or HedgeNone when the shard no longer holds the request.
+func (s *Shard) HedgeState(id RequestID) HedgeState {
+	if r := s.requests[id]; r != nil && r.hedge != "" {
+		return r.hedge
+	}
+	return HedgeNone
 }
 
 // dueBefore orders requests by deadline, those of one deadline by arrival.
@@ -113,7 +142,7 @@
 
 func (s *Shard) settle(r *request) {
 	s.end(r)
-	s.actions = append(s.actions, Settle{Request: r.ID, Try: r.best, Tries: r.tries})
+	s.actions = append(s.actions, Settle{Request: r.ID, Try: r.best, Tries: r.tries, Hedge: r.hedge})
 }
 
 // expire ends the waiting requests that have no time left to be served.
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -86,6 +86,9 @@
 	if s.hedges.len() > 0 {
 		earliest(s.hedges.first().hedgeAt)
 	}
+	if len(s.overdue) > 0 {
+		earliest(now + overdueRetryInterval)
+	}
 	if s.Waiting() > 0 {
 		for _, r := range s.replicas {
 			if r.usable() && r.pausedUntil > now {
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	waiting := s.requests[a.Request]
 	waiting.tries = append(waiting.tries, a.Try)
-	s.tries[a.Try] = &running{cancel: cancel, request: a.Request}
+	s.tries[a.Try] = &running{cancel: cancel, request: a.Request, address: a.Address, kind: a.Kind, startedAt: l.options.Now()}
 	work := waiting.work
 	call := work.call()
 	call.Address = a.Address
@@ -84,7 +84,7 @@
 		return
 	}
 	t := s.tries[e.try]
-	t.result, t.ended = e.result, true
+	t.result, t.ended, t.endedAt = e.result, true, l.options.Now()
 	if e.result.Refused {
 		l.meters.refused.Inc(1)
 	}
@@ -121,6 +121,9 @@
 
 func (l *loop) settle(s *shard, a admit.Settle) {
 	result := s.tries[a.Try].result
+	if result.Reason == core.ReasonDeadline {
+		l.logPastDeadline(s, a.Request, a.Hedge)
+	}
 	if settled := s.take(a.Request); settled != nil {
 		settled.work.settle(result, a.Tries)
 	}
@@ -133,6 +136,9 @@
 		l.options.Problems.Report(observe.KindOverloaded, s.ref.String(), "the shard's replicas take less than customers ask")
 		l.calms.Set(s.ref, l.options.Now()+calmAfter)
 	}
+	if a.Reason == core.ReasonDeadline {
+		l.logPastDeadline(s, a.Request, admit.HedgeNone)
+	}
 	if refused := s.take(a.Request); refused != nil {
 		refused.work.refuse(a.Reason, a.RetryAfter)
 	}
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -89,6 +89,8 @@
 	inbound *peer.Inbound
 	work    work
 	tries   []admit.TryID
+	// deadline is when the caller stops waiting for the answer.
+	deadline core.Time
 }
 
 // running is an upstream request; its result is kept until its request ends.
@@ -97,6 +99,10 @@
 	request admit.RequestID
 	result  upstream.Result
 	ended   bool
+	// address, kind, startedAt and endedAt are kept for the part_past_deadline log line.
+	address            string
+	kind               admit.Kind
+	startedAt, endedAt core.Time
 }
 
 func newLoop(ctx context.Context, options Options) *loop {
@@ -197,7 +203,7 @@
 func (l *loop) offer(s *shard, inbound *peer.Inbound, w work, offered admit.Offered) {
 	l.next++
 	offered.ID = l.next
-	s.requests[l.next] = &request{inbound: inbound, work: w}
+	s.requests[l.next] = &request{inbound: inbound, work: w, deadline: offered.Deadline}
 	l.step(s, offered)
 }
 
@@ -209,6 +215,7 @@
 		}
 		for id, waiting := range s.requests {
 			if waiting.inbound == e.inbound {
+				l.logPastDeadline(s, id, s.machine.HedgeState(id))
 				s.take(id)
 				l.step(s, admit.Withdrawn{ID: id})
 			}
--- a/internal/owner/shard.go
+++ b/internal/owner/shard.go
@@ -19,6 +19,8 @@
 	tries    map[admit.TryID]*running
 	// waiting is the queue's depth as it was last counted in the metrics.
 	waiting int
+	// pastDeadlineLoggedAt is when part_past_deadline was last logged for this shard; 0 means never.
+	pastDeadlineLoggedAt core.Time
 	// retired is set when the shard is to be forgotten once it is idle.
 	retired bool
 	// overloaded is set while the problem stands in the register.
