extra: delay growth of a node's allowance part and ramp it up after a start

Nodes could jointly exceed the bound on extra arrivals when the fleet changed within one window. Callers saw no direct effect. The bound protects replicas that are already failing.

Cause: each node computed its part of the fixed allowance from the nodes live at that moment, while spending is counted over a window. A newly started node had a whole part, or that of the whole fleet until it had heard of another node, with nothing spent. Remaining nodes took over the parts of departed nodes that had already spent them.

Fix: a node's part is now the minimum it had within the last window. A node that starts has 0.15 of its part, rising to two thirds by the end of its first window. The parts of all nodes use 0.6 of the allowance, so a simultaneous start of all nodes fits into the rest.

This needs no messages and no state that outlives the process. Starting with nothing at all was tried and rejected: the first request that a replica failed was not retried (four edge tests).

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -80,6 +80,8 @@
 	lastCall chan struct{}
 	inFlight atomic.Int64
 	helpers  helpers
+	// allowancePart is this node's part of the allowance for extra arrivals, guarded by beliefs.mutex.
+	allowancePart extra.AllowancePart
 	// quarantine knows the requests that may end the replicas that run them.
 	quarantine *quarantine.Duty
 	// delegated counts the groups of sends in work for other nodes.
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -10,28 +10,19 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 )
 
-// Shares of the bound on extra arrivals that the nodes use. The rest is for what they
-// cannot know of each other: requests that are counted a moment apart, and processes
-// that restart and forget what they spent.
-const (
-	ratioUsed = 0.85
-	// entriesAllowance is the part of the fixed allowance for the nodes that callers
-	// are sent to, othersAllowance that for all nodes: callers may keep old addresses.
-	entriesAllowance = 0.45
-	othersAllowance  = 0.15
-)
-
-// setBound shares the fixed allowance among the nodes that are live.
+// setBound updates this node's part of the bound on extra arrivals from the live nodes.
 func (n *Node) setBound() {
 	s := n.settings.Load()
-	allowance := othersAllowance / float64(max(len(n.view().Nodes()), len(s.Seeds), 1))
 	chosen := n.chosen()
-	if slices.ContainsFunc(chosen, func(one route.Node) bool { return one.ID == n.identity.Node }) {
-		allowance += entriesAllowance / float64(len(chosen))
+	fleet := extra.Fleet{
+		Entries: len(chosen),
+		IsEntry: slices.ContainsFunc(chosen, func(one route.Node) bool { return one.ID == n.identity.Node }),
+		Nodes:   max(len(n.view().Nodes()), len(s.Seeds)),
 	}
-	bound := extra.Bound{Window: s.ExtraWindow, Ratio: s.ExtraRatio * ratioUsed, Allowance: s.ExtraAllowance * allowance}
 	n.beliefs.mutex.Lock()
 	defer n.beliefs.mutex.Unlock()
+	allowance := n.allowancePart.Update(s.ExtraAllowance, fleet, s.ExtraWindow, n.now())
+	bound := extra.Bound{Window: s.ExtraWindow, Ratio: s.ExtraRatio * extra.RatioUsed, Allowance: allowance}
 	n.beliefs.outlook.Budget.SetBound(bound)
 }
 
