Judge a question that ends replicas of many services over all of them as well

Symptom: a question over a closure of services with one shard each, whose replicas all end under it, ended every replica of every service in its first try and more in the second: 15 ends in nine tries at six services.

Cause: evidence and the order of asking were kept per service only, so each service had a trial of its own at the same time.

Fix: a question has a record over all services in addition to those of its services, and any answer clears it. While a replica has ended under the question and no replica of any service has answered, the entry asks one replica of the whole closure at a time. Once the record over all services sets the question aside, it is refused as not run. The records of one request at the two levels do not count against each other.

Why this is sufficient: the first answer to a question that some services answer clears the record over all services, and the question is then judged per service as before.

--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -45,6 +45,9 @@
 	// that a request comes from is no part of it. Replicas do not see it, and a caller has several.
 	Caller string
 	Body   []byte
+	// Level distinguishes the identities of one request: levelQuestion for a question over all services of its closure, 0
+	// otherwise. It is not part of the names.
+	Level uint8
 }
 
 // The values of Identity.Method for requests of a customer to a service.
@@ -53,6 +56,14 @@
 	verbSubmit = "submit"
 )
 
+// levelQuestion is the Level of a question over all services of its closure.
+const levelQuestion = 1
+
+// Question returns the identity of a question over all services of its closure.
+func Question(customer core.Customer, question []byte) Identity {
+	return Identity{Method: verbQuery, Caller: string(customer), Body: compactJSON(question), Level: levelQuestion}
+}
+
 // Query returns the identity of a question at one service of its closure.
 func Query(service string, customer core.Customer, question []byte) Identity {
 	return Identity{Method: verbQuery, Path: service, Caller: string(customer), Body: compactJSON(question)}
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -120,7 +120,9 @@
 	// Head is the key of the request without its body.
 	Head Key
 	// What describes the request to operators.
-	What  string
+	What string
+	// Level is Identity.Level. Records of different levels may be of one request and do not contest each other.
+	Level uint8
 	Facts map[Life]Fact
 	// Shards maps incarnations to their shards, where known.
 	Shards map[Life]Shard
@@ -327,7 +329,7 @@
 	if len(l.records) >= maxRecords {
 		l.evict()
 	}
-	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Facts: map[Life]Fact{}, Shards: map[Life]Shard{}, Variants: map[uint64]struct{}{}, FirstAt: now, SeenAt: told.SeenAt, shards: map[Shard]Standing{}}
+	begun := &Record{Key: told.Key, Head: told.Head, What: told.What, Level: told.Level, Facts: map[Life]Fact{}, Shards: map[Life]Shard{}, Variants: map[uint64]struct{}{}, FirstAt: now, SeenAt: told.SeenAt, shards: map[Shard]Standing{}}
 	l.records[told.Key] = begun
 	l.heads[told.Head]++
 	return begun
@@ -480,7 +482,7 @@
 func (l *Ledger) contested(r *Record, within scope, weight int, life Life) bool {
 	for _, key := range l.at[life] {
 		other := l.records[key]
-		if key == r.Key || other.broad() != r.broad() {
+		if key == r.Key || other.broad() != r.broad() || other.Level != r.Level {
 			continue
 		}
 		if other.Facts[life].counts(Ended, within.cleared) && other.ended(within) >= weight {
--- a/internal/core/query/ask.go
+++ b/internal/core/query/ask.go
@@ -62,6 +62,9 @@
 			m.collect(service)
 		}
 	}
+	if m.oneAtATime(allServices) {
+		m.due = m.limitToOne(allServices, m.due)
+	}
 	slices.SortStableFunc(m.due, m.compareSends)
 	for start, end := 0, 0; start < len(m.due); start = end {
 		for end = start + 1; end < len(m.due) && m.compareSends(m.due[start], m.due[end]) == 0; {
--- a/internal/core/query/machine.go
+++ b/internal/core/query/machine.go
@@ -42,7 +42,7 @@
 	// offeredPrecautions apply to offered.
 	offeredPrecautions Precautions
 	// broken holds the services of which a replica closed the connection instead of answering. gaveUp holds those where
-	// this happened during a ServiceTrial. Both are nil until the first such failure.
+	// this happened while the service was on trial. allServices is a key of both. Both are nil until the first such failure.
 	broken, gaveUp map[int]bool
 	// answered and settled count the needs at the target.
 	answered  int
--- a/internal/core/query/precaution.go
+++ b/internal/core/query/precaution.go
@@ -5,6 +5,8 @@
 // Precautions restrict how a question is asked where replicas have ended while running it. The maps hold indexes into
 // the slices of one Plan.
 type Precautions struct {
+	// Suspect means that one replica of the whole closure is asked at a time until one has answered.
+	Suspect bool
 	// SuspectServices holds indexes into Services. One replica of such a service is asked at a time until one has answered.
 	SuspectServices map[int]bool
 	// SuspectNeeds holds indexes into Needs. One replica of such a shard is asked at a time.
@@ -24,21 +26,53 @@
 	ShardTrial
 	// ServiceTrial means that only one replica of the service runs the question.
 	ServiceTrial
+	// QuestionTrial means that only one replica of the whole closure runs the question.
+	QuestionTrial
 )
 
-// oneAtATime reports whether the question may end all replicas of a service: some have closed the connection instead of
-// answering, in this try or in an earlier one, and none has answered. Further shards then wait for the first answer.
+// allServices is used in place of a service index, also in Machine.broken and Machine.gaveUp, to refer to all services of
+// the plan together.
+const allServices = -1
+
+// oneAtATime reports whether the question may end all replicas of a service, or of all services: some have closed the
+// connection instead of answering, in this try or in an earlier one, and none has answered. Further shards then wait for
+// the first answer.
 //
 // This guards against a question that ends every replica that runs it: asked of all shards, and then of the other
 // replica of each, it would end them all. A harmless question is delayed by one answer time.
 func (m *Machine) oneAtATime(service int) bool {
-	return (m.options.Precautions.SuspectServices[service] || m.broken[service]) && !m.proven(service)
+	precautions := &m.options.Precautions
+	suspect := precautions.SuspectServices[service] || service == allServices && precautions.Suspect
+	return (suspect || m.broken[service]) && !m.proven(service)
+}
+
+// shardsMayWait reports whether other shards may be waiting for a shard of the service that is being asked.
+func (m *Machine) shardsMayWait(service int) bool {
+	return m.oneAtATime(service) || m.oneAtATime(allServices)
 }
 
 // proven reports whether a shard of the service has answered.
 func (m *Machine) proven(service int) bool {
+	return m.anyShard(service, func(need *needState) bool { return len(need.parts) > 0 })
+}
+
+// asking reports whether a shard of the service is being asked.
+func (m *Machine) asking(service int) bool {
+	return m.anyShard(service, func(need *needState) bool { return need.open > 0 })
+}
+
+// anyShard reports whether a shard of the service, or of any service for allServices, satisfies the predicate.
+func (m *Machine) anyShard(service int, matches func(*needState) bool) bool {
+	if service == allServices {
+		for index := range m.needs {
+			if matches(&m.needs[index]) {
+				return true
+			}
+		}
+		return false
+	}
 	for _, index := range m.plan.Services[service].Shards {
-		if len(m.needs[index].parts) > 0 {
+		if matches(&m.needs[index]) {
 			return true
 		}
 	}
@@ -53,6 +87,8 @@
 // trial returns the isolation that a shard is to be asked with now.
 func (m *Machine) trial(index int) Trial {
 	switch {
+	case m.oneAtATime(allServices):
+		return QuestionTrial
 	case m.oneAtATime(m.plan.Needs[index].Service):
 		return ServiceTrial
 	case m.shardSuspect(index):
@@ -81,7 +117,8 @@
 }
 
 // noteBroken records that a replica closed the connection instead of answering. If the shard was on trial it is not asked
-// again. If its service was on trial, the other shards of the service are not asked either, unless one has answered.
+// again. If its service or the whole question was on trial, the other shards of that service or of all services are not
+// asked either, unless one has answered.
 func (m *Machine) noteBroken(index int) {
 	need := &m.needs[index]
 	service := m.plan.Needs[index].Service
@@ -90,8 +127,9 @@
 	if m.broken == nil {
 		m.broken, m.gaveUp = map[int]bool{}, map[int]bool{}
 	}
-	m.broken[service] = true
-	m.gaveUp[service] = m.gaveUp[service] || need.trial == ServiceTrial
+	m.broken[service], m.broken[allServices] = true, true
+	m.gaveUp[service] = m.gaveUp[service] || need.trial >= ServiceTrial
+	m.gaveUp[allServices] = m.gaveUp[allServices] || need.trial == QuestionTrial
 }
 
 // settleExcluded settles a shard that must not be asked, and reports whether it did.
@@ -103,7 +141,7 @@
 		m.settle(index, core.ReasonSetAside)
 	case need.gaveUp:
 		m.settle(index, core.ReasonUpstreamFailed)
-	case m.gaveUp[service] && !m.proven(service):
+	case m.gaveUp[service] && !m.proven(service), m.gaveUp[allServices] && !m.proven(allServices):
 		m.settle(index, core.ReasonSetAside)
 	default:
 		return false
@@ -111,16 +149,14 @@
 	return true
 }
 
-// limitToOne returns one of the due shards of a service, preferring one that is not suspect, or none while another shard
-// of the service is being asked.
+// limitToOne returns one of the due shards of a service, or of all services for allServices, and none while another of
+// these shards is being asked. It prefers a shard that is not suspect and, for allServices, whose service is not either.
 func (m *Machine) limitToOne(service int, due []int) []int {
-	for _, index := range m.plan.Services[service].Shards {
-		if m.needs[index].open > 0 {
-			return nil
-		}
+	if m.asking(service) {
+		return nil
 	}
 	for _, index := range due {
-		if !m.shardSuspect(index) {
+		if !m.shardSuspect(index) && (service != allServices || !m.oneAtATime(m.plan.Needs[index].Service)) {
 			return []int{index}
 		}
 	}
--- a/internal/core/query/precaution_test.go
+++ b/internal/core/query/precaution_test.go
@@ -39,7 +39,7 @@
 	}
 	further := sendsOf(m.Step(testOptions().RetryPause+1, Woken{}))
 	require.Len(t, further, 1)
-	require.Equal(t, []Trial{ServiceTrial}, further[0].Trials)
+	require.Equal(t, []Trial{QuestionTrial}, further[0].Trials)
 	actions := m.Step(testOptions().RetryPause+2, brokenReply(further[0]))
 	require.Empty(t, sendsOf(actions))
 	require.Zero(t, answerOf(t, actions).Coverage.Answered)
@@ -112,3 +112,43 @@
 		require.Empty(t, sendsOf(m.Step(at, Woken{})))
 	}
 }
+
+// singleShardPlan has the asked service top depend on four services of one shard each, each in its own bundle.
+func singleShardPlan() *Plan {
+	needs := []Need{{Ref: core.ShardRef{Service: "top"}, Bundle: 9, Service: 4}}
+	var services []ServicePlan
+	var dependencies []int
+	for i := range 4 {
+		name := string(rune('a' + i))
+		services = append(services, ServicePlan{Name: name, Shards: []int{len(needs)}})
+		needs = append(needs, Need{Ref: core.ShardRef{Service: name}, Bundle: core.BundleID(i), Service: i})
+		dependencies = append(dependencies, i)
+	}
+	return NewPlan(append(services, ServicePlan{Name: "top", DependsOn: dependencies, Shards: []int{0}}), needs)
+}
+
+// Guards against each service having a trial of its own if the question ends the replicas of all services: the first sends
+// end one replica of each service, the next send ends one more, and no further send is made.
+func TestAQuestionThatEndsAllServicesEndsOneOfEachAndOneMore(t *testing.T) {
+	m := New(singleShardPlan(), testOptions())
+	for _, send := range sendsOf(m.Step(0, Started{})) {
+		require.Empty(t, sendsOf(m.Step(1, brokenReply(send))))
+	}
+	further := sendsOf(m.Step(testOptions().RetryPause+1, Woken{}))
+	require.Len(t, further, 1)
+	require.Equal(t, []Trial{QuestionTrial}, further[0].Trials)
+	answer := answerOf(t, m.Step(testOptions().RetryPause+2, brokenReply(further[0])))
+	require.Zero(t, answer.Coverage.Answered)
+}
+
+// Guards against several services being asked at the same time if replicas of several have ended under the question
+// before: one replica is asked first, and the others once it has answered.
+func TestASuspectQuestionIsAskedOfOneReplicaFirst(t *testing.T) {
+	options := testOptions()
+	options.Precautions = Precautions{Suspect: true, SuspectServices: map[int]bool{0: true, 1: true}}
+	m := New(singleShardPlan(), options)
+	first := sendsOf(m.Step(0, Started{}))
+	require.Len(t, first, 1)
+	require.Equal(t, []int{3}, first[0].Needs, "a service that is not suspect comes first")
+	require.Len(t, sendsOf(m.Step(1, answerReply(first[0]))), 3)
+}
--- a/internal/core/query/property_test.go
+++ b/internal/core/query/property_test.go
@@ -81,6 +81,7 @@
 		FallbackAfter: rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond}).Draw(t, "fallback"),
 		Budget:        b,
 		Precautions: Precautions{
+			Suspect:         rapid.IntRange(0, 3).Draw(t, "suspect") == 0,
 			SuspectServices: drawIndexes(t, "suspect services", 3),
 			SuspectNeeds:    drawIndexes(t, "suspect needs", 6),
 			SetAside:        drawIndexes(t, "set aside", 6),
--- a/internal/core/query/retry.go
+++ b/internal/core/query/retry.go
@@ -23,7 +23,7 @@
 		m.noteBroken(index)
 	}
 	// Other shards of the service may be waiting for this one to end.
-	m.dueChanged = m.dueChanged || m.oneAtATime(m.plan.Needs[index].Service)
+	m.dueChanged = m.dueChanged || m.shardsMayWait(m.plan.Needs[index].Service)
 	if try.reason == core.ReasonLayout || try.reason == core.ReasonNotOwner {
 		m.replan = m.replan || m.replans < m.options.MaxReplans
 	}
--- a/internal/core/query/sends.go
+++ b/internal/core/query/sends.go
@@ -85,7 +85,7 @@
 func (m *Machine) keep(e PartArrived) {
 	need := &m.needs[e.Need]
 	// Other shards of the service may be waiting for its first answer.
-	m.dueChanged = m.dueChanged || m.oneAtATime(m.plan.Needs[e.Need].Service)
+	m.dueChanged = m.dueChanged || m.shardsMayWait(m.plan.Needs[e.Need].Service)
 	need.parts = append(need.parts, versionPart{version: e.Version, payload: e.Payload})
 	if m.first == 0 {
 		m.first = e.Version
--- a/internal/core/query/world_test.go
+++ b/internal/core/query/world_test.go
@@ -203,7 +203,7 @@
 		need := &w.m.needs[index]
 		// Of a service that is asked one shard at a time the others wait for the one in work.
 		service := w.plan.Needs[index].Service
-		held := w.m.oneAtATime(service) && w.hasPendingShard(service)
+		held := w.m.oneAtATime(service) && w.hasPendingShard(service) || w.m.oneAtATime(allServices) && w.hasPendingShard(allServices)
 		if need.open == 0 && !need.settled && need.retryAt > 0 && (need.retryAt > w.now || !held) {
 			require.LessOrEqual(w.t, w.wake, need.retryAt, "no alarm for the retry")
 		}
@@ -219,12 +219,7 @@
 
 // hasPendingShard reports whether a shard of the service is being asked or has a retry scheduled.
 func (w *world) hasPendingShard(service int) bool {
-	for _, index := range w.plan.Services[service].Shards {
-		if need := &w.m.needs[index]; need.open > 0 || !need.settled && need.retryAt > w.now {
-			return true
-		}
-	}
-	return false
+	return w.m.anyShard(service, func(need *needState) bool { return need.open > 0 || !need.settled && need.retryAt > w.now })
 }
 
 func (w *world) checkCounts() {
--- a/internal/entry/precautions.go
+++ b/internal/entry/precautions.go
@@ -21,6 +21,16 @@
 	if l.options.Assessor == nil {
 		return precautions
 	}
+	overall := l.options.Assessor.Assess(func() corequarantine.Identity {
+		return corequarantine.Question(question.Customer, question.Body)
+	}, nil)
+	precautions.Suspect = overall.Request == corequarantine.Suspect
+	if overall.Request == corequarantine.SetAside {
+		for need := range plan.Needs {
+			precautions.SetAside = addIndex(precautions.SetAside, need)
+		}
+		return precautions
+	}
 	for i := range plan.Services {
 		service := &plan.Services[i]
 		assessment := l.options.Assessor.Assess(func() corequarantine.Identity {
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -144,6 +144,14 @@
 	require.LessOrEqual(t, c.ended, 6+3)
 }
 
+// Guards against a question that ends the replicas of all services of its closure: it ends at most one replica of each of
+// the six services and three more.
+func TestAQuestionThatEndsAllServicesEndsOneOfEach(t *testing.T) {
+	c := startCrashingFleet(t, 12, testText, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
+	c.runTries(9, func(i int) { _, _ = c.ask(i, `"deadly"`) })
+	require.LessOrEqual(t, c.ended, 6+3)
+}
+
 // Guards against a node that joins later running a question that is set aside: all nodes refuse it as not run.
 func TestANodeThatJoinsLaterRefusesAQuestionThatIsSetAside(t *testing.T) {
 	c := startCrashingFleet(t, 2, testText, 0, 1)
--- a/internal/owner/evidence.go
+++ b/internal/owner/evidence.go
@@ -26,6 +26,9 @@
 	}
 	if result.Outcome == core.Done {
 		recorder.Answered(func() quarantine.Names { return w.identity().Names() }, call.Ref.String())
+		if identity, _, ok := w.questionIdentity(); ok {
+			recorder.Answered(func() quarantine.Names { return identity().Names() }, "")
+		}
 		return
 	}
 	marks := w.trialMarks()
@@ -42,6 +45,10 @@
 	if marks != 0 {
 		recorder.Seen(w.identity(), w.describe(call), call.Ref.String(), l.incarnation(call.Address, result.Incarnation), marks)
 	}
+	if identity, trial, ok := w.questionIdentity(); ok && marks&quarantine.Ended|trial != 0 {
+		what := w.describe(call) + ", over all services"
+		recorder.Seen(identity(), what, "", l.incarnation(call.Address, result.Incarnation), marks&quarantine.Ended|trial)
+	}
 }
 
 // unanswered reports whether a call that reached a replica ended without an answer.
@@ -61,6 +68,17 @@
 	return quarantine.Query(w.ask.GetService(), core.Customer(message.GetCustomer()), message.GetQuestion())
 }
 
+// questionIdentity implements work.
+func (w *bundleWork) questionIdentity() (identity func() quarantine.Identity, trial quarantine.Fact, ok bool) {
+	message := w.reply.inbound.Envelope.GetBundleRequest()
+	if query.Trial(w.ask.GetTrial()) == query.QuestionTrial {
+		trial = quarantine.Trial
+	}
+	return func() quarantine.Identity {
+		return quarantine.Question(core.Customer(message.GetCustomer()), message.GetQuestion())
+	}, trial, true
+}
+
 // describe implements work.
 func (w *bundleWork) describe(call upstream.Call) string {
 	return "query of " + call.Ref.Service + " by customer " + string(call.Customer) + ", request " + call.RequestID
@@ -69,7 +87,7 @@
 // trialMarks implements work.
 func (w *bundleWork) trialMarks() quarantine.Fact {
 	switch query.Trial(w.ask.GetTrial()) {
-	case query.ServiceTrial:
+	case query.ServiceTrial, query.QuestionTrial:
 		return quarantine.Trial | quarantine.ShardTrial
 	case query.ShardTrial:
 		return quarantine.ShardTrial
@@ -87,6 +105,11 @@
 	return quarantine.Submit(message.GetService(), core.Customer(message.GetCustomer()), message.GetPayload())
 }
 
+// questionIdentity implements work. A submit is sent to one service only.
+func (w *submitWork) questionIdentity() (identity func() quarantine.Identity, trial quarantine.Fact, ok bool) {
+	return nil, 0, false
+}
+
 // describe implements work.
 func (w *submitWork) describe(call upstream.Call) string {
 	return "submit to " + call.Ref.Service + " by customer " + string(call.Customer) + ", key " + call.SubmitKey
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -79,6 +79,10 @@
 	// identity is the same for all tries of the request. describe returns a description for operators. trialMarks returns
 	// the marks that the quarantine sets if a call ends without an answer.
 	identity() quarantine.Identity
+	// questionIdentity returns the identity of the request over all services that it is sent to, and the mark that the
+	// quarantine sets for it if a call that ran in a QuestionTrial ends without an answer. ok is false if the request is
+	// sent to one service only.
+	questionIdentity() (identity func() quarantine.Identity, trial quarantine.Fact, ok bool)
 	describe(call upstream.Call) string
 	trialMarks() quarantine.Fact
 	settle(result upstream.Result, tries int)
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -18,7 +18,7 @@
 )
 
 func encode(record *quarantine.Record, now core.Time) *peerpb.QuarantineRecord {
-	out := &peerpb.QuarantineRecord{Key: record.Key[:], Head: record.Head[:], What: record.What, AgeMs: uint64(max(now-record.SeenAt, 0).Milliseconds())}
+	out := &peerpb.QuarantineRecord{Key: record.Key[:], Head: record.Head[:], What: record.What, Level: uint32(record.Level), AgeMs: uint64(max(now-record.SeenAt, 0).Milliseconds())}
 	out.Variants = slices.Sorted(maps.Keys(record.Variants))
 	for _, life := range slices.Sorted(maps.Keys(record.Facts)) {
 		out.Lives = append(out.Lives, uint64(life))
@@ -39,7 +39,7 @@
 	}
 	what := in.GetWhat()
 	record := quarantine.Record{
-		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Facts: map[quarantine.Life]quarantine.Fact{}, Shards: map[quarantine.Life]quarantine.Shard{}, Variants: map[uint64]struct{}{},
+		Key: key, Head: head, What: what[:min(len(what), maxWhat)], Level: uint8(in.GetLevel()), Facts: map[quarantine.Life]quarantine.Fact{}, Shards: map[quarantine.Life]quarantine.Shard{}, Variants: map[uint64]struct{}{},
 		SeenAt: now - time.Duration(in.GetAgeMs())*time.Millisecond,
 	}
 	variants := in.GetVariants()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -128,7 +128,7 @@
 	now := d.options.Now()
 	heads := identity.Heads()
 	names := heads.With(identity.Body)
-	exact := quarantine.Record{Key: names.Exact, Head: heads.Exact, What: what, SeenAt: now}
+	exact := quarantine.Record{Key: names.Exact, Head: heads.Exact, What: what, Level: identity.Level, SeenAt: now}
 	exact.Facts = map[quarantine.Life]quarantine.Fact{lifeOf(life): fact}
 	exact.Shards = map[quarantine.Life]quarantine.Shard{lifeOf(life): quarantine.ShardOf(shard)}
 	broad := exact
