quarantine: move records to record.go, share the retry delay and Assessor

Move the records, facts and scopes to record.go unchanged.

The retry delay for requests that are set aside was defined three times (edge, entry, home) and the Assessor interface twice (entry, home). Define them once, as RetryAfter in core/quarantine and Assessor in quarantine.

No change in behavior.

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -42,157 +42,6 @@
 	lasts = time.Hour
 )
 
-// Standing is how a request is treated.
-type Standing uint8
-
-// The standings of a request, by rising severity.
-const (
-	// Trusted requests are sent as usual.
-	Trusted Standing = iota
-	// Suspect requests are sent to one replica at a time until one has answered.
-	Suspect
-	// SetAside requests are rejected.
-	SetAside
-)
-
-// String names the standing.
-func (s Standing) String() string {
-	return [...]string{"trusted", "suspect", "set_aside"}[s]
-}
-
-// Life names an incarnation of a replica by a hash of its id and start.
-type Life uint64
-
-// Fact is what came of a request at one incarnation of a replica. Each mark is only ever set, so that
-// facts from several nodes give the same in any order.
-type Fact uint8
-
-// The marks of a fact.
-const (
-	// Ended marks a replica that ended while the request was in work there.
-	Ended Fact = 1 << iota
-	// Trial marks a replica that the request was sent to while nothing else of it was in work, and that did not
-	// answer.
-	Trial
-	// Cleared marks what no longer speaks against the request: it was answered later, or did not run.
-	Cleared
-	// ShardTrial marks a replica that did not answer the request while it had no other send in flight at that shard.
-	ShardTrial
-	// ShardCleared marks a fact that no longer counts at its shard: a replica of that shard answered later.
-	ShardCleared
-)
-
-// counts reports whether the fact has all the marks and does not have the cleared mark.
-func (f Fact) counts(marks, cleared Fact) bool { return f&marks == marks && f&cleared == 0 }
-
-// Shard is a hash that identifies the shard of a replica; 0 is unknown.
-type Shard uint64
-
-// ShardOf returns the Shard for a name. A service that is not split has one shard, named after it.
-func ShardOf(name string) Shard {
-	key := join(name)
-	return Shard(binary.BigEndian.Uint64(key[:]))
-}
-
-// scope selects the facts that a standing is computed from: those of all shards, or those of one.
-//
-// A separate standing per shard guards against a request that ends the replicas of one shard while other shards answer
-// it: their answers clear the request as a whole, so it would be sent to the failing shard again each time.
-type scope struct {
-	// shard is 0 for all shards.
-	shard Shard
-	// trial and cleared are the marks used in this scope.
-	trial, cleared Fact
-}
-
-func requestScope() scope { return scope{trial: Trial, cleared: Cleared} }
-
-func shardScope(shard Shard) scope {
-	return scope{shard: shard, trial: ShardTrial, cleared: ShardCleared}
-}
-
-// includes reports whether the fact of an incarnation belongs to the scope.
-func (s scope) includes(r *Record, life Life) bool { return s.shard == 0 || r.Shards[life] == s.shard }
-
-// Record is what is known of one request.
-type Record struct {
-	Key Key
-	// Head is the key of the request without its body.
-	Head Key
-	// What describes the request to operators.
-	What string
-	// Level is Identity.Level. Records of different levels may be of one request and do not contest each other.
-	Level uint8
-	Facts map[Life]Fact
-	// Shards maps incarnations to their shards, where known.
-	Shards map[Life]Shard
-	// Variants are hashes of the exact names under which replicas ended, where Key is a broad one; none otherwise.
-	Variants map[uint64]struct{}
-	// FirstAt is when this node first heard of it, SeenAt when it or news of it came last.
-	FirstAt core.Time
-	SeenAt  core.Time
-	// standing and shards are maintained by the ledger. shards holds only shards where the request is not trusted.
-	standing Standing
-	shards   map[Shard]Standing
-}
-
-// Standing returns the standing of the request as a whole.
-func (r *Record) Standing() Standing { return r.standing }
-
-// ShardStanding returns the standing of the request at one shard.
-func (r *Record) ShardStanding(shard Shard) Standing { return r.shards[shard] }
-
-// Severity returns the most severe standing of the request, as a whole or at any shard.
-func (r *Record) Severity() Standing {
-	severity := r.standing
-	for _, standing := range r.shards {
-		severity = max(severity, standing)
-	}
-	return severity
-}
-
-// SetAsideShards counts the shards where the request is set aside. It is 0 if the request is set aside as a whole.
-func (r *Record) SetAsideShards() int {
-	total := 0
-	for _, standing := range r.shards {
-		if standing == SetAside && r.standing != SetAside {
-			total++
-		}
-	}
-	return total
-}
-
-// Ended counts the replicas that ended under the request and were not cleared both as a whole and at their shard.
-func (r *Record) Ended() int {
-	total := 0
-	for _, fact := range r.Facts {
-		if fact.counts(Ended, Cleared) || fact.counts(Ended, ShardCleared) {
-			total++
-		}
-	}
-	return total
-}
-
-// ended counts the replicas in a scope that ended under the request and were not cleared there.
-func (r *Record) ended(within scope) int {
-	total := 0
-	for life, fact := range r.Facts {
-		if within.includes(r, life) && fact.counts(Ended, within.cleared) {
-			total++
-		}
-	}
-	return total
-}
-
-// Change is a record whose facts or standing changed.
-type Change struct {
-	Record *Record
-	// Former is the severity before the change.
-	Former Standing
-	// New is set when the change holds facts that were not known.
-	New bool
-}
-
 // Ledger holds the records of a node. It is not safe for concurrent use.
 type Ledger struct {
 	records map[Key]*Record
@@ -278,27 +127,6 @@
 	return l.judge(known, affected)
 }
 
-// allShards returns the shards of all facts of the record.
-func (r *Record) allShards() map[Shard]bool {
-	all := map[Shard]bool{}
-	for life := range r.Facts {
-		all[r.Shards[life]] = true
-	}
-	return all
-}
-
-// addVariants takes up exact names of a broad one and reports whether any was not known.
-func (r *Record) addVariants(told map[uint64]struct{}) bool {
-	fresh := false
-	for one := range told {
-		if _, held := r.Variants[one]; !held && len(r.Variants) < maxVariants {
-			r.Variants[one] = struct{}{}
-			fresh = true
-		}
-	}
-	return fresh
-}
-
 // Answered records that a replica of the shard has answered a request. It clears both names of the request as a whole
 // and at that shard, but not at other shards.
 func (l *Ledger) Answered(names Names, shard Shard) []Change {
@@ -472,12 +300,6 @@
 	return Suspect
 }
 
-// countsUnconfirmedTrials reports whether trials count even if no replica is known to have ended in them. For a broad name
-// at one shard they don't: a shard that stops responding after a crash would have unrelated requests set aside.
-func (s scope) countsUnconfirmedTrials(r *Record) bool { return s.shard == 0 || !r.broad() }
-
-func (r *Record) broad() bool { return len(r.Variants) > 0 }
-
 // contested reports whether another request was in work at a replica that ended, under which as many have ended.
 func (l *Ledger) contested(r *Record, within scope, weight int, life Life) bool {
 	for _, key := range l.at[life] {
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
@@ -57,22 +56,8 @@
 	assessment := q.node.quarantine.Assess(q.identity, q.services)
 	q.standing = assessment.Request
 	q.plan.Suspect = q.standing == quarantine.Suspect
-	for i, standing := range assessment.Shards {
-		switch standing {
-		case quarantine.Suspect:
-			q.plan.SuspectShards = addIndex(q.plan.SuspectShards, i)
-		case quarantine.SetAside:
-			q.plan.SetAsideShards = addIndex(q.plan.SetAsideShards, i)
-		}
-	}
-}
-
-func addIndex(indexes map[int]bool, index int) map[int]bool {
-	if indexes == nil {
-		indexes = map[int]bool{}
-	}
-	indexes[index] = true
-	return indexes
+	q.plan.SuspectShards = assessment.ShardsWith(quarantine.Suspect)
+	q.plan.SetAsideShards = assessment.ShardsWith(quarantine.SetAside)
 }
 
 // setAside reports whether the request is set aside as a whole, or at so many shards that too few remain to answer it.
@@ -174,12 +159,9 @@
 	n.log.Decision(event, fields)
 }
 
-// retrySetAside is the time to come back that goes with the rejection of a request that is set aside.
-const retrySetAside = time.Minute
-
 // rejectSetAside answers a request under which replicas ended. It has not run.
 func (n *Node) rejectSetAside(w http.ResponseWriter, q *request) {
 	n.metrics.refused()
-	n.log.Decision("request_refused", decisionlog.Fields{"request": q.id, "cause": "replicas ended under it each time it ran", "key": q.identity().Names().Exact.String(), "retry_after_ms": retrySetAside.Milliseconds()})
-	writeRefusalFor(w, "not run: replicas ended under this request each time it ran", retrySetAside)
+	n.log.Decision("request_refused", decisionlog.Fields{"request": q.id, "cause": "replicas ended under it each time it ran", "key": q.identity().Names().Exact.String(), "retry_after_ms": quarantine.RetryAfter.Milliseconds()})
+	writeRefusalFor(w, "not run: replicas ended under this request each time it ran", quarantine.RetryAfter)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
@@ -75,7 +76,7 @@
 	Problems *observe.Problems
 	Metrics  observe.Registry
 	// Assessor, when set, returns the standings of questions that may end replicas.
-	Assessor Assessor
+	Assessor quarantine.Assessor
 	// Limits bound the requests in work; zero values take the defaults.
 	Limits entrylimit.Config
 	// ringDepth is the depth of each loop's ring, in events; 0 takes the default.
--- a/internal/entry/precautions.go
+++ b/internal/entry/precautions.go
@@ -1,20 +1,12 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/query"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 )
 
-// Assessor returns the standings of an incoming request, as a whole and at the given shards.
-type Assessor interface {
-	Assess(identity func() corequarantine.Identity, shards []string) quarantine.Assessment
-}
-
 // precautions converts the standings of a question at the services and shards of its plan.
 func (l *loop) precautions(plan *query.Plan, question Question) query.Precautions {
 	var precautions query.Precautions
@@ -62,9 +54,6 @@
 	return indexes
 }
 
-// setAsideRetryAfter is the retry delay returned with the refusal of a question that is set aside.
-const setAsideRetryAfter = time.Minute
-
 // refuseSetAside returns an error if the question is set aside at all shards of the service asked, or at so many shards
 // that the caller's least coverage cannot be reached, and nil otherwise.
 func refuseSetAside(plan *query.Plan, precautions query.Precautions, least float64) error {
@@ -84,6 +73,6 @@
 	}
 	return &fault.Error{
 		Code: fault.CodeSetAside, Outcome: core.NotRun, Message: "replicas ended under this question each time it ran",
-		Fix: "change the question, or have the service mended", RetryAfter: setAsideRetryAfter,
+		Fix: "change the question, or have the service mended", RetryAfter: corequarantine.RetryAfter,
 	}
 }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 )
 
@@ -35,7 +36,7 @@
 	Log    logrus.FieldLogger
 	Limits once.Limits
 	// Assessor, when set, returns the standings of requests that may end replicas.
-	Assessor Assessor
+	Assessor quarantine.Assessor
 	Problems *observe.Problems
 	// Metrics takes the ledger's size; nil takes none.
 	Metrics observe.Registry
--- a/internal/home/setaside.go
+++ b/internal/home/setaside.go
@@ -1,23 +1,12 @@
 package home
 
 import (
-	"time"
-
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
 	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
-	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 )
 
-// Assessor returns the standings of an incoming request, as a whole and at the given shards.
-type Assessor interface {
-	Assess(identity func() corequarantine.Identity, shards []string) quarantine.Assessment
-}
-
-// setAsideRetryAfter is the retry delay returned with the refusal of a request that is set aside.
-const setAsideRetryAfter = time.Minute
-
 // refuseSetAside returns the end of a send that must not be made because the request is set aside, or nil. The home decides
 // this and not the entry, because its ledger knows whether an earlier send of the same key may have run.
 func (l *loop) refuseSetAside(a once.Send, shard core.ShardRef) *once.Ended {
@@ -32,6 +21,6 @@
 	}
 	return &once.Ended{
 		Key: a.Key, Send: a.Send, Outcome: core.NotRun, Code: fault.CodeSetAside,
-		Message: "replicas ended under this request each time it ran", RetryAfter: setAsideRetryAfter,
+		Message: "replicas ended under this request each time it ran", RetryAfter: corequarantine.RetryAfter,
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -92,6 +92,27 @@
 	Shards []quarantine.Standing
 }
 
+// ShardsWith returns the set of indexes of the requested shards that have the given standing, or nil if there are none.
+// The standing must not be Trusted, because Shards is nil if all shards are trusted.
+func (a Assessment) ShardsWith(standing quarantine.Standing) map[int]bool {
+	var indexes map[int]bool
+	for i, shardStanding := range a.Shards {
+		if shardStanding != standing {
+			continue
+		}
+		if indexes == nil {
+			indexes = map[int]bool{}
+		}
+		indexes[i] = true
+	}
+	return indexes
+}
+
+// Assessor returns the standings of an incoming request, as a whole and at the given shards.
+type Assessor interface {
+	Assess(identity func() quarantine.Identity, shards []string) Assessment
+}
+
 // Assess returns the standings of an incoming request, as a whole and at the given shards. identity is not called if no
 // request is remembered, and the body is not hashed if no remembered request matches in everything else.
 func (d *Duty) Assess(identity func() quarantine.Identity, shards []string) Assessment {
