quarantine: send news to nodes without incoming links

Symptom: within two seconds of the fleet's start, a request that ends replicas reached them in four tries after it had ended three; 3 are allowed.

Cause: a node sends news only over links that it has opened itself. Three nodes that have just started have one link each, and possibly none of these leads to the third node, which then learns only from its own tries.

In 48 runs with a trace of each end 15 failed; in 13 of these every end was seen. In the 8 failures of 36 runs that traced the links as well, nodes sent news to a single node; in the runs that passed, some sent it to two.

Ruled out as the cause: ends that no node saw because the replica was restarted within a moment (2 of the 15 failures, 2 of the 33 passes).

Fix: a node with fewer than three links also sends news to its successors in the order of ids.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/confservice"
 	"github.com/pistachiopier/pistachiopier/internal/confwatch"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/entry"
 	"github.com/pistachiopier/pistachiopier/internal/gather"
 	"github.com/pistachiopier/pistachiopier/internal/home"
@@ -109,7 +110,10 @@
 		platform: confservice.NewClient(s.Platform),
 	}
 	node.upstream.DetectEnded()
-	node.quarantine = quarantine.New(quarantine.Options{Now: node.now, Changed: node.standingChanged})
+	node.quarantine = quarantine.New(quarantine.Options{
+		Now: node.now, Changed: node.standingChanged,
+		Self: node.identity.Node, Nodes: func() []route.Node { return node.belief.View().Nodes() },
+	})
 	return node, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -124,7 +124,10 @@
 	n.settings.Store(s)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replicas.OnEnded(n.replicaEnded)
-	n.quarantine = quarantine.New(quarantine.Options{Now: n.now, Changed: n.standingChanged})
+	n.quarantine = quarantine.New(quarantine.Options{
+		Now: n.now, Changed: n.standingChanged,
+		Self: n.identity.Node, Nodes: func() []route.Node { return n.view().Nodes() },
+	})
 	n.beliefs = newBeliefs(s.DataCentre, s.Regions, extra.Bound{}, n.now)
 	n.registry = &registry{beliefs: n.beliefs, log: n.log, metrics: n.metrics, heartbeat: func() time.Duration { return n.settings.Load().Heartbeat }, onConfig: n.configInForce, onRestart: n.replicas.End, onEvacuation: n.leaveUnwanted}
 	return n
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 )
 
@@ -32,6 +33,10 @@
 	Now func() core.Time
 	// Changed, when set, is told each change; from is the node that told it, "" for this one. It must not block.
 	Changed func(change quarantine.Change, from core.NodeID)
+	// Self is the id of this node. Nodes returns the live nodes in ascending order of id; a node with few links also
+	// sends news to its successors in that order. If Nodes is nil, news is sent over open links only.
+	Self  core.NodeID
+	Nodes func() []route.Node
 }
 
 // Duty holds what a node knows of requests that may end the replicas that run them.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
@@ -147,6 +148,25 @@
 	}
 }
 
+// Guards against news that does not reach a node without incoming links, as happens shortly after startup.
+func TestNewsReachesANodeWithoutIncomingLinks(t *testing.T) {
+	n := &net{random: rand.New(rand.NewPCG(1, 1))}
+	began := time.Now()
+	var nodes []route.Node
+	for i := range 3 {
+		nodes = append(nodes, route.Node{ID: target(i).Node})
+	}
+	for i := range nodes {
+		n.duties = append(n.duties, New(Options{Now: func() core.Time { return time.Since(began) }, Self: nodes[i].ID, Nodes: func() []route.Node { return nodes }}))
+	}
+	for i, to := range [][]int{{1}, {0}, {0}} {
+		n.duties[i].Start(&links{net: n, at: i, to: to})
+		t.Cleanup(n.duties[i].Close)
+	}
+	n.duties[0].Seen(deadly, "deadly", "s", replica.Incarnation{ID: "i"}, quarantine.Ended)
+	require.Eventually(t, func() bool { return n.agree(deadly, quarantine.Suspect) }, patience, time.Millisecond)
+}
+
 // Half of all messages are lost, and so is most of the news. Heartbeats find the nodes that differ.
 func TestLostNewsIsFoundByComparing(t *testing.T) {
 	n := newNet(t, 30)
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -1,10 +1,13 @@
 package quarantine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 )
@@ -28,7 +31,7 @@
 	if len(records) == 0 {
 		return
 	}
-	for _, target := range d.links.Linked() {
+	for _, target := range d.newsTargets() {
 		message := &peerpb.QuarantineNews{}
 		for i, one := range records {
 			if sources[i] != target.Node {
@@ -41,6 +44,30 @@
 	}
 }
 
+// minNewsTargets is the number of nodes that news is sent to at least, if that many other nodes are live.
+const minNewsTargets = 3
+
+// newsTargets returns the nodes to send news to: those with an open link and, if there are fewer than minNewsTargets,
+// the successors of this node in the order of ids. Shortly after startup a node has opened at most one link, and news
+// would not reach a node without incoming links until a heartbeat. Every node is the successor of another one, so
+// that news reaches all of them.
+func (d *Duty) newsTargets() []peer.Target {
+	targets := d.links.Linked()
+	if d.options.Nodes == nil || len(targets) >= minNewsTargets {
+		return targets
+	}
+	nodes := d.options.Nodes()
+	self, _ := slices.BinarySearchFunc(nodes, d.options.Self, func(node route.Node, id core.NodeID) int { return cmp.Compare(node.ID, id) })
+	for i := 1; i < len(nodes) && len(targets) < minNewsTargets; i++ {
+		successor := nodes[(self+i)%len(nodes)]
+		linked := slices.ContainsFunc(targets, func(target peer.Target) bool { return target.Node == successor.ID })
+		if successor.ID != d.options.Self && !linked {
+			targets = append(targets, peer.Target{Node: successor.ID, Address: successor.PeerAddress})
+		}
+	}
+	return targets
+}
+
 func (d *Duty) takeNews() (records []*peerpb.QuarantineRecord, sources []core.NodeID) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
