edge: a replica that is restarted at once on its port is seen to have ended

A request that ends each replica that runs it went on ending them where a supervisor starts these again at once: a replica counted as ended only when a further connection was refused, and the next incarnation accepts that connection.

Broken requests are now remembered for 5 s with their incarnation. They are reported as soon as another incarnation is found at the address: it is listed there, before or after the break, or a send to the former one is answered 421. A break alone stays no evidence, since a lost answer and a reset break connections too.

--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -110,6 +110,12 @@
 	h.t.Helper()
 	_, err := h.fleet.RestartCrashed()
 	require.NoError(h.t, err)
+	h.awaitInnocentAnswers()
+}
+
+// awaitInnocentAnswers waits until each node returns whole answers on each route.
+func (h *harness) awaitInnocentAnswers() {
+	h.t.Helper()
 	for _, node := range h.nodes {
 		for _, target := range []string{"/all/innocent", "/plain/innocent", "/once/innocent"} {
 			require.Eventually(h.t, func() bool {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -128,7 +128,7 @@
 		Self: n.identity.Node, Nodes: func() []route.Node { return n.view().Nodes() },
 	})
 	n.state = newSharedState(s.DataCentre, s.Regions, extra.Bound{}, n.now)
-	n.registry = &registry{state: n.state, log: n.log, metrics: n.metrics, heartbeatInterval: func() time.Duration { return n.settings.Load().HeartbeatInterval }, onConfig: n.applyConfig, onRestart: n.replicas.CloseRestarted, onEvacuation: n.closeUnusable}
+	n.registry = &registry{state: n.state, log: n.log, metrics: n.metrics, heartbeatInterval: func() time.Duration { return n.settings.Load().HeartbeatInterval }, onConfig: n.applyConfig, onRestart: n.replicas.CloseRestarted, onListed: n.replicas.ReplicaListed, onEvacuation: n.closeUnusable}
 	return n
 }
 
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -49,6 +49,8 @@
 	onEvacuation func()
 	// onRestart is called with the former incarnation of a replica that restarted under its id.
 	onRestart func(former replica.Incarnation)
+	// onListed is called with each incarnation that is listed for the first time, and its address.
+	onListed func(incarnation replica.Incarnation, address string)
 
 	mutex sync.Mutex
 	// refused holds, by id, why entries do not name a replica.
@@ -180,6 +182,9 @@
 		return
 	}
 	r.clearRefused(id)
+	if result == replica.Added || result == replica.Restarted {
+		r.onListed(listed.Incarnation(), listed.Address)
+	}
 	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
 	case result == replica.Added:
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -312,6 +312,7 @@
 		state.withReplicas(func(table *replica.Table, now core.Time) { table.Refused(incarnation, now) })
 		if exchange.response != nil && exchange.response.Status == http.StatusMisdirectedRequest {
 			state.withReplicas(func(table *replica.Table, _ core.Time) { table.Misdirected(incarnation) })
+			q.node.replicas.ReplicaMisdirected(incarnation)
 			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": incarnation.ID, "service": exchange.send.Replica.Service, "address": exchange.send.Replica.Address, "request": q.id})
 		}
 	case scatter.Unreached:
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -139,6 +139,8 @@
 	opened int64
 	// onEnded receives an incarnation that has ended and the requests in flight there.
 	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
+	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
+	successors *successors
 	// refuses checks whether a replica refuses connections; tests replace it.
 	refuses func(p *pool, request *Request) bool
 }
@@ -152,7 +154,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
-	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}}
+	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors()}
 	c.refuses = c.refusesConnections
 	return c
 }
--- a/internal/replicaconn/ended.go
+++ b/internal/replicaconn/ended.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/connerr"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -10,8 +11,14 @@
 
 // A connection that breaks during a request proves little: the answer may have been lost, or the connection reset on
 // the network path. But a replica that has ended also refuses new connections. Another connection is therefore opened
-// at once: the VM of a replica that has ended refuses it within a round trip; otherwise it serves the next request. A
-// replica that stopped responding together with its VM, or behind a network partition, is not detected, as nothing
+// at once: the VM of a replica that has ended refuses it within a round trip; otherwise it serves the next request.
+//
+// A replica that a supervisor restarts at once refuses no connection: its next incarnation accepts it. The broken
+// requests are therefore kept for a while, and are reported when another incarnation is found at the address: it is
+// listed there, or a request to the former one is answered as misdirected. A connection that broke proves little, and so
+// does a new incarnation; both together show that the former one has ended.
+//
+// A replica that stopped responding together with its VM, or behind a network partition, is not detected, as nothing
 // refuses the connection.
 
 // connectionBroke records a request whose connection broke. One check per replica runs at a time.
@@ -47,12 +54,35 @@
 		if len(inFlight) == 0 {
 			return
 		}
-		if c.refuses(p, inFlight[0]) {
+		if c.refuses(p, inFlight[0]) || !c.successors.keep(inFlight, time.Now()) {
 			c.onEnded(inFlight[0].Replica, inFlight)
 		}
 	}
 }
 
+// ReplicaListed records that an incarnation is now listed at an address, and reports the requests whose connections to
+// a former incarnation there broke.
+func (c *Client) ReplicaListed(incarnation replica.Incarnation, address string) {
+	c.reportEnded(c.successors.listed(incarnation, address, time.Now()))
+}
+
+// ReplicaMisdirected records that another incarnation answers at the address of this one, and reports the requests whose
+// connections to this one broke.
+func (c *Client) ReplicaMisdirected(incarnation replica.Incarnation) {
+	c.reportEnded(c.successors.misdirected(incarnation, time.Now()))
+}
+
+// reportEnded reports broken requests to onEnded, by incarnation.
+func (c *Client) reportEnded(broken []*Request) {
+	byIncarnation := map[replica.Incarnation][]*Request{}
+	for _, request := range broken {
+		byIncarnation[request.Replica] = append(byIncarnation[request.Replica], request)
+	}
+	for incarnation, requests := range byIncarnation {
+		c.onEnded(incarnation, requests)
+	}
+}
+
 // takeBroken takes the broken requests; when there are none, the check is over.
 func (c *Client) takeBroken(p *pool) []*Request {
 	c.mutex.Lock()
