owner: a replica that is restarted at once behind serve is seen to have ended

The same fault as in edge: a question that ends each replica that runs it went on ending them where a supervisor starts these again at once, as no connection is refused. The upstream protocol names no incarnation, so what edge goes by is missing here.

A request that broke off at an address that then answers another one within a minute has ended the replica there. Where any request breaks off, most breaks at an address are without the one in question, and they are no ends. The kept sends are bounded.

--- a/internal/owner/evidence.go
+++ b/internal/owner/evidence.go
@@ -19,43 +19,86 @@
 	RecordAnswer(names func() quarantine.Names, shard string)
 }
 
+// observation is a mark for a request under one of its identities.
+type observation struct {
+	identity    quarantine.Identity
+	description string
+	// shard is empty for the identity over all services.
+	shard string
+	// trial are the marks for a send that was the only one of the request in flight.
+	trial quarantine.Fact
+}
+
+// observationsOf returns the observations that a failed call allows, one for each identity of its request.
+func observationsOf(w work, call upstream.Call) []observation {
+	list := []observation{{identity: w.identity(), description: w.describe(call), shard: call.Ref.String(), trial: w.trialMarks()}}
+	if identity, trial, ok := w.closureIdentity(); ok {
+		list = append(list, observation{identity: identity(), description: w.describe(call) + ", over all services", trial: trial})
+	}
+	return list
+}
+
 // recordOutcome reports the result of a call to the recorder. The owner holds the connections, so only it can detect that a
 // replica has ended.
 func (l *loop) recordOutcome(w work, call upstream.Call, result upstream.Result) {
-	recorder := l.options.Recorder
-	if recorder == nil {
-		return
-	}
-	if result.Outcome == core.Done && recorder.Empty() {
-		return
+	switch {
+	case l.options.Recorder == nil:
+	case result.Outcome == core.Done:
+		l.recordAnswer(w, call)
+	case unanswered(result):
+		l.recordUnanswered(w, call, result)
 	}
-	if result.Outcome == core.Done {
-		recorder.RecordAnswer(func() quarantine.Names { return w.identity().Names() }, call.Ref.String())
-		if identity, _, ok := w.closureIdentity(); ok {
-			recorder.RecordAnswer(func() quarantine.Names { return identity().Names() }, "")
+}
+
+// recordAnswer records that a replica has answered a request. The requests that broke off at that replica before have
+// ended it.
+func (l *loop) recordAnswer(w work, call upstream.Call) {
+	if !l.options.brokenSends.empty() {
+		for _, broken := range l.options.brokenSends.answered(w.identity().Names().Exact, call.Ref.String(), call.Address, l.options.Now()) {
+			l.logEnded(broken.observations[0], call.Address, broken.requestID)
+			l.recordFacts(broken.observations, broken.incarnation, quarantine.Ended)
 		}
-		return
 	}
-	marks := w.trialMarks()
-	if !unanswered(result) {
+	if l.options.Recorder.Empty() {
 		return
 	}
+	l.options.Recorder.RecordAnswer(func() quarantine.Names { return w.identity().Names() }, call.Ref.String())
+	if identity, _, ok := w.closureIdentity(); ok {
+		l.options.Recorder.RecordAnswer(func() quarantine.Names { return identity().Names() }, "")
+	}
+}
+
+// recordUnanswered records a call that reached a replica and ended without an answer.
+func (l *loop) recordUnanswered(w work, call upstream.Call, result upstream.Result) {
+	observations := observationsOf(w, call)
+	incarnation := l.incarnation(call.Address, result.Incarnation)
 	if result.Ended {
-		marks |= quarantine.Ended
-		l.meters.ended.Inc(1)
-		l.options.Log.WithFields(map[string]any{
-			"event": "replica_ended", "shard": call.Ref.String(), "replica": call.Address, "request": call.RequestID, "key": w.identity().Names().Exact.String(),
-		}).Warn("replica ended while running a request")
+		l.logEnded(observations[0], call.Address, call.RequestID)
+		l.recordFacts(observations, incarnation, quarantine.Ended)
+		return
 	}
-	if marks != 0 {
-		recorder.RecordFacts(w.identity(), w.describe(call), call.Ref.String(), l.incarnation(call.Address, result.Incarnation), marks)
+	if result.Broken {
+		l.options.brokenSends.keep(brokenSend{address: call.Address, incarnation: incarnation, requestID: call.RequestID, observations: observations, at: l.options.Now()})
 	}
-	if identity, trial, ok := w.closureIdentity(); ok && marks&quarantine.Ended|trial != 0 {
-		description := w.describe(call) + ", over all services"
-		recorder.RecordFacts(identity(), description, "", l.incarnation(call.Address, result.Incarnation), marks&quarantine.Ended|trial)
+	l.recordFacts(observations, incarnation, 0)
+}
+
+// recordFacts records the trial marks of the observations and the given mark at an incarnation.
+func (l *loop) recordFacts(observations []observation, incarnation replica.Incarnation, mark quarantine.Fact) {
+	for _, o := range observations {
+		if marks := mark | o.trial; marks != 0 {
+			l.options.Recorder.RecordFacts(o.identity, o.description, o.shard, incarnation, marks)
+		}
 	}
 }
 
+func (l *loop) logEnded(o observation, address, requestID string) {
+	l.meters.ended.Inc(1)
+	l.options.Log.WithFields(map[string]any{
+		"event": "replica_ended", "shard": o.shard, "replica": address, "request": requestID, "key": o.identity.Names().Exact.String(),
+	}).Warn("replica ended while running a request")
+}
+
 // unanswered reports whether a call that reached a replica ended without an answer.
 func unanswered(result upstream.Result) bool {
 	return result.Outcome == core.Unknown && result.Incarnation != 0 && (result.Broken || result.Reason == core.ReasonDeadline)
--- a/internal/owner/loop.go
+++ b/internal/owner/loop.go
@@ -116,6 +116,9 @@
 	if options.budget == nil {
 		options.budget = sharedbudget.New(budget.GroupConfig{})
 	}
+	if options.brokenSends == nil {
+		options.brokenSends = &brokenSends{}
+	}
 	return &loop{
 		options:        options,
 		ctx:            ctx,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,10 +40,11 @@
 	Recorder Recorder
 	// Loops is the number of goroutines; 0 means defaultLoops.
 	Loops int
-	// meters and budget are shared by the loops; number is the index of the loop.
-	meters *meters
-	budget *sharedbudget.Group
-	number int
+	// meters, budget and brokenSends are shared by the loops; number is the index of the loop.
+	meters      *meters
+	budget      *sharedbudget.Group
+	brokenSends *brokenSends
+	number      int
 }
 
 // Owner runs the owner role on a fixed number of goroutines. Each bundle is always
@@ -65,6 +66,7 @@
 	owner := &Owner{options: options, stop: stop}
 	options.meters = newMeters(options.Metrics)
 	options.budget = sharedbudget.New(budget.GroupConfig{})
+	options.brokenSends = &brokenSends{}
 	for number := range options.Loops {
 		options.number = number
 		l := newLoop(ctx, options)
