night: a draining replica is not probed

An upstream that drains got a query: the prober left out only the replicas that the operators' text shows draining, not those that a node has seen draining. A node that takes over the bundle of a drained upstream probes it at once, five seconds after its start, as nothing has answered there.

The list of targets leaves out what is known to drain, and each probe reads it again right before its send.

--- a/internal/night/night.go
+++ b/internal/night/night.go
@@ -166,7 +166,7 @@
 		return
 	}
 	p.owners.update(config.Catalog, p.options.Belief.View())
-	targets := p.owners.targets(config.Catalog, p.options.Self)
+	targets := p.owners.targets(config.Catalog, p.options.Self, p.options.Belief.Draining)
 	p.watched.Update(int64(len(targets)))
 	p.pruneAnswered(targets)
 	p.step(ctx, night.TargetsAssigned{Targets: targets})
--- a/internal/night/night_test.go
+++ b/internal/night/night_test.go
@@ -22,6 +22,8 @@
 	return route.NewView(list)
 }
 
+func nothingDrains(string) bool { return false }
+
 // Each replica must be watched by exactly one node: without one its failure would go unnoticed, and
 // several would multiply the probes.
 func TestEachReplicaIsWatchedByOneNode(t *testing.T) {
@@ -32,7 +34,7 @@
 	table.update(cat, view)
 	watched := map[string]int{}
 	for _, node := range view.Nodes() {
-		for _, target := range table.targets(cat, node.ID) {
+		for _, target := range table.targets(cat, node.ID, nothingDrains) {
 			watched[target.Address]++
 		}
 	}
--- a/internal/night/owned.go
+++ b/internal/night/owned.go
@@ -61,8 +61,9 @@
 	return list
 }
 
-// targets lists the replicas of the node's bundles that do not drain, in the order of the configuration.
-func (o *ownerTable) targets(cat *catalog.Catalog, self core.NodeID) []night.Target {
+// targets lists the replicas of the node's bundles that do not drain, in the order of the configuration. draining reports
+// whether any node has seen an address draining.
+func (o *ownerTable) targets(cat *catalog.Catalog, self core.NodeID, draining func(address string) bool) []night.Target {
 	var list []night.Target
 	for _, name := range cat.ServiceNames {
 		for _, shard := range cat.Services[name].Shards {
@@ -71,7 +72,7 @@
 				continue
 			}
 			for _, replica := range shard.Replicas {
-				if !replica.Draining {
+				if !replica.Draining && !draining(replica.Address) {
 					list = append(list, night.Target{Ref: shard.Ref, Address: replica.Address})
 				}
 			}
--- a/internal/night/probe.go
+++ b/internal/night/probe.go
@@ -15,7 +15,8 @@
 
 const decimal = 10
 
-// startProbe starts a probe unless the replica has answered a real request within the last sweep.
+// startProbe starts a probe unless the replica has answered a real request within the last sweep, or drains: whether it
+// does is read right before the send, because the list of targets is older.
 func (p *Prober) startProbe(ctx context.Context, target night.Target) night.Event {
 	sweep := night.ConfigFor(p.options.ReportWithin, p.options.MaxInFlight).SweepInterval
 	p.mutex.Lock()
@@ -25,7 +26,7 @@
 		return night.ProbeSkipped{Target: target, At: at}
 	}
 	service := p.service(target.Ref)
-	if service == nil {
+	if service == nil || p.options.Belief.Draining(target.Address) {
 		return night.ProbeSkipped{Target: target, At: p.options.Now()}
 	}
 	p.probeNumber++
