edge: a planned stop finishes the sends that it makes for other nodes

Callers of other nodes got answers that lack parts, or a 502, while a node stopped as planned: it waited for the requests of its own callers alone and then closed its links, with sends for other nodes in work. These count as may have run and are not made again. serve waits for the requests of other nodes; edge had not got that.

A stopping node refuses further delegated sends once it takes no callers, finishes those in work within its stop time and flushes the replies.

Evidence: TestAPlannedStopFinishesDelegatedSends, one request and no load, got 502 in 3 of 3 runs before, the whole answer in 3 of 3 after.

--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -27,7 +27,7 @@
 
 // handleDelegate processes a group of sends for another node.
 func (n *Node) handleDelegate(inbound *peer.Inbound) {
-	if n.delegatedGroups.Add(1) > maxDelegatedGroups {
+	if n.delegatedGroups.Add(1) > maxDelegatedGroups || n.refusesDelegated.Load() {
 		n.delegatedGroups.Add(-1)
 		inbound.Reply(peer.NewRefusal(core.ReasonOverloaded), true)
 		return
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -85,7 +85,9 @@
 	quarantine *quarantine.ReplicatedLedger
 	// delegatedGroups counts the groups of sends in progress for other nodes.
 	delegatedGroups atomic.Int64
-	ready           atomic.Bool
+	// refusesDelegated is set when a planned stop no longer takes such groups.
+	refusesDelegated atomic.Bool
+	ready            atomic.Bool
 	// entries are the nodes that callers are sent to. They are updated periodically, because selecting them
 	// requires a pass over all replicas.
 	entries atomic.Pointer[[]route.Node]
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -19,6 +19,10 @@
 	// finalAnswerTime is reserved for the final answers of requests still in flight, before the connections
 	// are closed.
 	finalAnswerTime = 100 * time.Millisecond
+	// flushTimeout bounds the wait for the other nodes to read the last replies.
+	flushTimeout = 200 * time.Millisecond
+	// delegatedPollInterval is how often a stopping node checks whether it still makes sends for other nodes.
+	delegatedPollInterval = 5 * time.Millisecond
 )
 
 // stop performs a planned stop. The node leaves the address lists and reports that it is not ready at once,
@@ -43,6 +47,7 @@
 		if err := n.callers.shutdown(ctx); err != nil {
 			n.log.Life("stop_cut_short", decisionlog.Fields{"in_flight": n.inFlight.Load()})
 		}
+		n.finishDelegated(ctx)
 	}
 	n.close()
 	n.logTraffic()
@@ -51,6 +56,20 @@
 	return nil
 }
 
+// finishDelegated finishes the sends that this node makes for other nodes. Further ones are refused: their entry nodes send
+// to the replicas themselves. If the links were closed at once, the answers of other nodes would lack the parts.
+func (n *Node) finishDelegated(ctx context.Context) {
+	n.refusesDelegated.Store(true)
+	for n.peerServer.OpenRequests() > 0 && wait.For(ctx, delegatedPollInterval) {
+	}
+	if remaining := n.delegatedGroups.Load(); remaining > 0 {
+		n.log.Life("stop_cut_short", decisionlog.Fields{"delegated_groups": remaining})
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	n.peerServer.FlushReplies(ctx)
+}
+
 // close stops all components, also after a start that failed part-way.
 func (n *Node) close() {
 	n.cancel()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -32,7 +32,7 @@
 // delaysStop reports whether a planned stop waits for the request, as opposed to
 // heartbeats and watches.
 func delaysStop(envelope *peerpb.Envelope) bool {
-	return envelope.GetBundleRequest() != nil || envelope.GetSubmitRequest() != nil || envelope.GetHandoverRequest() != nil
+	return envelope.GetBundleRequest() != nil || envelope.GetSubmitRequest() != nil || envelope.GetHandoverRequest() != nil || envelope.GetDelegateRequest() != nil
 }
 
 func newSession(ctx context.Context, server *Server, from Identity) *session {
