peer: a closed pool opens no link

Pool.Send could open a link while Close waited for the links to end, or after it had: the link's goroutine outlived the pool. The race detector saw it between Node.Kill and the configuration watcher (1 of 32 in TestALostDataCentreUnderASurgeStaysWhole). The same order is possible in a planned stop, where the home is closed after the pool.

A pool is marked as closed under its mutex before Close waits. A later request fails at once as not run, with the cause that open ones get.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/fault"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
@@ -36,6 +37,8 @@
 	nextID atomic.Uint64
 	mutex  sync.Mutex
 	links  map[string]*link
+	// closed is set before Close waits for the links, so that none is opened while it waits or afterwards.
+	closed bool
 	// needsOwnSocket holds the addresses to which the next link uses a separate socket.
 	needsOwnSocket map[string]bool
 	onLink         func(LinkEvent)
@@ -91,8 +94,11 @@
 	return p, nil
 }
 
-// Close closes all links; open requests fail.
+// Close closes all links; open requests fail, and later ones fail as not run.
 func (p *Pool) Close() error {
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
 	p.stop()
 	p.done.Wait()
 	return errors.Join(p.quic.Close(), p.udp.Close())
@@ -125,6 +131,10 @@
 	c := &call{sink: sink, id: request.GetId()}
 	for {
 		c.link = p.link(target)
+		if c.link == nil {
+			sink(nil, &LinkError{Peer: target, Outcome: core.NotRun, Cause: errPoolClosed})
+			return endedRequest{}
+		}
 		if c.link.enqueue(c, request) {
 			return c
 		}
@@ -153,10 +163,19 @@
 // Cancel implements Canceller.
 func (t localRequest) Cancel() { t.cancel() }
 
-// link returns the link to a peer and opens one if there is none.
+// endedRequest is a request that has ended before Send returned.
+type endedRequest struct{}
+
+// Cancel implements Canceller.
+func (endedRequest) Cancel() {}
+
+// link returns the link to a peer and opens one if there is none. It returns nil once the pool is closed.
 func (p *Pool) link(target Target) *link {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.closed {
+		return nil
+	}
 	existing := p.links[target.Address]
 	if existing != nil {
 		return existing
