edgefleet: hand open sockets over to nodes

Tests and the demo failed at times with "address already in use": edgefleet looked for free ports, released them, and the nodes listened later. In between the system gave a port to another socket.

A fleet now opens the sockets and hands them over; the node listens on what it is given (edge.NewOn). FreeAddresses is gone.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
-	"github.com/pistachiopier/pistachiopier/internal/fault"
 )
 
 // Limits for callers before a configuration is known.
@@ -44,11 +43,7 @@
 	openConns int
 }
 
-func listenCallers(address string, handler http.Handler) (*callerServer, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fault.ListenFailed(address, err)
-	}
+func serveCallers(listener net.Listener, handler http.Handler) *callerServer {
 	s := &callerServer{handler: handler, listener: listener, servers: map[*limitedServer]bool{}}
 	s.setLimits(policy.Limits{MaxHeaderBytes: initialHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout})
 	s.done.Add(1)
@@ -56,7 +51,7 @@
 		defer s.done.Done()
 		s.accept()
 	}()
-	return s, nil
+	return s
 }
 
 // setLimits sets the limits of future connections.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -56,6 +56,7 @@
 // Node is a running node.
 type Node struct {
 	settings   atomic.Pointer[settings.Edge]
+	sockets    Sockets
 	started    time.Time
 	identity   peer.Identity
 	log        *decisionlog.Log
@@ -97,8 +98,12 @@
 }
 
 // New returns a node as an fx application, which starts and stops it.
-func New(s *settings.Edge, out io.Writer) (*fx.App, *Node) {
+func New(s *settings.Edge, out io.Writer) (*fx.App, *Node) { return NewOn(s, out, SystemSockets{}) }
+
+// NewOn is New for a node that listens on the given sockets.
+func NewOn(s *settings.Edge, out io.Writer, sockets Sockets) (*fx.App, *Node) {
 	n := newNode(s, out)
+	n.sockets = sockets
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return logs.NewFxLogger(n.log.Logger()) }),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
@@ -153,9 +158,11 @@
 	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.storeCopy, store, copySources{node: n, rotation: &atomic.Uint64{}, PeerClient: mirror.PeerClient{Sender: n.peerPool}}, n.registry, n.now)
 	n.mirror = mirror.NewServer(n.storeCopy, n.follower.Age)
 	n.registerGauges()
-	if n.callers, err = listenCallers(s.CallerAddress, n); err != nil {
+	callerSocket, err := n.sockets.ListenTCP(s.CallerAddress)
+	if err != nil {
 		return err
 	}
+	n.callers = serveCallers(callerSocket, n)
 	if err := n.startAuxiliary(s); err != nil {
 		return err
 	}
@@ -178,7 +185,11 @@
 	}
 	n.peerPool.SetLinkIdleTimeout(idleLinkTimeout)
 	n.peerPool.OnBytes(n.countPeerBytes)
-	if n.peerServer, err = peer.Listen(s.PeerListen, tlsConfig, n.identity, n); err != nil {
+	peerSocket, err := n.sockets.ListenUDP(s.PeerListen)
+	if err != nil {
+		return fault.Wrap("listen for peers", err)
+	}
+	if n.peerServer, err = peer.Serve(peerSocket, tlsConfig, n.identity, n); err != nil {
 		return fault.Wrap("listen for peers", err)
 	}
 	n.peerServer.OnBytes(n.countPeerBytes)
@@ -263,9 +274,9 @@
 	if address == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := n.sockets.ListenTCP(address)
 	if err != nil {
-		return fault.ListenFailed(address, err)
+		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
 	n.auxiliary = append(n.auxiliary, server)
--- a/internal/edge/published_test.go
+++ b/internal/edge/published_test.go
@@ -57,11 +57,19 @@
 // An address is configured twice. If one of the two servers were left out silently, the node would run but
 // never become ready.
 func TestAnAddressGivenTwiceIsAnError(t *testing.T) {
-	free, err := edgefleet.FreeAddresses(3)
+	sockets := edgefleet.NewSockets()
+	t.Cleanup(sockets.Close)
+	var free [2]string
+	for i := range free {
+		address, err := sockets.OpenTCP()
+		require.NoError(t, err)
+		free[i] = address
+	}
+	peerAddress, err := sockets.OpenUDP()
 	require.NoError(t, err)
-	s := &settings.Edge{Node: "vm", CallerAddress: free[0], DirectoryAddress: free[1], ReadyAddress: free[1], PeerAddress: free[2], StoreAddress: "127.0.0.1:1"}
+	s := &settings.Edge{Node: "vm", CallerAddress: free[0], DirectoryAddress: free[1], ReadyAddress: free[1], PeerAddress: peerAddress, StoreAddress: "127.0.0.1:1"}
 	require.NoError(t, s.Validate())
-	app, _ := edge.New(s, io.Discard)
+	app, _ := edge.NewOn(s, io.Discard, sockets)
 	err = app.Start(t.Context())
 	require.Equal(t, fault.CodeAddress, fault.As(err).Code)
 	require.NoError(t, app.Stop(context.Background()))
--- a/internal/edgefleet/edgefleet.go
+++ b/internal/edgefleet/edgefleet.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -24,8 +23,6 @@
 
 const (
 	loopbackAnyPort = "127.0.0.1:0"
-	// addressesPerNode counts the addresses for callers, readiness, directory, metrics and peers.
-	addressesPerNode = 5
 	// stopWait is short to keep planned stops short.
 	stopWait    = 1500 * time.Millisecond
 	configApply = 3 * time.Second
@@ -108,16 +105,16 @@
 
 // AddNode starts a node after change, if not nil, has edited its settings. The first node is the seed of all others.
 func (f *Fleet) AddNode(dataCentre string, log io.Writer, change func(*settings.Edge)) (*Node, error) {
-	free, err := FreeAddresses(addressesPerNode)
-	if err != nil {
-		return nil, err
-	}
+	sockets := NewSockets()
+	defer sockets.Close()
 	s := &settings.Edge{
 		Node: fmt.Sprintf("vm-%d", len(f.Nodes)), DataCentre: dataCentre,
-		CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], MetricsAddress: free[3],
-		PeerAddress: free[4], StoreAddress: f.Store.Address(), StopWait: stopWait, ConfigApplyLimit: configApply,
+		StoreAddress: f.Store.Address(), StopWait: stopWait, ConfigApplyLimit: configApply,
 		ExtraRatio: extraRatio, ExtraWindow: extraWindow, ExtraAllowance: extraAllowance,
 	}
+	if err := openSockets(sockets, s); err != nil {
+		return nil, err
+	}
 	s.Seeds = []string{s.PeerAddress}
 	if len(f.Nodes) > 0 {
 		s.Seeds = []string{f.Nodes[0].Settings.PeerAddress}
@@ -129,7 +126,7 @@
 		return nil, err
 	}
 	node := &Node{Settings: s}
-	node.app, node.Node = edge.New(s, log)
+	node.app, node.Node = edge.NewOn(s, log, sockets)
 	if err := errors.Join(node.app.Err(), node.app.Start(context.Background())); err != nil {
 		return nil, err
 	}
@@ -137,6 +134,18 @@
 	return node, nil
 }
 
+// openSockets opens the sockets of a node and sets their addresses in its settings.
+func openSockets(sockets *Sockets, s *settings.Edge) error {
+	var err error
+	for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.DirectoryAddress, &s.MetricsAddress} {
+		if *address, err = sockets.OpenTCP(); err != nil {
+			return err
+		}
+	}
+	s.PeerAddress, err = sockets.OpenUDP()
+	return err
+}
+
 // AwaitReady waits until all running nodes accept callers and the directory of each lists all of them.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	directory := platform.NewDirectoryClient(resolveTimeout)
@@ -189,25 +198,3 @@
 	f.Store.Close()
 	return errors.Join(failures...)
 }
-
-// FreeAddresses returns loopback addresses that are free for TCP and UDP. It keeps all of them
-// bound until it has found the last one: the system may assign a released port again at once, and
-// two addresses would then be equal.
-func FreeAddresses(count int) ([]string, error) {
-	var found []string
-	for len(found) < count {
-		listener, err := net.Listen("tcp", loopbackAnyPort)
-		if err != nil {
-			return nil, fault.Wrap("find a free TCP port", err)
-		}
-		defer func() { _ = listener.Close() }()
-		packets, err := net.ListenPacket("udp", listener.Addr().String())
-		if err != nil {
-			// The UDP port is in use; the next one may be free.
-			continue
-		}
-		defer func() { _ = packets.Close() }()
-		found = append(found, listener.Addr().String())
-	}
-	return found, nil
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,8 +37,8 @@
 	meter     meter
 }
 
-// Listen listens on the peer address and serves until Close.
-func Listen(address string, tlsConfig *tls.Config, self Identity, handler Handler) (*Server, error) {
+// ListenUDP opens the socket of a peer address.
+func ListenUDP(address string) (*net.UDPConn, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fault.ListenFailed(address, err)
@@ -47,6 +47,20 @@
 	if err != nil {
 		return nil, fault.ListenFailed(address, err)
 	}
+	return udp, nil
+}
+
+// Listen listens on the peer address and serves until Close.
+func Listen(address string, tlsConfig *tls.Config, self Identity, handler Handler) (*Server, error) {
+	udp, err := ListenUDP(address)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(udp, tlsConfig, self, handler)
+}
+
+// Serve serves on an open socket until Close, which closes the socket.
+func Serve(udp *net.UDPConn, tlsConfig *tls.Config, self Identity, handler Handler) (*Server, error) {
 	listener, err := quic.Listen(udp, tlsConfig, quicConfig())
 	if err != nil {
 		_ = udp.Close()
