replicaconn: the deadline of a rest does not race with its making

Where the deadline of a long answer had passed before its beginning was read, the timer of the rest fired at once and read a field that was still being set. The function of the timer does not use it any more.

Evidence: TestARestEndsWhereItsDeadlineHasPassed is a data race before and none after.

--- a/internal/replicaconn/rest.go
+++ b/internal/replicaconn/rest.go
@@ -26,7 +26,7 @@
 	if !deadline.IsZero() {
 		r.timer = time.AfterFunc(time.Until(deadline), func() {
 			_ = c.stream.Close()
-			r.finish(false)
+			r.end(false)
 		})
 	}
 	return r
@@ -48,12 +48,15 @@
 }
 
 func (r *Rest) finish(complete bool) {
-	r.once.Do(func() {
-		if r.timer != nil {
-			r.timer.Stop()
-		}
-		r.complete <- complete
-	})
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	r.end(complete)
+}
+
+// end ends the reading. It does not use timer, which is not set yet where the deadline has passed before.
+func (r *Rest) end(complete bool) {
+	r.once.Do(func() { r.complete <- complete })
 }
 
 // await waits until the reading ends and reports whether the answer was read whole.
