replicaconn: the test of an unread long answer gives its deadline to the rest alone

The test failed with "context deadline exceeded": its 300 ms held for the connection, the request and the first of eight megabytes too, though it checks what becomes of a rest that is left early, and of one that is not read before the deadline.

The test was wrong in that alone. Its deadline now ends only the rest. Both ends are checked as strictly: where the rest is left early, the deadline is a minute away, so that nothing but the leaving can close the connection; where it is not read, the 300 ms stay.

--- a/internal/replicaconn/client_test.go
+++ b/internal/replicaconn/client_test.go
@@ -239,14 +239,26 @@
 	require.NoError(t, err, "without Stream up to 8 MB are read into memory")
 }
 
+// restDeadline is a context whose deadline applies to the rest of an answer alone: the beginning is awaited longer.
+type restDeadline struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline implements context.Context.
+func (c restDeadline) Deadline() (time.Time, bool) { return c.deadline, true }
+
 // A caller leaves in the middle of a long answer, or does not read the rest before the deadline.
 // The connection must be closed and not reused.
 func TestALongAnswerThatIsNotReadEndsItsConnection(t *testing.T) {
+	const awaitLimit = 10 * time.Second
 	long := strings.Repeat("0123456789abcdef", 8<<20/16)
 	for _, forgotten := range []bool{false, true} {
 		client, replica := startWith(t, long)
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-		defer cancel()
+		ctx := restDeadline{t.Context(), time.Now().Add(6 * awaitLimit)}
+		if forgotten {
+			ctx.deadline = time.Now().Add(300 * time.Millisecond)
+		}
 		req := request(replica, "r1")
 		req.Stream = true
 		response, err := client.Do(ctx, req)
@@ -254,7 +266,7 @@
 		if !forgotten {
 			require.NoError(t, response.Rest.Close())
 		}
-		require.Eventually(t, func() bool { return client.OpenConnections() == 0 }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return client.OpenConnections() == 0 }, awaitLimit, time.Millisecond)
 		_, err = io.ReadAll(response.Rest)
 		require.Error(t, err)
 	}
