member: a node that starts is not routed to before it can serve

While VMs were replaced one by one, a caller was refused with not_ready by a node that had just started, and an upstream that had been draining for long got a query from a node that had just taken over its bundle. A node was live in the views of others from its first heartbeat on, before it had a configuration, and before the drain marks had come, which travel with ten messages after a change.

A node of serve announces in its heartbeats that it is starting, until a configuration is in force and a node that serves has replied to it. Nodes that serve hold it back until then; nodes that start take each other for live, as before. A reply to a node that is not live yet carries all active drain marks.

--- a/internal/app/start.go
+++ b/internal/app/start.go
@@ -155,6 +155,8 @@
 		Problems:     n.problems,
 		OnPeerConfig: n.config.Hint,
 
+		AnnounceStart: true,
+
 		QuarantineDigest: n.quarantine.Digest,
 		OnPeerQuarantine: n.receiveQuarantineDigest,
 	})
--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -38,6 +38,10 @@
 	// ConfirmTimeout bounds the confirmation after a pause. A node that reaches no other node then
 	// resumes with its current state.
 	ConfirmTimeout time.Duration
+	// AnnounceStart makes this node announce that it is starting until it can serve. It waits JoinTimeout at most for the
+	// drain marks of another node.
+	AnnounceStart bool
+	JoinTimeout   time.Duration
 	// SplitViewDelay is how long differing views are seen before a problem is raised.
 	SplitViewDelay time.Duration
 	// DrainTTL is how long a drain mark holds without being renewed.
@@ -60,6 +64,7 @@
 	c.MaxDrains = cmp.Or(c.MaxDrains, 16)
 	c.PauseLimit = cmp.Or(c.PauseLimit, time.Second)
 	c.ConfirmTimeout = cmp.Or(c.ConfirmTimeout, 2*time.Second)
+	c.JoinTimeout = cmp.Or(c.JoinTimeout, 2*time.Second)
 	c.SplitViewDelay = cmp.Or(c.SplitViewDelay, 10*time.Second)
 	c.DrainTTL = cmp.Or(c.DrainTTL, 5*time.Minute)
 	c.DeadRetention = cmp.Or(c.DeadRetention, 2*time.Minute)
--- a/internal/core/member/drain.go
+++ b/internal/core/member/drain.go
@@ -10,6 +10,9 @@
 // messages with 2 x Neighbours others, so that each link carries the mark slightly more than once.
 const drainTransmissions = 10
 
+// maxJoinDrains bounds the marks sent to a node that starts. It keeps the message below the size that receivers accept.
+const maxJoinDrains = 256
+
 // Drain is a mark that an upstream is draining, or has stopped draining.
 type Drain struct {
 	Address string
@@ -85,6 +88,17 @@
 	return list
 }
 
+// activeDrains lists the active marks, for a node that may know none.
+func (m *Machine) activeDrains() []Drain {
+	var list []Drain
+	for _, held := range m.drains {
+		if held.Draining && len(list) < maxJoinDrains {
+			list = append(list, held.Drain)
+		}
+	}
+	return list
+}
+
 // expireDrains ends marks that were not renewed. The version is kept for another DrainTTL, so that
 // copies still in transit do not restore the mark.
 func (m *Machine) expireDrains() {
--- a/internal/core/member/gossip.go
+++ b/internal/core/member/gossip.go
@@ -22,7 +22,9 @@
 	if message.Leaving {
 		from.Standing = StandingLeaving
 	}
-	m.receiveUpdate(from)
+	if !m.isHeldBack(message) {
+		m.receiveUpdate(from)
+	}
 	for _, update := range message.Updates {
 		m.receiveUpdate(update)
 	}
@@ -30,7 +32,9 @@
 		m.receiveDrain(mark)
 	}
 	m.receiveExchange(message)
-	m.compareView(message)
+	if !m.isHeldBack(message) {
+		m.compareView(message)
+	}
 }
 
 func (m *Machine) receiveUpdate(u Update) {
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -23,6 +23,8 @@
 	lastTickAt core.Time
 	version    uint32
 	leaving    bool
+	// join is the progress of this node's start.
+	join join
 	// listedLeaving is set while the VM list shows this node leaving.
 	listedLeaving bool
 	// started is set by the first VM list, published by the first view.
@@ -117,7 +119,7 @@
 	case ProbeFailed:
 		m.failed(e.Probe)
 	case RequestAnswered:
-		m.answered(m.peers[e.Node])
+		m.requestAnswered(m.peers[e.Node])
 	case RequestsFailed:
 		m.startCheck(m.peers[e.Node])
 	case DrainSeen:
@@ -137,6 +139,7 @@
 
 func (m *Machine) ticked(e Tick) {
 	m.tick = e
+	m.joinWhenReady()
 	m.checkPause()
 	m.lastTickAt = m.now
 	m.expireProbes()
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -27,6 +27,8 @@
 	Digest   uint64
 	View     uint64
 	Leaving  bool
+	// Starting is set until the sender can serve: see join.go.
+	Starting bool
 	Updates  []Update
 	Drains   []Drain
 	// Probe is the node to be probed on the sender's behalf or, in a reply, the node that was
@@ -71,8 +73,12 @@
 		Digest:      m.tick.Digest,
 		View:        m.view.ID(),
 		Leaving:     m.leaving,
+		Starting:    m.isStarting(),
 		Drains:      m.nextDrains(),
 	}
+	if to == nil || to.is(stateUnknown) {
+		message.Drains = m.activeDrains()
+	}
 	if to != nil && to.is(stateSuspect, stateDead) {
 		// Send the claim about the receiver itself, so that it can refute it.
 		message.Updates = append(message.Updates, m.update(to))
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -101,7 +101,8 @@
 	delete(m.probes, e.Probe)
 	m.receiveMessage(e.Message)
 	m.pause.addReply(e.Message)
-	m.answered(m.peers[sent.target])
+	m.join.receiveReply(e.Message)
+	m.replyReceived(m.peers[sent.target], e.Message)
 	if sent.replyID != 0 {
 		m.reply(sent.replyID, nil, sent.target, true)
 	}
@@ -116,7 +117,7 @@
 func (m *Machine) received(e HeartbeatReceived) {
 	m.receiveMessage(e.Message)
 	from := m.peers[e.Message.From.ID]
-	if from != nil && from.is(stateUnknown, stateDead) && m.checks[from.node.ID] == nil {
+	if from != nil && !m.isHeldBack(e.Message) && from.is(stateUnknown, stateDead) && m.checks[from.node.ID] == nil {
 		m.probe(from, probe{target: from.node.ID})
 	}
 	if e.Message.Exchange && from != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,6 +41,8 @@
 	Now      func() core.Time
 	Log      logrus.FieldLogger
 	Problems *observe.Problems
+	// AnnounceStart makes this node announce that it is starting until it can serve.
+	AnnounceStart bool
 	// InForce, when set, replaces Belief as the source of the configuration in force.
 	InForce func() (revision, digest uint64)
 	// OnPeerConfig, when set, receives the configuration in force at a peer from each of its heartbeats.
@@ -87,7 +89,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Manager{
 		options: options,
-		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit}),
+		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit, AnnounceStart: options.AnnounceStart}),
 		events:  ring.New[member.Event](ringDepth),
 		ctx:     ctx,
 		stop:    stop,
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -126,7 +126,7 @@
 func TestHeartbeatCodecRoundTrip(t *testing.T) {
 	message := &member.Message{
 		From:        route.Node{ID: "vm-1", DataCentre: "dc1", PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2"},
-		Incarnation: 7, Version: 3, Revision: 9, Digest: 11, View: 13, Leaving: true,
+		Incarnation: 7, Version: 3, Revision: 9, Digest: 11, View: 13, Leaving: true, Starting: true,
 		Updates: []member.Update{{Node: route.Node{ID: "vm-2"}, Incarnation: 5, Version: 2, Standing: member.StandingDead,
 			Witnesses: [2]member.Witness{{Node: 17, Term: 19}, {Node: 23, Term: 29}}}},
 		Drains:  []member.Drain{{Address: "10.0.0.9:80", Version: 4, Draining: true}},
