admit: an unanswered request does not hold a cold replica

A submit to a replica that had just come up got no answer, and each further one for its shard waited until the first one's deadline, though the replica was idle. Most were then refused as not run, which a key stays for good: the limit of a cold replica begins at 1 and grows with its answers alone.

A cold replica that is full gets one more request after each second in which requests wait and nothing was sent to it, up to its slots.

--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -74,6 +74,7 @@
 	r.running = append(r.running, a)
 	s.running[a.id] = a
 	chosen.inFlight++
+	chosen.lastSentAt = now
 	a.inFlightAtSend = chosen.inFlight
 	chosen.recordSent(chosen.inFlight)
 	if kind == KindFirst && s.config.Budget != nil {
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -65,6 +65,8 @@
 	probeInterval time.Duration
 	probeAt       core.Time
 	drainSeenAt   core.Time
+	// lastSentAt is when a request was last sent to the replica.
+	lastSentAt core.Time
 }
 
 // usable reports whether the replica may get ordinary requests, now or after a pause.
--- a/internal/core/admit/shard.go
+++ b/internal/core/admit/shard.go
@@ -59,6 +59,7 @@
 		s.configure(now, e.Config)
 	}
 	s.expire(now)
+	s.rampPastUnanswered(now)
 	s.dispatch(now)
 	s.refuseUnservable(now)
 	s.hedge(now)
@@ -94,6 +95,9 @@
 			if r.usable() && r.pausedUntil > now {
 				earliest(r.pausedUntil)
 			}
+			if r.isHeldByUnanswered() {
+				earliest(max(now+1, r.lastSentAt+coldPatience))
+			}
 		}
 	}
 	if wake != 0 && wake != s.wakeAt {
