--- /dev/null
+++ b/internal/edge/housekeeping.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
+	"github.com/pistachiopier/pistachiopier/internal/core/route"
+	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
+)
+
+// housekeepingInterval is the interval between checks for expired state.
+const housekeepingInterval = 200 * time.Millisecond
+
+func (n *Node) housekeep() {
+	ticker, summary := time.NewTicker(housekeepingInterval), time.NewTicker(trafficLogInterval)
+	defer ticker.Stop()
+	defer summary.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-summary.C:
+			n.logTraffic()
+			continue
+		case <-ticker.C:
+		}
+		n.registry.expire()
+		n.updateEntries()
+		n.updateExtraBound()
+		n.closeUnusable()
+	}
+}
+
+// closeUnusable closes the connections to replicas that get no further requests.
+func (n *Node) closeUnusable() {
+	n.replicas.Retain(func(incarnation replica.Incarnation) bool {
+		n.state.mutex.Lock()
+		defer n.state.mutex.Unlock()
+		return n.state.outlook.Replicas.IsUsable(incarnation)
+	})
+}
+
+// updateEntries selects the nodes that callers are sent to.
+func (n *Node) updateEntries() {
+	former := n.entries.Load()
+	chosen := n.selectEntries()
+	if former != nil && slices.Equal(*former, chosen) {
+		return
+	}
+	n.entries.Store(&chosen)
+	addresses := make([]string, 0, len(chosen))
+	senders := make([]core.NodeID, 0, len(chosen))
+	for _, node := range chosen {
+		addresses = append(addresses, node.CallerAddress)
+		senders = append(senders, node.ID)
+	}
+	n.state.withReplicas(func(table *replica.Table, _ core.Time) { table.SetSenders(n.identity.Node, senders) })
+	n.log.Life("entries_changed", decisionlog.Fields{"entries": addresses, "live": len(n.view().Nodes())})
+}
+
+// currentEntries returns the nodes that callers are sent to.
+func (n *Node) currentEntries() []route.Node {
+	if entries := n.entries.Load(); entries != nil {
+		return *entries
+	}
+	return nil
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
-	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
@@ -317,64 +315,6 @@
 	n.state.outlook.Budget.RemoveUnused(func(service string) bool { return n.state.outlook.Replicas.CountUsable(service) > 0 }, n.now())
 }
 
-// housekeepingInterval is the interval between checks for expired state.
-const housekeepingInterval = 200 * time.Millisecond
-
-func (n *Node) housekeep() {
-	ticker, summary := time.NewTicker(housekeepingInterval), time.NewTicker(trafficLogInterval)
-	defer ticker.Stop()
-	defer summary.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-summary.C:
-			n.logTraffic()
-			continue
-		case <-ticker.C:
-		}
-		n.registry.expire()
-		n.updateEntries()
-		n.updateExtraBound()
-		n.closeUnusable()
-	}
-}
-
-// closeUnusable closes the connections to replicas that get no further requests.
-func (n *Node) closeUnusable() {
-	n.replicas.Retain(func(incarnation replica.Incarnation) bool {
-		n.state.mutex.Lock()
-		defer n.state.mutex.Unlock()
-		return n.state.outlook.Replicas.IsUsable(incarnation)
-	})
-}
-
-// updateEntries selects the nodes that callers are sent to.
-func (n *Node) updateEntries() {
-	former := n.entries.Load()
-	chosen := n.selectEntries()
-	if former != nil && slices.Equal(*former, chosen) {
-		return
-	}
-	n.entries.Store(&chosen)
-	addresses := make([]string, 0, len(chosen))
-	senders := make([]core.NodeID, 0, len(chosen))
-	for _, node := range chosen {
-		addresses = append(addresses, node.CallerAddress)
-		senders = append(senders, node.ID)
-	}
-	n.state.withReplicas(func(table *replica.Table, _ core.Time) { table.SetSenders(n.identity.Node, senders) })
-	n.log.Life("entries_changed", decisionlog.Fields{"entries": addresses, "live": len(n.view().Nodes())})
-}
-
-// currentEntries returns the nodes that callers are sent to.
-func (n *Node) currentEntries() []route.Node {
-	if entries := n.entries.Load(); entries != nil {
-		return *entries
-	}
-	return nil
-}
-
 // Reload applies reloaded settings. No connection is closed: settings that cannot change in a running process
 // keep their values, and the log names them.
 func (n *Node) Reload(loaded *settings.Edge) {
@@ -387,27 +327,6 @@
 	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
 
-// dump returns the node's state for operators.
-func (n *Node) dump() any {
-	s := n.settings.Load()
-	fields := map[string]any{
-		"node": s.Node, "data_centre": s.DataCentre, "stopping": n.stopping.Load(), "in_flight": n.inFlight.Load(),
-		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.storeCopy.UpTo(), "store_era": n.storeCopy.Position().Era, "connections": n.replicas.OpenConnections(),
-	}
-	if config := n.state.config.Load(); config != nil {
-		fields["config_version"] = config.Version
-	}
-	var replicas []replica.Replica
-	n.state.withReplicas(func(table *replica.Table, _ core.Time) {
-		table.Each(func(r replica.Replica) { replicas = append(replicas, r) })
-		fields["sends_running"] = table.InFlight()
-		fields["evacuated"] = table.Evacuated()
-	})
-	fields["replicas"] = replicas
-	fields["quarantine"] = n.quarantine.Requests()
-	return fields
-}
-
 // LibraryLogWriter returns a writer that takes the log output of libraries into the node's log.
 func (n *Node) LibraryLogWriter() io.Writer { return n.log.LibraryWriter() }
 
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -38,11 +38,17 @@
 
 // waitForVersion waits until a node has a version of the configuration in force.
 func (h *harness) waitForVersion(node *node, version uint64) {
+	h.t.Helper()
+	h.waitForMetric(node, "pistachiopier_config_version", version)
+}
+
+// waitForMetric waits until a metric of a node has a value.
+func (h *harness) waitForMetric(node *node, name string, value uint64) {
 	h.t.Helper()
 	require.Eventually(h.t, func() bool {
 		_, page := h.get("http://"+node.Settings.MetricsAddress+"/metrics", nil)
-		return strings.Contains(page, fmt.Sprintf("\npistachiopier_config_version %d\n", version))
-	}, waitLimit, 5*time.Millisecond, "version %d at %s", version, node.Settings.Node)
+		return strings.Contains(page, fmt.Sprintf("\n%s %d\n", name, value))
+	}, waitLimit, 5*time.Millisecond, "%s %d at %s", name, value, node.Settings.Node)
 }
 
 // A node cut off from the store must get a change from the other nodes, then also while these cannot reach it
--- a/internal/edge/restored_test.go
+++ b/internal/edge/restored_test.go
@@ -94,10 +94,7 @@
 // waitForEra waits until a node's copy of the store has reached an era.
 func (h *harness) waitForEra(node *node, era uint64) {
 	h.t.Helper()
-	require.Eventually(h.t, func() bool {
-		_, page := h.get("http://"+node.Settings.MetricsAddress+"/metrics", nil)
-		return strings.Contains(page, fmt.Sprintf("\npistachiopier_store_era %d\n", era))
-	}, waitLimit, 5*time.Millisecond, "era %d at %s", era, node.Settings.Node)
+	h.waitForMetric(node, "pistachiopier_store_era", era)
 }
 
 // A restored store returns an older configuration, and the operators write the current one again late or
--- a/internal/edgefleet/sockets.go
+++ b/internal/edgefleet/sockets.go
@@ -51,10 +51,7 @@
 
 // ListenTCP implements edge.Sockets.
 func (s *Sockets) ListenTCP(address string) (net.Listener, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if held, ok := s.tcp[address]; ok {
-		delete(s.tcp, address)
+	if held, ok := take(s, s.tcp, address); ok {
 		return held, nil
 	}
 	return s.SystemSockets.ListenTCP(address)
@@ -62,15 +59,21 @@
 
 // ListenUDP implements edge.Sockets.
 func (s *Sockets) ListenUDP(address string) (*net.UDPConn, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if held, ok := s.udp[address]; ok {
-		delete(s.udp, address)
+	if held, ok := take(s, s.udp, address); ok {
 		return held, nil
 	}
 	return s.SystemSockets.ListenUDP(address)
 }
 
+// take takes the socket that is held for an address, if any.
+func take[S any](s *Sockets, sockets map[string]S, address string) (S, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held, ok := sockets[address]
+	delete(sockets, address)
+	return held, ok
+}
+
 // Close closes the sockets that no node has taken over.
 func (s *Sockets) Close() {
 	s.mutex.Lock()
--- a/internal/fleet/paired_test.go
+++ b/internal/fleet/paired_test.go
@@ -217,7 +217,7 @@
 			break
 		}
 	}
-	require.Eventually(t, func() bool { return allNodesReady(f, joined) }, awaitTimeout, pollInterval)
+	require.Eventually(t, func() bool { return f.isReady(1) }, awaitTimeout, pollInterval)
 	require.Eventually(t, func() bool { return joined.Node.Status().DrainedUpstreams == 1 }, awaitTimeout, pollInterval, "a joining node receives the drains")
 	before, answered := upstreams[0].Received(), upstreams[1].Received()
 	for range 50 {
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -109,23 +109,13 @@
 // only after it has stopped, because a real VM list lags.
 func replaceOldest(t *testing.T, f *Fleet) {
 	oldest := f.Members()[0]
-	joined, err := f.Add()
+	_, err := f.Add()
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return allNodesReady(f, joined) }, awaitTimeout, pollInterval)
+	require.Eventually(t, func() bool { return f.isReady(1) }, awaitTimeout, pollInterval)
 	require.NoError(t, f.Stop(oldest))
 	f.RemoveFromVMList(oldest)
 }
 
-func allNodesReady(f *Fleet, member *Member) bool {
-	for _, listed := range f.Members() {
-		status := listed.Node.Status()
-		if status.ConfigRevision == 0 || status.Nodes != len(f.Members()) {
-			return false
-		}
-	}
-	return true
-}
-
 // Guards against new requests to a draining upstream from nodes other than the
 // owner that observed the drain: every node must learn of it within seconds.
 func TestADrainSeenByOneOwnerIsKnownToAll(t *testing.T) {
