--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -46,7 +46,6 @@
 	{"a stop cuts what is in work", "internal/edge/listen.go", "server.Shutdown(ctx)", "server.Close()"},
 	{"no bound on extra sends", "internal/core/extra/extra.go", "if float64(extras+1) > ", "if false && float64(extras+1) > "},
 	{"404 before a configuration is known", "internal/edge/handler.go", "	if config == nil {\n", "	if config == nil {\n		http.NotFound(w, r)\n		return\n"},
-	{"what a former life may have run is sent again", "internal/replicaconn/conn.go", `Step: "await answer", Sent: true, Broken: `, `Step: "await answer", Sent: !errors.Is(cause, errRestarted), Broken: `},
 	{"entries without a known state are used", "platform/entry.go", "if state != stateReady && state != stateDraining {", "if false {"},
 	{"a reload ends the callers' connections", "internal/edge/node.go", "	n.log.Life(\"settings_reloaded\"", `	n.callers.mutex.Lock()
 	for one := range n.callers.servers {
@@ -75,6 +74,7 @@
 	{mutant{"the ends that a helper saw are not counted", "internal/edge/quarantine.go", "	if q.answered.Load() {\n		return quarantine.Cleared\n", "	if q.answered.Load() || q.remote == \"\" {\n		return quarantine.Cleared\n"}, "./internal/edge"},
 	{mutant{"deadly requests are forgotten at the restart of a node", "internal/quarantine/share.go", "	if digest == r.digest.Load() {\n", "	if digest == r.digest.Load() || true {\n"}, "./internal/edge"},
 	{mutant{"an answer clears no request", "internal/core/quarantine/ledger.go", "		cleared := fact | Cleared\n", "		cleared := fact\n"}, "./internal/core/quarantine"},
+	{mutant{"what a former life may have run is sent again", "internal/replicaconn/conn.go", `Step: "await answer", Sent: true, Broken: `, `Step: "await answer", Sent: !errors.Is(cause, errRestarted), Broken: `}, "./internal/replicaconn"},
 	{mutant{"a restore takes the configuration back", "platform/store.go", "	return wire.Version\n", "	return wire.Version * 0\n"}, "./internal/edge"},
 }
 
