--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -61,9 +61,10 @@
 	m.answered(p)
 }
 
-// requestAnswered handles evidence from data traffic. Whether a node can serve is told by its heartbeats alone.
+// requestAnswered handles evidence from data traffic. Where nodes announce their starts, only a heartbeat tells whether an
+// unknown node can serve.
 func (m *Machine) requestAnswered(p *peer) {
-	if p != nil && p.is(stateUnknown) && !p.presumedLive {
+	if m.config.AnnounceStart && p != nil && p.is(stateUnknown) && !p.presumedLive {
 		return
 	}
 	m.answered(p)
