A planned stop opens few links in the fleet

A stopping node went on accepting links while it ended their streams, and ended each at once; its peers took that for a failure, opened them anew over a socket of their own and told membership, which checked the node directly and through three others, who saw their links to it end and checked it too.

A node that announced that it leaves is checked by its assigned nodes only. A stopping server refuses new connections, and a stream that ends in order is no evidence of a failure.

--- a/internal/core/member/doubt.go
+++ b/internal/core/member/doubt.go
@@ -19,10 +19,17 @@
 const maxChecks = 8
 
 // startCheck starts checking an unresponsive node.
+//
+// A node that has announced that it leaves is checked by its assigned nodes only, to learn when it is gone. Every node
+// with a link to it sees that link end. If each of them checked it, their indirect probes would end links of further nodes,
+// which would check it too, until the whole fleet had opened links to a node that is stopping.
 func (m *Machine) startCheck(p *peer) {
 	if p == nil || p.is(stateDead, stateGone) || m.checks[p.node.ID] != nil || m.pause.confirming {
 		return
 	}
+	if p.is(stateLeaving) && !m.assignedToCheck(p) {
+		return
+	}
 	if len(m.checks) >= maxChecks {
 		return
 	}
--- a/internal/core/member/harness_test.go
+++ b/internal/core/member/harness_test.go
@@ -33,13 +33,17 @@
 	// data centres.
 	messages, bytes, crossDataCentreBytes int
 	replies                               map[ReplyID]func(*Message)
+	// onSend, if set, is called for each heartbeat that a node sends.
+	onSend func(from, to *node)
 }
 
 type node struct {
 	route.Node
-	machine    *Machine
-	stopped    bool
-	paused     bool
+	machine *Machine
+	stopped bool
+	paused  bool
+	// ending is set when a planned stop no longer takes messages and refuses links.
+	ending     bool
 	confirming bool
 	split      bool
 	published  int
@@ -163,11 +167,26 @@
 // send passes a heartbeat and its reply between nodes; each may be lost independently.
 func (w *network) send(from *node, a Send) {
 	to := w.byID[a.To.ID]
+	if w.onSend != nil && to != nil {
+		w.onSend(from, to)
+	}
+	if to != nil && to.ending {
+		w.refuse(from, to, a.Probe)
+		return
+	}
 	w.transmit(from, to, a.Message, func(message *Message) {
 		w.deliver(from, to, a.Probe, message)
 	})
 }
 
+// refuse ends a heartbeat to a node that refuses links: the sender learns it at once, from the heartbeat and from the link.
+func (w *network) refuse(from, to *node, probe ProbeID) {
+	w.after(2*time.Millisecond, func() {
+		w.step(from, ProbeFailed{Probe: probe})
+		w.step(from, RequestsFailed{Node: to.ID})
+	})
+}
+
 func (w *network) transmit(from, to *node, message *Message, arrive func(*Message)) {
 	encoded, _ := proto.Marshal(membership.Encode(message))
 	w.messages++
--- a/internal/core/member/large_test.go
+++ b/internal/core/member/large_test.go
@@ -93,6 +93,7 @@
 // tenth of those of ten transmissions per update (91 MB at the start, 46 and 70 MB for the loss of
 // half).
 func TestALargeFleetFindsItselfSoon(t *testing.T) {
+	t.Parallel()
 	w := largeFleet()
 	took, crossing := w.measure(t, "start", w.complete)
 	require.Less(t, took, 6*time.Second)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -82,6 +84,10 @@
 	if l.pool.ctx.Err() != nil || err == nil {
 		err = errPoolClosed
 	}
+	if errors.Is(err, io.EOF) {
+		// Only FlushReplies ends the stream in order.
+		err = errStopping
+	}
 	l.pool.recordEnd(l.target.Address, err)
 	l.pool.removeLink(l)
 	if l.pool.onBroken != nil && err != errIdle && l.pool.ctx.Err() == nil {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -22,6 +22,7 @@
 	errPoolClosed = errors.New("the pool is closed")
 	errSilent     = errors.New("the link did not respond and was replaced")
 	errIdle       = errors.New("the link was idle and was closed")
+	errStopping   = errors.New("the peer ended the link because it is stopping")
 )
 
 // Pool holds one link to each peer with recent requests. Requests of a node to
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -87,8 +87,15 @@
 // have read to the end or the context ends. Closing a connection discards unsent
 // data: without this call, a reply just before a planned stop would be lost and the
 // outcome of its request unknown.
+//
+// New connections are refused from then on. Accepted, they would end at once, and peers
+// would open them again and again until the process ends.
 func (s *Server) FlushReplies(ctx context.Context) {
-	s.flushOnce.Do(func() { close(s.flush) })
+	s.flushOnce.Do(func() {
+		// The error, if any, is that of Close, which closes the listener again.
+		_ = s.listener.Close()
+		close(s.flush)
+	})
 	for s.streams.Load() > 0 && wait.For(ctx, flushPollInterval) {
 	}
 }
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -186,20 +186,20 @@
 func (p *Pool) recordEnd(address string, cause error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if cause == errIdle || cause == errPoolClosed {
+	if cause == errIdle || cause == errPoolClosed || cause == errStopping {
 		delete(p.needsOwnSocket, address)
 		return
 	}
 	p.needsOwnSocket[address] = true
 }
 
-// notifyEnd reports to the listener how a link ended.
+// notifyEnd reports to the listener how a link ended. That a peer stops as planned is no evidence of a failure.
 func (p *Pool) notifyEnd(l *link, cause error) {
 	if cause == errPoolClosed {
 		return
 	}
 	switch cause {
-	case errIdle:
+	case errIdle, errStopping:
 	case errSilent:
 		p.notify(LinkEvent{Peer: l.target, State: LinkSilent})
 	default:
