A node bounds the bytes that it holds for callers, and the bodies that it sends to one replica

Nothing bounded what callers that do not read, or that send long bodies, have a node hold: 500 answers of 600 KB are 300 MB, and a process over its VM's memory ends with all its requests. Nor was what a replica is sent bounded in bytes.

- core/memory: a budget of a fifth of the VM's memory (limits.memoryMb, which was not read; 64 MB without), by priority: a least share for each, the least urgent filling it up to 0.7, unread answers giving way to more urgent ones and to those that are read.
- A caller's connection has 3 s for each progress of a write and is then reset. net/http's WriteTimeout would bound the whole answer, and a deadline set by the handler would stay for the next request.
- replicaconn: at most 4 MB of bodies at a replica over all nodes, shared out like its connections; what has no room waits.

500 callers of one byte a second with answers of 600 KB beside 50 good ones, on a node of 50 MB: all good ones served, 7,168 KB held at most (limit 10 MB).

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -28,11 +28,11 @@
 	response := exchange.response
 	if response.Rest == nil {
 		q.recordOutcome(outcome, response.Status, result)
-		writeAnswer(w, response)
+		q.writeAnswer(w, response)
 		return
 	}
 	defer func() { _ = response.Rest.Close() }()
-	writeAnswer(w, response)
+	q.writeAnswer(w, response)
 	if _, err := io.Copy(w, response.Rest); err != nil {
 		q.addStep(step{Event: "answer_cut", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, Cause: err.Error()})
 		q.recordOutcome(outcomeFailed, response.Status, result)
@@ -42,7 +42,7 @@
 }
 
 // writeAnswer writes the head of an answer and the part of its body that has been read.
-func writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
+func (q *request) writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
 	header := w.Header()
 	for name, values := range forwardableHeaders(response.Header) {
 		header[name] = values
@@ -55,7 +55,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	q.writeBody(w, response.Body)
 }
 
 func allowsBody(status int) bool {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -70,11 +70,21 @@
 		n.answerUnknownRoute(w, r, config)
 		return
 	}
+	held := n.hold(w, r, route)
+	if held == nil {
+		return
+	}
+	defer held.release()
 	q, failureStatus := n.newRequest(w, r, config, route, target)
+	if failureStatus == http.StatusServiceUnavailable {
+		n.rejectForMemory(w, r, route, held.rejection)
+		return
+	}
 	if failureStatus != 0 {
 		http.Error(w, http.StatusText(failureStatus), failureStatus)
 		return
 	}
+	q.attach(held, streamOf(r.Context()))
 	if len(q.services) == 0 {
 		n.refuse(w, r, "no service of the route has a positive weight", retryAfterNoReplica)
 		return
@@ -180,6 +190,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, errMemoryFull):
+		return nil, http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout
 	default:
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -26,12 +26,14 @@
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
-	mutex    sync.Mutex
-	limits   policy.Limits
-	current  *limitedServer
-	servers  map[*limitedServer]bool
-	closing  bool
-	done     sync.WaitGroup
+	// onStalled is called when a caller is let go that does not read its answer.
+	onStalled func(stream *callerStream, unwritten int)
+	mutex     sync.Mutex
+	limits    policy.Limits
+	current   *limitedServer
+	servers   map[*limitedServer]bool
+	closing   bool
+	done      sync.WaitGroup
 }
 
 // limitedServer serves the connections that were accepted while its limits were in force.
@@ -43,8 +45,8 @@
 	openConns int
 }
 
-func serveCallers(listener net.Listener, handler http.Handler) *callerServer {
-	s := &callerServer{handler: handler, listener: listener, servers: map[*limitedServer]bool{}}
+func serveCallers(listener net.Listener, handler http.Handler, onStalled func(stream *callerStream, unwritten int)) *callerServer {
+	s := &callerServer{handler: handler, listener: listener, onStalled: onStalled, servers: map[*limitedServer]bool{}}
 	s.setLimits(policy.Limits{MaxHeaderBytes: initialHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout})
 	s.done.Add(1)
 	go func() {
@@ -76,7 +78,7 @@
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
-		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return withCallerConn(ctx) },
+		ConnContext:       withCallerConn,
 		ConnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateClosed {
 				s.connClosed(server)
@@ -123,7 +125,7 @@
 		current := s.current
 		current.openConns++
 		s.mutex.Unlock()
-		if !current.conns.deliver(conn) {
+		if !current.conns.deliver(newCallerStream(conn, s.onStalled)) {
 			s.connClosed(current)
 		}
 	}
@@ -191,11 +193,15 @@
 // callerConnKey is the context key of a caller's connection.
 type callerConnKey struct{}
 
-// callerConn counts the requests on one caller's connection.
-type callerConn struct{ requests int }
+// callerConn is one caller's connection with the number of requests on it.
+type callerConn struct {
+	requests int
+	stream   *callerStream
+}
 
-func withCallerConn(ctx context.Context) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, &callerConn{})
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	stream, _ := conn.(*callerStream)
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{stream: stream})
 }
 
 // isFirstOnConnection counts a request on its connection and reports whether it is the first one.
--- a/internal/edge/merge.go
+++ b/internal/edge/merge.go
@@ -30,7 +30,7 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(body)
+	q.writeBody(w, body)
 	return true
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -80,6 +80,8 @@
 	helpers      helpers
 	// allowancePart is this node's part of the allowance for extra arrivals, guarded by state.mutex.
 	allowancePart extra.AllowancePart
+	// callerMemory bounds the memory that callers have this node hold.
+	callerMemory *callerMemory
 	// quarantine tracks the requests that may end the replicas that run them.
 	quarantine *quarantine.ReplicatedLedger
 	// delegatedGroups counts the groups of sends in progress for other nodes.
@@ -126,6 +128,7 @@
 	}
 	n.traffic = traffic.New(n.metrics.reg)
 	n.settings.Store(s)
+	n.callerMemory = newCallerMemory(s.MemoryBytes, n.now)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replicas.OnReplicaEnded(n.replicaEnded)
 	n.quarantine = quarantine.New(quarantine.Options{
@@ -156,11 +159,12 @@
 	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.storeCopy, store, copySources{node: n, rotation: &atomic.Uint64{}, PeerClient: mirror.PeerClient{Sender: n.peerPool}}, n.registry, n.now)
 	n.mirror = mirror.NewServer(n.storeCopy, n.follower.Age)
 	n.registerGauges()
+	n.registerMemoryGauges()
 	callerSocket, err := n.sockets.ListenTCP(s.CallerAddress)
 	if err != nil {
 		return err
 	}
-	n.callers = serveCallers(callerSocket, n)
+	n.callers = serveCallers(callerSocket, n, n.callerStalled)
 	if err := n.startAuxiliary(s); err != nil {
 		return err
 	}
@@ -304,6 +308,7 @@
 func (n *Node) applyConfig() {
 	config := n.state.config.Load()
 	n.callers.setLimits(config.Limits)
+	n.callerMemory.setPriorities(config)
 	n.metrics.removeServices(func(service string) bool { _, configured := config.Services[service]; return configured })
 	bounds := map[string]coldstart.Bound{}
 	for name, service := range config.Services {
@@ -324,6 +329,7 @@
 	changed := !reflect.DeepEqual(n.settings.Swap(s), s)
 	n.seeds.Replace(s.Seeds)
 	n.updateExtraBound()
+	n.callerMemory.setLimit(s.MemoryBytes)
 	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -40,6 +40,10 @@
 	done chan struct{}
 	// callerLeft is set if the caller disconnected.
 	callerLeft atomic.Bool
+	// held is what the request holds of the node's memory, stream its caller's connection; both are nil for another
+	// node's request.
+	held   *heldRequest
+	stream *callerStream
 	// standing is the standing of the whole request on arrival; answered is set once a replica has answered
 	// it.
 	standing quarantine.Standing
@@ -253,7 +257,8 @@
 	wire.UserData = inFlightSend{request: q, send: exchange}
 	wire.OnLate = func(response *replicaconn.Response) { q.recordLateAnswer(exchange, response) }
 	wire.MaxConnections = q.node.maxConnections(q.config, exchange.send.Replica)
-	exchange.response, exchange.err = q.node.replicas.Do(ctx, &wire)
+	wire.MaxBodyBytes = q.maxReplicaBodyBytes(exchange.send.Replica, wire.MaxConnections)
+	exchange.response, exchange.err = q.node.replicas.DoBounded(ctx, &wire)
 	exchange.verdict = q.classify(exchange)
 	exchange.broken = isBrokenByReplica(exchange.err)
 	q.recordTrial(exchange)
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -34,6 +34,8 @@
 	StoreAddress string
 	// Cores is the number of the VM's CPU cores; 0 means unknown.
 	Cores float64
+	// MemoryBytes is the memory of the VM that the process may use; 0 means unknown.
+	MemoryBytes int64
 	// StopWait is the time from the stop signal until the process is killed.
 	StopWait time.Duration
 	// ConfigApplyLimit is the time within which an acknowledged configuration must be in force.
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -60,7 +60,9 @@
 	ByteCounter metrics.Counter
 	// MaxConnections bounds this node's connections to the replica.
 	MaxConnections int
-	Method         string
+	// MaxBodyBytes bounds the bytes of request bodies that the replica holds for this node; 0 is no bound.
+	MaxBodyBytes int64
+	Method       string
 	// Target is the path and query exactly as the caller sent them.
 	Target string
 	Host   string
@@ -137,6 +139,7 @@
 	pools  map[replica.Incarnation]*pool
 	closed bool
 	opened int64
+	bodies *bodyBytes
 	// onEnded receives an incarnation that has ended and the requests in flight there.
 	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
 	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
@@ -154,7 +157,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
-	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors()}
+	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), bodies: newBodyBytes()}
 	c.refuses = c.refusesConnections
 	return c
 }
