--- a/internal/core/replica/life_test.go
+++ b/internal/core/replica/life_test.go
@@ -39,6 +39,26 @@
 	require.False(t, pick(t, table, time.Second).Degraded)
 }
 
+// Guards against requests that wait until their deadlines for a replica that has ended, where its entry was removed or
+// unreadable before it started again.
+func TestAReportShowsTheEndOfARemovedIncarnation(t *testing.T) {
+	table := NewTable("east", nil, func() float64 { return 0 })
+	table.Put(report(100, 50, false))
+	_, ended := table.EndedBy(report(200, 1, false))
+	require.False(t, ended, "it is still listed, so that Put tells")
+	table.Remove("near")
+	former, ended := table.EndedBy(report(200, 1, false))
+	require.True(t, ended)
+	require.Equal(t, Incarnation{ID: "near", Born: 100}, former)
+	for _, same := range []int64{0, 99, 100} {
+		_, ended = table.EndedBy(report(same, 60, false))
+		require.False(t, ended)
+	}
+	table.Put(report(200, 1, false))
+	_, ended = table.EndedBy(report(300, 1, false))
+	require.False(t, ended)
+}
+
 // Guards against a delayed report of an earlier incarnation that reaches the store after the new incarnation's: a
 // serving replica would be listed as draining.
 func TestAnOlderReportChangesNothing(t *testing.T) {
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -139,6 +139,16 @@
 	return Updated
 }
 
+// EndedBy returns the earlier incarnation that a report shows to have ended, if its entry was removed or unreadable in
+// between. Put itself reports a restart that follows directly.
+func (t *Table) EndedBy(report Replica) (Incarnation, bool) {
+	last, removed := t.removed[report.ID]
+	if !removed || last.born == 0 || last.born >= report.Born {
+		return Incarnation{}, false
+	}
+	return Incarnation{ID: report.ID, Born: last.born}, true
+}
+
 func (t *Table) add(replica Replica) {
 	delete(t.removed, replica.ID)
 	t.rankDataCentre(replica.DataCentre)
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -163,8 +163,11 @@
 	}
 	var known replica.Replica
 	var result replica.PutResult
+	var ended replica.Incarnation
+	var restarted bool
 	r.state.withReplicas(func(table *replica.Table, now core.Time) {
 		known, _ = table.Get(id)
+		ended, restarted = table.EndedBy(listed)
 		removedBefore := change.NewEra && table.PredatesRemoval(listed)
 		if listed.Born > 0 || known.Born == 0 {
 			result = table.Put(listed)
@@ -185,6 +188,9 @@
 	if result == replica.Added || result == replica.Restarted {
 		r.onListed(listed.Incarnation(), listed.Address)
 	}
+	if restarted {
+		r.onRestart(ended)
+	}
 	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
 	case result == replica.Added:
@@ -214,7 +220,7 @@
 	if r.refused == nil {
 		r.refused = map[string]refusedEntry{}
 	}
-	if len(r.refused) < maxRefusedEntries {
+	if _, listed := r.refused[id]; listed || len(r.refused) < maxRefusedEntries {
 		r.refused[id] = refusedEntry{Revision: revision, Reason: cause.Error()}
 	}
 	r.mutex.Unlock()
