Connections by what a node is, and "not run" where nothing was sent

A reset comes a round trip after the connection is open here, so the request was written and lost with it, and the check whether the replica had ended opened another connection over the cap, which doubled the resets.

A node that callers are not and were not lately sent to holds one connection, only while a request needs it. A node that may not know all others (its first second) takes a small share. A pool opens its first connection alone and then as many at a time as are accepted; where the replica may be at its cap, or the request must not be repeated, the first request waits until the connection has outlasted a round trip, and counts as not sent if it does not. A send has a permit that is either used before its first byte or revoked; a request whose sends were all revoked is not run.

--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -129,6 +129,10 @@
 	Enough bool
 	// MayHaveRun is set when any replica may have run the request.
 	MayHaveRun bool
+	// Withdrawn lists the sends that were in flight at the end. OnlyWithdrawn is set when nothing else sets MayHaveRun:
+	// if none of them was sent, the request has not run.
+	Withdrawn     []int
+	OnlyWithdrawn bool
 	// NoReplica is set when a service had no eligible replica at all.
 	NoReplica bool
 	// BudgetSpent is set when a retry or hedge was withheld because the budget for extra sends was spent.
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -279,9 +279,11 @@
 }
 
 func (m *Machine) withdrawAll() {
+	mayHaveRun := m.result.MayHaveRun
 	for id := range m.sends {
 		if m.sends[id].inFlight {
-			m.result.MayHaveRun = true
+			m.result.MayHaveRun, m.result.OnlyWithdrawn = true, !mayHaveRun
+			m.result.Withdrawn = append(m.result.Withdrawn, id)
 			m.act(CancelSend{ID: id})
 		}
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -10,7 +10,7 @@
 	s := n.settings.Load()
 	fields := map[string]any{
 		"node": s.Node, "data_centre": s.DataCentre, "stopping": n.stopping.Load(), "in_flight": n.inFlight.Load(),
-		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.storeCopy.UpTo(), "store_era": n.storeCopy.Position().Era, "connections": n.replicas.OpenConnections(),
+		"entries_refused": n.registry.refusedEntries(), "nodes": n.view().Nodes(), "store_revision": n.storeCopy.UpTo(), "store_era": n.storeCopy.Position().Era, "connections": n.replicas.OpenConnections(), "connections_not_accepted": n.replicas.ConnectionsNotAccepted(), "entry": n.isEntry(),
 	}
 	if config := n.state.config.Load(); config != nil {
 		fields["config_version"] = config.Version
--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -28,6 +28,7 @@
 		}
 		n.registry.expire()
 		n.updateEntries()
+		n.updateRole()
 		n.updateExtraBound()
 		n.closeUnusable()
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -216,6 +216,7 @@
 	watch("delegated_groups_running", n.delegatedGroups.Load)
 	watch("replica_connections", func() int64 { return int64(n.replicas.OpenConnections()) })
 	watch("replica_connections_opened_total", n.replicas.ConnectionsOpened)
+	watch("replica_connections_not_accepted_total", n.replicas.ConnectionsNotAccepted)
 	watch("replica_connection_waiters", func() int64 { return int64(n.replicas.WaitingRequests()) })
 	watch("log_lines_dropped_total", n.log.Dropped)
 	watch("peer_links", func() int64 { return int64(n.peerPool.LinkCount()) })
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -90,9 +90,13 @@
 	// entries are the nodes that callers are sent to. They are updated periodically, because selecting them
 	// requires a pass over all replicas.
 	entries atomic.Pointer[[]route.Node]
-	ctx     context.Context
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	// entryUntil is until when this node counts as one of them, as a core.Time.
+	entryUntil atomic.Int64
+	// toldNoEntry is set if the log last told that this node is none of them; only housekeeping uses it.
+	toldNoEntry bool
+	ctx         context.Context
+	cancel      context.CancelFunc
+	done        sync.WaitGroup
 }
 
 // New returns a node as an fx application, which starts and stops it.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 	verdict  scatter.Verdict
 	// broken is set if the replica closed the connection instead of answering.
 	broken bool
+	// permit decides whether the request is sent by this node.
+	permit replicaconn.Permit
 	// latency is that of the replica, without the transit through a helper.
 	latency time.Duration
 	// pauseEnded is how long ago a pause of the replica ended, as reported by a helper; 0 means none is
@@ -131,6 +134,7 @@
 		case scatter.Send:
 			started = append(started, q.newExchange(ctx, a))
 		case scatter.CancelSend:
+			q.sends[a.ID].revoke()
 			q.sends[a.ID].cancel(errAnswered)
 		case scatter.SendOverdue:
 			q.markOverdue(a.Send)
@@ -141,6 +145,7 @@
 		case scatter.Wake:
 			timer.Reset(max(a.At-q.node.now(), 0))
 		case scatter.Finish:
+			q.revoke(&a.Result)
 			return &a.Result
 		}
 	}
@@ -148,6 +153,17 @@
 	return nil
 }
 
+// revoke settles whether the sends that were in flight at the end may have run.
+func (q *request) revoke(result *scatter.Result) {
+	if !result.OnlyWithdrawn {
+		return
+	}
+	result.MayHaveRun = slices.ContainsFunc(result.Withdrawn, func(id int) bool { return !q.sends[id].revoke() })
+}
+
+// revoke reports whether the exchange was not sent and never will be. A helper may have sent those of its group.
+func (e *exchange) revoke() bool { return e.group == nil && e.permit.Revoke() }
+
 // markOverdue marks a replica as overdue, and a helper that has not replied at all as one to avoid.
 func (q *request) markOverdue(send int) {
 	exchange := q.sends[send]
@@ -253,6 +269,7 @@
 	wire.UserData = inFlightSend{request: q, send: exchange}
 	wire.OnLate = func(response *replicaconn.Response) { q.recordLateAnswer(exchange, response) }
 	wire.MaxConnections = q.node.maxConnections(q.config, exchange.send.Replica)
+	wire.Permit = &exchange.permit
 	exchange.response, exchange.err = q.node.replicas.Do(ctx, &wire)
 	exchange.verdict = q.classify(exchange)
 	exchange.broken = isBrokenByReplica(exchange.err)
@@ -298,7 +315,7 @@
 	incarnation := exchange.send.Replica.Incarnation()
 	state := q.node.state
 	state.withReplicas(func(table *replica.Table, _ core.Time) { table.Ended(incarnation) })
-	if errors.Is(exchange.err, errAnswered) || errors.Is(exchange.err, context.Canceled) {
+	if errors.Is(exchange.err, errAnswered) || errors.Is(exchange.err, context.Canceled) || errors.Is(exchange.err, replicaconn.ErrRevoked) {
 		return
 	}
 	q.node.metrics.countSend(exchange.send.Replica.Service, exchange.verdict, exchange.latency)
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -78,6 +78,8 @@
 	OnLate func(*Response)
 	// UserData is passed through to the listener of Client.OnReplicaEnded.
 	UserData any
+	// Permit, when set, must still allow the request when its first byte is about to be written.
+	Permit *Permit
 }
 
 // Response is the answer to a Request.
@@ -114,12 +116,16 @@
 	errUnsolicited = errors.New("the replica sent bytes without a request")
 	errTooLong     = errors.New("the answer body is longer than 8 MiB")
 	errClosed      = errors.New("the client is closed")
+	errNotKept     = errors.New("this node keeps no idle connection")
 	errRefusing    = errors.New("the replica ends new connections without an answer")
 	errAbandoned   = errors.New("this node abandoned the connection")
 	errUnwanted    = errors.New("no further requests are sent to this replica")
 	errRestarted   = errors.New("the replica has restarted")
 )
 
+// ErrRevoked is the cause of the failure of a request whose permit was revoked before it was sent.
+var ErrRevoked = errors.New("the request was withdrawn before it was sent")
+
 // Wire writes and reads the headers of the replicas' protocol.
 type Wire interface {
 	// Mark sets the target replica and the remaining time in a copied header.
@@ -137,6 +143,10 @@
 	pools  map[replica.Incarnation]*pool
 	closed bool
 	opened int64
+	// endedUnaccepted counts the connections that replicas closed before they were accepted.
+	endedUnaccepted int64
+	// keepsNoIdle is set if a connection is closed when no request needs it.
+	keepsNoIdle bool
 	// onEnded receives an incarnation that has ended and the requests in flight there.
 	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
 	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
@@ -166,6 +176,27 @@
 	return c.opened
 }
 
+// ConnectionsNotAccepted counts the connections that replicas refused or closed before they were accepted, since the
+// start.
+func (c *Client) ConnectionsNotAccepted() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.endedUnaccepted
+}
+
+// KeepIdle sets whether connections are kept while no request needs them. If not, those that are idle are closed.
+func (c *Client) KeepIdle(keep bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.keepsNoIdle = !keep
+	if keep {
+		return
+	}
+	for _, p := range c.pools {
+		p.closeIdle(errNotKept)
+	}
+}
+
 // OpenConnections counts the connections that are open now.
 func (c *Client) OpenConnections() int {
 	c.mutex.Lock()
@@ -246,6 +277,10 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Cause: err}
 	}
+	if !request.Permit.use() {
+		conn.withdraw(ex)
+		return nil, &Error{Step: "connect", Cause: ErrRevoked}
+	}
 	if written, err := conn.write(ctx, ex); err != nil {
 		conn.close(err)
 		return nil, &Error{Step: "send", Sent: written > 0, Broken: written > 0 && connerr.ClosedByPeer(err), Cause: err}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -35,6 +35,10 @@
 	replica replica.Incarnation
 	stream  net.Conn
 	reader  *bufio.Reader
+	// accepted is set once the replica is known to have accepted the connection; guarded by the client's mutex.
+	accepted bool
+	// ended is closed when the connection has ended.
+	ended chan struct{}
 	// answerCount counts the answers read; only the reading goroutine uses it.
 	answerCount int
 
@@ -68,7 +72,7 @@
 }
 
 func newConn(client *Client, incarnation replica.Incarnation, stream net.Conn) *conn {
-	c := &conn{client: client, replica: incarnation, stream: stream, reader: bufio.NewReaderSize(stream, readBufferBytes), idleLimit: defaultIdleTimeout}
+	c := &conn{client: client, replica: incarnation, stream: stream, reader: bufio.NewReaderSize(stream, readBufferBytes), ended: make(chan struct{}), idleLimit: defaultIdleTimeout}
 	go c.read()
 	return c
 }
@@ -86,6 +90,16 @@
 	return true
 }
 
+// withdraw takes back an exchange of which nothing was written.
+func (c *conn) withdraw(ex *exchange) {
+	c.mutex.Lock()
+	if c.pending == ex {
+		c.pending = nil
+	}
+	c.mutex.Unlock()
+	c.client.release(c)
+}
+
 // write sends head and body and returns how many bytes may have been sent. The head states the
 // remaining time as of now: waiting for the connection may have used some of it.
 func (c *conn) write(ctx context.Context, ex *exchange) (int, error) {
@@ -135,6 +149,7 @@
 	err := c.readAnswers()
 	c.close(err)
 	c.client.connectionEnded(c.replica, c)
+	close(c.ended)
 }
 
 func (c *conn) readAnswers() error {
@@ -153,7 +168,7 @@
 		}
 		c.answerCount++
 		if c.answerCount == 1 {
-			c.client.noteAnswered(c.replica)
+			c.client.noteAnswered(c)
 		}
 		belongs, err := c.belongs(ex.request, response)
 		if err != nil {
@@ -333,7 +348,7 @@
 func (c *conn) closedLocally() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return errors.Is(c.failure, errAbandoned) || errors.Is(c.failure, errRestarted) || errors.Is(c.failure, errClosed)
+	return errors.Is(c.failure, errAbandoned) || errors.Is(c.failure, errRestarted) || errors.Is(c.failure, errClosed) || errors.Is(c.failure, errNotKept)
 }
 
 // abandon closes an idle connection. It only records the cause and closes the stream: the
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -16,8 +16,12 @@
 // pool holds the connections to one incarnation of a replica. Its fields are guarded by
 // the client's mutex.
 type pool struct {
-	open int
-	idle []*conn
+	// open counts the connections that are open or being opened, accepted those of them that the replica is known to
+	// have accepted.
+	open, accepted int
+	// limit bounds the connections of this node, as the last request stated.
+	limit int
+	idle  []*conn
 	// waiters receive nil when they should try again, or the reason why their wait failed.
 	waiters []chan error
 	// refusals counts consecutive new connections that ended without any answer. No further
@@ -87,13 +91,14 @@
 	if p.restarted {
 		return nil, nil, errRestarted
 	}
+	p.limit = max(request.MaxConnections, 1)
 	if found := p.takeIdle(request, time.Now()); found != nil {
 		return found, nil, nil
 	}
 	if p.open == 0 && time.Now().Before(p.noDialUntil) {
 		return nil, nil, errRefusing
 	}
-	if p.open < max(request.MaxConnections, 1) && !time.Now().Before(p.noDialUntil) {
+	if p.mayOpen() && !time.Now().Before(p.noDialUntil) {
 		p.open++
 		return nil, nil, nil
 	}
@@ -194,6 +199,7 @@
 func (c *Client) open(request *Request) dialResult {
 	incarnation, address := request.Replica, request.Address
 	dialer := net.Dialer{Control: setUserTimeout, Timeout: dialTimeout}
+	started := time.Now()
 	stream, err := dialer.Dial("tcp", address)
 	if err != nil {
 		c.connectionEnded(incarnation, nil)
@@ -202,14 +208,23 @@
 	if request.ByteCounter != nil {
 		stream = countingConn{stream, request.ByteCounter}
 	}
+	opened, unsure := c.add(incarnation, stream, request.Once)
+	return c.awaitAccepted(opened, acceptTime(time.Since(started)), unsure)
+}
+
+// add adds an open connection to its pool. The second result is set if a request must not be written before the
+// connection is accepted.
+func (c *Client) add(incarnation replica.Incarnation, stream net.Conn, once bool) (*conn, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.opened++
 	opened := newConn(c, incarnation, stream)
-	if p := c.pools[incarnation]; p != nil {
-		p.connections[opened] = struct{}{}
+	p := c.pools[incarnation]
+	if p == nil {
+		return opened, once
 	}
-	return dialResult{conn: opened}
+	p.connections[opened] = struct{}{}
+	return opened, once || c.keepsNoIdle || p.accepted == 0 || p.refusals > 0
 }
 
 // setUserTimeout makes the kernel end a connection whose bytes are not acknowledged: a
@@ -234,16 +249,21 @@
 		conn.abandon(errClosed)
 		return
 	}
+	if c.keepsNoIdle && len(p.waiters) == 0 {
+		conn.abandon(errNotKept)
+		return
+	}
 	conn.idleSince = time.Now()
 	p.idle = append(p.idle, conn)
 	p.wakeOne()
 }
 
 // noteAnswered records that a replica answers on its connections, and ends the pause.
-func (c *Client) noteAnswered(incarnation replica.Incarnation) {
+func (c *Client) noteAnswered(conn *conn) {
+	c.noteAccepted(conn)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if p := c.pools[incarnation]; p != nil {
+	if p := c.pools[conn.replica]; p != nil {
 		p.refusals = 0
 		p.noDialUntil = time.Time{}
 	}
@@ -265,6 +285,12 @@
 	}
 	p.open--
 	delete(p.connections, conn)
+	switch {
+	case conn != nil && conn.accepted:
+		p.accepted--
+	case conn == nil || !conn.closedLocally():
+		c.endedUnaccepted++
+	}
 	p.noteEnd(conn, time.Now())
 	p.wakeOne()
 	for p.open == 0 && len(p.waiters) > 0 {
