--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -10,13 +10,18 @@
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 )
 
-// housekeepingInterval is the interval between checks for expired state.
-const housekeepingInterval = 200 * time.Millisecond
+const (
+	// housekeepingInterval is the interval between checks for expired state, startInterval that while a node that has
+	// just started gets to know the others.
+	housekeepingInterval = 200 * time.Millisecond
+	startInterval        = 50 * time.Millisecond
+)
 
 func (n *Node) housekeep() {
-	ticker, summary := time.NewTicker(housekeepingInterval), time.NewTicker(trafficLogInterval)
+	ticker, summary := time.NewTicker(startInterval), time.NewTicker(trafficLogInterval)
 	defer ticker.Stop()
 	defer summary.Stop()
+	starting := true
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -26,6 +31,10 @@
 			continue
 		case <-ticker.C:
 		}
+		if starting && !n.viewIsIncomplete() {
+			starting = false
+			ticker.Reset(housekeepingInterval)
+		}
 		n.registry.expire()
 		n.updateEntries()
 		n.updateRole()
--- a/internal/edge/recovery_test.go
+++ b/internal/edge/recovery_test.go
@@ -76,3 +76,14 @@
 	}
 	return true
 }
+
+// Guards against look-ups that fail because a node has just started: its caller has no other address.
+func TestALookUpRightAfterTheStartIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.configure(1)
+	for range 2 {
+		h.startOne("east", nil)
+		node := h.nodes[len(h.nodes)-1]
+		require.Contains(t, h.resolve(node, "east"), node.Settings.CallerAddress)
+	}
+}
