A node that has just started sends heartbeats three times as often for a second

After a loss of power the middle node of 86 knew all strong entries 1.2 s after its start (105 nodes: 1.6 s); until then callers are sent to weak nodes, which need 90 to 145 ms for a question.

The interval between heartbeats is a third in the first second.

Ruled out: two seconds in place of one: no sooner, memory 106 -> 115 GB x s, 0.059 -> 0.066 GB between data centres.

--- a/internal/core/member/large_test.go
+++ b/internal/core/member/large_test.go
@@ -95,7 +95,7 @@
 func TestALargeFleetFindsItselfSoon(t *testing.T) {
 	w := largeFleet()
 	took, crossing := w.measure(t, "start", w.complete)
-	require.Less(t, took, 6*time.Second)
+	require.Less(t, took, 2*time.Second)
 	require.Less(t, crossing, 10.0*float64(*largeSize*(*largeSize))/(295*295))
 	w.run(settle)
 	bytes, before := w.bytes, w.crossDataCentreBytes
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -21,8 +21,10 @@
 	now        core.Time
 	tick       Tick
 	lastTickAt core.Time
-	version    uint32
-	leaving    bool
+	// firstTickAt is when this node started, 0 before.
+	firstTickAt core.Time
+	version     uint32
+	leaving     bool
 	// join is the progress of this node's start.
 	join join
 	// listedLeaving is set while the VM list shows this node leaving.
@@ -139,6 +141,9 @@
 
 func (m *Machine) ticked(e Tick) {
 	m.tick = e
+	if m.firstTickAt == 0 {
+		m.firstTickAt = m.now
+	}
 	m.joinWhenReady()
 	m.checkPause()
 	m.lastTickAt = m.now
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
@@ -22,7 +23,7 @@
 	if m.now < m.nextHeartbeat || len(m.neighbours) == 0 {
 		return
 	}
-	m.nextHeartbeat = m.now + m.config.HeartbeatPeriod/core.Time(len(m.neighbours))
+	m.nextHeartbeat = m.now + m.heartbeatInterval()
 	m.heartbeatCount++
 	p := m.neighbours[m.heartbeatCount%len(m.neighbours)]
 	if m.checks[p.node.ID] == nil {
@@ -30,6 +31,24 @@
 	}
 }
 
+const (
+	// startTime is how long after its start a node sends heartbeats startRate times as often.
+	startTime = time.Second
+	startRate = 3
+)
+
+// heartbeatInterval returns the time until the next neighbour gets its heartbeat. It is shorter after the start.
+//
+// Failure that this prevents: all nodes restart together, and callers are sent to weak nodes until the strong ones are
+// known. Each update crosses each link once, so that sooner heartbeats hardly cost more bytes.
+func (m *Machine) heartbeatInterval() core.Time {
+	interval := m.config.HeartbeatPeriod / core.Time(len(m.neighbours))
+	if m.now-m.firstTickAt < startTime {
+		return interval / startRate
+	}
+	return interval
+}
+
 // probeDead probes one listed dead or gone node per HeartbeatPeriod, so that the two sides of a healed
 // partition find each other at a bounded cost.
 func (m *Machine) probeDead() {
