--- a/internal/core/member/large_test.go
+++ b/internal/core/member/large_test.go
@@ -96,7 +96,7 @@
 	t.Parallel()
 	w := largeFleet()
 	took, crossing := w.measure(t, "start", w.complete)
-	require.Less(t, took, 6*time.Second)
+	require.Less(t, took, 2*time.Second)
 	require.Less(t, crossing, 10.0*float64(*largeSize*(*largeSize))/(295*295))
 	w.run(settle)
 	bytes, before := w.bytes, w.crossDataCentreBytes
