--- a/internal/core/admit/configure.go
+++ b/internal/core/admit/configure.go
@@ -36,14 +36,14 @@
 	r := s.replicaByAddress(replicaConfig.Address)
 	if r == nil {
 		r = &replica{}
-		r.restartRamp()
+		r.RestartRamp()
 		s.replicas = append(s.replicas, r)
 	}
 	undrained := r.Draining && !replicaConfig.Draining
 	r.ReplicaConfig = replicaConfig
 	r.configured = true
 	r.remote = s.config.DataCentre != "" && replicaConfig.DataCentre != s.config.DataCentre
-	r.setBounds(s.config.Slots, s.config.Share)
+	r.SetBounds(s.config.Slots, s.config.Share)
 	s.fire(r, eventRestored, chartInput{now: now})
 	switch {
 	case replicaConfig.Draining:
--- a/internal/core/admit/dispatch.go
+++ b/internal/core/admit/dispatch.go
@@ -76,7 +76,7 @@
 	chosen.inFlight++
 	chosen.lastSentAt = now
 	a.inFlightAtSend = chosen.inFlight
-	chosen.recordSent(chosen.inFlight)
+	chosen.RecordSent(chosen.inFlight)
 	if kind == KindFirst && s.config.Budget != nil {
 		s.config.Budget.AddFirst(s.config.Service, r.Customer, 1)
 	}
--- a/internal/core/admit/estimate.go
+++ b/internal/core/admit/estimate.go
@@ -97,7 +97,7 @@
 		case r.available(now):
 			return availability{immediate: true}
 		case remaining <= 0:
-			found.busySlots += r.slots()
+			found.busySlots += r.Slots()
 		default:
 			found.addPause(r.pause, remaining)
 		}
--- a/internal/core/admit/health.go
+++ b/internal/core/admit/health.go
@@ -20,20 +20,20 @@
 
 var healthChart = chart.Must(chart.Source("replica"), chart.Bindings[*chartInput]{
 	Guards: map[string]func(*chartInput) bool{
-		"ramped":        func(i *chartInput) bool { return i.replica.ramped() },
+		"ramped":        func(i *chartInput) bool { return i.replica.Ramped() },
 		"many_failures": func(i *chartInput) bool { return i.enoughOthers && i.replica.failures+1 >= failuresUntilDown },
 		"unconnected":   func(i *chartInput) bool { return i.replica.inFlight <= 1 },
 	},
 	Actions: map[string]func(*chartInput){
-		"ramp_up":        func(i *chartInput) { i.replica.rampUp() },
+		"ramp_up":        func(i *chartInput) { i.replica.RampUp() },
 		"count_failure":  (*chartInput).countFailure,
 		"clear_failures": (*chartInput).clearFailures,
-		"lower_refused":  func(i *chartInput) { i.replica.lowerAfterRefusal(i.inFlight, refusedFactor) },
+		"lower_refused":  func(i *chartInput) { i.replica.RecordConnectionRefused(i.inFlight) },
 		"lower_shed":     (*chartInput).lowerLimitAfterShed,
 		"plan_probe":     (*chartInput).scheduleProbe,
 		"probe_now":      func(i *chartInput) { i.replica.probeAt = i.now },
 		"hold_drain":     func(i *chartInput) { i.replica.drainSeenAt = i.now },
-		"restart":        func(i *chartInput) { i.replica.restartRamp() },
+		"restart":        func(i *chartInput) { i.replica.RestartRamp() },
 	},
 })
 
@@ -72,7 +72,7 @@
 // 1 cannot be lowered, and the queue would be drained into refusals. The replica is therefore paused
 // for a growing time, at least for the time that it asked for.
 func (i *chartInput) lowerLimitAfterShed() {
-	lowered := i.replica.recordShed(i.inFlight)
+	lowered := i.replica.RecordShed(i.inFlight)
 	if !lowered || i.inFlight > 1 {
 		return
 	}
--- a/internal/core/admit/observe.go
+++ b/internal/core/admit/observe.go
@@ -31,7 +31,7 @@
 		r.recordLatency(now, elapsed, false)
 		s.recordServiceTime(elapsed)
 		if r.state == stateLive {
-			r.recordAnswer(elapsed)
+			r.RecordAnswer(elapsed)
 		}
 	case verdictCancelled, verdictTimedOut:
 		r.recordLatency(now, elapsed, true)
--- a/internal/core/admit/ramp.go
+++ b/internal/core/admit/ramp.go
@@ -1,21 +1,15 @@
 package admit
 
 import (
-	"time"
-
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/concurrency"
 )
 
-// coldPatience is how long requests wait behind unanswered ones at a cold replica before it gets one more.
-const coldPatience = time.Second
-
-// The limit of a cold replica grows with its answers. A request that is never answered, as after the loss of a reply, would
-// hold its only place until that request's deadline, and a submit behind it would be refused as not run although the replica
-// is idle. One more request each coldPatience shows whether the replica answers.
+const coldPatience = concurrency.ColdPatience
 
 // isHeldByUnanswered reports whether requests in flight keep a cold replica from getting another one below its slots.
 func (r *replica) isHeldByUnanswered() bool {
-	return r.state == stateCold && r.inFlight >= r.slots() && r.slots() < r.configuredSlots
+	return r.state == stateCold && r.IsHeldByUnanswered(r.inFlight)
 }
 
 // rampPastUnanswered raises the limits of cold replicas that requests wait for in vain.
@@ -24,8 +18,8 @@
 		return
 	}
 	for _, r := range s.replicas {
-		if r.isHeldByUnanswered() && now-r.lastSentAt >= coldPatience {
-			r.limit = float64(r.slots() + 1)
+		if r.isHeldByUnanswered() {
+			r.RampPastUnanswered(r.inFlight, now-r.lastSentAt)
 		}
 	}
 }
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -5,6 +5,7 @@
 
 	"github.com/pistachiopier/pistachiopier/internal/chart"
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/concurrency"
 )
 
 // Weights of the choice between replicas.
@@ -47,7 +48,7 @@
 // replica is the state of one upstream replica as seen by its owner.
 type replica struct {
 	ReplicaConfig
-	limiter
+	concurrency.Limiter
 	state    chart.State
 	inFlight int
 	// configured is set while the configuration contains the replica.
@@ -73,19 +74,19 @@
 func (r *replica) usable() bool {
 	switch r.state {
 	case stateCold, stateLive, stateSuspect:
-		return r.maxLimit > 0
+		return r.MaxLimit() > 0
 	}
 	return false
 }
 
 // available reports whether an ordinary request may be sent now.
 func (r *replica) available(now core.Time) bool {
-	return r.usable() && r.inFlight < r.slots() && now >= r.pausedUntil
+	return r.usable() && r.inFlight < r.Slots() && now >= r.pausedUntil
 }
 
 // probeDue reports whether a down replica may get a probe request.
 func (r *replica) probeDue(now core.Time) bool {
-	return r.state == stateDown && r.maxLimit > 0 && r.inFlight == 0 && now >= r.probeAt
+	return r.state == stateDown && r.MaxLimit() > 0 && r.inFlight == 0 && now >= r.probeAt
 }
 
 // expectedWait returns the latency of the replica in nanoseconds, weighted for the choice between
@@ -95,7 +96,7 @@
 	if r.latencyNs > 0 {
 		wait = r.latencyNs / (1 + float64(now-r.sampledAt)/float64(idleLatencyHalvedAfter))
 	}
-	wait *= 1 + float64(r.inFlight)/float64(r.slots())
+	wait *= 1 + float64(r.inFlight)/float64(r.Slots())
 	wait *= 1 + failurePenalty*r.failureRate
 	wait *= 1 + loadPenalty*r.load
 	if r.remote {
--- a/internal/core/admit/limiter.go
+++ b/internal/core/concurrency/limiter.go
@@ -1,4 +1,6 @@
-package admit
+// Package concurrency learns how many requests a replica serves at the same time, from the latency of its answers and
+// from its refusals. Each node learns for itself, within the part of the replica that it may use.
+package concurrency
 
 import (
 	"math"
@@ -32,7 +34,7 @@
 	rampStep = 0.25
 )
 
-// limiter is the adaptive concurrency limit of a replica, between 1 and maxLimit.
+// Limiter is the adaptive concurrency limit of a replica, between 1 and maxLimit.
 //
 // After every limitWindow answers, with windowMean as the mean latency of the window:
 //
@@ -53,7 +55,7 @@
 // window is ignored: an upstream frees its slot shortly after it has sent its answer, or after it has
 // noticed a cancellation, and sheds requests that arrive before that. Lowering the limit for it would
 // leave the replica at half its slots for hundreds of answers.
-type limiter struct {
+type Limiter struct {
 	limit           float64
 	configuredSlots int
 	maxLimit        int
@@ -70,20 +72,29 @@
 	ceilingPeriodWindows int
 }
 
-// slots returns the limit as a whole number of requests.
-func (l *limiter) slots() int { return max(1, min(int(l.limit), l.maxLimit)) }
+// Slots returns the limit as a whole number of requests.
+func (l *Limiter) Slots() int { return max(1, min(int(l.limit), l.maxLimit)) }
 
-// setBounds sets the configured slots and this node's connection share.
-func (l *limiter) setBounds(configuredSlots, maxLimit int) {
+// Limit returns the limit with its fraction.
+func (l *Limiter) Limit() float64 { return l.limit }
+
+// ConfiguredSlots and MaxLimit return the bounds that SetBounds set.
+func (l *Limiter) ConfiguredSlots() int { return l.configuredSlots }
+
+// MaxLimit returns the highest value of the limit.
+func (l *Limiter) MaxLimit() int { return l.maxLimit }
+
+// SetBounds sets the configured slots and this node's connection share.
+func (l *Limiter) SetBounds(configuredSlots, maxLimit int) {
 	l.configuredSlots, l.maxLimit = min(configuredSlots, maxLimit), maxLimit
 	l.limit = min(l.limit, float64(max(1, maxLimit)))
 }
 
-// recordSent records the number of requests in flight after sending one.
-func (l *limiter) recordSent(inFlight int) { l.windowPeak = max(l.windowPeak, inFlight) }
+// RecordSent records the number of requests in flight after sending one.
+func (l *Limiter) RecordSent(inFlight int) { l.windowPeak = max(l.windowPeak, inFlight) }
 
-// recordAnswer records the latency of an answer and adjusts the limit at the end of a window.
-func (l *limiter) recordAnswer(latency time.Duration) {
+// RecordAnswer records the latency of an answer and adjusts the limit at the end of a window.
+func (l *Limiter) RecordAnswer(latency time.Duration) {
 	l.windowAnswers++
 	l.windowLatencySum += float64(latency)
 	if l.windowAnswers >= limitWindow {
@@ -92,7 +103,7 @@
 	}
 }
 
-func (l *limiter) adjust(windowMean float64) {
+func (l *Limiter) adjust(windowMean float64) {
 	switch {
 	case l.baseline == 0:
 		l.baseline = windowMean
@@ -106,22 +117,22 @@
 	switch {
 	case gradient < 1:
 		l.limit = max(1, l.limit*gradient)
-	case l.windowPeak >= l.slots():
+	case l.windowPeak >= l.Slots():
 		l.limit = min(l.limit+1, float64(l.growthLimit()))
 	}
 }
 
 // growthLimit returns the highest value that the limit may grow to.
-func (l *limiter) growthLimit() int {
+func (l *Limiter) growthLimit() int {
 	if l.ceilingWindowsLeft > 0 {
 		return max(1, min(l.ceiling, l.maxLimit))
 	}
 	return max(1, l.maxLimit)
 }
 
-// recordShed handles a refusal by an overloaded upstream, with the number of requests in flight at the
+// RecordShed handles a refusal by an overloaded upstream, with the number of requests in flight at the
 // time of sending. It reports whether the limit was lowered.
-func (l *limiter) recordShed(inFlight int) bool {
+func (l *Limiter) RecordShed(inFlight int) bool {
 	if inFlight <= l.configuredSlots {
 		l.windowSheds++
 	}
@@ -132,8 +143,13 @@
 	return true
 }
 
+// RecordConnectionRefused handles a refused connection, with the number of requests in flight at the time.
+func (l *Limiter) RecordConnectionRefused(inFlight int) {
+	l.lowerAfterRefusal(inFlight, refusedFactor)
+}
+
 // lowerAfterRefusal lowers the limit after a refusal with the given number of requests in flight.
-func (l *limiter) lowerAfterRefusal(inFlight int, factor float64) {
+func (l *Limiter) lowerAfterRefusal(inFlight int, factor float64) {
 	l.limit = max(1, min(l.limit, factor*float64(inFlight)))
 	l.ceiling = max(1, inFlight-1)
 	switch {
@@ -145,13 +161,13 @@
 	l.ceilingWindowsLeft = l.ceilingPeriodWindows
 }
 
-// rampUp raises the limit of a cold replica by one step.
-func (l *limiter) rampUp() { l.limit = min(l.limit+rampStep, float64(max(1, l.configuredSlots))) }
+// RampUp raises the limit of a cold replica by one step.
+func (l *Limiter) RampUp() { l.limit = min(l.limit+rampStep, float64(max(1, l.configuredSlots))) }
 
-// ramped reports whether the next step completes the ramp.
-func (l *limiter) ramped() bool { return l.limit+rampStep >= float64(l.configuredSlots) }
+// Ramped reports whether the next step completes the ramp.
+func (l *Limiter) Ramped() bool { return l.limit+rampStep >= float64(l.configuredSlots) }
 
-// restartRamp resets the limiter to the start of the ramp.
-func (l *limiter) restartRamp() {
-	*l = limiter{limit: 1, configuredSlots: l.configuredSlots, maxLimit: l.maxLimit}
+// RestartRamp resets the Limiter to the start of the ramp.
+func (l *Limiter) RestartRamp() {
+	*l = Limiter{limit: 1, configuredSlots: l.configuredSlots, maxLimit: l.maxLimit}
 }
