A send takes a place at its replica, and waits for it at the node

Each node now has a queue for each replica (core/placement). It may use a part of the replica's places, divided among the nodes of its data centre by the view; the part is lowered by refusals (core/concurrency) and grows again with answers after a second without one; a replica that refuses at any load is tried once after each pause. A claim waits in the order of placement.Compare until a place is free, with a least share for each priority, and is refused as soon as it cannot be in time. A send without a place was not sent: it costs neither the bound on extra sends nor one of the request's replicas. Priorities that are missing or out of range count as the least urgent.

--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -96,10 +96,19 @@
 		plan.HedgeAfter = observed.hedgeAfter(route.TargetLatency, typical, known)
 		plan.RemoteHedgeExtra = remoteHedgeExtra
 	}
+	plan.Elapsed = o.elapsed(request)
+	if route.TargetLatency > 0 {
+		plan.TargetAt = request.Arrived + max(route.TargetLatency-request.TransitTime-plan.Elapsed, 0)
+	}
 	if route.Gather != nil {
 		plan.MinParts = route.Gather.MinParts()
 		plan.TargetLatency = attainableTarget(route.TargetLatency-request.TransitTime, typical, known)
-		plan.PartialAt = request.Arrived + o.partialAfter(request)
+		// Just in time for the target, an answer with the least coverage is sent: a missing part costs the caller less than
+		// a late answer.
+		plan.PartialAt = plan.Deadline
+		if plan.TargetAt > 0 {
+			plan.PartialAt = plan.TargetAt
+		}
 	}
 	return plan
 }
@@ -135,15 +144,6 @@
 	return max(after, minHedgeAfter)
 }
 
-// partialAfter returns the time after arrival from which an answer with the least coverage is sent: just in
-// time to reach the caller within the target latency. A missing part costs the caller less than a late answer.
-func (o *Outlook) partialAfter(request Request) time.Duration {
-	if request.Route.TargetLatency <= 0 {
-		return request.MaxWait
-	}
-	return max(request.Route.TargetLatency-request.TransitTime-o.elapsed(request), 0)
-}
-
 // elapsed estimates how long a caller has been waiting over all its attempts, from its remaining time: a
 // first attempt has the most.
 func (o *Outlook) elapsed(request Request) time.Duration {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -27,6 +27,8 @@
 	TargetAt, Deadline core.Time
 	// Extra is set for a hedge or a retry: a send that another one of the same request may make unnecessary.
 	Extra bool
+	// Last is set when the request has no other replica left: it is sent to a replica that refuses others, too.
+	Last bool
 }
 
 // Compare orders claims: a negative result means that a goes before b. Callers over their share come last, then the
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -20,6 +20,8 @@
 	Limits   Limits
 	// Unreadable names the routes and services that could not be decoded and were left out.
 	Unreadable []string
+	// WithoutPriority names the routes that state no valid priority and count as the least urgent.
+	WithoutPriority []string
 
 	byHost map[string][]*Route
 }
@@ -38,7 +40,7 @@
 	TargetLatency time.Duration
 	// MaxReplicas bounds the number of replicas of one service that a request is sent to.
 	MaxReplicas int
-	// Priority ranks the route; 0 is the highest priority.
+	// Priority ranks the route, from 0, the most urgent, to placement.LeastUrgent.
 	Priority int
 	// Shares lists the services with their weights. It is empty for a route with Gather set.
 	Shares []Share
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// NoPlace records that this node, or one near the replica, had no place for a request there: the next requests prefer other
+// replicas. The replica itself has refused nothing.
+func (t *Table) NoPlace(incarnation Incarnation, now core.Time) {
+	if known := t.find(incarnation); known != nil {
+		known.refusedAt = now
+	}
+}
+
 // Misdirected records that another replica answered at a replica's address. The replica gets no requests, even if
 // the registry still lists it, until it is listed at another address.
 func (t *Table) Misdirected(incarnation Incarnation) {
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -35,16 +35,25 @@
 		s.failed = s.inFlight == 0
 		return
 	}
-	if m.sendAnother(i, Retry) || s.inFlight > 0 {
+	if m.sendAnother(i, m.causeAfter(i, verdict)) || s.inFlight > 0 {
 		return
 	}
-	if verdict == Refused && s.sent <= m.plan.MaxReplicas && m.now+refusedRetryDelay < m.plan.Deadline {
+	if (verdict == Refused || verdict == NoPlace) && s.sent <= m.plan.MaxReplicas && m.now+refusedRetryDelay < m.plan.Deadline {
 		s.retryAt = m.now + refusedRetryDelay
 		return
 	}
 	s.failed = true
 }
 
+// causeAfter returns the cause of the send that follows one with the verdict. After a send without a place nothing has
+// arrived yet, so that the next one is still the first.
+func (m *Machine) causeAfter(i int, verdict Verdict) Cause {
+	if verdict == NoPlace && m.services[i].sent == 0 {
+		return First
+	}
+	return Retry
+}
+
 // sendAnother sends to another replica if the plan and the budget for extra sends allow it, and
 // reports whether it did.
 func (m *Machine) sendAnother(i int, cause Cause) bool {
@@ -77,7 +86,12 @@
 
 // spendBudget takes an extra send out of the budget, unless no send of the service has arrived yet.
 func (m *Machine) spendBudget(i int) bool {
-	if m.services[i].sent == 0 {
+	s := &m.services[i]
+	if s.sent == 0 {
+		return true
+	}
+	if s.unusedExtras > 0 {
+		s.unusedExtras--
 		return true
 	}
 	if m.chooser.TakeExtra(m.plan.Services[i], m.now) {
@@ -104,6 +118,15 @@
 		return
 	}
 	m.send(i, choice, Retry)
+	m.markLast()
+}
+
+// markLast marks the send just made as the last resort of its service.
+func (m *Machine) markLast() {
+	if last, ok := m.actions[len(m.actions)-1].(Send); ok {
+		last.Last = true
+		m.actions[len(m.actions)-1] = last
+	}
 }
 
 // overdue marks the replicas with sends in flight for the service as overdue and sends a hedge. If no
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -26,6 +26,10 @@
 	TargetLatency time.Duration
 	// PartialAt is the time from which MinParts parts suffice for an answer; 0 is never.
 	PartialAt core.Time
+	// TargetAt is until when an answer has its full value to the caller, over all its attempts; 0 is no limit. Elapsed is
+	// how long its earlier attempts took.
+	TargetAt core.Time
+	Elapsed  time.Duration
 	// HedgeAfter is how long a send may take before the request is hedged; 0 is never.
 	HedgeAfter time.Duration
 	// RemoteHedgeExtra is added to HedgeAfter for a replica in another data centre.
@@ -62,12 +66,17 @@
 	Refused
 	// Unreached means that the request never left this node.
 	Unreached
+	// NoPlace means that the request was not sent because there was no place for it at the replica. It says nothing of the
+	// replica's health, and the request may take a place at another replica within the same bound on extra sends.
+	NoPlace
 )
 
 // send is one request to a replica.
 type send struct {
 	service  int
 	inFlight bool
+	// extra is set when the send was taken out of the budget for extra sends.
+	extra bool
 	// alone is set when the request was limited to one send at a time and this was the only one in flight, shardAlone
 	// when the same holds for the sends to the shard.
 	alone, shardAlone bool
@@ -79,8 +88,10 @@
 	// sent counts the sends that arrived or may still arrive.
 	sent     int
 	inFlight int
-	part     int
-	failed   bool
+	// unusedExtras counts the sends that were taken out of the budget for extra sends and got no place.
+	unusedExtras int
+	part         int
+	failed       bool
 	// broken is set once a replica of the shard has closed the connection instead of answering,
 	// brokenAlone once that has happened to a send with shardAlone set.
 	broken, brokenAlone bool
@@ -197,7 +208,7 @@
 	if to.Remote && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.RemoteHedgeExtra
 	}
-	m.sends = append(m.sends, send{service: i, inFlight: true, alone: alone, shardAlone: shardAlone})
+	m.sends = append(m.sends, send{service: i, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
 	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone})
 }
 
@@ -220,10 +231,13 @@
 		m.settle(ended.service, e.Send)
 		return
 	}
-	if e.Verdict == Unreached {
-		// An unreached send did not arrive and does not count against MaxReplicas.
+	if e.Verdict == Unreached || e.Verdict == NoPlace {
+		// The send did not arrive and does not count against MaxReplicas.
 		s.sent--
 	}
+	if e.Verdict == NoPlace && ended.extra {
+		s.unusedExtras++
+	}
 	m.afterFailure(ended.service, e.Verdict)
 }
 
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -105,6 +105,14 @@
 	return s.outlook.Replicas.PauseAge(incarnation, s.now())
 }
 
+// slots returns the number of requests that a replica runs concurrently, 0 if it is not listed here.
+func (s *sharedState) slots(incarnation replica.Incarnation) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, _ := s.outlook.Replicas.Get(incarnation.ID)
+	return known.Slots
+}
+
 // withReplicas gives access to the replica table under the mutex.
 func (s *sharedState) withReplicas(access func(table *replica.Table, now core.Time)) {
 	s.mutex.Lock()
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -40,6 +40,8 @@
 	helper peer.Target
 	// separate is set if each part is returned with its own records instead of merged ones.
 	separate bool
+	// priority is that of the request.
+	priority int
 	// replied is set once the helper has replied.
 	replied   atomic.Bool
 	canceller peer.Canceller
@@ -170,13 +172,14 @@
 
 // delegateTo sends a group to a helper.
 func (q *request) delegateTo(helper peer.Target, members []*exchange, separate bool) {
-	g := &group{helper: helper, separate: separate, members: map[uint32]*exchange{}}
+	g := &group{helper: helper, separate: separate, priority: q.claim.Priority, members: map[uint32]*exchange{}}
 	message := &peerpb.DelegateRequest{
 		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
 		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
 		FlushUs: uint64((q.plan.HedgeAfter / flushDivisor).Microseconds()), TopK: uint32(q.route.Gather.TopK),
 		Parts: uint32(q.node.state.excerptParts(q.route)), Apart: separate,
 	}
+	q.stateClaim(message)
 	for name, values := range q.template.Header {
 		for _, value := range values {
 			message.Headers = append(message.Headers, &peerpb.HeaderField{Name: name, Value: value})
@@ -273,11 +276,14 @@
 		}
 		exchange.verdict, exchange.broken = scatter.Verdict(part.GetVerdict()), part.GetBroken()
 		exchange.latency = time.Duration(part.GetTookUs()) * time.Microsecond
+		exchange.waited = time.Duration(part.GetWaitedUs()) * time.Microsecond
 		exchange.pauseEnded = time.Duration(part.GetPauseEndedMs()) * time.Millisecond
 		if part.GetStatus() != 0 {
 			exchange.response = &replicaconn.Response{Status: int(part.GetStatus()), Header: http.Header{}}
 		}
 		switch {
+		case part.GetNoPlace():
+			exchange.verdict, exchange.err = scatter.NoPlace, noPlaceAtHelper(part, g.priority)
 		case exchange.verdict != scatter.Succeeded || exchange.response == nil:
 			if exchange.verdict == scatter.Succeeded {
 				// A part without a status does not count as an answer.
--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -70,6 +70,7 @@
 	}
 	q := &request{node: n, route: route, config: config, id: message.GetRequestId(), arrived: n.now()}
 	q.plan.Deadline = n.now() + time.Duration(message.GetTimeLeftUs())*time.Microsecond
+	q.claim = n.delegatedClaim(message, route)
 	header := http.Header{}
 	for _, field := range message.GetHeaders() {
 		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
@@ -150,7 +151,7 @@
 	reply := &peerpb.DelegateReply{Apart: r.separate}
 	var parts [][]byte
 	for _, exchange := range r.pending {
-		part := &peerpb.DelegatedPart{Id: uint32(exchange.send.ID), Verdict: uint32(exchange.verdict), TookUs: uint64(exchange.latency.Microseconds()), PauseEndedMs: r.pauseEndedMs(exchange), Broken: exchange.broken}
+		part := &peerpb.DelegatedPart{Id: uint32(exchange.send.ID), Verdict: uint32(exchange.verdict), TookUs: uint64(exchange.latency.Microseconds()), PauseEndedMs: r.pauseEndedMs(exchange), Broken: exchange.broken, WaitedUs: uint64(exchange.waited.Microseconds())}
 		switch {
 		case exchange.verdict == scatter.Succeeded:
 			part.Status, part.Stamp = uint32(exchange.response.Status), platform.Stamp(exchange.response.Header)
@@ -159,6 +160,8 @@
 			} else {
 				parts = append(parts, exchange.response.Body)
 			}
+		case exchange.verdict == scatter.NoPlace:
+			setNoPlace(part, exchange.err)
 		case exchange.err != nil:
 			part.Cause = exchange.err.Error()
 		default:
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -152,6 +152,7 @@
 	}
 	q.plan = n.state.plan(outlook.Request{Route: route, Arrived: q.arrived, MaxWait: n.maxWait(r, route), RemainingTime: remaining, TransitTime: transit})
 	q.services = q.plan.Services
+	q.claim = q.newClaim()
 	q.quarantineNames = sync.OnceValue(func() quarantine.Names { return q.identity().Names() })
 	q.applyStandings()
 	return q, 0
--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -30,16 +30,19 @@
 		n.updateEntries()
 		n.updateExtraBound()
 		n.closeUnusable()
+		n.places.expire(n.isUsable)
 	}
 }
 
 // closeUnusable closes the connections to replicas that get no further requests.
 func (n *Node) closeUnusable() {
-	n.replicas.Retain(func(incarnation replica.Incarnation) bool {
-		n.state.mutex.Lock()
-		defer n.state.mutex.Unlock()
-		return n.state.outlook.Replicas.IsUsable(incarnation)
-	})
+	n.replicas.Retain(n.isUsable)
+}
+
+// isUsable reports whether an incarnation may get requests.
+func (n *Node) isUsable(incarnation replica.Incarnation) (usable bool) {
+	n.state.withReplicas(func(table *replica.Table, _ core.Time) { usable = table.IsUsable(incarnation) })
+	return usable
 }
 
 // updateEntries selects the nodes that callers are sent to.
@@ -50,6 +53,7 @@
 		return
 	}
 	n.entries.Store(&chosen)
+	n.places.setEntries(chosen)
 	addresses := make([]string, 0, len(chosen))
 	senders := make([]core.NodeID, 0, len(chosen))
 	for _, node := range chosen {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -153,7 +153,7 @@
 
 // verdictOutcomes are the outcome labels of verdicts.
 var verdictOutcomes = map[scatter.Verdict]string{
-	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached",
+	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached", scatter.NoPlace: "no_place",
 }
 
 // countSend counts the end of a send to a service, and records the latency of a whole answer.
@@ -217,6 +217,7 @@
 	watch("replica_connections", func() int64 { return int64(n.replicas.OpenConnections()) })
 	watch("replica_connections_opened_total", n.replicas.ConnectionsOpened)
 	watch("replica_connection_waiters", func() int64 { return int64(n.replicas.WaitingRequests()) })
+	watch("places_waiting", n.places.waiting)
 	watch("log_lines_dropped_total", n.log.Dropped)
 	watch("peer_links", func() int64 { return int64(n.peerPool.LinkCount()) })
 	watch("peer_links_inbound", n.peerServer.LinkCount)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -78,6 +78,8 @@
 	stopExpiring chan struct{}
 	inFlight     atomic.Int64
 	helpers      helpers
+	// places are this node's places at the replicas.
+	places *places
 	// allowancePart is this node's part of the allowance for extra arrivals, guarded by state.mutex.
 	allowancePart extra.AllowancePart
 	// quarantine tracks the requests that may end the replicas that run them.
@@ -133,6 +135,7 @@
 		Self: n.identity.Node, Nodes: func() []route.Node { return n.view().Nodes() },
 	})
 	n.state = newSharedState(s.DataCentre, s.Regions, extra.Bound{}, n.now)
+	n.places = newPlaces(n.identity.Node, s.DataCentre, n.state.slots, n.now)
 	n.registry = &registry{state: n.state, log: n.log, metrics: n.metrics, heartbeatInterval: func() time.Duration { return n.settings.Load().HeartbeatInterval }, onConfig: n.applyConfig, onRestart: n.replicas.CloseRestarted, onListed: n.replicas.ReplicaListed, onEvacuation: n.closeUnusable}
 	return n
 }
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -118,7 +118,7 @@
 		return
 	}
 	r.state.config.Store(config)
-	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "era": era, "routes": len(config.Routes), "unreadable": config.Unreadable})
+	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "era": era, "routes": len(config.Routes), "unreadable": config.Unreadable, "without_priority": config.WithoutPriority})
 	if r.onConfig != nil {
 		r.onConfig()
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -44,6 +45,8 @@
 	// it.
 	standing quarantine.Standing
 	answered atomic.Bool
+	// claim is what the request asks for places with. Waited is as of its arrival.
+	claim placement.Claim
 	// quarantineNames returns the names of the request in the quarantine, computed on first use.
 	quarantineNames func() quarantine.Names
 	steps           []step
@@ -64,6 +67,9 @@
 	verdict  scatter.Verdict
 	// broken is set if the replica closed the connection instead of answering.
 	broken bool
+	// place is the send's place at the replica, waited the time spent waiting for it.
+	place  heldPlace
+	waited time.Duration
 	// latency is that of the replica, without the transit through a helper.
 	latency time.Duration
 	// pauseEnded is how long ago a pause of the replica ended, as reported by a helper; 0 means none is
@@ -246,25 +252,39 @@
 	remaining := q.plan.Deadline - q.node.now()
 	ctx, cancel := context.WithTimeout(ctx, max(remaining, time.Millisecond))
 	defer cancel()
+	if q.acquirePlace(ctx, exchange) {
+		q.send(ctx, exchange)
+	}
+	exchange.verdict = q.classify(exchange)
+	exchange.releasePlace()
+	exchange.broken = isBrokenByReplica(exchange.err)
+	q.recordTrial(exchange)
+	exchange.latency = q.node.now() - exchange.startAt
+	q.recordEnd(exchange)
+}
+
+// send sends the request to the replica of an exchange that has a place there.
+func (q *request) send(ctx context.Context, exchange *exchange) {
 	wire := q.template
 	wire.Replica = exchange.send.Replica.Incarnation()
 	wire.Address = exchange.send.Replica.Address
 	wire.ByteCounter = q.node.traffic.Counter(traffic.Flow{Purpose: traffic.Replicas, DataCentre: exchange.send.Replica.DataCentre})
 	wire.UserData = inFlightSend{request: q, send: exchange}
-	wire.OnLate = func(response *replicaconn.Response) { q.recordLateAnswer(exchange, response) }
+	wire.OnLate = func(response *replicaconn.Response) {
+		exchange.place.release(placement.Answered)
+		q.recordLateAnswer(exchange, response)
+	}
 	wire.MaxConnections = q.node.maxConnections(q.config, exchange.send.Replica)
 	exchange.response, exchange.err = q.node.replicas.Do(ctx, &wire)
-	exchange.verdict = q.classify(exchange)
-	exchange.broken = isBrokenByReplica(exchange.err)
-	q.recordTrial(exchange)
-	exchange.latency = q.node.now() - exchange.startAt
-	q.recordEnd(exchange)
 }
 
 // classify returns the verdict on the end of an exchange.
 func (q *request) classify(exchange *exchange) scatter.Verdict {
 	var failed *replicaconn.Error
+	var noPlace *placement.NoPlace
 	switch {
+	case errors.As(exchange.err, &noPlace):
+		return scatter.NoPlace
 	case errors.As(exchange.err, &failed) && !failed.Sent:
 		return scatter.Unreached
 	case exchange.err != nil:
@@ -315,11 +335,26 @@
 			q.node.replicas.ReplicaMisdirected(incarnation)
 			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": incarnation.ID, "service": exchange.send.Replica.Service, "address": exchange.send.Replica.Address, "request": q.id})
 		}
+	case scatter.NoPlace:
+		q.recordNoPlace(exchange)
 	case scatter.Unreached:
 		state.withReplicas(func(table *replica.Table, now core.Time) { table.Unreached(incarnation, now) })
 	}
 }
 
+// recordNoPlace records that a send got no place. If nobody was ahead of it, the replica refuses requests.
+func (q *request) recordNoPlace(exchange *exchange) {
+	var noPlace *placement.NoPlace
+	refuses := errors.As(exchange.err, &noPlace) && noPlace.Decision.Ahead == 0
+	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
+		if refuses {
+			table.Refused(exchange.send.Replica.Incarnation(), now)
+			return
+		}
+		table.NoPlace(exchange.send.Replica.Incarnation(), now)
+	})
+}
+
 // recordDelegatedEnd records the end of a delegated send. After the end of the request, its answer counts as
 // late.
 func (q *request) recordDelegatedEnd(exchange *exchange) {
