--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -13,11 +13,12 @@
 	regrowAfter = time.Second
 	// refusalGain is the weight of a new outcome in the share of refused requests.
 	refusalGain = 0.25
-	// refusalsUntilPause is the share of refused requests from which a replica is paused: two refusals in a row.
-	refusalsUntilPause = 0.4
-	// A replica that refuses at any load is tried with one request after each pause.
-	minPause = 50 * time.Millisecond
-	maxPause = 2 * time.Second
+	// refusalsUntilPause is the share of refused requests from which a replica is paused.
+	refusalsUntilPause = refusalGain
+	// A replica that refuses at any load is tried again after each pause. The pause doubles with each refusal and halves with
+	// each answer that brings the share below refusalsUntilPause.
+	minPause = 100 * time.Millisecond
+	maxPause = time.Second
 )
 
 // limit is how many requests a node sends to one replica at the same time: at most its part of the places, less where the
@@ -68,7 +69,7 @@
 func (l *limit) recordAnswer(held time.Duration, now core.Time) {
 	l.refusals *= 1 - refusalGain
 	if l.refusals < refusalsUntilPause {
-		l.pause = 0
+		l.pause /= 2
 	}
 	l.learned.RecordAnswer(held)
 	if l.cold || l.refusedAt == 0 || now-l.refusedAt >= regrowAfter {
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -18,8 +18,10 @@
 	grantsPerTurn = 10
 	// maxWaiting bounds the claims that wait for the places at one replica. Beyond it the last one in order is refused.
 	maxWaiting = 64
-	// holdGain is the weight of a new observation in the average time that a place is held.
-	holdGain = 0.2
+	// holdGain is the weight of a new observation in the average time that a place is held. One observation counts for at
+	// most maxHoldRatio times the average: a replica that paused once is not slow.
+	holdGain     = 0.2
+	maxHoldRatio = 2
 )
 
 // Outcome is how the use of a place ended.
@@ -156,7 +158,7 @@
 		q.hold = held
 		return
 	}
-	q.hold += time.Duration(holdGain * float64(held-q.hold))
+	q.hold += time.Duration(holdGain * float64(min(held, maxHoldRatio*q.hold)-q.hold))
 }
 
 // Cancel removes a claim that need no longer wait, and reports whether it was waiting.
--- a/internal/core/replica/choice.go
+++ b/internal/core/replica/choice.go
@@ -49,7 +49,8 @@
 	ExpectedLatency time.Duration
 	// Unreachable is set when a connection failed within unreachedTTL and no answer has arrived since.
 	Unreachable bool
-	// Busy is set while a request of this node is in flight there; its end will update the estimate.
+	// Busy is set while a request of this node is in flight there, whose end will update the estimate, and shortly after one
+	// found no place.
 	Busy bool
 }
 
@@ -69,13 +70,13 @@
 		return Choice{}, false
 	}
 	t.countCold(best, now)
-	return Choice{Replica: best.Replica, Degraded: best.degraded(now) || t.expectsPause(best, criteria.TypicalLatency, now), Remote: best.DataCentre != t.dataCentre, ExpectedLatency: best.expectedLatency(criteria.TypicalLatency, now), Busy: best.inFlight > 0, Unreachable: best.unreachable(now)}, true
+	return Choice{Replica: best.Replica, Degraded: best.degraded(now) || t.expectsPause(best, criteria.TypicalLatency, now), Remote: best.DataCentre != t.dataCentre, ExpectedLatency: best.expectedLatency(criteria.TypicalLatency, now), Busy: best.inFlight > 0 || best.isFull(now), Unreachable: best.unreachable(now)}, true
 }
 
 // cost estimates how long a request would take at a replica, in units of the typical latency.
 func (t *Table) cost(s *state, typical time.Duration, now core.Time) float64 {
 	const tieBreak = 0.1
-	cost := s.slownessNow(now) * (1 + s.queuedRounds())
+	cost := s.slownessNow(now) * (1 + s.queuedRounds(now))
 	if rank := t.ranks[s.DataCentre]; rank > 0 {
 		cost += remoteCost + rankCost*float64(rank-1)
 	}
@@ -95,15 +96,19 @@
 // expectedLatency estimates the time until the answer to a request.
 func (s *state) expectedLatency(typical time.Duration, now core.Time) time.Duration {
 	answer := time.Duration(float64(typical) * s.slownessNow(now))
-	expected := time.Duration(float64(answer) * (1 + s.queuedRounds()))
+	expected := time.Duration(float64(answer) * (1 + s.queuedRounds(now)))
 	if s.inFlight > 0 {
 		expected += max(now-s.noAnswerSince-answer, 0)
 	}
 	return expected
 }
 
-// queuedRounds returns how many times over this node's own requests fill the replica's slots.
-func (s *state) queuedRounds() float64 {
-	slots := max(s.Slots, 1)
-	return float64(max(s.inFlight+1-slots, 0)) / float64(slots)
+// queuedRounds returns how many times over the requests that are known fill the replica's slots: this node's own, and those
+// that were before one without a place a moment ago.
+func (s *state) queuedRounds(now core.Time) float64 {
+	slots, requests := max(s.Slots, 1), s.inFlight
+	if s.isFull(now) {
+		requests = max(requests, s.ahead)
+	}
+	return float64(max(requests+1-slots, 0)) / float64(slots)
 }
--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -87,11 +87,11 @@
 	}
 }
 
-// NoPlace records that this node, or one near the replica, had no place for a request there: the next requests prefer other
-// replicas. The replica itself has refused nothing.
-func (t *Table) NoPlace(incarnation Incarnation, now core.Time) {
+// NoPlace records that this node, or one near the replica, had no place for a request there, with the number of requests that
+// went first. The replica itself has refused nothing.
+func (t *Table) NoPlace(incarnation Incarnation, ahead int, now core.Time) {
 	if known := t.find(incarnation); known != nil {
-		known.refusedAt = now
+		known.ahead, known.noPlaceAt = ahead, max(now, 1)
 	}
 }
 
--- a/internal/core/replica/state.go
+++ b/internal/core/replica/state.go
@@ -46,6 +46,9 @@
 	// unreachedAt is when it last accepted no connection, 0 once it answers.
 	unreachedAt core.Time
 	refusedAt   core.Time
+	// ahead is the number of requests that went before the last one without a place, at noPlaceAt.
+	ahead     int
+	noPlaceAt core.Time
 	// refusals is the moving average of the share of requests that the replica refused.
 	refusals   float64
 	refusalsAt core.Time
@@ -90,6 +93,11 @@
 	return s.refusedAt > 0 && now-s.refusedAt < refusedTTL
 }
 
+// isFull reports whether a request found no place there a moment ago.
+func (s *state) isFull(now core.Time) bool {
+	return s.noPlaceAt > 0 && now-s.noPlaceAt < refusedTTL
+}
+
 func (s *state) degraded(now core.Time) bool {
 	const manyFailures = 0.5
 	return s.overdue(now) || s.refused(now) || s.failuresNow(now) > manyFailures
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -1,6 +1,11 @@
 package scatter
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
+)
 
 // refusedRetryDelay is the wait before resending to a replica that refused, when there is no other:
 // about one answer time of a fast route.
@@ -35,7 +40,13 @@
 		s.failed = s.inFlight == 0
 		return
 	}
-	if m.sendAnother(i, m.causeAfter(i, verdict)) || s.inFlight > 0 {
+	if m.sendAnother(i, m.causeAfter(i, verdict)) {
+		return
+	}
+	if s.inFlight > 0 {
+		if verdict == NoPlace {
+			s.hedgeAgain(m.now)
+		}
 		return
 	}
 	if (verdict == Refused || verdict == NoPlace) && s.sent <= m.plan.MaxReplicas && m.now+refusedRetryDelay < m.plan.Deadline {
@@ -45,6 +56,15 @@
 	s.failed = true
 }
 
+// hedgeAgain makes the replicas that had no place for a hedge eligible again, soon.
+func (s *service) hedgeAgain(now core.Time) {
+	s.tried = slices.DeleteFunc(s.tried, func(id string) bool { return slices.Contains(s.full, id) })
+	s.full = nil
+	if s.hedgeAt > 0 {
+		s.hedgeAt = min(s.hedgeAt, now+refusedRetryDelay)
+	}
+}
+
 // causeAfter returns the cause of the send that follows one with the verdict. After a send without a place nothing has
 // arrived yet, so that the next one is still the first.
 func (m *Machine) causeAfter(i int, verdict Verdict) Cause {
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -74,6 +74,7 @@
 // send is one request to a replica.
 type send struct {
 	service  int
+	replica  string
 	inFlight bool
 	// extra is set when the send was taken out of the budget for extra sends.
 	extra bool
@@ -84,7 +85,8 @@
 
 // service is the state of one shard, or of the one service of the request.
 type service struct {
-	tried []string
+	// tried are the ids of the replicas that the request was sent to, full those of them that had no place for it.
+	tried, full []string
 	// sent counts the sends that arrived or may still arrive.
 	sent     int
 	inFlight int
@@ -208,7 +210,7 @@
 	if to.Remote && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.RemoteHedgeExtra
 	}
-	m.sends = append(m.sends, send{service: i, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
+	m.sends = append(m.sends, send{service: i, replica: to.ID, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
 	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone})
 }
 
@@ -235,8 +237,11 @@
 		// The send did not arrive and does not count against MaxReplicas.
 		s.sent--
 	}
-	if e.Verdict == NoPlace && ended.extra {
-		s.unusedExtras++
+	if e.Verdict == NoPlace {
+		s.full = append(s.full, ended.replica)
+		if ended.extra {
+			s.unusedExtras++
+		}
 	}
 	m.afterFailure(ended.service, e.Verdict)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -345,13 +345,16 @@
 // recordNoPlace records that a send got no place. If nobody was ahead of it, the replica refuses requests.
 func (q *request) recordNoPlace(exchange *exchange) {
 	var noPlace *placement.NoPlace
-	refuses := errors.As(exchange.err, &noPlace) && noPlace.Decision.Ahead == 0
+	if !errors.As(exchange.err, &noPlace) {
+		return
+	}
+	ahead := noPlace.Decision.Ahead
 	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
-		if refuses {
+		if ahead == 0 {
 			table.Refused(exchange.send.Replica.Incarnation(), now)
 			return
 		}
-		table.NoPlace(exchange.send.Replica.Incarnation(), now)
+		table.NoPlace(exchange.send.Replica.Incarnation(), ahead, now)
 	})
 }
 
--- a/internal/loadmodel/compare.go
+++ b/internal/loadmodel/compare.go
@@ -36,6 +36,11 @@
 	// Hedges is the fraction of hedges in all arrivals at replicas.
 	Hedges float64 `json:"hedges_of_arrivals"`
 
+	// Kinds is the earned fraction of the maximum credit by the name of the kind.
+	Kinds map[string]float64 `json:"kinds"`
+	// RefusedArrivals is the fraction of arrivals that replicas refused.
+	RefusedArrivals float64 `json:"refused_arrivals"`
+
 	latencies []time.Duration
 }
 
@@ -54,7 +59,7 @@
 		})
 	}
 	running.Wait()
-	var m Means
+	m := Means{Kinds: map[string]float64{}}
 	for _, r := range reports {
 		m.add(r, float64(seeds))
 	}
@@ -74,6 +79,10 @@
 	m.Rejected += float64(r.Rejected) / requests
 	m.WronglyRejected += float64(r.WronglyRejected) / requests
 	m.Hedges += float64(r.Hedges) / float64(max(r.Arrivals, 1)) / seeds
+	m.RefusedArrivals += float64(r.RefusedArrivals) / float64(max(r.Arrivals, 1)) / seeds
+	for name, sum := range r.Kinds {
+		m.Kinds[name] += sum.CreditShare() / seeds
+	}
 	m.latencies = append(m.latencies, r.Latencies...)
 }
 
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -30,6 +30,8 @@
 type Report struct {
 	All     Sum
 	Windows []Sum
+	// Kinds holds the sums by the name of the kind.
+	Kinds map[string]*Sum
 	// Latencies are the latencies of all answers as seen by callers.
 	Latencies []time.Duration
 	// Rejected counts attempts that were rejected before anything was sent, WronglyRejected those
@@ -37,14 +39,20 @@
 	Rejected, WronglyRejected int
 	// Arrivals counts the sends to replicas, Hedges the hedges among them.
 	Arrivals, Hedges int
+	// RefusedArrivals counts the arrivals that replicas refused.
+	RefusedArrivals int
 }
 
 func newReport(p Pattern) *Report {
-	return &Report{Windows: make([]Sum, p.Duration/windowLength+1)}
+	r := &Report{Windows: make([]Sum, p.Duration/windowLength+1), Kinds: map[string]*Sum{}}
+	for _, kind := range p.Kinds {
+		r.Kinds[kind.Name] = &Sum{}
+	}
+	return r
 }
 
 func (r *Report) sums(c *callerRequest) []*Sum {
-	return []*Sum{&r.All, &r.Windows[c.began/windowLength]}
+	return []*Sum{&r.All, &r.Windows[c.began/windowLength], r.Kinds[c.kind.Name]}
 }
 
 func (r *Report) addRequest(c *callerRequest) {
--- a/internal/loadmodel/upstream.go
+++ b/internal/loadmodel/upstream.go
@@ -48,6 +48,7 @@
 	case u.down:
 		j.finish(scatter.Unreached)
 	case u.simulation.random.Float64() < u.refuseShare, len(u.running) >= u.simulation.pattern.Slots && len(u.queue) >= u.simulation.pattern.Queue:
+		u.simulation.report.RefusedArrivals++
 		j.finish(scatter.Refused)
 	case len(u.running) < u.simulation.pattern.Slots:
 		u.start(j)
