--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -134,12 +134,49 @@
 	for _, line := range h.statesBefore(end) {
 		fmt.Fprintf(out, "  %s %s\n", line.Time, describeLine(line))
 	}
+	printShortages(h.requestLines, out)
 	fmt.Fprintln(out, "\nwhat happened (at_ms counts from the request's arrival):")
 	for _, line := range h.requestLines {
 		fmt.Fprintf(out, "  %s %s\n", line.Time, describeLine(line))
 	}
 }
 
+// shortage sums up the sends to one service that got no place.
+type shortage struct {
+	service, short string
+	sends          int
+	mostAhead      float64
+}
+
+// printShortages prints which rooms were short for a request, the services with the most sends first.
+func printShortages(lines []logLine, out io.Writer) {
+	byService := map[string]*shortage{}
+	for _, line := range lines {
+		if line.Event != "no_place" {
+			continue
+		}
+		service := fmt.Sprint(line.fields["service"])
+		found := byService[service]
+		if found == nil {
+			found = &shortage{service: service, short: fmt.Sprint(line.fields["short"])}
+			byService[service] = found
+		}
+		found.sends++
+		if ahead, ok := line.fields["ahead"].(float64); ok {
+			found.mostAhead = max(found.mostAhead, ahead)
+		}
+	}
+	if len(byService) == 0 {
+		return
+	}
+	fmt.Fprintln(out, "\nwhat was short (ahead counts the sends that went first, 0 where the replica refuses requests):")
+	for _, s := range slices.SortedFunc(maps.Values(byService), func(a, b *shortage) int {
+		return cmp.Or(cmp.Compare(b.sends, a.sends), cmp.Compare(a.service, b.service))
+	}) {
+		fmt.Fprintf(out, "  %s of %s: %d sends without a place, %g ahead at most\n", s.short, s.service, s.sends, s.mostAhead)
+	}
+}
+
 // statesBefore returns, for each state key, the last line that the node of the request wrote before
 // the end of the request.
 func (h *requestHistory) statesBefore(end logLine) []logLine {
@@ -161,7 +198,7 @@
 	b.WriteString(line.Node + " " + line.Event)
 	for _, name := range slices.Sorted(maps.Keys(line.fields)) {
 		value := fmt.Sprint(line.fields[name])
-		if hidden[name] || value == "" || value == "0" && name != "at_ms" {
+		if hidden[name] || value == "" || value == "0" && name != "at_ms" && name != "priority" {
 			continue
 		}
 		b.WriteString(" " + name + "=" + value)
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -40,6 +40,23 @@
 	require.Equal(t, ExitUsage, code)
 }
 
+// An answer lacks parts because of full replicas. The output must say which rooms were short and how many were ahead, and
+// show the most urgent priority, which is 0.
+func TestExplainShowsWhatWasShort(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(`
+{"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:01Z","request":"r1","service":"s1","short":"slots","ahead":3}
+{"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:02Z","request":"r1","service":"s2","short":"slots","ahead":0}
+{"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:03Z","request":"r1","service":"s1","short":"slots","ahead":5}
+{"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"partial","priority":0}
+`), 0o600))
+	code, out, errors := run("explain", "r1", path)
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, "slots of s1: 2 sends without a place, 5 ahead at most")
+	require.Contains(t, out, "slots of s2: 1 sends without a place, 0 ahead at most")
+	require.Contains(t, out, "priority=0")
+}
+
 // An answer was thin while a data centre was evacuated. The output must show that data centre as evacuated at
 // the time, although its evacuation ended later, and an earlier evacuation of another one as ended.
 func TestExplainShowsEvacuatedDataCentres(t *testing.T) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -21,6 +23,8 @@
 	mutex    sync.RWMutex
 	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
+	// places counts the claims to places by priority and outcome.
+	places [placement.Priorities]map[string]metrics.Counter
 	// budgetGauges are the names of the gauges that the last update of the budgets registered.
 	budgetGauges []string
 }
@@ -46,10 +50,41 @@
 	labelOutcome = "outcome"
 	labelCause   = "cause"
 	labelService = "service"
+
+	labelPriority = "priority"
 )
 
 func newNodeMetrics() *nodeMetrics {
-	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+	m := &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+	for priority := range m.places {
+		m.places[priority] = map[string]metrics.Counter{}
+		for _, outcome := range []string{placeAtOnce, placeWaited, placeDropped} {
+			m.places[priority][outcome] = observe.Counter(m.reg, observe.Labelled("places_total", labelPriority, strconv.Itoa(priority), labelOutcome, outcome))
+		}
+	}
+	return m
+}
+
+// The outcomes of claims to places.
+const (
+	placeAtOnce  = "at_once"
+	placeWaited  = "waited"
+	placeDropped = "dropped"
+)
+
+// minPlaceWait is the least time that counts as waiting for a place: a decision takes microseconds.
+const minPlaceWait = time.Millisecond
+
+// countPlace counts a claim to a place.
+func (m *nodeMetrics) countPlace(priority int, placed bool, waited time.Duration) {
+	outcome := placeAtOnce
+	switch {
+	case !placed:
+		outcome = placeDropped
+	case waited >= minPlaceWait:
+		outcome = placeWaited
+	}
+	m.places[placement.ClampPriority(priority)][outcome].Inc(1)
 }
 
 // requestKind is the key of the metrics of requests.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -393,9 +393,13 @@
 		return
 	}
 	s := step{Event: "send_failed", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, TookMs: (q.node.now() - exchange.startAt).Milliseconds()}
-	if exchange.err != nil {
+	var noPlace *placement.NoPlace
+	switch {
+	case errors.As(exchange.err, &noPlace):
+		s.Event, s.Cause, s.Short, s.Ahead, s.WaitedMs = "no_place", noPlace.Error(), string(noPlace.Decision.Short), noPlace.Decision.Ahead, noPlace.Waited.Milliseconds()
+	case exchange.err != nil:
 		s.Cause = exchange.err.Error()
-	} else {
+	default:
 		s.Status = exchange.response.Status
 	}
 	q.addStep(s)
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -18,6 +18,10 @@
 	Via string
 	// ExpectMs is the expected latency of an answer.
 	ExpectMs int64
+	// Short is what a send without a place lacked, Ahead the number of claims that went first, WaitedMs how long it waited.
+	Short    string
+	Ahead    int
+	WaitedMs int64
 	// Why is the reason for a send that was not made.
 	Why string
 }
@@ -56,14 +60,14 @@
 	var lines []decisionlog.Line
 	for _, s := range q.steps {
 		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs,
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs, "short": s.Short, "ahead": s.Ahead, "waited_ms": s.WaitedMs,
 		}})
 	}
 	fields := decisionlog.Fields{
 		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
 		"took_ms": took.Milliseconds(), "aim_ms": q.route.TargetLatency.Milliseconds(), "sends": len(q.sends),
 		"parts": result.Received, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica, "rejected_early": result.Rejected, "retry_after_ms": result.RetryAfter.Milliseconds(),
-		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent,
+		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent, "priority": q.claim.Priority,
 	}
 	if len(q.services) == 1 {
 		fields["service"] = q.services[0]
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -163,14 +163,14 @@
 	}
 }
 
-// send acquires a connection for a send. A first send to another data centre uses a connection of a node there.
+// send acquires a connection for a send. A send to another data centre may use a connection of a node there.
 func (q *request) send(a scatter.Send) {
 	n := q.node
 	t := &transfer{request: q, send: a, to: n.simulation.byID[a.Replica.ID], via: n, delay: localDelay, began: n.simulation.clock.now}
 	q.transfers = append(q.transfers, t)
 	if a.Remote {
 		t.delay = remoteDelay
-		if helper := n.simulation.helper(a.Replica.DataCentre); helper != nil && a.Cause == scatter.First {
+		if helper := n.simulation.helper(a.Replica.DataCentre); helper != nil && n.usesHelper(a.Cause) {
 			t.via = helper
 		}
 	}
@@ -178,6 +178,12 @@
 	t.acquirePlace()
 }
 
+// usesHelper reports whether a send to another data centre goes through a node there. Without places only first sends do, as in
+// the model that earlier figures rest on.
+func (n *node) usesHelper(cause scatter.Cause) bool {
+	return cause == scatter.First || cause == scatter.Hedge && !n.simulation.options.without(Places)
+}
+
 // acquireConnection takes a connection for a send that has a place, or waits for one.
 func (t *transfer) acquireConnection() {
 	if t.ended {
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -135,7 +135,7 @@
 	}
 	for _, kind := range s.pattern.Kinds {
 		s.routes[kind.Name] = &policy.Route{
-			Name: kind.Name, Idempotent: true, Timeout: kind.Deadline, TargetLatency: kind.TargetLatency, MaxReplicas: maxReplicas,
+			Name: kind.Name, Priority: kind.Priority, Idempotent: true, Timeout: kind.Deadline, TargetLatency: kind.TargetLatency, MaxReplicas: maxReplicas,
 			Gather: &policy.Gather{Shards: shards, MinCoverage: kind.MinCoverage},
 		}
 	}
