--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,7 +24,7 @@
 	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
 	// places counts the claims to places by priority and outcome.
-	places [placement.Priorities]map[string]metrics.Counter
+	places map[placeKind]metrics.Counter
 	// budgetGauges are the names of the gauges that the last update of the budgets registered.
 	budgetGauges []string
 }
@@ -55,14 +55,13 @@
 )
 
 func newNodeMetrics() *nodeMetrics {
-	m := &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
-	for priority := range m.places {
-		m.places[priority] = map[string]metrics.Counter{}
-		for _, outcome := range []string{placeAtOnce, placeWaited, placeDropped} {
-			m.places[priority][outcome] = observe.Counter(m.reg, observe.Labelled("places_total", labelPriority, strconv.Itoa(priority), labelOutcome, outcome))
-		}
-	}
-	return m
+	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}, places: map[placeKind]metrics.Counter{}}
+}
+
+// placeKind is the key of the metrics of claims to places.
+type placeKind struct {
+	priority int
+	outcome  string
 }
 
 // The outcomes of claims to places.
@@ -84,7 +83,17 @@
 	case waited >= minPlaceWait:
 		outcome = placeWaited
 	}
-	m.places[placement.ClampPriority(priority)][outcome].Inc(1)
+	key := placeKind{priority: placement.ClampPriority(priority), outcome: outcome}
+	m.mutex.RLock()
+	counter := m.places[key]
+	m.mutex.RUnlock()
+	if counter == nil {
+		counter = observe.Counter(m.reg, observe.Labelled("places_total", labelPriority, strconv.Itoa(key.priority), labelOutcome, outcome))
+		m.mutex.Lock()
+		m.places[key] = counter
+		m.mutex.Unlock()
+	}
+	counter.Inc(1)
 }
 
 // requestKind is the key of the metrics of requests.
