--- a/internal/edge/delegated.go
+++ b/internal/edge/delegated.go
@@ -151,7 +151,10 @@
 	reply := &peerpb.DelegateReply{Apart: r.separate}
 	var parts [][]byte
 	for _, exchange := range r.pending {
-		part := &peerpb.DelegatedPart{Id: uint32(exchange.send.ID), Verdict: uint32(exchange.verdict), TookUs: uint64(exchange.latency.Microseconds()), PauseEndedMs: r.pauseEndedMs(exchange), Broken: exchange.broken, WaitedUs: uint64(exchange.waited.Microseconds())}
+		part := &peerpb.DelegatedPart{Id: uint32(exchange.send.ID), Verdict: uint32(exchange.verdict), TookUs: uint64(exchange.latency.Microseconds()), PauseEndedMs: r.pauseEndedMs(exchange), Broken: exchange.broken}
+		if exchange.waited >= minPlaceWait {
+			part.WaitedUs = uint64(exchange.waited.Microseconds())
+		}
 		switch {
 		case exchange.verdict == scatter.Succeeded:
 			part.Status, part.Stamp = uint32(exchange.response.Status), platform.Stamp(exchange.response.Header)
--- a/internal/edge/places.go
+++ b/internal/edge/places.go
@@ -33,6 +33,7 @@
 // replicaPlaces are the places at one incarnation of a replica.
 type replicaPlaces struct {
 	to    replica.Replica
+	slots int
 	queue *placement.Queue
 	// waiters receive the end of the wait of each claim.
 	waiters map[uint64]chan placement.Settled
@@ -129,15 +130,16 @@
 func (p *places) find(to replica.Replica) *replicaPlaces {
 	at := p.queues[to.Incarnation()]
 	if at == nil {
-		at = &replicaPlaces{to: to, waiters: map[uint64]chan placement.Settled{}}
-		at.queue = placement.NewQueue(p.part(to))
+		at = &replicaPlaces{to: to, slots: p.slots(to.Incarnation()), waiters: map[uint64]chan placement.Settled{}}
+		at.queue = placement.NewQueue(p.part(at))
 		p.queues[to.Incarnation()] = at
 	}
 	return at
 }
 
 // part returns this node's part of the places at a replica.
-func (p *places) part(to replica.Replica) int {
+func (p *places) part(at *replicaPlaces) int {
+	to := at.to
 	senders := placement.Senders{Self: p.self}
 	for _, node := range p.entries {
 		if node.DataCentre == to.DataCentre {
@@ -149,7 +151,7 @@
 	if len(p.entries) == 0 && to.DataCentre == p.dataCentre {
 		senders.Near = append(senders.Near, p.self)
 	}
-	return placement.Part(to.ID, p.slots(to.Incarnation()), senders)
+	return placement.Part(to.ID, at.slots, senders)
 }
 
 // setEntries sets the nodes that send to replicas, among which the places are divided.
@@ -159,17 +161,22 @@
 	p.entries = entries
 	now := p.now()
 	for _, at := range p.queues {
-		at.deliver(at.queue.SetPart(p.part(at.to), now))
+		at.deliver(at.queue.SetPart(p.part(at), now))
 	}
 }
 
-// expire ends the waits whose time has passed, and forgets the replicas that get no further requests.
+// expire ends the waits whose time has passed, takes up slots that were not known before, and forgets the replicas that get no
+// further requests.
 func (p *places) expire(wanted func(incarnation replica.Incarnation) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.now()
 	for incarnation, at := range p.queues {
 		at.deliver(at.queue.Tick(now))
+		if slots := p.slots(incarnation); slots != at.slots && slots > 0 {
+			at.slots = slots
+			at.deliver(at.queue.SetPart(p.part(at), now))
+		}
 		if at.queue.IsIdle() && !wanted(incarnation) {
 			delete(p.queues, incarnation)
 		}
