--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// NoPlace records that this node, or one near the replica, had no place for a request there, with the number of requests that
+// went first. The replica itself has refused nothing.
+func (t *Table) NoPlace(incarnation Incarnation, ahead int, now core.Time) {
+	if known := t.find(incarnation); known != nil {
+		known.ahead, known.noPlaceAt = ahead, max(now, 1)
+	}
+}
+
 // Misdirected records that another replica answered at a replica's address. The replica gets no requests, even if
 // the registry still lists it, until it is listed at another address.
 func (t *Table) Misdirected(incarnation Incarnation) {
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -23,6 +23,7 @@
 	})
 	fields["replicas"] = replicas
 	fields["memory"] = n.callerMemory.state()
+	fields["places"] = n.places.busiest()
 	fields["quarantine"] = n.quarantine.Requests()
 	return fields
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -21,6 +23,8 @@
 	mutex    sync.RWMutex
 	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
+	// places counts the claims to places by priority and outcome.
+	places map[placeKind]metrics.Counter
 	// budgetGauges are the names of the gauges that the last update of the budgets registered.
 	budgetGauges []string
 }
@@ -46,10 +50,50 @@
 	labelOutcome = "outcome"
 	labelCause   = "cause"
 	labelService = "service"
+
+	labelPriority = "priority"
 )
 
 func newNodeMetrics() *nodeMetrics {
-	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}, places: map[placeKind]metrics.Counter{}}
+}
+
+// placeKind is the key of the metrics of claims to places.
+type placeKind struct {
+	priority int
+	outcome  string
+}
+
+// The outcomes of claims to places.
+const (
+	placeAtOnce  = "at_once"
+	placeWaited  = "waited"
+	placeDropped = "dropped"
+)
+
+// minPlaceWait is the least time that counts as waiting for a place: a decision takes microseconds.
+const minPlaceWait = time.Millisecond
+
+// countPlace counts a claim to a place.
+func (m *nodeMetrics) countPlace(priority int, placed bool, waited time.Duration) {
+	outcome := placeAtOnce
+	switch {
+	case !placed:
+		outcome = placeDropped
+	case waited >= minPlaceWait:
+		outcome = placeWaited
+	}
+	key := placeKind{priority: placement.ClampPriority(priority), outcome: outcome}
+	m.mutex.RLock()
+	counter := m.places[key]
+	m.mutex.RUnlock()
+	if counter == nil {
+		counter = observe.Counter(m.reg, observe.Labelled("places_total", labelPriority, strconv.Itoa(key.priority), labelOutcome, outcome))
+		m.mutex.Lock()
+		m.places[key] = counter
+		m.mutex.Unlock()
+	}
+	counter.Inc(1)
 }
 
 // requestKind is the key of the metrics of requests.
@@ -153,7 +197,7 @@
 
 // verdictOutcomes are the outcome labels of verdicts.
 var verdictOutcomes = map[scatter.Verdict]string{
-	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached",
+	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached", scatter.NoPlace: "no_place",
 }
 
 // countSend counts the end of a send to a service, and records the latency of a whole answer.
@@ -218,6 +262,7 @@
 	watch("replica_connections_opened_total", n.replicas.ConnectionsOpened)
 	watch("replica_connections_not_accepted_total", n.replicas.ConnectionsNotAccepted)
 	watch("replica_connection_waiters", func() int64 { return int64(n.replicas.WaitingRequests()) })
+	watch("places_waiting", n.places.waiting)
 	watch("log_lines_dropped_total", n.log.Dropped)
 	watch("peer_links", func() int64 { return int64(n.peerPool.LinkCount()) })
 	watch("peer_links_inbound", n.peerServer.LinkCount)
