Admission of whole requests behind placement, with the order of return and the callers' shares

A rejection went by the target of each attempt alone, also for a caller that had waited as told and had seconds left. No caller was counted.

placement.Admission now decides on whole requests: in time is admitted; late, but by the deadline, only for who was rejected and returned as told, within a room that short queues give back and that each takes by the share of its services that are late. comeback.Schedule spreads the returns (as long as the shortage has lasted, the most urgent and those who waited first, within a third of what a caller still waits); comeback.Told knows repeats from returns; callers.Table finds callers over their share, which get no room while it is short. Refusals for other reasons are spread too. State is the entry's own.

Ruled out in the model: a queue before admission, a narrower limit for first attempts while returns are due, a wider one for returns, room for the late without bound, less urgent requests held to the target of more urgent ones that lack room.

--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/callers"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
@@ -16,9 +19,15 @@
 // Outlook holds the expectations of one node. It is not safe for concurrent use.
 type Outlook struct {
 	Replicas *replica.Table
+	// Callers tells which callers have more than their share.
+	Callers *callers.Table
+	// Refusals spreads the returns of callers that are refused for a reason other than load.
+	Refusals comeback.Schedule
 	Budget   *extra.Budget
 	splitter *policy.Splitter
 	routes   map[string]*routeLatency
+	// admissions decide on whole requests, by group.
+	admissions map[string]*placement.Admission
 }
 
 // New returns the outlook of a node in a data centre. The random source, which returns 0 to 1, breaks ties
@@ -26,9 +35,12 @@
 func New(dataCentre string, regions map[string]string, bound extra.Bound, random func() float64) *Outlook {
 	return &Outlook{
 		Replicas: replica.NewTable(dataCentre, regions, random),
+		Callers:  callers.NewTable(),
 		Budget:   extra.New(bound),
 		splitter: policy.NewSplitter(),
 		routes:   map[string]*routeLatency{},
+
+		admissions: map[string]*placement.Admission{},
 	}
 }
 
@@ -49,6 +61,28 @@
 	return []string{service}
 }
 
+// admission returns the admission of a group of requests that compete with each other.
+func (o *Outlook) admission(group string) *placement.Admission {
+	known := o.admissions[group]
+	if known == nil {
+		if len(o.admissions) >= maxRoutes {
+			clear(o.admissions)
+		}
+		known = &placement.Admission{}
+		o.admissions[group] = known
+	}
+	return known
+}
+
+// ReturnsExpected estimates how many rejected callers were told to return after now.
+func (o *Outlook) ReturnsExpected(now core.Time) int {
+	count := 0
+	for _, admission := range o.admissions {
+		count += admission.Returns.Expected(now)
+	}
+	return count
+}
+
 // Chooser returns a chooser of replicas for the requests of one route.
 func (o *Outlook) Chooser(route *policy.Route) scatter.Chooser {
 	typical, _ := o.routeLatency(route).latencies.Quantile(typicalQuantile)
@@ -66,6 +100,15 @@
 	return c.outlook.Replicas.Pick(replica.Criteria{Service: service, Tried: tried, Regions: c.regions, TypicalLatency: c.typical}, now)
 }
 
+// Admit implements scatter.Chooser.
+func (c chooser) Admit(request placement.Request, forecast placement.Forecast, now core.Time) placement.Outcome {
+	outcome := c.outlook.admission(request.Group).Decide(now, request, forecast)
+	if outcome.Verdict == placement.Send {
+		c.outlook.Callers.Admitted(request.Caller, now)
+	}
+	return outcome
+}
+
 // TakeExtra implements scatter.Chooser.
 func (c chooser) TakeExtra(service string, now core.Time) bool {
 	return c.outlook.Budget.Take(service, now)
--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/latency"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 )
@@ -81,6 +83,18 @@
 	RemainingTime time.Duration
 	// TransitTime is the time of the request from the caller plus that of the answer to the caller.
 	TransitTime time.Duration
+	// Caller is the address that the request came from, "" if unknown.
+	Caller string
+	// Key returns what identifies the request over the attempts of its caller, nil if that is unknown.
+	Key func() comeback.Key
+}
+
+// group names what the request competes for. Routes over the same shards compete with each other.
+func (r Request) group() string {
+	if len(r.Services) == 0 {
+		return ""
+	}
+	return r.Services[0]
 }
 
 // Plan returns the plan of a request: the parts that it needs, and when to hedge and to answer.
@@ -90,6 +104,7 @@
 		Services: request.Services, MinParts: 1, Idempotent: route.Idempotent, MaxReplicas: route.MaxReplicas,
 		Deadline: request.Arrived + request.MaxWait,
 	}
+	plan.Admission = placement.Request{Group: request.group(), Caller: request.Caller, Key: request.Key, Claim: placement.Claim{Priority: route.Priority, OverShare: o.Callers.IsOver(request.Caller, request.Arrived), Waited: o.elapsed(request), Deadline: plan.Deadline}}
 	observed := o.routeLatency(route)
 	typical, known := observed.latencies.Quantile(typicalQuantile)
 	if route.Idempotent {
@@ -98,7 +113,9 @@
 	}
 	if route.Gather != nil {
 		plan.MinParts = route.Gather.MinParts()
-		plan.TargetLatency = attainableTarget(route.TargetLatency-request.TransitTime, typical, known)
+		if target := attainableTarget(route.TargetLatency-request.TransitTime, typical, known); target > 0 {
+			plan.Admission.TargetAt = request.Arrived + target
+		}
 		plan.PartialAt = request.Arrived + o.partialAfter(request)
 	}
 	return plan
--- a/internal/core/scatter/early.go
+++ b/internal/core/scatter/early.go
@@ -4,48 +4,41 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
-// Bounds of the Retry-After time of an early rejection. A caller that returns sooner than one
-// answer time meets the same queue; a replica's reachability is re-evaluated every half second.
-const (
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 500 * time.Millisecond
-)
+// unreachableWait is the expected wait for a replica that cannot be connected to: longer than any caller waits.
+const unreachableWait = time.Hour
 
-// rejectEarly rejects the request before sending anything when too few answers are expected in time.
-//
-// This guards against overload when several shards have only slow or overloaded replicas left: every
-// query waits for them, mostly until its deadline, then fails, and its sends lengthen the queues for
-// the next ones until nearly all queries are late. Rejecting early leaves the capacity to other
-// requests, and the caller gets immediately the outcome that it would have got at its deadline.
+// rejectEarly rejects the request before sending anything unless the admission admits it. It reports the services
+// whose answers are expected after the request's target, or after its deadline if it has none.
 //
-// An answer is in time within the target latency, measured anew for each attempt of a caller. An idle
-// replica always counts as in time: only a request can show that it is fast again.
+// An idle replica always counts as in time: only a request can show that it is fast again.
 func (m *Machine) rejectEarly(choices []*replica.Choice) bool {
-	remaining := m.plan.Deadline - m.now
-	if m.plan.TargetLatency > 0 {
-		remaining = min(remaining, m.plan.TargetLatency)
-	}
-	expected := make([]time.Duration, 0, len(choices))
+	waits := make([]time.Duration, 0, len(choices))
 	for _, choice := range choices {
 		if choice != nil {
-			expected = append(expected, expectedWait(*choice))
+			waits = append(waits, expectedWait(*choice))
 		}
 	}
-	slices.Sort(expected)
-	needed := expected[m.plan.MinParts-1]
-	if needed <= remaining {
+	slices.Sort(waits)
+	request := m.plan.Admission
+	request.Deadline = m.plan.Deadline
+	m.result.Admission = m.chooser.Admit(request, placement.Forecast{Waits: waits, MinParts: m.plan.MinParts}, m.now)
+	if m.result.Admission.Verdict == placement.Send {
 		return false
 	}
+	latest := request.Deadline
+	if request.TargetAt > 0 {
+		latest = min(latest, request.TargetAt)
+	}
 	for i, choice := range choices {
-		if choice != nil && expectedWait(*choice) > remaining {
+		if choice != nil && m.now+expectedWait(*choice) > latest {
 			m.act(ServiceTooLate{Service: i, Replica: choice.Replica, ExpectedLatency: choice.ExpectedLatency, Unreachable: choice.Unreachable})
 		}
 	}
 	m.result.Rejected = true
-	m.result.RetryAfter = min(max(needed-remaining, minRetryAfter), maxRetryAfter)
 	return true
 }
 
@@ -53,7 +46,7 @@
 func expectedWait(choice replica.Choice) time.Duration {
 	switch {
 	case choice.Unreachable:
-		return time.Hour
+		return unreachableWait
 	case !choice.Busy:
 		return 0
 	default:
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -133,10 +134,10 @@
 	NoReplica bool
 	// BudgetSpent is set when a retry or hedge was withheld because the budget for extra sends was spent.
 	BudgetSpent bool
-	// Rejected is set when nothing was sent because too few answers were expected in time;
-	// RetryAfter then estimates when they will be.
-	Rejected   bool
-	RetryAfter time.Duration
+	// Rejected is set when the request was not admitted and nothing was sent.
+	Rejected bool
+	// Admission is the decision on the whole request.
+	Admission placement.Outcome
 	// PastDeadline is set when the deadline passed before all parts had been received or had failed.
 	PastDeadline bool
 }
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 )
 
@@ -22,8 +23,8 @@
 	MaxReplicas int
 	// Deadline is the latest time at which the caller gets the outcome.
 	Deadline core.Time
-	// TargetLatency is the time within which an answer has its full value to the caller; 0 is no limit.
-	TargetLatency time.Duration
+	// Admission is what the request asks to be admitted with. Its deadline is that of the plan.
+	Admission placement.Request
 	// PartialAt is the time from which MinParts parts suffice for an answer; 0 is never.
 	PartialAt core.Time
 	// HedgeAfter is how long a send may take before the request is hedged; 0 is never.
@@ -38,8 +39,10 @@
 	SuspectShards, SetAsideShards map[int]bool
 }
 
-// Chooser chooses replicas and accounts for extra sends, from the node's knowledge of its replicas.
+// Chooser chooses replicas, admits whole requests and accounts for extra sends, from what the node knows.
 type Chooser interface {
+	// Admit decides whether a whole request is sent to its replicas.
+	Admit(request placement.Request, forecast placement.Forecast, now core.Time) placement.Outcome
 	// Pick chooses a replica whose id is not among tried.
 	Pick(service string, tried []string, now core.Time) (replica.Choice, bool)
 	// TakeExtra takes one send beyond the first out of the budget, or returns false when it is spent.
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
@@ -105,13 +106,8 @@
 // answerFailure answers a failed request. It states "not run" only if every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
 	if !result.MayHaveRun {
-		retryAfter := retryAfterFull
-		switch {
-		case result.Rejected:
-			retryAfter = result.RetryAfter
-		case result.NoReplica:
-			retryAfter = retryAfterNoReplica
-		}
+		retryAfter := q.retryAfter(result)
+		result.Admission.RetryAfter = retryAfter
 		q.recordOutcome(outcomeRefused, http.StatusServiceUnavailable, result)
 		writeRefusal(w, retryAfter)
 		return
@@ -128,6 +124,18 @@
 	http.Error(w, http.StatusText(status), status)
 }
 
+// retryAfter returns the time to tell the caller of a refused request.
+func (q *request) retryAfter(result scatter.Result) time.Duration {
+	longest := retryAfterFull
+	switch {
+	case result.Rejected:
+		return result.Admission.RetryAfter
+	case result.NoReplica:
+		longest = retryAfterNoReplica
+	}
+	return q.node.state.spreadRetryAfter(longest, q.plan.Deadline-q.node.now())
+}
+
 // notRunStatuses are the statuses which state that a request has not run.
 var notRunStatuses = map[int]bool{
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -9,6 +9,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
 	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
@@ -57,6 +58,13 @@
 	return c.chooser.Pick(service, tried, now)
 }
 
+// Admit implements scatter.Chooser.
+func (c *lockedChooser) Admit(request placement.Request, forecast placement.Forecast, now core.Time) placement.Outcome {
+	c.state.mutex.Lock()
+	defer c.state.mutex.Unlock()
+	return c.chooser.Admit(request, forecast, now)
+}
+
 // TakeExtra implements scatter.Chooser.
 func (c *lockedChooser) TakeExtra(service string, now core.Time) bool {
 	c.state.mutex.Lock()
@@ -105,6 +113,27 @@
 	return s.outlook.Replicas.PauseAge(incarnation, s.now())
 }
 
+// spreadRetryAfter returns the time to tell a caller that is refused for a reason other than load.
+func (s *sharedState) spreadRetryAfter(usual, remaining time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.outlook.Refusals.Spread(usual, remaining)
+}
+
+// callersOverShare and returnsExpected tell operators which callers have more than their share, and about how many
+// rejected ones were told to return later.
+func (s *sharedState) callersOverShare() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.outlook.Callers.OverShare(s.now())
+}
+
+func (s *sharedState) returnsExpected() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.outlook.ReturnsExpected(s.now())
+}
+
 // withReplicas gives access to the replica table under the mutex.
 func (s *sharedState) withReplicas(access func(table *replica.Table, now core.Time)) {
 	s.mutex.Lock()
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +79,25 @@
 	require.Empty(t, body)
 	require.EqualValues(t, 16, response.ContentLength)
 }
+
+// A service without replicas refuses all its callers. Told one time, they would return in one moment.
+func TestRefusedCallersAreToldDifferentTimes(t *testing.T) {
+	h := newHarness(t)
+	h.serve("east")
+	told := map[string]bool{}
+	const refused = 10
+	for i := range refused {
+		response, _ := h.mustRequest(h.nodes[0], http.MethodGet, "/plain/x", fmt.Sprint("r", i), "")
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, seconds, 0.25)
+		require.LessOrEqual(t, seconds, 0.5)
+		told[response.Header.Get("Retry-After")] = true
+	}
+	require.Len(t, told, refused)
+	line := h.waitForEvent(h.nodes[0], "request_ended")
+	require.Contains(t, line, `"caller":"127.0.0.1"`)
+	require.Contains(t, line, `"priority":1`)
+	require.NotContains(t, line, `"retry_after_ms":0`)
+}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -22,6 +22,8 @@
 		fields["evacuated"] = table.Evacuated()
 	})
 	fields["replicas"] = replicas
+	fields["callers_over_share"] = n.state.callersOverShare()
+	fields["returns_expected"] = n.state.returnsExpected()
 	fields["quarantine"] = n.quarantine.Requests()
 	return fields
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -27,11 +27,13 @@
 	outcomeCallerLeft = "caller_left"
 )
 
-// Retry-After times of refusals.
+// The longest Retry-After times of refusals other than rejections. Callers are told between half and all of them.
 const (
 	retryAfterNotReady  = 300 * time.Millisecond
 	retryAfterNoReplica = 500 * time.Millisecond
 	retryAfterFull      = 100 * time.Millisecond
+	// retryAfterStopping is short: another node serves the caller at once.
+	retryAfterStopping = 60 * time.Millisecond
 )
 
 const (
@@ -51,7 +53,7 @@
 	}
 	select {
 	case <-n.stopExpiring:
-		n.refuse(w, r, "the node is stopping", retryAfterNotReady)
+		n.refuse(w, r, "the node is stopping", retryAfterStopping)
 		return
 	default:
 	}
@@ -114,8 +116,10 @@
 	http.Error(w, "no route", http.StatusNotFound)
 }
 
-// refuse answers that a request has not run, with the time to wait before another attempt.
-func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason string, retryAfter time.Duration) {
+// refuse answers that a request has not run, with the time to wait before another attempt: half of the longest to
+// all of it.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason string, longest time.Duration) {
+	retryAfter := n.state.spreadRetryAfter(longest, statedWait(r))
 	n.metrics.countRefused()
 	n.log.Decision("request_refused", decisionlog.Fields{"request": platform.RequestID(r.Header), "cause": reason, "retry_after_ms": retryAfter.Milliseconds()})
 	writeRefusal(w, retryAfter)
@@ -150,9 +154,9 @@
 	if isFirstOnConnection(r.Context()) {
 		transit = firstTransitTime
 	}
-	q.plan = n.state.plan(outlook.Request{Route: route, Arrived: q.arrived, MaxWait: n.maxWait(r, route), RemainingTime: remaining, TransitTime: transit})
-	q.services = q.plan.Services
 	q.quarantineNames = sync.OnceValue(func() quarantine.Names { return q.identity().Names() })
+	q.plan = n.state.plan(outlook.Request{Route: route, Arrived: q.arrived, MaxWait: n.maxWait(r, route), RemainingTime: remaining, TransitTime: transit, Caller: q.caller(), Key: q.returnKey})
+	q.services = q.plan.Services
 	q.applyStandings()
 	return q, 0
 }
@@ -187,14 +191,19 @@
 	}
 }
 
+// statedWait returns how long the caller states that it will wait, by default defaultTimeout.
+func statedWait(r *http.Request) time.Duration {
+	if remaining, ok := platform.RemainingTime(r.Header); ok {
+		return remaining
+	}
+	return defaultTimeout
+}
+
 // maxWait returns the longest time that the caller is kept waiting.
 func (n *Node) maxWait(r *http.Request, route *policy.Route) time.Duration {
-	wait := defaultTimeout
+	wait := statedWait(r)
 	if route.Timeout > 0 {
-		wait = route.Timeout
-	}
-	if remaining, ok := platform.RemainingTime(r.Header); ok {
-		wait = min(wait, remaining)
+		wait = min(wait, route.Timeout)
 	}
 	return wait
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -21,6 +24,8 @@
 	mutex    sync.RWMutex
 	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
+	// admissions holds a counter for each kind; it does not change.
+	admissions map[admissionKind]metrics.Counter
 	// budgetGauges are the names of the gauges that the last update of the budgets registered.
 	budgetGauges []string
 }
@@ -41,15 +46,18 @@
 
 // Labels of metrics.
 const (
-	labelShape   = "shape"
-	labelKind    = "kind"
-	labelOutcome = "outcome"
-	labelCause   = "cause"
-	labelService = "service"
+	labelShape    = "shape"
+	labelKind     = "kind"
+	labelOutcome  = "outcome"
+	labelCause    = "cause"
+	labelService  = "service"
+	labelPriority = "priority"
+	labelReturned = "returned"
 )
 
 func newNodeMetrics() *nodeMetrics {
-	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+	reg := observe.NewRegistry()
+	return &nodeMetrics{reg: reg, admissions: newAdmissionCounters(reg), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
 }
 
 // requestKind is the key of the metrics of requests.
@@ -106,9 +114,37 @@
 // countOutdatedConfig counts an offered configuration that is older than the one in force.
 func (m *nodeMetrics) countOutdatedConfig() { observe.Counter(m.reg, "configs_outdated_total").Inc(1) }
 
-// countEarlyRejection counts a request that was rejected because too few answers were expected in time.
-func (m *nodeMetrics) countEarlyRejection() {
-	observe.Counter(m.reg, "requests_rejected_early_total").Inc(1)
+// countedPriorities is the number of priorities with metrics of their own. Less urgent ones are counted under the last.
+const countedPriorities = 4
+
+// admissionKind is the key of the metrics of admissions.
+type admissionKind struct {
+	priority int
+	verdict  placement.Verdict
+	returned comeback.Standing
+}
+
+// newAdmissionCounters registers the counters of admissions, so that no metric name is built for each request.
+func newAdmissionCounters(reg observe.Registry) map[admissionKind]metrics.Counter {
+	counters := map[admissionKind]metrics.Counter{}
+	for priority := range countedPriorities {
+		for _, verdict := range []placement.Verdict{placement.Send, placement.Reject} {
+			for _, returned := range []comeback.Standing{comeback.Unknown, comeback.Early, comeback.InTime} {
+				labels := []string{labelPriority, strconv.Itoa(priority), labelOutcome, verdict.String(), labelReturned, returned.String()}
+				counters[admissionKind{priority, verdict, returned}] = observe.Counter(reg, observe.Labelled("requests_admission_total", labels...))
+			}
+		}
+	}
+	return counters
+}
+
+// countAdmission counts the decision on a whole request by the priority of its route, and by how it stands to the time
+// that its caller was told.
+func (m *nodeMetrics) countAdmission(priority int, outcome placement.Outcome) {
+	if outcome.Verdict == placement.Reject {
+		observe.Counter(m.reg, "requests_rejected_early_total").Inc(1)
+	}
+	m.admissions[admissionKind{min(max(priority, 0), countedPriorities-1), outcome.Verdict, outcome.Return}].Inc(1)
 }
 
 // countWithheld counts a hedge or retry that was not sent.
@@ -213,6 +249,8 @@
 func (n *Node) registerGauges() {
 	watch := func(name string, read func() int64) { observe.GaugeFunc(n.metrics.reg, name, read) }
 	watch("requests_in_flight", n.inFlight.Load)
+	watch("callers_over_share", func() int64 { return int64(len(n.state.callersOverShare())) })
+	watch("returns_expected", func() int64 { return int64(n.state.returnsExpected()) })
 	watch("delegated_groups_running", n.delegatedGroups.Load)
 	watch("replica_connections", func() int64 { return int64(n.replicas.OpenConnections()) })
 	watch("replica_connections_opened_total", n.replicas.ConnectionsOpened)
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"hash/fnv"
 	"net/http"
 	"net/netip"
 	"strings"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
@@ -51,6 +53,15 @@
 	return address.Addr().Unmap().String()
 }
 
+// returnKey returns what identifies the request when its caller sends it again.
+func (q *request) returnKey() comeback.Key {
+	exact := q.quarantineNames().Exact
+	hash := fnv.New64a()
+	_, _ = hash.Write(exact[:])
+	_, _ = hash.Write([]byte(q.caller()))
+	return comeback.Key(hash.Sum64())
+}
+
 // applyStandings applies the standings of the request, as a whole and at each shard, to its plan.
 func (q *request) applyStandings() {
 	assessment := q.node.quarantine.Assess(q.identity, q.services)
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 )
@@ -45,8 +46,8 @@
 func (q *request) recordOutcome(outcome string, status int, result scatter.Result) {
 	took := q.node.now() - q.arrived
 	q.node.metrics.countRequest(q.route, outcome, took)
-	if result.Rejected {
-		q.node.metrics.countEarlyRejection()
+	if len(q.sends) > 0 || result.Rejected {
+		q.node.metrics.countAdmission(q.route.Priority, result.Admission)
 	}
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
 	if outcome == outcomeWhole && !late {
@@ -60,11 +61,23 @@
 		}})
 	}
 	fields := decisionlog.Fields{
-		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
+		"request": q.id, "route": q.route.Name, "priority": q.route.Priority, "config_version": q.config.Version, "outcome": outcome, "status": status,
 		"took_ms": took.Milliseconds(), "aim_ms": q.route.TargetLatency.Milliseconds(), "sends": len(q.sends),
-		"parts": result.Received, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica, "rejected_early": result.Rejected, "retry_after_ms": result.RetryAfter.Milliseconds(),
+		"parts": result.Received, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica, "rejected_early": result.Rejected, "retry_after_ms": result.Admission.RetryAfter.Milliseconds(),
 		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent,
 	}
+	if caller := q.caller(); caller != "" {
+		fields["caller"] = caller
+	}
+	if result.Rejected {
+		fields["short"], fields["ahead"] = result.Admission.Short, result.Admission.Ahead
+	}
+	if result.Admission.Return != comeback.Unknown {
+		fields["returned"] = result.Admission.Return.String()
+	}
+	if q.plan.Admission.OverShare {
+		fields["over_share"] = true
+	}
 	if len(q.services) == 1 {
 		fields["service"] = q.services[0]
 	}
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -99,3 +99,38 @@
 	require.Less(t, withPauses.Hedges, withoutPauses.Hedges)
 	require.Greater(t, withPauses.Credit, withoutPauses.Credit)
 }
+
+// withoutRepeater is the pattern in which the repeater is a caller like the others.
+func withoutRepeater(p Pattern) Pattern {
+	p.Repeater = Repeater{}
+	return p
+}
+
+// One caller of seventeen repeats at once and often while the load exceeds the capacity. Each repeat is another chance
+// to be admitted, at the cost of callers that wait as they are told.
+func TestACallerThatRepeatsAtOnceTakesNothingFromTheOthers(t *testing.T) {
+	p := findPattern(t, "repeater")
+	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.03)
+}
+
+// One caller of seventeen sends ten times its share while the load exceeds the capacity without it. Measured: the others
+// lose 0.05 of their credit, and 0.12 if callers are not told apart.
+func TestACallerAtTenTimesItsShareTakesLittleFromTheOthers(t *testing.T) {
+	p := findPattern(t, "ten-shares")
+	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.085)
+}
+
+// Some shards have only slow replicas for four seconds, and callers wait for three. Measured: 0.022 of all requests are
+// refused twice and lost if each is told when the queue it met will be gone and none is served late; 0.011 otherwise.
+func TestFewPatientCallersAreRefusedTwice(t *testing.T) {
+	m := RunAll(findPattern(t, "patient"), Options{}, 2*seeds)
+	require.Less(t, m.RefusedAgain, 0.016)
+	require.Greater(t, m.Credit, 0.84)
+}
+
+// Three times the requests of the middle priority come while a replica of most shards is slow. The most urgent kind
+// must not be served worse than the one that brought the load.
+func TestABurstOfTheMiddlePriorityCostsTheMostUrgentLess(t *testing.T) {
+	m := runAll(findPattern(t, "middle-burst"), Options{})
+	require.Greater(t, m.KindCredit["check"], m.KindCredit["sweep"])
+}
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -28,8 +28,14 @@
 
 // Report is the result of a run.
 type Report struct {
-	All     Sum
-	Windows []Sum
+	All Sum
+	// Others holds the requests of all callers but the pattern's repeater.
+	Others Sum
+	// Kinds holds the requests of each kind by its name.
+	Kinds map[string]*Sum
+	// RefusedAgain counts refusals of attempts after the first.
+	RefusedAgain int
+	Windows      []Sum
 	// Latencies are the latencies of all answers as seen by callers.
 	Latencies []time.Duration
 	// Rejected counts attempts that were rejected before anything was sent, WronglyRejected those
@@ -40,11 +46,19 @@
 }
 
 func newReport(p Pattern) *Report {
-	return &Report{Windows: make([]Sum, p.Duration/windowLength+1)}
+	r := &Report{Windows: make([]Sum, p.Duration/windowLength+1), Kinds: map[string]*Sum{}}
+	for _, kind := range p.Kinds {
+		r.Kinds[kind.Name] = &Sum{}
+	}
+	return r
 }
 
 func (r *Report) sums(c *callerRequest) []*Sum {
-	return []*Sum{&r.All, &r.Windows[c.began/windowLength]}
+	sums := []*Sum{&r.All, &r.Windows[c.began/windowLength], r.Kinds[c.kind.Name]}
+	if !c.repeats() {
+		sums = append(sums, &r.Others)
+	}
+	return sums
 }
 
 func (r *Report) addRequest(c *callerRequest) {
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -75,7 +76,9 @@
 	nodes       []*node
 	routes      map[string]*policy.Route
 	helperIndex int
-	report      *Report
+	// requests counts the requests of callers, so that each has a key of its own.
+	requests comeback.Key
+	report   *Report
 }
 
 // maxReplicas limits the replicas of a shard to which a request may be sent.
@@ -99,6 +102,7 @@
 		s.scheduleFault(fault)
 	}
 	s.scheduleNextRequest()
+	s.clock.at(p.Burst.At, s.scheduleNextOfBurst)
 	s.clock.runUntil(p.Duration + time.Second)
 	return s.report
 }
@@ -123,7 +127,7 @@
 	for _, kind := range s.pattern.Kinds {
 		s.routes[kind.Name] = &policy.Route{
 			Name: kind.Name, Idempotent: true, Timeout: kind.Deadline, TargetLatency: kind.TargetLatency, MaxReplicas: maxReplicas,
-			Gather: &policy.Gather{Shards: shards, MinCoverage: kind.MinCoverage},
+			Gather: &policy.Gather{Shards: shards, MinCoverage: kind.MinCoverage}, Priority: kind.Priority,
 		}
 	}
 }
@@ -233,7 +237,7 @@
 
 // scheduleNextRequest schedules the next request of a Poisson process.
 func (s *simulation) scheduleNextRequest() {
-	wait := time.Duration(s.random.ExpFloat64() / s.pattern.Rate * float64(time.Second))
+	wait := time.Duration(s.random.ExpFloat64() / (s.pattern.Rate + s.repeaterRate()) * float64(time.Second))
 	if s.clock.now+wait >= s.pattern.Duration {
 		return
 	}
@@ -242,3 +246,36 @@
 		s.scheduleNextRequest()
 	})
 }
+
+// scheduleNextOfBurst schedules the next additional request of the pattern's burst.
+func (s *simulation) scheduleNextOfBurst() {
+	burst := s.pattern.Burst
+	if burst.Factor <= 1 {
+		return
+	}
+	kind := s.pattern.Kinds[burst.Kind]
+	wait := time.Duration(s.random.ExpFloat64() / (s.pattern.Rate * kind.Share * (burst.Factor - 1)) * float64(time.Second))
+	if s.clock.now+wait >= burst.At+burst.Duration {
+		return
+	}
+	s.clock.after(wait, func() {
+		s.startRequestOf(kind)
+		s.scheduleNextOfBurst()
+	})
+}
+
+// repeaterRate returns the requests per second that the repeater sends beyond a usual caller's.
+func (s *simulation) repeaterRate() float64 {
+	return s.pattern.Rate * max(s.pattern.Repeater.Rate-1, 0) / float64(max(s.pattern.Callers, 1))
+}
+
+// drawCaller returns the index of the caller that sends the next request.
+func (s *simulation) drawCaller() int {
+	if s.pattern.Callers <= 1 {
+		return 0
+	}
+	if s.random.Float64() < s.repeaterRate()/(s.pattern.Rate+s.repeaterRate()) {
+		return s.pattern.Callers - 1
+	}
+	return s.random.IntN(s.pattern.Callers)
+}
