--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -24,12 +24,12 @@
 	maxHoldRatio = 2
 )
 
-// Outcome is how the use of a place ended.
-type Outcome uint8
+// PlaceEnd is how the use of a place ended.
+type PlaceEnd uint8
 
 const (
 	// Answered means that the replica answered.
-	Answered Outcome = iota
+	Answered PlaceEnd = iota
 	// Refused means that the replica refused the request.
 	Refused
 	// Unanswered means anything else: failed, cancelled or not sent.
@@ -137,7 +137,7 @@
 }
 
 // Release ends the use of a place and grants the free ones.
-func (q *Queue) Release(place Place, outcome Outcome, now core.Time) []Settled {
+func (q *Queue) Release(place Place, outcome PlaceEnd, now core.Time) []Settled {
 	q.inUse = max(q.inUse-1, 0)
 	held := now - place.grantedAt
 	if outcome == Answered || outcome == Unanswered && held > q.hold && q.hold > 0 {
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -99,7 +99,8 @@
 
 // newClaim returns the claim of a caller's request, without what differs between its sends.
 func (q *request) newClaim() placement.Claim {
-	claim := placement.Claim{Priority: q.route.Priority, Waited: q.plan.Elapsed, Deadline: q.plan.Deadline - waitMargin}
+	claim := q.plan.Admission.Claim
+	claim.Deadline = q.plan.Deadline - waitMargin
 	if q.route.TargetLatency > 0 {
 		claim.TargetAt = q.plan.TargetAt
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -24,6 +24,8 @@
 	fields["replicas"] = replicas
 	fields["memory"] = n.callerMemory.state()
 	fields["places"] = n.places.busiest()
+	fields["callers_over_share"] = n.state.callersOverShare()
+	fields["returns_expected"] = n.state.returnsExpected()
 	fields["quarantine"] = n.quarantine.Requests()
 	return fields
 }
--- a/internal/edge/places.go
+++ b/internal/edge/places.go
@@ -194,7 +194,7 @@
 }
 
 // release ends the use of a place. Further calls do nothing.
-func (h *heldPlace) release(outcome placement.Outcome) {
+func (h *heldPlace) release(outcome placement.PlaceEnd) {
 	if h.places == nil || h.released.Swap(true) {
 		return
 	}
--- a/internal/loadmodel/places.go
+++ b/internal/loadmodel/places.go
@@ -56,7 +56,7 @@
 func (t *transfer) claim() placement.Claim {
 	q, now := t.request, t.request.node.simulation.clock.now
 	return placement.Claim{
-		Priority: q.kind.Priority, Waited: q.plan.Elapsed + now - q.arrived, TargetAt: q.plan.TargetAt, Deadline: q.plan.Deadline,
+		Priority: q.kind.Priority, Waited: q.plan.Admission.Waited + now - q.arrived, TargetAt: q.plan.TargetAt, Deadline: q.plan.Deadline,
 		Extra: t.send.Cause == scatter.Hedge, Last: t.send.Last,
 	}
 }
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -28,10 +28,14 @@
 
 // Report is the result of a run.
 type Report struct {
-	All     Sum
-	Windows []Sum
-	// Kinds holds the sums by the name of the kind.
+	All Sum
+	// Others holds the requests of all callers but the pattern's repeater.
+	Others Sum
+	// Kinds holds the requests of each kind by its name.
 	Kinds map[string]*Sum
+	// RefusedAgain counts refusals of attempts after the first.
+	RefusedAgain int
+	Windows      []Sum
 	// Latencies are the latencies of all answers as seen by callers.
 	Latencies []time.Duration
 	// Rejected counts attempts that were rejected before anything was sent, WronglyRejected those
@@ -52,7 +56,11 @@
 }
 
 func (r *Report) sums(c *callerRequest) []*Sum {
-	return []*Sum{&r.All, &r.Windows[c.began/windowLength], r.Kinds[c.kind.Name]}
+	sums := []*Sum{&r.All, &r.Windows[c.began/windowLength], r.Kinds[c.kind.Name]}
+	if !c.repeats() {
+		sums = append(sums, &r.Others)
+	}
+	return sums
 }
 
 func (r *Report) addRequest(c *callerRequest) {
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/outlook"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -77,7 +78,9 @@
 	nodes       []*node
 	routes      map[string]*policy.Route
 	helperIndex int
-	report      *Report
+	// requests counts the requests of callers, so that each has a key of its own.
+	requests comeback.Key
+	report   *Report
 }
 
 // maxReplicas limits the replicas of a shard to which a request may be sent.
@@ -256,7 +259,7 @@
 		return
 	}
 	s.clock.after(wait, func() {
-		s.startRequest(kind)
+		s.startRequestOf(kind)
 		s.scheduleBurst(burst)
 	})
 }
@@ -273,12 +276,28 @@
 
 // scheduleNextRequest schedules the next request of a Poisson process.
 func (s *simulation) scheduleNextRequest() {
-	wait := time.Duration(s.random.ExpFloat64() / s.pattern.Rate * float64(time.Second))
+	wait := time.Duration(s.random.ExpFloat64() / (s.pattern.Rate + s.repeaterRate()) * float64(time.Second))
 	if s.clock.now+wait >= s.pattern.Duration {
 		return
 	}
 	s.clock.after(wait, func() {
-		s.startRequest(pickWeighted(s.random.Float64(), s.pattern.Kinds, func(k Kind) float64 { return k.Share }))
+		s.startRequest()
 		s.scheduleNextRequest()
 	})
 }
+
+// repeaterRate returns the requests per second that the repeater sends beyond a usual caller's.
+func (s *simulation) repeaterRate() float64 {
+	return s.pattern.Rate * max(s.pattern.Repeater.Rate-1, 0) / float64(max(s.pattern.Callers, 1))
+}
+
+// drawCaller returns the index of the caller that sends the next request.
+func (s *simulation) drawCaller() int {
+	if s.pattern.Callers <= 1 {
+		return 0
+	}
+	if s.random.Float64() < s.repeaterRate()/(s.pattern.Rate+s.repeaterRate()) {
+		return s.pattern.Callers - 1
+	}
+	return s.random.IntN(s.pattern.Callers)
+}
