--- a/internal/core/replica/condition.go
+++ b/internal/core/replica/condition.go
@@ -120,12 +120,13 @@
 	Sources []core.NodeID
 }
 
-// Unusual lists the replicas that the node believes to be in a notable condition.
+// Unusual lists the replicas that the node believes to be in a notable condition, or that others say are in one.
 func (t *Table) Unusual(now core.Time) []Believed {
 	var list []Believed
 	for id, known := range t.byID {
-		if believed := known.believed(now); believed.Notable() {
-			list = append(list, Believed{Replica: id, Service: known.Service, Condition: believed, Sources: known.word.Sources(now)})
+		believed, sources := known.believed(now), known.word.Sources(now)
+		if believed.Notable() || len(sources) > 0 {
+			list = append(list, Believed{Replica: id, Service: known.Service, Condition: believed, Sources: sources})
 		}
 	}
 	return list
