Overloaded entries ask for relief, and directories shift callers

Cause: nothing took callers from an entry whose own processor is the shortage; weak VMs stand beside strong ones and the load moves from one data centre to the next, while the directory named all entries alike.

internal/core/relief decides: a node asks when its timers have fired 25 ms late on average for a second under 24 requests in progress a core, for 6 s at least. It says so by a drain mark of its caller address, which heartbeats spread already and which expires after 10 s. Directories name such an entry in half of their answers while others of its data centre have room; if none has, entries of the region with room are named beside them. Never an empty answer; nothing changes while nobody asks.

In virtual time: a weak entry beside two strong ones, backlog under a fifth; a wave through three data centres, under a half.

Weighed: leaving an overloaded entry out of all answers (it loses all callers at once and gets them back at once); telling entries only (nodes that are no entries answer the directory too); a message to all nodes (a link each).

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/pistachiopier/pistachiopier/internal/core/relief"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
@@ -70,22 +72,23 @@
 
 // addresses lists the nodes that callers of a data centre should use: those in the data centre, else those in
 // its region, else all. Callers cache the list for a second, so that a caller whose only node fails soon gets
-// the others.
+// the others. Entries that ask for relief are left out of some answers while others have room.
 func (n *Node) addresses(dataCentre string) []string {
-	entries := n.currentEntries()
 	regions := n.settings.Load().Regions
-	for _, matches := range []func(route.Node) bool{
-		func(node route.Node) bool { return node.DataCentre == dataCentre },
-		func(node route.Node) bool { return regions[node.DataCentre] == regions[dataCentre] },
-		func(route.Node) bool { return true },
-	} {
-		var addresses []string
-		for _, node := range entries {
-			if matches(node) {
-				addresses = append(addresses, node.CallerAddress)
-			}
+	var near, region, all []relief.Entry
+	for _, node := range n.currentEntries() {
+		entry := relief.Entry{Address: node.CallerAddress, Overloaded: n.views.Draining(node.CallerAddress)}
+		all = append(all, entry)
+		if regions[node.DataCentre] == regions[dataCentre] {
+			region = append(region, entry)
 		}
-		if len(addresses) > 0 {
+		if node.DataCentre == dataCentre {
+			near = append(near, entry)
+		}
+	}
+	for _, group := range [][]relief.Entry{near, region, all} {
+		if len(group) > 0 {
+			addresses := relief.Select(group, region, rand.Float64)
 			return addresses[:min(len(addresses), maxAddresses)]
 		}
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -22,6 +22,7 @@
 		fields["evacuated"] = table.Evacuated()
 	})
 	fields["replicas"] = replicas
+	fields["entries_relieved"] = n.relievedEntries()
 	fields["replicas_unusual"] = n.unusualReplicas()
 	fields["quarantine"] = n.quarantine.Requests()
 	return fields
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -139,6 +139,9 @@
 	observe.Counter(m.reg, "replica_conditions_received_total").Inc(int64(count))
 }
 
+// countReliefAsked counts a request of this node for relief.
+func (m *nodeMetrics) countReliefAsked() { observe.Counter(m.reg, "relief_asked_total").Inc(1) }
+
 // countExtra counts a hedge or retry.
 func (m *nodeMetrics) countExtra(cause scatter.Cause) {
 	observe.Counter(m.reg, observe.Labelled("sends_extra_total", labelCause, string(cause))).Inc(1)
@@ -236,6 +239,8 @@
 	})
 	watch("requests_suspected", func() int64 { return n.quarantine.Count(quarantine.Suspect) })
 	watch("requests_set_aside", func() int64 { return n.quarantine.Count(quarantine.SetAside) })
+	watch("timers_late_us", n.timerLateness.Load)
+	watch("entries_relieved", func() int64 { return int64(len(n.relievedEntries())) })
 	watch("replicas_unusual", func() int64 { return int64(len(n.unusualReplicas())) })
 	watch("pause_interval_ms", func() (ms int64) {
 		n.state.withReplicas(func(table *replica.Table, _ core.Time) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -87,6 +87,10 @@
 	// refusesDelegated is set when a planned stop no longer takes such groups.
 	refusesDelegated atomic.Bool
 	ready            atomic.Bool
+	// asksRelief is set while the node asks for relief; timerLateness is how late its timers fire on average, in
+	// microseconds.
+	asksRelief    atomic.Bool
+	timerLateness atomic.Int64
 	// entries are the nodes that callers are sent to. They are updated periodically, because selecting them
 	// requires a pass over all replicas.
 	entries atomic.Pointer[[]route.Node]
@@ -168,6 +172,7 @@
 	n.ready.Store(true)
 	n.done.Go(n.housekeep)
 	n.done.Go(n.tellConditions)
+	n.done.Go(n.watchLoad)
 	return nil
 }
 
@@ -205,6 +210,7 @@
 
 		QuarantineDigest: n.quarantine.Digest,
 		OnPeerQuarantine: n.handleQuarantineDigest,
+		DrainTTL:         reliefTTL,
 	})
 	n.quarantine.Start(n.peerPool)
 	n.peerPool.OnLink(n.handleLinkState)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -51,6 +51,8 @@
 	// receives a peer's digest from each of its heartbeats.
 	QuarantineDigest func() uint64
 	OnPeerQuarantine func(node core.NodeID, digest uint64)
+	// DrainTTL is how long a drain mark holds without being renewed; 0 is the default.
+	DrainTTL time.Duration
 }
 
 // Manager runs one node's membership. Its state machine runs on one goroutine, the
@@ -89,7 +91,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Manager{
 		options: options,
-		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit, AnnounceStart: options.AnnounceStart}),
+		machine: member.New(member.Config{Self: options.Self, Incarnation: options.Incarnation, PauseLimit: belief.PauseLimit, AnnounceStart: options.AnnounceStart, DrainTTL: options.DrainTTL}),
 		events:  ring.New[member.Event](ringDepth),
 		ctx:     ctx,
 		stop:    stop,
@@ -112,6 +114,12 @@
 	return m
 }
 
+// MarkDraining spreads that an address is draining, or no longer draining. A mark that holds must be renewed by further
+// calls within DrainTTL.
+func (m *Manager) MarkDraining(address string, draining bool) {
+	m.events.TryPut(member.DrainSeen{Address: address, Draining: draining})
+}
+
 // Close stops the goroutines and waits for them.
 func (m *Manager) Close() {
 	m.stop()
