--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -26,6 +26,8 @@
 	fields["places"] = n.places.busiest()
 	fields["callers_over_share"] = n.state.callersOverShare()
 	fields["returns_expected"] = n.state.returnsExpected()
+	fields["entries_relieved"] = n.relievedEntries()
+	fields["replicas_unusual"] = n.unusualReplicas()
 	fields["quarantine"] = n.quarantine.Requests()
 	return fields
 }
--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -36,6 +36,7 @@
 			ticker.Reset(housekeepingInterval)
 		}
 		n.registry.expire()
+		n.state.withReplicas((*replica.Table).ExpireWord)
 		n.updateEntries()
 		n.updateRole()
 		n.updateExtraBound()
--- a/internal/loadmodel/compare.go
+++ b/internal/loadmodel/compare.go
@@ -44,6 +44,8 @@
 
 	// RefusedArrivals is the fraction of arrivals that replicas refused.
 	RefusedArrivals float64 `json:"refused_arrivals"`
+	// Told is the number of observations in messages between nodes per request.
+	Told float64 `json:"told_per_request"`
 
 	latencies []time.Duration
 }
@@ -89,9 +91,19 @@
 	for name, sum := range r.Kinds {
 		m.KindCredit[name] += sum.CreditShare() / seeds
 	}
+	m.Told += float64(r.Told) / requests
 	m.latencies = append(m.latencies, r.Latencies...)
 }
 
+// MeanLatency returns the mean latency of all answers.
+func (m Means) MeanLatency() time.Duration {
+	sum := time.Duration(0)
+	for _, latency := range m.latencies {
+		sum += latency
+	}
+	return sum / time.Duration(max(len(m.latencies), 1))
+}
+
 // Variant holds the results of a pattern with one set of options.
 type Variant struct {
 	Name  string `json:"name"`
