--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -28,6 +28,8 @@
 	routes   map[string]*routeLatency
 	// admissions decide on whole requests, by group.
 	admissions map[string]*placement.Admission
+	// planned counts the plans of gathered requests, which are spread over short shards in turn.
+	planned uint64
 }
 
 // New returns the outlook of a node in a data centre. The random source, which returns 0 to 1, breaks ties
--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -116,6 +116,8 @@
 	}
 	if route.Gather != nil {
 		plan.MinParts = route.Gather.MinParts()
+		o.planned++
+		plan.Spread = o.planned
 		if target := attainableTarget(route.TargetLatency-request.TransitTime, typical, known); target > 0 {
 			plan.Admission.TargetAt = request.Arrived + target
 		}
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -92,6 +92,8 @@
 	OtherSlow Reason = "the other replica is slow or busy"
 	// MayEndReplicas means that replicas have ended while running the request, and none has answered it.
 	MayEndReplicas Reason = "replicas ended under it and none has answered"
+	// OtherShardsSuffice means that the shard is short of room and the answer does not need it.
+	OtherShardsSuffice Reason = "the shard is short and others suffice"
 	// ShardSetAside means that the request is set aside at the shard.
 	ShardSetAside Reason = "replicas of the shard ended under it each time it ran"
 	// BudgetSpent means that the budget for extra sends is spent.
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -39,6 +39,9 @@
 	// in an earlier attempt: see shardSuspect. SetAsideShards holds the indexes of shards that the request is not
 	// sent to.
 	SuspectShards, SetAsideShards map[int]bool
+	// Spread numbers the requests; it selects the short shards that this one is sent to: see spreadOverShort. 0
+	// sends it to all.
+	Spread uint64
 }
 
 // Chooser chooses replicas, admits whole requests and accounts for extra sends, from what the node knows.
@@ -183,7 +186,11 @@
 		choices[i] = &choice
 		found++
 	}
-	if found < m.plan.MinParts || m.rejectEarly(choices) {
+	if found < m.plan.MinParts {
+		return
+	}
+	m.spreadOverShort(choices)
+	if m.rejectEarly(choices) {
 		return
 	}
 	if m.oneAtATime() {
--- /dev/null
+++ b/internal/core/scatter/spread_test.go
@@ -0,0 +1,74 @@
+package scatter
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
+)
+
+// shortPlan is the plan of a query over ten shards that may lack two, and a chooser to which the first ones are short.
+func shortPlan(short int) (Plan, *fakeChooser) {
+	chooser := &fakeChooser{replicas: 1, expectedLatency: map[string]time.Duration{}}
+	plan := Plan{MinParts: 8, Idempotent: true, MaxReplicas: 1, Deadline: time.Second, Spread: 1, Admission: placement.Request{Claim: placement.Claim{TargetAt: 100 * time.Millisecond}}}
+	for shard := range 10 {
+		name := strconv.Itoa(shard)
+		plan.Services = append(plan.Services, name)
+		if shard < short {
+			chooser.expectedLatency[name] = 80 * time.Millisecond
+		}
+	}
+	return plan, chooser
+}
+
+// firstSends returns the shards that a query is sent to.
+func firstSends(plan Plan, chooser Chooser) map[int]bool {
+	sent := map[int]bool{}
+	for _, action := range New(plan, chooser).Step(0, Begin{}) {
+		if send, ok := action.(Send); ok {
+			sent[send.Service] = true
+		}
+	}
+	return sent
+}
+
+// Guards against queries that all queue at the same few short shards, of which each needs only some.
+func TestQueriesShareTheRoomOfShortShards(t *testing.T) {
+	plan, chooser := shortPlan(4)
+	require.Len(t, firstSends(plan, chooser), 10, "three of four are needed: leaving one out relieves too little")
+
+	plan.MinParts, plan.Spread = 7, 1
+	counts := map[int]int{}
+	const queries = 40
+	for range queries {
+		plan.Spread++
+		sent := firstSends(plan, chooser)
+		require.Len(t, sent, 6+1+spareShortShards)
+		for shard := range sent {
+			counts[shard]++
+		}
+	}
+	for shard := range 4 {
+		require.Equal(t, queries/2, counts[shard], "each short shard gets half of the queries")
+	}
+	require.Equal(t, queries, counts[9], "the others get all")
+}
+
+func TestNothingIsLeftOutWhereTheAnswerMayLackAllShortShards(t *testing.T) {
+	plan, chooser := shortPlan(2)
+	require.Len(t, firstSends(plan, chooser), 10)
+}
+
+func TestUnreachableShardsAreLeftOutFirst(t *testing.T) {
+	plan, chooser := shortPlan(4)
+	plan.MinParts = 7
+	chooser.unreachable = []string{"1", "2"}
+	for range 4 {
+		plan.Spread++
+		sent := firstSends(plan, chooser)
+		require.True(t, sent[0] && sent[3] && !sent[1] && !sent[2], sent)
+	}
+}
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -210,3 +210,12 @@
 	atReplica, held := runAll(p, Options{}), runAll(p, Options{HoldAbove: 1})
 	require.InDelta(t, atReplica.Credit, held.Credit, 0.02)
 }
+
+// Five shards, one more than an answer may lack, have one slow replica each, which bears nine tenths of the load. Sent to all
+// five, every query waits for the shortest of five full queues.
+func TestFewShortShardsAreSharedOut(t *testing.T) {
+	p := findPattern(t, "five-short")
+	with, without := runAll(p, Options{}), runAll(p, Options{Without: []Mechanism{Spread}})
+	require.Greater(t, with.Credit, without.Credit+0.1)
+	require.Greater(t, with.WorstWindows, 0.75)
+}
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -263,6 +263,13 @@
 			shortShards(p)
 			p.Bursts = []Burst{{At: 4 * time.Second, Duration: 6 * time.Second, Kind: "middle", Factor: 3}}
 		}),
+		rankedPattern("five-short", "five of 90 shards have only a slow replica, one more than an answer may lack", func(p *Pattern) {
+			p.Shards, p.Rate, p.PauseLength = 90, 40, 0
+			for i := range p.DataCentres[1:] {
+				p.DataCentres[1+i].Replicas = 0
+			}
+			p.Faults = []Fault{{At: 3 * time.Second, Duration: 8 * time.Second, Shards: 5, AllReplicas: true, WorkFactor: 8}}
+		}),
 		rankedPattern("ranked-refusing", "two of three replicas in 80 of 100 shards refuse 60% of requests at any load", func(p *Pattern) {
 			p.Shards, p.Rate = 100, 40
 			p.Faults = []Fault{{At: 2 * time.Second, Duration: 9 * time.Second, Shards: 80, Replicas: 2, RefuseShare: 0.6}}
--- a/internal/loadmodel/world.go
+++ b/internal/loadmodel/world.go
@@ -36,13 +36,15 @@
 	SelectiveHedges Mechanism = "hedges to fast replicas only"
 	// Places keeps sends at the node until one of its places at the replica is free.
 	Places Mechanism = "places at replicas"
+	// Spread sends a request to no more short shards than its answer needs, and one.
+	Spread Mechanism = "spread over short shards"
 	// Word is what nodes tell each other of replicas.
 	Word Mechanism = "word of other nodes"
 )
 
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Hedges, Retries, PartialAnswers, OverdueMarks, Pauses, Slowness, Failures, Refusals, ExtraSendBound, EarlyRejection, SelectiveHedges, Places, Word}
+	return []Mechanism{Hedges, Retries, PartialAnswers, OverdueMarks, Pauses, Slowness, Failures, Refusals, ExtraSendBound, EarlyRejection, SelectiveHedges, Places, Spread, Word}
 }
 
 // Options configure a run of a pattern.
@@ -69,6 +71,9 @@
 	if o.without(Retries) {
 		plan.MaxReplicas = 1
 	}
+	if o.without(Spread) {
+		plan.Spread = 0
+	}
 	if o.without(PartialAnswers) {
 		plan.PartialAt = plan.Deadline
 	}
