A caller over its share does not keep itself out; nodes that start together tell different times

An address through which nearly all requests come is over its share beside any quiet caller, and was rejected for half a second whenever it lacked room itself. It is now held back only while a caller within its share lacks room. A route's limit above 30 s holds again without a stated deadline.

Late returns need three quarters of the time left: with half, requests expected after 400 to 700 ms with 600 to 730 left were refused for good.

--- a/internal/core/comeback/comeback.go
+++ b/internal/core/comeback/comeback.go
@@ -49,6 +49,9 @@
 // Schedule spreads the returns of refused callers over time. Its zero value is ready to use. It is not safe for
 // concurrent use.
 type Schedule struct {
+	// Offset, from 0 to 1, is where the even sequence begins. It differs between nodes, as all that start at one time
+	// would give out the same times.
+	Offset float64
 	// lastReturn is the latest time given to callers of each priority, lastWaited that given to callers who had waited.
 	lastReturn [priorities]core.Time
 	lastWaited core.Time
@@ -107,7 +110,7 @@
 // time and all of it.
 func (s *Schedule) spread(longest time.Duration) time.Duration {
 	s.spreads++
-	_, fraction := math.Modf(float64(s.spreads) * math.Phi)
+	_, fraction := math.Modf(s.Offset + float64(s.spreads)*math.Phi)
 	return longest/2 + time.Duration(fraction*float64(longest/2))
 }
 
--- a/internal/core/comeback/comeback_test.go
+++ b/internal/core/comeback/comeback_test.go
@@ -130,3 +130,9 @@
 	}
 	require.True(t, told.IsEmpty(6*time.Second))
 }
+
+// All nodes start at one time. Each tells its first callers times of the same sequence.
+func TestNodesThatStartTogetherTellDifferentTimes(t *testing.T) {
+	a, b := Schedule{Offset: 0.1}, Schedule{Offset: 0.7}
+	require.InDelta(t, float64(60*ms), float64((a.Spread(300*ms, time.Second) - b.Spread(300*ms, time.Second)).Abs()), float64(ms))
+}
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -34,12 +34,11 @@
 // between replicas.
 func New(dataCentre string, regions map[string]string, bound extra.Bound, random func() float64) *Outlook {
 	return &Outlook{
-		Replicas: replica.NewTable(dataCentre, regions, random),
-		Callers:  callers.NewTable(),
-		Budget:   extra.New(bound),
-		splitter: policy.NewSplitter(),
-		routes:   map[string]*routeLatency{},
-
+		Replicas:   replica.NewTable(dataCentre, regions, random),
+		Callers:    callers.NewTable(),
+		Budget:     extra.New(bound),
+		splitter:   policy.NewSplitter(),
+		routes:     map[string]*routeLatency{},
 		admissions: map[string]*placement.Admission{},
 	}
 }
@@ -68,7 +67,7 @@
 		if len(o.admissions) >= maxRoutes {
 			clear(o.admissions)
 		}
-		known = &placement.Admission{}
+		known = &placement.Admission{Returns: comeback.Schedule{Offset: o.Refusals.Offset}}
 		o.admissions[group] = known
 	}
 	return known
--- a/internal/core/placement/admission.go
+++ b/internal/core/placement/admission.go
@@ -62,15 +62,20 @@
 	minLateCost = 0.05
 	// latePerSlack is the room for late requests that one request with slack gives back.
 	latePerSlack = 0.002
-	// lateDeadlineDivisor is the fraction, 1/n, of the time left within which a late request must be expected to be
-	// answered: the forecast knows the queues of this node only.
-	lateDeadlineDivisor = 2
+	// maxLateWait is the share of the time left within which a late request must be expected to be answered: the forecast
+	// knows the queues of this node only.
+	maxLateWait = 0.75
 	// urgencyReserve is the part of maxLate that each step of priority leaves to the more urgent, down to minLateCost.
 	urgencyReserve = 0.05
+	// lackFor is how long room counts as short for callers within their share after one of them lacked it.
+	lackFor = 500 * time.Millisecond
 )
 
 // Admission decides on whole requests at an entry. Its zero value is ready to use. It is not safe for concurrent use.
 //
+// Under overload, requests that cannot be answered in time would mostly wait until their deadline and then fail, and
+// their sends would lengthen the queues for the next ones until nearly all are late. They are rejected at once.
+//
 // A request whose answer is expected in time is admitted. One that is expected late, but by its deadline, lengthens the
 // queues for those in time, so that it only gets room that was left over while queues were short. That room goes to
 // requests that were rejected before and returned when they were told to: most of them would not try again.
@@ -79,6 +84,8 @@
 	told    comeback.Told
 	// lateUsed is the used part of maxLate.
 	lateUsed float64
+	// lackingUntil is until when room counts as short for callers within their share.
+	lackingUntil core.Time
 }
 
 // Decide decides on a whole request. The decision to reject it says when to return.
@@ -94,7 +101,7 @@
 	}
 	rejected := Decision{Verdict: Reject, Short: Shards, Ahead: a.Returns.Expected(now), RetryAfter: early}
 	if needed > target {
-		a.Returns.RecordShortage(now)
+		a.recordLack(now, request)
 	} else {
 		rejected.Short = CallerShare
 	}
@@ -109,13 +116,25 @@
 // was told, gets no room that may be short.
 func (a *Admission) admits(now core.Time, request Request, forecast Forecast, standing comeback.Standing) bool {
 	needed, target := forecast.needed(), request.target(now)
-	if request.OverShare || standing == comeback.Early {
+	switch {
+	case request.OverShare:
+		return needed <= target/slackDivisor && now >= a.lackingUntil
+	case standing == comeback.Early:
 		return needed <= target/slackDivisor && !a.Returns.IsShort(now)
 	}
 	if needed <= target {
 		return true
 	}
-	return standing == comeback.InTime && needed <= (request.Deadline-now)/lateDeadlineDivisor && a.takeLateRoom(request.Priority, forecast.lateShare(target))
+	return standing == comeback.InTime && float64(needed) <= maxLateWait*float64(request.Deadline-now) && a.takeLateRoom(request.Priority, forecast.lateShare(target))
+}
+
+// recordLack records that a request lacks room. A caller over its share is held back for the others only, so that it
+// does not keep itself out.
+func (a *Admission) recordLack(now core.Time, request Request) {
+	a.Returns.RecordShortage(now)
+	if !request.OverShare {
+		a.lackingUntil = now + lackFor
+	}
 }
 
 // standing returns how a request stands to the time that it was told, and for one that is early the time left. What this
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -26,7 +26,9 @@
 }
 
 func newSharedState(dataCentre string, regions map[string]string, bound extra.Bound, now func() core.Time) *sharedState {
-	return &sharedState{now: now, outlook: outlook.New(dataCentre, regions, bound, rand.Float64)}
+	s := &sharedState{now: now, outlook: outlook.New(dataCentre, regions, bound, rand.Float64)}
+	s.outlook.Refusals.Offset = rand.Float64()
+	return s
 }
 
 // plan chooses the services of a request and plans it. The plan has no services if none of the route has a
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -201,9 +201,12 @@
 
 // maxWait returns the longest time that the caller is kept waiting.
 func (n *Node) maxWait(r *http.Request, route *policy.Route) time.Duration {
-	wait := statedWait(r)
+	wait := defaultTimeout
 	if route.Timeout > 0 {
-		wait = min(wait, route.Timeout)
+		wait = route.Timeout
+	}
+	if remaining, ok := platform.RemainingTime(r.Header); ok {
+		wait = min(wait, remaining)
 	}
 	return wait
 }
