Answers without room are answered 502, and those that give way are reset before their connection can go on

- An answer for which there is no room ended in a closed connection after its head had been buffered; the room is asked for before the head now, and the caller is told 502, as the request may have run.
- The connection of an answer that gives way was reset after the lock was given back: its request could end in between, and a later request on the connection would have been hit.
- The parts of a gathered answer stayed referenced, and uncounted, while its caller read.
- A rejected request without a body keeps its connection.
- A changed priority takes effect with its configuration: tested for the memory.

--- a/internal/core/memory/memory_test.go
+++ b/internal/core/memory/memory_test.go
@@ -20,12 +20,14 @@
 }
 
 // fill opens holdings of one byte until one is rejected, and returns their number and the decision.
-func fill(b *Budget, claim placement.Claim) (int64, placement.Decision) {
-	for held := int64(0); ; held++ {
-		if h, decision := b.Open(0, claim, 1, 0); h == nil {
-			return held, decision
+func fill(b *Budget, claim placement.Claim) (held int64, decision placement.Decision) {
+	for ; held <= b.Limit(); held++ {
+		var h *Holding
+		if h, decision = b.Open(0, claim, 1, 0); h == nil {
+			break
 		}
 	}
+	return held, decision
 }
 
 // Guards against callers of a less urgent route taking all of a node's memory.
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -26,13 +26,19 @@
 // caller's connection is aborted as well, so that the answer does not look complete.
 func (q *request) relay(w http.ResponseWriter, exchange *exchange, outcome string, result scatter.Result) {
 	response := exchange.response
+	if response.Rest != nil {
+		defer func() { _ = response.Rest.Close() }()
+	}
+	if !q.holdAnswer(len(response.Body)) {
+		q.answerWithoutRoom(w, result)
+		return
+	}
 	if response.Rest == nil {
 		q.recordOutcome(outcome, response.Status, result)
-		q.writeAnswer(w, response)
+		writeAnswer(w, response)
 		return
 	}
-	defer func() { _ = response.Rest.Close() }()
-	q.writeAnswer(w, response)
+	writeAnswer(w, response)
 	if _, err := io.Copy(w, response.Rest); err != nil {
 		q.addStep(step{Event: "answer_cut", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, Cause: err.Error()})
 		q.recordOutcome(outcomeFailed, response.Status, result)
@@ -42,7 +48,7 @@
 }
 
 // writeAnswer writes the head of an answer and the part of its body that has been read.
-func (q *request) writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
+func writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
 	header := w.Header()
 	for name, values := range forwardableHeaders(response.Header) {
 		header[name] = values
@@ -55,7 +61,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(response.Status)
-	q.writeBody(w, response.Body)
+	_, _ = w.Write(response.Body)
 }
 
 func allowsBody(status int) bool {
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -25,13 +25,6 @@
 	growStepBytes = 16 << 10
 )
 
-// Causes of answers that callers did not get whole, in the log and in metrics.
-const (
-	unreadStalled = "stalled"
-	unreadGaveWay = "gave way"
-	unreadNoRoom  = "no room"
-)
-
 // errMemoryFull ends the receiving of a body for which there is no memory.
 var errMemoryFull = errors.New("the memory for callers' requests is full")
 
@@ -131,25 +124,6 @@
 	return true
 }
 
-// beginAnswer counts an answer that is about to be written, and cuts off the answers that give way to it. It reports
-// false if there is no room: the answer must not be written.
-func (h *heldRequest) beginAnswer(stream *callerStream, bytes int64) (cut []*callerStream, fits bool) {
-	m := h.memory
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	victims, fits := m.budget.Answer(m.now(), h.holding, bytes)
-	for _, victim := range victims {
-		if s := m.streams[victim]; s != nil {
-			cut = append(cut, s)
-		}
-		delete(m.streams, victim)
-	}
-	if fits && stream != nil {
-		m.streams[h.holding] = stream
-	}
-	return cut, fits
-}
-
 // countedBody counts a request body while it is received.
 type countedBody struct {
 	io.ReadCloser
@@ -187,15 +161,13 @@
 		"request": platform.RequestID(r.Header), "route": route.Name, "priority": route.Priority, "cause": errMemoryFull.Error(), "short": string(decision.Short),
 		"retry_after_ms": decision.RetryAfter.Milliseconds(), "held_bytes": state.HeldBytes, "limit_bytes": state.LimitBytes, "held_by_priority": state.ByPriority,
 	})
-	// Otherwise net/http would read the rest of the body before it answers.
-	w.Header().Set("Connection", "close")
+	if r.ContentLength != 0 {
+		// Otherwise net/http would read the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+	}
 	writeRefusal(w, decision.RetryAfter)
 }
 
-func (q *request) streamRequest() *streamRequest {
-	return &streamRequest{id: q.id, route: q.route.Name, caller: q.remote, priority: q.route.Priority, arrived: q.arrived}
-}
-
 // attach binds a request to what it holds and to its caller's connection.
 func (q *request) attach(held *heldRequest, stream *callerStream) {
 	q.held, q.stream = held, stream
@@ -204,46 +176,6 @@
 	}
 }
 
-// writeBody writes the body of an answer that is held whole. If there is no room for it, or it gave way to another one,
-// the caller's connection is aborted, so that the answer does not look complete.
-func (q *request) writeBody(w http.ResponseWriter, body []byte) {
-	q.holdAnswer(len(body))
-	_, _ = w.Write(body)
-}
-
-// holdAnswer counts the bytes of an answer before it is written.
-func (q *request) holdAnswer(bytes int) {
-	if q.held == nil {
-		return
-	}
-	cut, fits := q.held.beginAnswer(q.stream, int64(bytes))
-	for _, stream := range cut {
-		stream.reset()
-		q.node.recordUnread(stream.request.Load(), unreadGaveWay, 0)
-	}
-	if !fits {
-		q.node.recordUnread(q.streamRequest(), unreadNoRoom, bytes)
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// recordUnread logs and counts an answer that its caller did not get whole.
-func (n *Node) recordUnread(of *streamRequest, cause string, unwritten int) {
-	n.metrics.countUnread(cause)
-	state := n.callerMemory.state()
-	fields := decisionlog.Fields{"cause": cause, "unwritten_bytes": unwritten, "held_bytes": state.HeldBytes, "limit_bytes": state.LimitBytes}
-	if of != nil {
-		fields["request"], fields["route"], fields["priority"], fields["caller"] = of.id, of.route, of.priority, of.caller
-		fields["took_ms"] = (n.now() - of.arrived).Milliseconds()
-	}
-	n.log.Decision("answer_unread", fields)
-}
-
-// callerStalled records a caller that was let go because it did not read.
-func (n *Node) callerStalled(stream *callerStream, unwritten int) {
-	n.recordUnread(stream.request.Load(), unreadStalled, unwritten)
-}
-
 // streamOf returns the caller's connection, or nil in tests without one.
 func streamOf(ctx context.Context) *callerStream {
 	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
@@ -272,11 +204,6 @@
 	observe.Counter(m.reg, "requests_rejected_memory_total").Inc(1)
 }
 
-// countUnread counts an answer that its caller did not get whole.
-func (m *nodeMetrics) countUnread(cause string) {
-	observe.Counter(m.reg, observe.Labelled("answers_unread_total", labelCause, cause)).Inc(1)
-}
-
 // registerMemoryGauges registers the gauges of the memory that callers have the node hold.
 func (n *Node) registerMemoryGauges() {
 	watch := func(name string, read func(memoryState) int64) {
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -211,4 +211,13 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, 1, invoices.Runs("r2"))
 	require.Zero(t, notes.Runs("r1"))
+	// An operator limits that route: it takes effect with the configuration.
+	config := h.config(2)
+	config.Limits.MaxBodyBytes = 256 << 10
+	config.Routes[1].Priority = 5
+	h.store.Publish(config)
+	h.waitForVersion(h.nodes[0], 2)
+	response, _ = h.mustRequest(h.nodes[0], http.MethodPost, "/once/x", "r3", body)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Zero(t, invoices.Runs("r3"))
 }
--- a/internal/edge/merge.go
+++ b/internal/edge/merge.go
@@ -25,12 +25,18 @@
 	if !result.Enough {
 		return false
 	}
+	if !q.holdAnswer(len(body)) {
+		q.answerWithoutRoom(w, *result)
+		return true
+	}
 	q.recordOutcome(outcome, http.StatusOK, *result)
 	platform.SetCoverage(w.Header(), stamps, missing)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
-	q.writeBody(w, body)
+	// The parts are not held while the caller reads.
+	q.sends = nil
+	_, _ = w.Write(body)
 	return true
 }
 
