--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -56,6 +56,10 @@
 	dataCentreEvacuated  kind = "data centre evacuated"
 	storeRestored        kind = "store restored from a backup"
 	crashingRequest      kind = "request crashes the replicas that run it"
+	callersDoNotRead     kind = "callers do not read"
+	serviceSheds         kind = "service sheds every second request"
+	requestBurst         kind = "burst of one kind of request"
+	callerRepeats        kind = "caller repeats at once"
 )
 
 // drawnKinds holds the kinds that a schedule draws from. Some occur several times, as faults of
@@ -69,6 +73,7 @@
 	serviceFails, serviceMisbehaves, serviceMisbehaves, allNodesKilled,
 	replicaRestarts, replicaRestarts, invalidEntries, shardsHang, dataCentreEvacuated,
 	storeRestored, storeRestored, crashingRequest, crashingRequest,
+	callersDoNotRead, serviceSheds, requestBurst, callerRepeats,
 }
 
 // schedule draws the faults of a seed. Faults can overlap.
@@ -157,6 +162,14 @@
 		cl.restore(backup, f)
 	case crashingRequest:
 		cl.sendCrashingRequest(f)
+	case callersDoNotRead:
+		cl.blockReaders(node)
+	case serviceSheds:
+		cl.misbehave(cl.replicasOfDrawnService(f.draw), f.duration, 2, func(uint64) platformtest.Behaviour { return platformtest.Shed })
+	case requestBurst:
+		cl.callers.burst(f)
+	case callerRepeats:
+		cl.callers.repeatAtOnce(f)
 	case replicaLinkDisturbed, replicaReplaced:
 		cl.disturbReplica(f)
 	default:
--- a/test/soak/mutants_test.go
+++ b/test/soak/mutants_test.go
@@ -60,6 +60,7 @@
 	{"deadly requests are known by their ids", "internal/edge/quarantine.go", "Host: q.template.Host, Path: path, ", "Host: q.template.Host + q.id, Path: path + q.id, "},
 	{"deadly requests are known by each send", "internal/core/scatter/unproven.go", "return (m.plan.Suspect || m.broken) && !m.answered", "return m.broken && !m.answered && false"},
 	{"bodies do not tell requests apart", "internal/core/quarantine/key.go", "	digest.Write(body)\n", "	digest.Write(body[:0])\n"},
+	{"callers that do not read are held", "internal/edge/callerstream.go", "stallTimeout    = 3 * time.Second", "stallTimeout    = 300 * time.Second"},
 	{"an outage of the store takes the configuration away", "internal/edge/registry.go", "	r.log.Life(\"dependency_lost\"", "	r.state.config.Store(nil)\n	r.log.Life(\"dependency_lost\""},
 }
 
@@ -75,6 +76,12 @@
 	{mutant{"deadly requests are forgotten at the restart of a node", "internal/quarantine/share.go", "	if digest == r.digest.Load() {\n", "	if digest == r.digest.Load() || true {\n"}, "./internal/edge"},
 	{mutant{"an answer clears no request", "internal/core/quarantine/ledger.go", "		cleared := fact | Cleared\n", "		cleared := fact\n"}, "./internal/core/quarantine"},
 	{mutant{"what a former life may have run is sent again", "internal/replicaconn/conn.go", `Step: "await answer", Sent: true, Broken: `, `Step: "await answer", Sent: !errors.Is(cause, errRestarted), Broken: `}, "./internal/replicaconn"},
+	{mutant{"callers may have a node hold anything", "internal/core/memory/memory.go", "	return b.used == 0 || b.used+bytes", "	return true || b.used+bytes"}, "./internal/core/memory"},
+	{mutant{"priorities have no least share of the memory", "internal/core/memory/memory.go", "kept += max(least-", "kept += 0 * max(least-"}, "./internal/core/memory"},
+	{mutant{"all priorities may fill the memory", "internal/core/memory/memory.go", "	if levels > 1 {", "	if levels > 1 && false {"}, "./internal/core/memory"},
+	{mutant{"a replica is sent any number of bytes", "internal/replicaconn/bytes.go", "	if r.used > 0 && r.used+waiter.bytes", "	if false && r.used+waiter.bytes"}, "./internal/replicaconn"},
+	{mutant{"the bytes of a request that is given up stay counted", "internal/edge/handler.go", "	defer held.release()\n", "	if r.ContentLength > 0 {\n		defer held.release()\n	}\n"}, "./internal/edge"},
+	{mutant{"the end of a former life behind an unreadable entry is not seen", "internal/edge/registry.go", "	if restarted {\n", "	if restarted && false {\n"}, "./internal/edge"},
 	{mutant{"a restore takes the configuration back", "platform/store.go", "	return wire.Version\n", "	return wire.Version * 0\n"}, "./internal/edge"},
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -86,6 +86,7 @@
 	cl := newCluster(t, binary, r.seed, number)
 	defer cl.close()
 	c := &callers{cluster: cl, postStatuses: map[string]int{}}
+	cl.callers = c
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -111,8 +112,8 @@
 	return cl.violations
 }
 
-// changeWhileHealthy drains a replica, evacuates a data centre, changes the configuration and the shards, and stops a
-// node without other faults: guarantees with a time bound hold only then, and are so checked at least once for each
+// changeWhileHealthy drains a replica, evacuates a data centre, changes the configuration and the shards, lets callers
+// not read their answers, and stops a node without other faults: guarantees with a time bound hold only then, and are so checked at least once for each
 // seed.
 func (cl *cluster) changeWhileHealthy() {
 	time.Sleep(stablePeriod + slack)
@@ -123,6 +124,7 @@
 	var leaving sync.WaitGroup
 	leaving.Go(func() { cl.evacuate(fault{draw: cl.seed << 40}) })
 	leaving.Go(func() { cl.sendCrashingRequest(fault{draw: cl.seed}) })
+	leaving.Go(func() { cl.blockReaders(cl.nodes[0]) })
 	cl.drain(fault{draw: cl.random.Uint64()})
 	leaving.Wait()
 	cl.restoreWhileHealthy(backup)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -48,6 +48,8 @@
 	binary string
 	store  *platformtest.Store
 	nodes  []*vm
+	// callers send the requests of the run.
+	callers *callers
 
 	mutex           sync.Mutex
 	replicas        map[string]*upstream
@@ -133,6 +135,9 @@
 			cl.addReplica(service)
 		}
 	}
+	for range bulkReplicas {
+		cl.addReplica(bulkService)
+	}
 	cl.configure()
 	for i := range nodeCount {
 		cl.addNode(number, i)
@@ -158,6 +163,9 @@
 
 // records returns the records of a service; all its replicas have the same.
 func records(service string) []byte {
+	if service == bulkService {
+		return bulkRecords()
+	}
 	var b strings.Builder
 	for i := range 5 {
 		fmt.Fprintf(&b, "%-16.16s", fmt.Sprintf("%c%s", 'a'+(len(service)*7+i*11+int(service[len(service)-1]))%26, service))
@@ -214,11 +222,13 @@
 		return platformtest.Route{Name: name, Host: "search.example", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 1500, TargetLatencyMs: 200, MaxAttempts: 2}
 	}
 	plain, once, all := route("plain", platformtest.KindIdempotent), route("once", platformtest.KindNonIdempotent), route("all", platformtest.KindIdempotent)
+	bulk := route("bulk", platformtest.KindIdempotent)
+	bulk.Service, bulk.Priority = bulkService, 3
 	plain.Service, once.Service = cl.current, "invoices"
 	all.Gather, all.TopK, all.MinCoverage = shards(cl.partition), 3, 0.5
-	config := platformtest.Config{Version: cl.version, Routes: []platformtest.Route{plain, once, all}, Limits: platformtest.DefaultLimits()}
+	config := platformtest.Config{Version: cl.version, Routes: []platformtest.Route{plain, once, all, bulk}, Limits: platformtest.DefaultLimits()}
 	config.Limits.MaxBodyBytes = 4096
-	for _, name := range cl.services() {
+	for _, name := range append(cl.services(), bulkService) {
 		config.Services = append(config.Services, platformtest.Service{Name: name, MaxConns: 40})
 	}
 	cl.store.Publish(config)
@@ -236,8 +246,8 @@
 	require.NoError(cl.t, err)
 	node.stderr, err = os.Create(filepath.Join(folder, "failures"))
 	require.NoError(cl.t, err)
-	node.settings = fmt.Sprintf("node=vm-%d\nzone=dc%d\nip=%s\nlistenAddrs.front=%s:%d\nlistenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\nlistenAddrs.directory=%s:%d\nportRange=%d,%d\nseeds=127.%d.%d.1:%d,127.%d.%d.2:%d\nlimits.cpuShare=0.4\nbounds.graceS=%d\nbounds.configApplyMs=3000\nbounds.retryBudgetRatio=%g\nbounds.retryWindowS=%g\nbounds.retrySlack=%d\nplatform.address=%s\n",
-		i, i%2, node.ip, node.ip, callerPort, node.ip, readyPort, node.ip, controlPort, node.ip, directoryPort, peerPort, peerPort+15, addressBlock(), number, controlPort, addressBlock(), number, controlPort, graceSeconds, extraRatio, extraWindow.Seconds(), extraAllowance, proxy.Address())
+	node.settings = fmt.Sprintf("node=vm-%d\nzone=dc%d\nip=%s\nlistenAddrs.front=%s:%d\nlistenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\nlistenAddrs.directory=%s:%d\nportRange=%d,%d\nseeds=127.%d.%d.1:%d,127.%d.%d.2:%d\nlimits.cpuShare=0.4\nlimits.memoryMb=%d\nbounds.graceS=%d\nbounds.configApplyMs=3000\nbounds.retryBudgetRatio=%g\nbounds.retryWindowS=%g\nbounds.retrySlack=%d\nplatform.address=%s\n",
+		i, i%2, node.ip, node.ip, callerPort, node.ip, readyPort, node.ip, controlPort, node.ip, directoryPort, peerPort, peerPort+15, addressBlock(), number, controlPort, addressBlock(), number, controlPort, memoryMb, graceSeconds, extraRatio, extraWindow.Seconds(), extraAllowance, proxy.Address())
 	require.NoError(cl.t, os.WriteFile(node.settingsPath, []byte(node.settings), 0o600))
 	cl.nodes = append(cl.nodes, node)
 }
