Places: one more for each answer, pauses of 0.2 to 2 s, and a true 'not run'

- A new replica's limit grew by a quarter for each answer; where a place is held for 90 ms that took seconds (an archive pull waited 775 ms behind one other).
It grows by one now.
- Sends that still waited for a place when the request ended counted as what may have run.
The machine tells which were withdrawn and whether they alone are why; one that had not left the node never does, and the request is 'not run'.

--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -17,8 +17,8 @@
 	refusalsUntilPause = refusalGain
 	// A replica that refuses at any load is tried again after each pause. The pause doubles with each refusal and halves with
 	// each answer that brings the share below refusalsUntilPause.
-	minPause = 100 * time.Millisecond
-	maxPause = time.Second
+	minPause = 200 * time.Millisecond
+	maxPause = 2 * time.Second
 )
 
 // limit is how many requests a node sends to one replica at the same time: at most its part of the places, less where the
@@ -73,9 +73,17 @@
 	}
 	l.learned.RecordAnswer(held)
 	if l.cold || l.refusedAt == 0 || now-l.refusedAt >= regrowAfter {
-		l.cold = l.cold && !l.learned.Ramped()
+		l.grow()
+	}
+}
+
+// grow adds a place, so that a limit doubles with each round of answers. Admission's quarter of a place for each answer would
+// take seconds where a place is held for long.
+func (l *limit) grow() {
+	for next := l.learned.Slots() + 1; l.learned.Slots() < min(next, l.part); {
 		l.learned.RampUp()
 	}
+	l.cold = l.cold && l.learned.Slots() < l.part
 }
 
 // recordRefusal handles a refusal by the replica, with the places in use when the request was sent. A replica that refuses
--- a/internal/core/placement/part.go
+++ b/internal/core/placement/part.go
@@ -10,7 +10,10 @@
 
 // Places returns how many requests all nodes near a replica together may have there: one for each slot, and as many queued
 // ones that no slot idles while a node with a free place has nothing to send.
-func Places(slots, near int) int { return max(slots, 1) * max(near, 2) }
+func Places(slots, near int) int { return max(slots, 1) * max(near, queueFactor) }
+
+// queueFactor is the least number of places for each slot.
+const queueFactor = 2
 
 // farPart is the part of a node far from the replica. Such a node sends most of its requests through a near one; its own
 // are retries.
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -131,6 +131,10 @@
 	Enough bool
 	// MayHaveRun is set when any replica may have run the request.
 	MayHaveRun bool
+	// Withdrawn holds the ids of the sends in flight at the end. If they alone are why the request may have run,
+	// OnlyWithdrawn is set: it has not run if none of them had left the node.
+	Withdrawn     []int
+	OnlyWithdrawn bool
 	// NoReplica is set when a service had no eligible replica at all.
 	NoReplica bool
 	// BudgetSpent is set when a retry or hedge was withheld because the budget for extra sends was spent.
--- a/internal/core/scatter/places_test.go
+++ b/internal/core/scatter/places_test.go
@@ -75,3 +75,22 @@
 	require.True(t, result.Enough)
 	require.Equal(t, 3, result.Received)
 }
+
+// Guards against a request that is told "may have run" because of sends that were still waiting for a place.
+func TestTheEndTellsWhetherOnlyWithdrawnSendsMayHaveRun(t *testing.T) {
+	m := New(gatherPlan(), &fakeChooser{replicas: 2})
+	m.Step(0, Begin{})
+	m.Step(ms, succeeded(0))
+	result := finishResult(m.Step(gatherPlan().Deadline, Tick{}))
+	require.NotNil(t, result)
+	require.True(t, result.MayHaveRun)
+	require.True(t, result.OnlyWithdrawn)
+	require.Equal(t, []int{1, 2, 3}, result.Withdrawn[:3])
+
+	m = New(gatherPlan(), &fakeChooser{replicas: 1})
+	m.Step(0, Begin{})
+	m.Step(ms, SendEnded{Send: 0, Verdict: Failed})
+	result = finishResult(m.Step(gatherPlan().Deadline, Tick{}))
+	require.True(t, result.MayHaveRun)
+	require.False(t, result.OnlyWithdrawn, "one has failed")
+}
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -300,10 +300,12 @@
 func (m *Machine) withdrawAll() {
 	for id := range m.sends {
 		if m.sends[id].inFlight {
-			m.result.MayHaveRun = true
+			m.result.Withdrawn = append(m.result.Withdrawn, id)
 			m.act(CancelSend{ID: id})
 		}
 	}
+	m.result.OnlyWithdrawn = !m.result.MayHaveRun && len(m.result.Withdrawn) > 0
+	m.result.MayHaveRun = m.result.MayHaveRun || m.result.OnlyWithdrawn
 }
 
 func (m *Machine) wake() {
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -25,9 +25,33 @@
 	e.err = q.node.places.acquire(ctx, e.send.Replica, q.claimOf(e), &e.place)
 	e.waited = q.node.now() - began
 	q.node.metrics.countPlace(q.claim.Priority, e.err == nil, e.waited)
+	if e.err == nil && !e.departure.CompareAndSwap(beforeDeparture, departed) {
+		e.err = &placement.NoPlace{Priority: q.claim.Priority, Waited: e.waited, Cause: errAnswered}
+	}
 	return e.err == nil
 }
 
+// The states of a send: it waits for its place, is on its way, or will never leave because the request has ended.
+const (
+	beforeDeparture uint32 = iota
+	departed
+	neverDeparts
+)
+
+// proveNotRun finds that a request has not run although sends of it were in flight at its end: each of them still waited for
+// a place at this node, and will not leave any more.
+func (q *request) proveNotRun(result *scatter.Result) {
+	if result.Enough || !result.OnlyWithdrawn {
+		return
+	}
+	for _, id := range result.Withdrawn {
+		if e := q.sends[id]; e.group != nil || !e.departure.CompareAndSwap(beforeDeparture, neverDeparts) {
+			return
+		}
+	}
+	result.MayHaveRun = false
+}
+
 // claimOf returns the claim of a send.
 func (q *request) claimOf(e *exchange) placement.Claim {
 	claim := q.claim
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -67,6 +67,8 @@
 	verdict  scatter.Verdict
 	// broken is set if the replica closed the connection instead of answering.
 	broken bool
+	// departure tells whether the send has left this node.
+	departure atomic.Uint32
 	// place is the send's place at the replica, waited the time spent waiting for it.
 	place  heldPlace
 	waited time.Duration
@@ -147,6 +149,7 @@
 		case scatter.Wake:
 			timer.Reset(max(a.At-q.node.now(), 0))
 		case scatter.Finish:
+			q.proveNotRun(&a.Result)
 			return &a.Result
 		}
 	}
