--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -25,7 +25,7 @@
 	// TargetAt is until when the answer has its full value, 0 if the route states none. Deadline is until when the caller
 	// waits.
 	TargetAt, Deadline core.Time
-	// Extra is set for a hedge or a retry: a send that another one of the same request may make unnecessary.
+	// Extra is set for a hedge: a send that another one of the same request may make unnecessary. It does not wait.
 	Extra bool
 	// Last is set when the request has no other replica left: it is sent to a replica that refuses others, too.
 	Last bool
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -5,11 +5,14 @@
 	"errors"
 	"time"
 
+	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
+	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
+	"github.com/pistachiopier/pistachiopier/platform"
 )
 
 // placeLingerTime is how long the exchange of a cancelled send may go on at its replica, and so keep its place.
@@ -61,12 +64,46 @@
 	return claim
 }
 
+// recordNoPlace records that a send got no place. If nobody was ahead of it, the replica refuses requests.
+func (q *request) recordNoPlace(exchange *exchange) {
+	var noPlace *placement.NoPlace
+	if !errors.As(exchange.err, &noPlace) {
+		return
+	}
+	ahead := noPlace.Decision.Ahead
+	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
+		if ahead == 0 {
+			table.Refused(exchange.send.Replica.Incarnation(), now)
+			return
+		}
+		table.NoPlace(exchange.send.Replica.Incarnation(), ahead, now)
+	})
+}
+
+// addNoPlace makes the step that of a send without a place.
+func (s *step) addNoPlace(cause error) {
+	s.Event, s.Cause = "no_place", cause.Error()
+	var noPlace *placement.NoPlace
+	if errors.As(cause, &noPlace) {
+		s.Short, s.Ahead, s.WaitedMs = string(noPlace.Decision.Short), noPlace.Decision.Ahead, noPlace.Waited.Milliseconds()
+	}
+}
+
+// releaseLate ends the use of a place by the answer to a send that was cancelled.
+func (e *exchange) releaseLate(response *replicaconn.Response) {
+	if (platform.Wire{}).NotRun(response.Status, response.Header) {
+		e.place.release(placement.Refused)
+		return
+	}
+	e.place.release(placement.Answered)
+}
+
 // releasePlace ends the use of a send's place. The exchange of a cancelled send may still run at the replica for a while.
 func (e *exchange) releasePlace() {
 	var failed *replicaconn.Error
-	cancelled := errors.As(e.err, &failed) && failed.Sent && e.ctx.Err() != nil
+	sent := errors.As(e.err, &failed) && failed.Sent
 	switch {
-	case cancelled:
+	case sent && (e.ctx.Err() != nil || errors.Is(e.err, context.DeadlineExceeded)):
 		time.AfterFunc(placeLingerTime, func() { e.place.release(placement.Unanswered) })
 	case e.verdict == scatter.Refused:
 		e.place.release(placement.Refused)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -274,7 +274,7 @@
 	wire.ByteCounter = q.node.traffic.Counter(traffic.Flow{Purpose: traffic.Replicas, DataCentre: exchange.send.Replica.DataCentre})
 	wire.UserData = inFlightSend{request: q, send: exchange}
 	wire.OnLate = func(response *replicaconn.Response) {
-		exchange.place.release(placement.Answered)
+		exchange.releaseLate(response)
 		q.recordLateAnswer(exchange, response)
 	}
 	wire.MaxConnections = q.node.maxConnections(q.config, exchange.send.Replica)
@@ -345,22 +345,6 @@
 	}
 }
 
-// recordNoPlace records that a send got no place. If nobody was ahead of it, the replica refuses requests.
-func (q *request) recordNoPlace(exchange *exchange) {
-	var noPlace *placement.NoPlace
-	if !errors.As(exchange.err, &noPlace) {
-		return
-	}
-	ahead := noPlace.Decision.Ahead
-	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
-		if ahead == 0 {
-			table.Refused(exchange.send.Replica.Incarnation(), now)
-			return
-		}
-		table.NoPlace(exchange.send.Replica.Incarnation(), ahead, now)
-	})
-}
-
 // recordDelegatedEnd records the end of a delegated send. After the end of the request, its answer counts as
 // late.
 func (q *request) recordDelegatedEnd(exchange *exchange) {
@@ -396,10 +380,9 @@
 		return
 	}
 	s := step{Event: "send_failed", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, TookMs: (q.node.now() - exchange.startAt).Milliseconds()}
-	var noPlace *placement.NoPlace
 	switch {
-	case errors.As(exchange.err, &noPlace):
-		s.Event, s.Cause, s.Short, s.Ahead, s.WaitedMs = "no_place", noPlace.Error(), string(noPlace.Decision.Short), noPlace.Decision.Ahead, noPlace.Waited.Milliseconds()
+	case exchange.verdict == scatter.NoPlace:
+		s.addNoPlace(exchange.err)
 	case exchange.err != nil:
 		s.Cause = exchange.err.Error()
 	default:
