--- a/internal/edge/recovery_test.go
+++ b/internal/edge/recovery_test.go
@@ -87,3 +87,47 @@
 		require.Contains(t, h.resolve(node, "east"), node.Settings.CallerAddress)
 	}
 }
+
+// All nodes restart while the store does not answer. Callers must find them, be told "not run", and be served as soon as
+// the store is back.
+func TestAllNodesRestartWhileTheStoreIsSilent(t *testing.T) {
+	h := newHarness(t)
+	h.replica("notes", "east", "a note")
+	h.serve("east", "east")
+	h.store.SetFault(func(string) platformtest.StoreFault { return platformtest.Silent })
+	for _, node := range h.nodes {
+		h.stop(node)
+	}
+	h.nodes = nil
+	h.start("east", "east")
+	for _, node := range h.nodes {
+		require.Contains(t, h.resolve(node, "east"), node.Settings.CallerAddress)
+		response, _ := h.mustRequest(node, http.MethodGet, "/plain/x", "while-silent", "")
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+	}
+	h.store.SetFault(nil)
+	for _, node := range h.nodes {
+		h.waitForEvent(node, "config_in_force")
+		require.Eventually(t, func() bool {
+			response, _, err := h.request(node, http.MethodGet, "/plain/x", "when-back", "")
+			return err == nil && response.StatusCode == http.StatusOK
+		}, waitLimit, 10*time.Millisecond)
+	}
+}
+
+// Half of the nodes restart while the store does not answer. They must serve by what the others know.
+func TestANodeThatRestartsWhileTheStoreIsSilentServesByWhatOthersKnow(t *testing.T) {
+	h := newHarness(t)
+	h.replica("notes", "east", "a note")
+	h.serve("east", "east")
+	h.store.SetFault(func(string) platformtest.StoreFault { return platformtest.Silent })
+	h.stop(h.nodes[1])
+	h.startOne("east", nil)
+	restarted := h.nodes[2]
+	h.waitForEvent(restarted, "config_in_force")
+	require.Eventually(t, func() bool {
+		response, _, err := h.request(restarted, http.MethodGet, "/plain/x", "half", "")
+		return err == nil && response.StatusCode == http.StatusOK
+	}, waitLimit, 10*time.Millisecond)
+}
