"Not run" is not said of a question that a shard answered; no idle connection from before a suspension

A question of which one part had come, while the other shards could not be reached, ended as 503 "not run". And the clock of timeouts stands still while a VM is suspended: an idle connection that the replica had dropped long ago looked as if used just now, and a request that must not be repeated could be lost on it.

A send that succeeded counts as one that ran.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -22,7 +22,7 @@
 // stateEvents are the events that report the state of a node. The last one for each
 // state key before the end of a request is shown with the request.
 var stateEvents = map[string]bool{
-	"node_started": true, "config_in_force": true, "entries_changed": true, "role_changed": true, "view_changed": true,
+	"node_started": true, "config_in_force": true, "entries_changed": true, "role_changed": true, "node_resumed": true, "view_changed": true,
 	"dependency_lost": true, "dependency_back": true, "node_stopping": true, "settings_reloaded": true,
 	"request_set_aside": true, "evacuation_in_force": true, "evacuation_ended": true, "evacuation_lapsed": true,
 	"store_era_changed": true, "store_era_untold": true, "config_outdated": true, "reading_not_taken": true,
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -209,7 +209,7 @@
 	ended.inFlight = false
 	s := &m.services[ended.service]
 	s.inFlight--
-	if e.Verdict == Failed {
+	if e.Verdict == Failed || e.Verdict == Succeeded {
 		m.result.MayHaveRun = true
 	}
 	m.recordEnd(ended, e)
--- a/internal/core/scatter/scatter_test.go
+++ b/internal/core/scatter/scatter_test.go
@@ -333,3 +333,44 @@
 	chooser.extraPlentiful = true
 	require.Len(t, sends(m.Step(30*ms, Tick{})), 1, "the hedge is sent while the budget is plentiful")
 }
+
+// A request ends at its deadline with sends in flight. Whether it may have run then depends on these alone, unless another
+// send has run or may have.
+func TestWithdrawnSendsAreToldApartFromThoseThatMayHaveRun(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		plan          Plan
+		ends          []SendEnded
+		withdrawn     []int
+		onlyWithdrawn bool
+	}{
+		{"the one send is in flight", plainPlan(false), nil, []int{0}, true},
+		{"refused once, then in flight", plainPlan(false), []SendEnded{{Send: 0, Verdict: Refused}}, []int{1}, true},
+		{"never left, then in flight", plainPlan(false), []SendEnded{{Send: 0, Verdict: Unreached}}, []int{1}, true},
+		{"failed once, then in flight", plainPlan(true), []SendEnded{{Send: 0, Verdict: Failed}}, []int{1}, false},
+		{"one part has come", gatherPlan(), []SendEnded{succeeded(0)}, []int{1, 2, 3}, false},
+	} {
+		m := New(test.plan, &fakeChooser{replicas: 2, budget: 9})
+		m.Step(0, Begin{})
+		for _, end := range test.ends {
+			require.Nil(t, finishResult(m.Step(ms, end)), test.name)
+		}
+		result := finishResult(m.Step(2*ms, GiveUp{}))
+		require.NotNil(t, result, test.name)
+		require.True(t, result.MayHaveRun, test.name)
+		require.Equal(t, test.withdrawn, result.Withdrawn, test.name)
+		require.Equal(t, test.onlyWithdrawn, result.OnlyWithdrawn, test.name)
+	}
+}
+
+// Guards against "not run" for a question that one shard has answered while the others cannot be reached.
+func TestAQuestionThatOneShardAnsweredHasRun(t *testing.T) {
+	m := New(gatherPlan(), &fakeChooser{replicas: 1})
+	m.Step(0, Begin{})
+	m.Step(ms, succeeded(0))
+	m.Step(ms, SendEnded{Send: 1, Verdict: Unreached})
+	result := finishResult(m.Step(ms, SendEnded{Send: 2, Verdict: Unreached}))
+	require.NotNil(t, result)
+	require.False(t, result.Enough)
+	require.True(t, result.MayHaveRun)
+}
--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -38,6 +38,9 @@
 		n.registry.expire()
 		n.updateEntries()
 		n.updateRole()
+		if suspended := n.replicas.CloseIdleAfterSuspension(); suspended > 0 {
+			n.log.Life("node_resumed", decisionlog.Fields{"suspended_ms": suspended.Milliseconds()})
+		}
 		n.updateExtraBound()
 		n.closeUnusable()
 	}
--- a/internal/replicaconn/accept_test.go
+++ b/internal/replicaconn/accept_test.go
@@ -223,3 +223,26 @@
 	require.ErrorIs(t, <-second, ErrRevoked)
 	require.EqualValues(t, 1, capped.requests.Load())
 }
+
+// A VM was suspended: its idle connections look as if they had been used just now, though the replica dropped them. A
+// request that must not be repeated would be lost on one.
+func TestNoRequestUsesAConnectionFromBeforeASuspension(t *testing.T) {
+	capped := startCapped(t, 100)
+	close(capped.answers)
+	client := newCappedClient(t)
+	var suspended time.Duration
+	client.suspend = newSuspendWatch(func() time.Duration { return suspended })
+	request := capped.request(1)
+	request.Once = true
+	for range 2 {
+		_, err := client.Do(t.Context(), request)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 1, client.ConnectionsOpened())
+	suspended = 3 * time.Second
+	_, err := client.Do(t.Context(), request)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, client.ConnectionsOpened())
+	require.Equal(t, suspended, client.CloseIdleAfterSuspension())
+	require.Zero(t, client.CloseIdleAfterSuspension())
+}
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -145,6 +145,7 @@
 	opened int64
 	// endedUnaccepted counts the connections that replicas closed before they were accepted.
 	endedUnaccepted int64
+	suspend         suspendWatch
 	// keepsNoIdle is set if a connection is closed when no request needs it.
 	keepsNoIdle bool
 	// onEnded receives an incarnation that has ended and the requests in flight there.
@@ -164,7 +165,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
-	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors()}
+	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), suspend: newSuspendWatch(suspendedTime())}
 	c.refuses = c.refusesConnections
 	return c
 }
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -92,6 +92,9 @@
 		return nil, nil, errRestarted
 	}
 	p.limit = max(request.MaxConnections, 1)
+	if request.Once {
+		c.closeIdleAfterSuspension()
+	}
 	if found := p.takeIdle(request, time.Now()); found != nil {
 		return found, nil, nil
 	}
