A process that is short of processor time is not taken for suspended; a story of a replica at its limit

The two clocks are read one after the other. A quota can keep a process from running for a tenth of a second in between, which is what the tolerance was.

--- a/internal/replicaconn/suspend.go
+++ b/internal/replicaconn/suspend.go
@@ -10,8 +10,9 @@
 // replica or a device on the path has long dropped looks as if it had been used just now. A request that must not be
 // repeated would be lost on it, and nobody could tell that it did not run.
 
-// suspendTolerance is how much the two clocks may drift apart between two readings without a suspension.
-const suspendTolerance = 100 * time.Millisecond
+// suspendTolerance is how much the two clocks may differ between two readings without a suspension: a process that is short
+// of processor time may stand still between reading the one and the other.
+const suspendTolerance = 500 * time.Millisecond
 
 // suspendWatch detects that the process was suspended.
 type suspendWatch struct {
