Look-ups are answered from the first moment of a process, not held

Entries are chosen once before the directory opens; before the first view this node knows itself alone. The wait is gone.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -2,17 +2,14 @@
 
 import (
 	"cmp"
-	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
-	"github.com/pistachiopier/pistachiopier/internal/wait"
 	"github.com/pistachiopier/pistachiopier/platform"
 )
 
@@ -24,7 +21,6 @@
 func (n *Node) directoryHandler() http.Handler {
 	router := newRouter()
 	router.GET(platform.PathResolve, func(c *gin.Context) {
-		n.awaitView(c.Request.Context())
 		addresses := n.addresses(platform.CallerDataCentre(c.Query))
 		if len(addresses) == 0 {
 			c.Status(http.StatusServiceUnavailable)
@@ -35,38 +31,6 @@
 	return router
 }
 
-const (
-	// lookupHoldTime is how long after the start of this node a look-up may wait for other nodes to become known. It is
-	// less than callers wait for an answer.
-	lookupHoldTime = 600 * time.Millisecond
-	// lookupPollInterval is how often a look-up that waits is tried again.
-	lookupPollInterval = 10 * time.Millisecond
-)
-
-// awaitView waits until this node knows more nodes than its settings name, or a short time has passed since its start.
-//
-// It guards against this failure: all nodes restart together, and each names itself alone to its callers. These stay
-// with weak nodes for as long as they keep addresses, and a look-up before the first choice of entries fails.
-func (n *Node) awaitView(ctx context.Context) {
-	for n.now() < lookupHoldTime && n.knowsOnlySeeds() && wait.For(ctx, lookupPollInterval) {
-	}
-}
-
-// knowsOnlySeeds reports whether this node has chosen no entries yet, or knows no more nodes than the seeds and itself.
-func (n *Node) knowsOnlySeeds() bool {
-	if n.entries.Load() == nil {
-		return true
-	}
-	s := n.settings.Load()
-	seeds := 0
-	for _, seed := range s.Seeds {
-		if seed != s.PeerAddress {
-			seeds++
-		}
-	}
-	return seeds > 0 && len(n.nodesWithAddress()) <= seeds+1
-}
-
 // readinessHandler reports whether this node accepts callers.
 func (n *Node) readinessHandler() http.Handler {
 	router := newRouter()
@@ -179,8 +143,11 @@
 }
 
 // nodesWithAddress lists the live nodes whose caller addresses are known. Only the peer address of a seed is
-// known until it has answered.
+// known until it has answered. Before the first view this node knows itself alone.
 func (n *Node) nodesWithAddress() []route.Node {
+	if len(n.view().Nodes()) == 0 && !n.stopping.Load() {
+		return []route.Node{n.views.Self()}
+	}
 	var nodes []route.Node
 	for _, node := range n.view().Nodes() {
 		if node.CallerAddress != "" {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -165,6 +165,9 @@
 		return err
 	}
 	n.callers = serveCallers(callerSocket, n)
+	// Look-ups are answered from the first moment on, with this node alone if need be.
+	n.updateEntries()
+	n.updateRole()
 	if err := n.startAuxiliary(s); err != nil {
 		return err
 	}
