--- a/internal/core/outlook/plan.go
+++ b/internal/core/outlook/plan.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/latency"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 )
@@ -81,6 +83,18 @@
 	RemainingTime time.Duration
 	// TransitTime is the time of the request from the caller plus that of the answer to the caller.
 	TransitTime time.Duration
+	// Caller is the address that the request came from, "" if unknown.
+	Caller string
+	// Key returns what identifies the request over the attempts of its caller, nil if that is unknown.
+	Key func() comeback.Key
+}
+
+// group names what the request competes for. Routes over the same shards compete with each other.
+func (r Request) group() string {
+	if len(r.Services) == 0 {
+		return ""
+	}
+	return r.Services[0]
 }
 
 // Plan returns the plan of a request: the parts that it needs, and when to hedge and to answer.
@@ -90,16 +104,27 @@
 		Services: request.Services, MinParts: 1, Idempotent: route.Idempotent, MaxReplicas: route.MaxReplicas,
 		Deadline: request.Arrived + request.MaxWait,
 	}
+	plan.Admission = placement.Request{Group: request.group(), Caller: request.Caller, Key: request.Key, Claim: placement.Claim{Priority: route.Priority, OverShare: o.Callers.IsOver(request.Caller, request.Arrived), Waited: o.elapsed(request), Deadline: plan.Deadline}}
 	observed := o.routeLatency(route)
 	typical, known := observed.latencies.Quantile(typicalQuantile)
 	if route.Idempotent {
 		plan.HedgeAfter = observed.hedgeAfter(route.TargetLatency, typical, known)
 		plan.RemoteHedgeExtra = remoteHedgeExtra
 	}
+	if route.TargetLatency > 0 {
+		plan.TargetAt = request.Arrived + max(route.TargetLatency-request.TransitTime-plan.Admission.Waited, 0)
+	}
 	if route.Gather != nil {
 		plan.MinParts = route.Gather.MinParts()
-		plan.TargetLatency = attainableTarget(route.TargetLatency-request.TransitTime, typical, known)
-		plan.PartialAt = request.Arrived + o.partialAfter(request)
+		if target := attainableTarget(route.TargetLatency-request.TransitTime, typical, known); target > 0 {
+			plan.Admission.TargetAt = request.Arrived + target
+		}
+		// Just in time for the target, an answer with the least coverage is sent: a missing part costs the caller less than
+		// a late answer.
+		plan.PartialAt = plan.Deadline
+		if plan.TargetAt > 0 {
+			plan.PartialAt = plan.TargetAt
+		}
 	}
 	return plan
 }
@@ -135,15 +160,6 @@
 	return max(after, minHedgeAfter)
 }
 
-// partialAfter returns the time after arrival from which an answer with the least coverage is sent: just in
-// time to reach the caller within the target latency. A missing part costs the caller less than a late answer.
-func (o *Outlook) partialAfter(request Request) time.Duration {
-	if request.Route.TargetLatency <= 0 {
-		return request.MaxWait
-	}
-	return max(request.Route.TargetLatency-request.TransitTime-o.elapsed(request), 0)
-}
-
 // elapsed estimates how long a caller has been waiting over all its attempts, from its remaining time: a
 // first attempt has the most.
 func (o *Outlook) elapsed(request Request) time.Duration {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
@@ -28,11 +29,11 @@
 	response := exchange.response
 	if response.Rest == nil {
 		q.recordOutcome(outcome, response.Status, result)
-		writeAnswer(w, response)
+		q.writeAnswer(w, response)
 		return
 	}
 	defer func() { _ = response.Rest.Close() }()
-	writeAnswer(w, response)
+	q.writeAnswer(w, response)
 	if _, err := io.Copy(w, response.Rest); err != nil {
 		q.addStep(step{Event: "answer_cut", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, Cause: err.Error()})
 		q.recordOutcome(outcomeFailed, response.Status, result)
@@ -42,7 +43,7 @@
 }
 
 // writeAnswer writes the head of an answer and the part of its body that has been read.
-func writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
+func (q *request) writeAnswer(w http.ResponseWriter, response *replicaconn.Response) {
 	header := w.Header()
 	for name, values := range forwardableHeaders(response.Header) {
 		header[name] = values
@@ -55,7 +56,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	q.writeBody(w, response.Body)
 }
 
 func allowsBody(status int) bool {
@@ -105,13 +106,8 @@
 // answerFailure answers a failed request. It states "not run" only if every send proved it.
 func (q *request) answerFailure(w http.ResponseWriter, result scatter.Result) {
 	if !result.MayHaveRun {
-		retryAfter := retryAfterFull
-		switch {
-		case result.Rejected:
-			retryAfter = result.RetryAfter
-		case result.NoReplica:
-			retryAfter = retryAfterNoReplica
-		}
+		retryAfter := q.retryAfter(result)
+		result.Admission.RetryAfter = retryAfter
 		q.recordOutcome(outcomeRefused, http.StatusServiceUnavailable, result)
 		writeRefusal(w, retryAfter)
 		return
@@ -128,6 +124,18 @@
 	http.Error(w, http.StatusText(status), status)
 }
 
+// retryAfter returns the time to tell the caller of a refused request.
+func (q *request) retryAfter(result scatter.Result) time.Duration {
+	longest := retryAfterFull
+	switch {
+	case result.Rejected:
+		return result.Admission.RetryAfter
+	case result.NoReplica:
+		longest = retryAfterNoReplica
+	}
+	return q.node.state.spreadRetryAfter(longest, q.plan.Deadline-q.node.now())
+}
+
 // notRunStatuses are the statuses which state that a request has not run.
 var notRunStatuses = map[int]bool{
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -21,6 +24,10 @@
 	mutex    sync.RWMutex
 	requests map[requestKind]requestMetrics
 	services map[string]*serviceMetrics
+	// places counts the claims to places by priority and outcome.
+	places map[placeKind]metrics.Counter
+	// admissions holds a counter for each kind; it does not change.
+	admissions map[admissionKind]metrics.Counter
 	// budgetGauges are the names of the gauges that the last update of the budgets registered.
 	budgetGauges []string
 }
@@ -41,15 +48,58 @@
 
 // Labels of metrics.
 const (
-	labelShape   = "shape"
-	labelKind    = "kind"
-	labelOutcome = "outcome"
-	labelCause   = "cause"
-	labelService = "service"
+	labelShape    = "shape"
+	labelKind     = "kind"
+	labelOutcome  = "outcome"
+	labelCause    = "cause"
+	labelService  = "service"
+	labelPriority = "priority"
+	labelReturned = "returned"
 )
 
 func newNodeMetrics() *nodeMetrics {
-	return &nodeMetrics{reg: observe.NewRegistry(), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}}
+	reg := observe.NewRegistry()
+	return &nodeMetrics{
+		reg: reg, admissions: newAdmissionCounters(reg), requests: map[requestKind]requestMetrics{}, services: map[string]*serviceMetrics{}, places: map[placeKind]metrics.Counter{},
+	}
+}
+
+// placeKind is the key of the metrics of claims to places.
+type placeKind struct {
+	priority int
+	outcome  string
+}
+
+// The outcomes of claims to places.
+const (
+	placeAtOnce  = "at_once"
+	placeWaited  = "waited"
+	placeDropped = "dropped"
+)
+
+// minPlaceWait is the least time that counts as waiting for a place: a decision takes microseconds.
+const minPlaceWait = time.Millisecond
+
+// countPlace counts a claim to a place.
+func (m *nodeMetrics) countPlace(priority int, placed bool, waited time.Duration) {
+	outcome := placeAtOnce
+	switch {
+	case !placed:
+		outcome = placeDropped
+	case waited >= minPlaceWait:
+		outcome = placeWaited
+	}
+	key := placeKind{priority: placement.ClampPriority(priority), outcome: outcome}
+	m.mutex.RLock()
+	counter := m.places[key]
+	m.mutex.RUnlock()
+	if counter == nil {
+		counter = observe.Counter(m.reg, observe.Labelled("places_total", labelPriority, strconv.Itoa(key.priority), labelOutcome, outcome))
+		m.mutex.Lock()
+		m.places[key] = counter
+		m.mutex.Unlock()
+	}
+	counter.Inc(1)
 }
 
 // requestKind is the key of the metrics of requests.
@@ -106,9 +156,37 @@
 // countOutdatedConfig counts an offered configuration that is older than the one in force.
 func (m *nodeMetrics) countOutdatedConfig() { observe.Counter(m.reg, "configs_outdated_total").Inc(1) }
 
-// countEarlyRejection counts a request that was rejected because too few answers were expected in time.
-func (m *nodeMetrics) countEarlyRejection() {
-	observe.Counter(m.reg, "requests_rejected_early_total").Inc(1)
+// countedPriorities is the number of priorities with metrics of their own. Less urgent ones are counted under the last.
+const countedPriorities = 4
+
+// admissionKind is the key of the metrics of admissions.
+type admissionKind struct {
+	priority int
+	verdict  placement.Verdict
+	returned comeback.Standing
+}
+
+// newAdmissionCounters registers the counters of admissions, so that no metric name is built for each request.
+func newAdmissionCounters(reg observe.Registry) map[admissionKind]metrics.Counter {
+	counters := map[admissionKind]metrics.Counter{}
+	for priority := range countedPriorities {
+		for _, verdict := range []placement.Verdict{placement.Send, placement.Reject} {
+			for _, returned := range []comeback.Standing{comeback.Unknown, comeback.Early, comeback.InTime} {
+				labels := []string{labelPriority, strconv.Itoa(priority), labelOutcome, verdict.String(), labelReturned, returned.String()}
+				counters[admissionKind{priority, verdict, returned}] = observe.Counter(reg, observe.Labelled("requests_admission_total", labels...))
+			}
+		}
+	}
+	return counters
+}
+
+// countAdmission counts the decision on a whole request by the priority of its route, and by how it stands to the time
+// that its caller was told.
+func (m *nodeMetrics) countAdmission(priority int, outcome placement.Outcome) {
+	if outcome.Verdict == placement.Reject {
+		observe.Counter(m.reg, "requests_rejected_early_total").Inc(1)
+	}
+	m.admissions[admissionKind{min(max(priority, 0), countedPriorities-1), outcome.Verdict, outcome.Return}].Inc(1)
 }
 
 // countWithheld counts a hedge or retry that was not sent.
@@ -130,6 +208,18 @@
 // countRestart counts a replica that restarted under its id.
 func (m *nodeMetrics) countRestart() { observe.Counter(m.reg, "replicas_restarted_total").Inc(1) }
 
+// countConditionsTold and countConditionsReceived count observations of replicas in messages between entries.
+func (m *nodeMetrics) countConditionsTold(count int) {
+	observe.Counter(m.reg, "replica_conditions_told_total").Inc(int64(count))
+}
+
+func (m *nodeMetrics) countConditionsReceived(count int) {
+	observe.Counter(m.reg, "replica_conditions_received_total").Inc(int64(count))
+}
+
+// countReliefAsked counts a request of this node for relief.
+func (m *nodeMetrics) countReliefAsked() { observe.Counter(m.reg, "relief_asked_total").Inc(1) }
+
 // countExtra counts a hedge or retry.
 func (m *nodeMetrics) countExtra(cause scatter.Cause) {
 	observe.Counter(m.reg, observe.Labelled("sends_extra_total", labelCause, string(cause))).Inc(1)
@@ -153,7 +243,7 @@
 
 // verdictOutcomes are the outcome labels of verdicts.
 var verdictOutcomes = map[scatter.Verdict]string{
-	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached",
+	scatter.Succeeded: outcomeWhole, scatter.Failed: outcomeFailed, scatter.Refused: outcomeRefused, scatter.Unreached: "unreached", scatter.NoPlace: "no_place",
 }
 
 // countSend counts the end of a send to a service, and records the latency of a whole answer.
@@ -213,11 +303,14 @@
 func (n *Node) registerGauges() {
 	watch := func(name string, read func() int64) { observe.GaugeFunc(n.metrics.reg, name, read) }
 	watch("requests_in_flight", n.inFlight.Load)
+	watch("callers_over_share", func() int64 { return int64(len(n.state.callersOverShare())) })
+	watch("returns_expected", func() int64 { return int64(n.state.returnsExpected()) })
 	watch("delegated_groups_running", n.delegatedGroups.Load)
 	watch("replica_connections", func() int64 { return int64(n.replicas.OpenConnections()) })
 	watch("replica_connections_opened_total", n.replicas.ConnectionsOpened)
 	watch("replica_connections_not_accepted_total", n.replicas.ConnectionsNotAccepted)
 	watch("replica_connection_waiters", func() int64 { return int64(n.replicas.WaitingRequests()) })
+	watch("places_waiting", n.places.waiting)
 	watch("log_lines_dropped_total", n.log.Dropped)
 	watch("peer_links", func() int64 { return int64(n.peerPool.LinkCount()) })
 	watch("peer_links_inbound", n.peerServer.LinkCount)
@@ -228,6 +321,9 @@
 	})
 	watch("requests_suspected", func() int64 { return n.quarantine.Count(quarantine.Suspect) })
 	watch("requests_set_aside", func() int64 { return n.quarantine.Count(quarantine.SetAside) })
+	watch("timers_late_us", n.timerLateness.Load)
+	watch("entries_relieved", func() int64 { return int64(len(n.relievedEntries())) })
+	watch("replicas_unusual", func() int64 { return int64(len(n.unusualReplicas())) })
 	watch("pause_interval_ms", func() (ms int64) {
 		n.state.withReplicas(func(table *replica.Table, _ core.Time) {
 			every, _ := table.Pauses.Interval()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -78,8 +78,12 @@
 	stopExpiring chan struct{}
 	inFlight     atomic.Int64
 	helpers      helpers
+	// places are this node's places at the replicas.
+	places *places
 	// allowancePart is this node's part of the allowance for extra arrivals, guarded by state.mutex.
 	allowancePart extra.AllowancePart
+	// callerMemory bounds the memory that callers have this node hold.
+	callerMemory *callerMemory
 	// quarantine tracks the requests that may end the replicas that run them.
 	quarantine *quarantine.ReplicatedLedger
 	// delegatedGroups counts the groups of sends in progress for other nodes.
@@ -87,6 +91,10 @@
 	// refusesDelegated is set when a planned stop no longer takes such groups.
 	refusesDelegated atomic.Bool
 	ready            atomic.Bool
+	// asksRelief is set while the node asks for relief; timerLateness is how late its timers fire on average, in
+	// microseconds.
+	asksRelief    atomic.Bool
+	timerLateness atomic.Int64
 	// entries are the nodes that callers are sent to. They are updated periodically, because selecting them
 	// requires a pass over all replicas.
 	entries atomic.Pointer[[]route.Node]
@@ -130,6 +138,7 @@
 	}
 	n.traffic = traffic.New(n.metrics.reg)
 	n.settings.Store(s)
+	n.callerMemory = newCallerMemory(s.MemoryBytes, n.now)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replicas.OnReplicaEnded(n.replicaEnded)
 	n.quarantine = quarantine.New(quarantine.Options{
@@ -137,6 +146,7 @@
 		Self: n.identity.Node, Nodes: func() []route.Node { return n.view().Nodes() },
 	})
 	n.state = newSharedState(s.DataCentre, s.Regions, extra.Bound{}, n.now)
+	n.places = newPlaces(n.identity.Node, s.DataCentre, n.state.slots, n.now)
 	n.registry = &registry{state: n.state, log: n.log, metrics: n.metrics, heartbeatInterval: func() time.Duration { return n.settings.Load().HeartbeatInterval }, onConfig: n.applyConfig, onRestart: n.replicas.CloseRestarted, onListed: n.replicas.ReplicaListed, onEvacuation: n.closeUnusable}
 	return n
 }
@@ -160,11 +170,12 @@
 	n.follower = mirror.NewFollower(mirror.DefaultConfig(), n.storeCopy, store, copySources{node: n, rotation: &atomic.Uint64{}, PeerClient: mirror.PeerClient{Sender: n.peerPool}}, n.registry, n.now)
 	n.mirror = mirror.NewServer(n.storeCopy, n.follower.Age)
 	n.registerGauges()
+	n.registerMemoryGauges()
 	callerSocket, err := n.sockets.ListenTCP(s.CallerAddress)
 	if err != nil {
 		return err
 	}
-	n.callers = serveCallers(callerSocket, n)
+	n.callers = serveCallers(callerSocket, n, n.callerStalled)
 	// Look-ups are answered from the first moment on, with this node alone if need be.
 	n.updateEntries()
 	n.updateRole()
@@ -173,11 +184,9 @@
 	}
 	n.follower.Start()
 	n.ready.Store(true)
-	n.done.Add(1)
-	go func() {
-		defer n.done.Done()
-		n.housekeep()
-	}()
+	n.done.Go(n.housekeep)
+	n.done.Go(n.tellConditions)
+	n.done.Go(n.watchLoad)
 	return nil
 }
 
@@ -215,6 +224,7 @@
 
 		QuarantineDigest: n.quarantine.Digest,
 		OnPeerQuarantine: n.handleQuarantineDigest,
+		DrainTTL:         reliefTTL,
 	})
 	n.quarantine.Start(n.peerPool)
 	n.peerPool.OnLink(n.handleLinkState)
@@ -302,6 +312,8 @@
 		n.handleDelegate(inbound)
 	case inbound.Envelope.GetQuarantineNews() != nil:
 		n.quarantine.Handle(inbound)
+	case inbound.Envelope.GetReplicaConditions() != nil:
+		n.handleConditions(inbound)
 	default:
 		inbound.Reply(peer.NewRefusal(core.ReasonNotAsked), true)
 	}
@@ -311,6 +323,7 @@
 func (n *Node) applyConfig() {
 	config := n.state.config.Load()
 	n.callers.setLimits(config.Limits)
+	n.callerMemory.setPriorities(config)
 	n.metrics.removeServices(func(service string) bool { _, configured := config.Services[service]; return configured })
 	bounds := map[string]coldstart.Bound{}
 	for name, service := range config.Services {
@@ -331,6 +344,7 @@
 	changed := !reflect.DeepEqual(n.settings.Swap(s), s)
 	n.seeds.Replace(s.Seeds)
 	n.updateExtraBound()
+	n.callerMemory.setLimit(s.MemoryBytes)
 	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
 
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -118,7 +118,7 @@
 		return
 	}
 	r.state.config.Store(config)
-	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "era": era, "routes": len(config.Routes), "unreadable": config.Unreadable})
+	r.log.Life("config_in_force", decisionlog.Fields{"version": config.Version, "revision": item.Revision, "era": era, "routes": len(config.Routes), "unreadable": config.Unreadable, "without_priority": config.WithoutPriority})
 	if r.onConfig != nil {
 		r.onConfig()
 	}
@@ -163,8 +163,11 @@
 	}
 	var known replica.Replica
 	var result replica.PutResult
+	var ended replica.Incarnation
+	var restarted bool
 	r.state.withReplicas(func(table *replica.Table, now core.Time) {
 		known, _ = table.Get(id)
+		ended, restarted = table.EndedBy(listed)
 		removedBefore := change.NewEra && table.PredatesRemoval(listed)
 		if listed.Born > 0 || known.Born == 0 {
 			result = table.Put(listed)
@@ -185,6 +188,9 @@
 	if result == replica.Added || result == replica.Restarted {
 		r.onListed(listed.Incarnation(), listed.Address)
 	}
+	if restarted {
+		r.onRestart(ended)
+	}
 	fields := decisionlog.Fields{"replica": id, "service": listed.Service, "address": listed.Address, "data_centre": listed.DataCentre, "revision": item.Revision}
 	switch {
 	case result == replica.Added:
@@ -214,7 +220,7 @@
 	if r.refused == nil {
 		r.refused = map[string]refusedEntry{}
 	}
-	if len(r.refused) < maxRefusedEntries {
+	if _, listed := r.refused[id]; listed || len(r.refused) < maxRefusedEntries {
 		r.refused[id] = refusedEntry{Revision: revision, Reason: cause.Error()}
 	}
 	r.mutex.Unlock()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
+	"github.com/pistachiopier/pistachiopier/internal/core/placement"
 	"github.com/pistachiopier/pistachiopier/internal/core/policy"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
@@ -41,10 +42,16 @@
 	done chan struct{}
 	// callerLeft is set if the caller disconnected.
 	callerLeft atomic.Bool
+	// held is what the request holds of the node's memory, stream its caller's connection; both are nil for another
+	// node's request.
+	held   *heldRequest
+	stream *callerStream
 	// standing is the standing of the whole request on arrival; answered is set once a replica has answered
 	// it.
 	standing quarantine.Standing
 	answered atomic.Bool
+	// claim is what the request asks for places with. Waited is as of its arrival.
+	claim placement.Claim
 	// quarantineNames returns the names of the request in the quarantine, computed on first use.
 	quarantineNames func() quarantine.Names
 	steps           []step
@@ -67,6 +74,9 @@
 	broken bool
 	// permit decides whether the request is sent by this node.
 	permit replicaconn.Permit
+	// place is the send's place at the replica, waited the time spent waiting for it.
+	place  heldPlace
+	waited time.Duration
 	// latency is that of the replica, without the transit through a helper.
 	latency time.Duration
 	// pauseEnded is how long ago a pause of the replica ended, as reported by a helper; 0 means none is
@@ -262,26 +272,41 @@
 	remaining := q.plan.Deadline - q.node.now()
 	ctx, cancel := context.WithTimeout(ctx, max(remaining, time.Millisecond))
 	defer cancel()
+	if q.acquirePlace(ctx, exchange) {
+		q.send(ctx, exchange)
+	}
+	exchange.verdict = q.classify(exchange)
+	exchange.releasePlace()
+	exchange.broken = isBrokenByReplica(exchange.err)
+	q.recordTrial(exchange)
+	exchange.latency = q.node.now() - exchange.startAt
+	q.recordEnd(exchange)
+}
+
+// send sends the request to the replica of an exchange that has a place there.
+func (q *request) send(ctx context.Context, exchange *exchange) {
 	wire := q.template
 	wire.Replica = exchange.send.Replica.Incarnation()
 	wire.Address = exchange.send.Replica.Address
 	wire.ByteCounter = q.node.traffic.Counter(traffic.Flow{Purpose: traffic.Replicas, DataCentre: exchange.send.Replica.DataCentre})
 	wire.UserData = inFlightSend{request: q, send: exchange}
-	wire.OnLate = func(response *replicaconn.Response) { q.recordLateAnswer(exchange, response) }
+	wire.OnLate = func(response *replicaconn.Response) {
+		exchange.place.release(placement.Answered)
+		q.recordLateAnswer(exchange, response)
+	}
 	wire.MaxConnections = q.node.maxConnections(q.config, exchange.send.Replica)
+	wire.MaxBodyBytes = q.maxReplicaBodyBytes(exchange.send.Replica, wire.MaxConnections)
 	wire.Permit = &exchange.permit
-	exchange.response, exchange.err = q.node.replicas.Do(ctx, &wire)
-	exchange.verdict = q.classify(exchange)
-	exchange.broken = isBrokenByReplica(exchange.err)
-	q.recordTrial(exchange)
-	exchange.latency = q.node.now() - exchange.startAt
-	q.recordEnd(exchange)
+	exchange.response, exchange.err = q.node.replicas.DoBounded(ctx, &wire)
 }
 
 // classify returns the verdict on the end of an exchange.
 func (q *request) classify(exchange *exchange) scatter.Verdict {
 	var failed *replicaconn.Error
+	var noPlace *placement.NoPlace
 	switch {
+	case errors.As(exchange.err, &noPlace):
+		return scatter.NoPlace
 	case errors.As(exchange.err, &failed) && !failed.Sent:
 		return scatter.Unreached
 	case exchange.err != nil:
@@ -332,11 +357,29 @@
 			q.node.replicas.ReplicaMisdirected(incarnation)
 			q.node.log.Decision("replica_misdirected", decisionlog.Fields{"replica": incarnation.ID, "service": exchange.send.Replica.Service, "address": exchange.send.Replica.Address, "request": q.id})
 		}
+	case scatter.NoPlace:
+		q.recordNoPlace(exchange)
 	case scatter.Unreached:
 		state.withReplicas(func(table *replica.Table, now core.Time) { table.Unreached(incarnation, now) })
 	}
 }
 
+// recordNoPlace records that a send got no place. If nobody was ahead of it, the replica refuses requests.
+func (q *request) recordNoPlace(exchange *exchange) {
+	var noPlace *placement.NoPlace
+	if !errors.As(exchange.err, &noPlace) {
+		return
+	}
+	ahead := noPlace.Decision.Ahead
+	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
+		if ahead == 0 {
+			table.Refused(exchange.send.Replica.Incarnation(), now)
+			return
+		}
+		table.NoPlace(exchange.send.Replica.Incarnation(), ahead, now)
+	})
+}
+
 // recordDelegatedEnd records the end of a delegated send. After the end of the request, its answer counts as
 // late.
 func (q *request) recordDelegatedEnd(exchange *exchange) {
@@ -372,9 +415,13 @@
 		return
 	}
 	s := step{Event: "send_failed", Replica: exchange.send.Replica.ID, Service: exchange.send.Replica.Service, TookMs: (q.node.now() - exchange.startAt).Milliseconds()}
-	if exchange.err != nil {
+	var noPlace *placement.NoPlace
+	switch {
+	case errors.As(exchange.err, &noPlace):
+		s.Event, s.Cause, s.Short, s.Ahead, s.WaitedMs = "no_place", noPlace.Error(), string(noPlace.Decision.Short), noPlace.Decision.Ahead, noPlace.Waited.Milliseconds()
+	case exchange.err != nil:
 		s.Cause = exchange.err.Error()
-	} else {
+	default:
 		s.Status = exchange.response.Status
 	}
 	q.addStep(s)
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 )
@@ -18,6 +19,10 @@
 	Via string
 	// ExpectMs is the expected latency of an answer.
 	ExpectMs int64
+	// Short is what a send without a place lacked, Ahead the number of claims that went first, WaitedMs how long it waited.
+	Short    string
+	Ahead    int
+	WaitedMs int64
 	// Why is the reason for a send that was not made.
 	Why string
 }
@@ -45,8 +50,8 @@
 func (q *request) recordOutcome(outcome string, status int, result scatter.Result) {
 	took := q.node.now() - q.arrived
 	q.node.metrics.countRequest(q.route, outcome, took)
-	if result.Rejected {
-		q.node.metrics.countEarlyRejection()
+	if len(q.sends) > 0 || result.Rejected {
+		q.node.metrics.countAdmission(q.route.Priority, result.Admission)
 	}
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
 	if outcome == outcomeWhole && !late {
@@ -56,15 +61,27 @@
 	var lines []decisionlog.Line
 	for _, s := range q.steps {
 		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
-			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs,
+			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs, "short": s.Short, "ahead": s.Ahead, "waited_ms": s.WaitedMs,
 		}})
 	}
 	fields := decisionlog.Fields{
-		"request": q.id, "route": q.route.Name, "config_version": q.config.Version, "outcome": outcome, "status": status,
+		"request": q.id, "route": q.route.Name, "priority": q.route.Priority, "config_version": q.config.Version, "outcome": outcome, "status": status,
 		"took_ms": took.Milliseconds(), "aim_ms": q.route.TargetLatency.Milliseconds(), "sends": len(q.sends),
-		"parts": result.Received, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica, "rejected_early": result.Rejected, "retry_after_ms": result.RetryAfter.Milliseconds(),
+		"parts": result.Received, "of": len(q.services), "may_have_run": result.MayHaveRun, "budget_spent": result.BudgetSpent, "no_replica": result.NoReplica, "rejected_early": result.Rejected, "retry_after_ms": result.Admission.RetryAfter.Milliseconds(),
 		"waits_ms": (q.plan.Deadline - q.arrived).Milliseconds(), "may_repeat": q.route.Idempotent,
 	}
+	if caller := q.caller(); caller != "" {
+		fields["caller"] = caller
+	}
+	if result.Rejected {
+		fields["short"], fields["ahead"] = result.Admission.Short, result.Admission.Ahead
+	}
+	if result.Admission.Return != comeback.Unknown {
+		fields["returned"] = result.Admission.Return.String()
+	}
+	if q.plan.Admission.OverShare {
+		fields["over_share"] = true
+	}
 	if len(q.services) == 1 {
 		fields["service"] = q.services[0]
 	}
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -60,7 +60,9 @@
 	ByteCounter metrics.Counter
 	// MaxConnections bounds this node's connections to the replica.
 	MaxConnections int
-	Method         string
+	// MaxBodyBytes bounds the bytes of request bodies that the replica holds for this node; 0 is no bound.
+	MaxBodyBytes int64
+	Method       string
 	// Target is the path and query exactly as the caller sent them.
 	Target string
 	Host   string
@@ -143,6 +145,7 @@
 	pools  map[replica.Incarnation]*pool
 	closed bool
 	opened int64
+	bodies *bodyBytes
 	// endedUnaccepted counts the connections that replicas closed before they were accepted.
 	endedUnaccepted int64
 	suspend         suspendWatch
@@ -152,6 +155,8 @@
 	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
 	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
 	successors *successors
+	// acceptTime returns after which time an open connection counts as accepted; tests replace it.
+	acceptTime func(openTook time.Duration) time.Duration
 	// refuses checks whether a replica refuses connections; tests replace it.
 	refuses func(p *pool, request *Request) bool
 }
@@ -165,8 +170,8 @@
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
-	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), suspend: newSuspendWatch(suspendedTime())}
-	c.refuses = c.refusesConnections
+	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), suspend: newSuspendWatch(suspendedTime()), bodies: newBodyBytes()}
+	c.refuses, c.acceptTime = c.refusesConnections, acceptTime
 	return c
 }
 
