--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -39,6 +39,9 @@
 		n.state.withReplicas((*replica.Table).ExpireWord)
 		n.updateEntries()
 		n.updateRole()
+		if suspended := n.replicas.CloseIdleAfterSuspension(); suspended > 0 {
+			n.log.Life("node_resumed", decisionlog.Fields{"suspended_ms": suspended.Milliseconds()})
+		}
 		n.updateExtraBound()
 		n.closeUnusable()
 		n.places.expire(n.isUsable)
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -148,12 +148,15 @@
 	bodies *bodyBytes
 	// endedUnaccepted counts the connections that replicas closed before they were accepted.
 	endedUnaccepted int64
+	suspend         suspendWatch
 	// keepsNoIdle is set if a connection is closed when no request needs it.
 	keepsNoIdle bool
 	// onEnded receives an incarnation that has ended and the requests in flight there.
 	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
 	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
 	successors *successors
+	// acceptTime returns after which time an open connection counts as accepted; tests replace it.
+	acceptTime func(openTook time.Duration) time.Duration
 	// refuses checks whether a replica refuses connections; tests replace it.
 	refuses func(p *pool, request *Request) bool
 }
@@ -167,8 +170,8 @@
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
-	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), bodies: newBodyBytes()}
-	c.refuses = c.refusesConnections
+	c := &Client{wire: wire, pools: map[replica.Incarnation]*pool{}, successors: newSuccessors(), suspend: newSuspendWatch(suspendedTime()), bodies: newBodyBytes()}
+	c.refuses, c.acceptTime = c.refusesConnections, acceptTime
 	return c
 }
 
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -92,6 +92,9 @@
 		return nil, nil, errRestarted
 	}
 	p.limit = max(request.MaxConnections, 1)
+	if request.Once {
+		c.closeIdleAfterSuspension()
+	}
 	if found := p.takeIdle(request, time.Now()); found != nil {
 		return found, nil, nil
 	}
@@ -209,7 +212,7 @@
 		stream = countingConn{stream, request.ByteCounter}
 	}
 	opened, unsure := c.add(incarnation, stream, request.Once)
-	return c.awaitAccepted(opened, acceptTime(time.Since(started)), unsure)
+	return c.awaitAccepted(opened, c.acceptTime(time.Since(started)), unsure)
 }
 
 // add adds an open connection to its pool. The second result is set if a request must not be written before the
