Extra sends without a place go back to the bound, and a hedge waits once the first send is long overdue

A hedge waits from the second time on that its send is overdue, as it may go to a degraded replica then; a send without a place returns what it took.

A part of a replica's places is at most four a slot, or one for each near node: slots x nodes would fill the replica's queue where many nodes are entries.

--- a/internal/core/extra/extra.go
+++ b/internal/core/extra/extra.go
@@ -56,6 +56,18 @@
 	return true
 }
 
+// Return gives back the latest extra arrival that was taken, which has not arrived.
+func (b *Budget) Return(service string, now core.Time) {
+	w := b.window(service, now)
+	for age := range int64(spansPerWindow + 1) {
+		span := &w.counts[max(w.newestSpan-age, 0)%(spansPerWindow+1)]
+		if span.extras > 0 {
+			span.extras--
+			return
+		}
+	}
+}
+
 // UsedFraction returns the fraction of the bound that is spent, 0 to 1.
 func (b *Budget) UsedFraction(service string, now core.Time) float64 {
 	requests, extras := b.window(service, now).sums()
--- a/internal/core/outlook/outlook.go
+++ b/internal/core/outlook/outlook.go
@@ -71,6 +71,9 @@
 	return c.outlook.Budget.Take(service, now)
 }
 
+// ReturnExtra implements scatter.Chooser.
+func (c chooser) ReturnExtra(service string, now core.Time) { c.outlook.Budget.Return(service, now) }
+
 // scarceShare is the used share of the budget above which extra sends are scarce. Days of normal load use a
 // quarter of the budget, overloaded ones more than half.
 const scarceShare = 0.5
--- a/internal/core/placement/part.go
+++ b/internal/core/placement/part.go
@@ -8,12 +8,17 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
-// Places returns how many requests all nodes near a replica together may have there: one for each slot, and as many queued
-// ones that no slot idles while a node with a free place has nothing to send.
-func Places(slots, near int) int { return max(slots, 1) * max(near, queueFactor) }
+// Bounds of the places for each slot: one request that runs, and as many queued ones that no slot idles while a node with a
+// free place has nothing to send. More would fill the replica's own queue.
+const (
+	minPlacesPerSlot = 2
+	maxPlacesPerSlot = 4
+)
 
-// queueFactor is the least number of places for each slot.
-const queueFactor = 2
+// Places returns how many requests all nodes near a replica together may have there. Each of them has at least one.
+func Places(slots, near int) int {
+	return max(max(slots, 1)*min(max(near, minPlacesPerSlot), maxPlacesPerSlot), near)
+}
 
 // farPart is the part of a node far from the replica. Such a node sends most of its requests through a near one; its own
 // are retries.
--- a/internal/core/placement/queue_test.go
+++ b/internal/core/placement/queue_test.go
@@ -259,6 +259,8 @@
 			}
 		}
 	}
+	require.Equal(t, 30, Places(2, 30), "many nodes have one each")
+	require.Equal(t, 8, Places(2, 6), "and do not fill the replica's queue")
 	require.Equal(t, 1, Part("r", 6, Senders{Self: "far", Near: nodes(2), Far: 4}), "a node elsewhere")
 	require.Equal(t, 3, Part("r", 6, Senders{Self: "far", Far: 4}), "no node is near")
 }
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -47,6 +47,8 @@
 	Alone bool
 	// ShardAlone is set when the request is limited to one send at a time at the shard, and this is that send.
 	ShardAlone bool
+	// Extra is set for a hedge that does not wait for a place: see degradedHedgeAfter.
+	Extra bool
 	// Last is set when every other replica has refused the request or had no place for it.
 	Last bool
 }
--- a/internal/core/scatter/further.go
+++ b/internal/core/scatter/further.go
@@ -12,7 +12,7 @@
 const refusedRetryDelay = 20 * time.Millisecond
 
 // degradedHedgeAfter is the number of times that a send must be found overdue before its hedge may go
-// to a replica that is itself overdue or failing. The first time such a hedge is most likely wasted;
+// to a replica that is itself overdue or failing, and may wait for a place there. The first time such a hedge is most likely wasted;
 // later it is the only chance left.
 const degradedHedgeAfter = 2
 
@@ -106,12 +106,7 @@
 
 // spendBudget takes an extra send out of the budget, unless no send of the service has arrived yet.
 func (m *Machine) spendBudget(i int) bool {
-	s := &m.services[i]
-	if s.sent == 0 {
-		return true
-	}
-	if s.unusedExtras > 0 {
-		s.unusedExtras--
+	if m.services[i].sent == 0 {
 		return true
 	}
 	if m.chooser.TakeExtra(m.plan.Services[i], m.now) {
--- a/internal/core/scatter/places_test.go
+++ b/internal/core/scatter/places_test.go
@@ -31,11 +31,31 @@
 	for i := range 3 {
 		m.Step(ms, succeeded(i))
 	}
-	require.Len(t, sends(m.Step(15*ms, Tick{})), 1, "the hedge")
+	hedge := sends(m.Step(15*ms, Tick{}))
+	require.Len(t, hedge, 1)
+	require.True(t, hedge[0].Extra, "it does not wait")
 	again := sends(m.Step(16*ms, noPlace(4)))
 	require.Len(t, again, 1)
 	require.Equal(t, "d-2", again[0].Replica.ID)
 	require.Zero(t, chooser.budget)
+	m.Step(17*ms, noPlace(5))
+	require.Equal(t, 1, chooser.budget, "another request may have it")
+}
+
+// Guards against a request whose only other send is with a helper that has fallen silent: a hedge that finds the other replica
+// full is made again and then waits.
+func TestAHedgeWaitsOnceTheFirstSendIsLongOverdue(t *testing.T) {
+	m := New(gatherPlan(), &fakeChooser{replicas: 2, budget: 9})
+	m.Step(0, Begin{})
+	for i := range 3 {
+		m.Step(ms, succeeded(i))
+	}
+	require.Len(t, sends(m.Step(15*ms, Tick{})), 1)
+	require.Empty(t, sends(m.Step(16*ms, noPlace(4))))
+	again := sends(m.Step(16*ms+refusedRetryDelay, Tick{}))
+	require.Len(t, again, 1)
+	require.Equal(t, "d-1", again[0].Replica.ID)
+	require.False(t, again[0].Extra)
 }
 
 func TestARequestWithoutAnyPlaceIsTriedAgainAndHasNotRun(t *testing.T) {
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -48,6 +48,8 @@
 	Pick(service string, tried []string, now core.Time) (replica.Choice, bool)
 	// TakeExtra takes one send beyond the first out of the budget, or returns false when it is spent.
 	TakeExtra(service string, now core.Time) bool
+	// ReturnExtra gives back one that did not arrive at any replica.
+	ReturnExtra(service string, now core.Time)
 	// ExtraScarce reports whether so much of the budget is spent that the rest should be kept for the
 	// sends most likely to help.
 	ExtraScarce(service string, now core.Time) bool
@@ -90,10 +92,8 @@
 	// sent counts the sends that arrived or may still arrive.
 	sent     int
 	inFlight int
-	// unusedExtras counts the sends that were taken out of the budget for extra sends and got no place.
-	unusedExtras int
-	part         int
-	failed       bool
+	part     int
+	failed   bool
 	// broken is set once a replica of the shard has closed the connection instead of answering,
 	// brokenAlone once that has happened to a send with shardAlone set.
 	broken, brokenAlone bool
@@ -211,7 +211,7 @@
 		s.hedgeAt += m.plan.RemoteHedgeExtra
 	}
 	m.sends = append(m.sends, send{service: i, replica: to.ID, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone})
+	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone, Extra: cause == Hedge && s.overdueCount < degradedHedgeAfter})
 }
 
 func (m *Machine) sendEnded(e SendEnded) {
@@ -240,7 +240,7 @@
 	if e.Verdict == NoPlace {
 		s.full = append(s.full, ended.replica)
 		if ended.extra {
-			s.unusedExtras++
+			m.chooser.ReturnExtra(m.plan.Services[ended.service], m.now)
 		}
 	}
 	m.afterFailure(ended.service, e.Verdict)
--- a/internal/core/scatter/scatter_test.go
+++ b/internal/core/scatter/scatter_test.go
@@ -42,6 +42,8 @@
 	return f.budget >= 0
 }
 
+func (f *fakeChooser) ReturnExtra(string, core.Time) { f.budget++ }
+
 const ms = time.Millisecond
 
 func gatherPlan() Plan {
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -64,6 +64,13 @@
 	return c.chooser.TakeExtra(service, now)
 }
 
+// ReturnExtra implements scatter.Chooser.
+func (c *lockedChooser) ReturnExtra(service string, now core.Time) {
+	c.state.mutex.Lock()
+	defer c.state.mutex.Unlock()
+	c.chooser.ReturnExtra(service, now)
+}
+
 // ExtraScarce implements scatter.Chooser.
 func (c *lockedChooser) ExtraScarce(service string, now core.Time) bool {
 	c.state.mutex.Lock()
--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -59,7 +59,7 @@
 func (q *request) claimOf(e *exchange) placement.Claim {
 	claim := q.claim
 	claim.Waited += q.node.now() - q.arrived
-	claim.Extra = claim.Extra || e.send.Cause == scatter.Hedge
+	claim.Extra = claim.Extra || e.send.Extra
 	claim.Last = e.send.Last
 	return claim
 }
@@ -135,7 +135,6 @@
 	message.Priority = uint32(placement.ClampPriority(q.claim.Priority)) + 1
 	message.WaitedUs = uint64(max(q.claim.Waited+q.node.now()-q.arrived, 0).Microseconds())
 	message.OverShare = q.claim.OverShare
-	message.Extra = message.GetApart()
 	if q.claim.TargetAt > 0 {
 		message.TargetLeftUs = uint64(max(q.claim.TargetAt-q.node.now(), 0).Microseconds()) + 1
 	}
--- a/internal/edge/delegate.go
+++ b/internal/edge/delegate.go
@@ -149,7 +149,7 @@
 			direct = append(direct, exchange)
 			continue
 		}
-		key := groupKey{dataCentre: exchange.send.Replica.DataCentre, separate: exchange.send.Cause == scatter.Hedge}
+		key := groupKey{dataCentre: exchange.send.Replica.DataCentre, separate: exchange.send.Cause == scatter.Hedge, extra: exchange.send.Extra}
 		groups[key] = append(groups[key], exchange)
 	}
 	for key, members := range groups {
@@ -158,26 +158,26 @@
 			direct = append(direct, members...)
 			continue
 		}
-		q.delegateTo(helper, members, key.separate)
+		q.delegateTo(helper, members, key)
 	}
 	return direct
 }
 
-// groupKey identifies a group of a request: by data centre, and by whether the parts are returned merged or
-// separately.
+// groupKey identifies a group of a request: by data centre, by whether the parts are returned merged or
+// separately, and by whether the sends wait for places.
 type groupKey struct {
-	dataCentre string
-	separate   bool
+	dataCentre      string
+	separate, extra bool
 }
 
 // delegateTo sends a group to a helper.
-func (q *request) delegateTo(helper peer.Target, members []*exchange, separate bool) {
-	g := &group{helper: helper, separate: separate, priority: q.claim.Priority, members: map[uint32]*exchange{}}
+func (q *request) delegateTo(helper peer.Target, members []*exchange, key groupKey) {
+	g := &group{helper: helper, separate: key.separate, priority: q.claim.Priority, members: map[uint32]*exchange{}}
 	message := &peerpb.DelegateRequest{
 		Method: q.template.Method, Target: q.template.Target, Host: q.template.Host, Body: q.template.Body,
 		RequestId: q.id, TimeLeftUs: uint64(max(q.plan.Deadline-q.node.now(), 0).Microseconds()),
 		FlushUs: uint64((q.plan.HedgeAfter / flushDivisor).Microseconds()), TopK: uint32(q.route.Gather.TopK),
-		Parts: uint32(q.node.state.excerptParts(q.route)), Apart: separate,
+		Parts: uint32(q.node.state.excerptParts(q.route)), Apart: key.separate, Extra: key.extra,
 	}
 	q.stateClaim(message)
 	for name, values := range q.template.Header {
--- a/internal/edge/places_test.go
+++ b/internal/edge/places_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiopier/pistachiopier/internal/faultproxy"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
 
@@ -141,3 +142,40 @@
 		require.Equal(t, http.StatusOK, status, "r%d", i)
 	}
 }
+
+// Guards against requests that are lost with a helper whose replies do not arrive, although it hears the entry, and against
+// places that stay in use there.
+func TestALinkCutOneWayLeavesNoPlaceInUse(t *testing.T) {
+	h, _, far := shortHarness(t)
+	h.replica("far", "west", "a")
+	h.start("east", "west")
+	_, links := h.startBehindProxies("west")
+	h.waitReady()
+	request := func(id string) int {
+		response, _, err := h.request(h.nodes[0], http.MethodGet, "/urgent/x", id, "")
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	for i := range 40 {
+		require.Equal(t, http.StatusOK, request(fmt.Sprint("warm-", i)))
+	}
+	far.SetServiceTime(30 * time.Millisecond)
+	links.Set(faultproxy.ToClient, faultproxy.Faults{Blocked: true})
+	var running sync.WaitGroup
+	statuses := make([]int, 12)
+	for i := range statuses {
+		running.Go(func() { statuses[i] = request(fmt.Sprint("r", i)) })
+	}
+	running.Wait()
+	for i, status := range statuses {
+		require.Equal(t, http.StatusOK, status, "r%d", i)
+	}
+	for _, node := range h.nodes {
+		require.Eventually(t, func() bool {
+			_, dump := h.get("http://"+node.Settings.MetricsAddress+"/dump", nil)
+			return strings.Contains(strings.ReplaceAll(dump, " ", ""), `"places":[]`)
+		}, waitLimit, 5*time.Millisecond)
+	}
+}
--- a/internal/loadmodel/places.go
+++ b/internal/loadmodel/places.go
@@ -57,7 +57,7 @@
 	q, now := t.request, t.request.node.simulation.clock.now
 	return placement.Claim{
 		Priority: q.kind.Priority, Waited: q.plan.Elapsed + now - q.arrived, TargetAt: q.plan.TargetAt, Deadline: q.plan.Deadline,
-		Extra: t.send.Cause == scatter.Hedge, Last: t.send.Last,
+		Extra: t.send.Extra, Last: t.send.Last,
 	}
 }
 
