One answer of a long request weighs less in a replica's learned slowness

Cause: few answers of long requests come, and each differs by its own work, by noise and by the queue that it met. An answer under 3.5 times the typical latency weighs 0.1 now.

--- a/internal/core/replica/seen.go
+++ b/internal/core/replica/seen.go
@@ -56,6 +56,9 @@
 	t.recordPause(known, took, typical, now)
 	ratio := min(float64(took)/float64(typical), maxSlowness)
 	weight := answerWeight(now - known.slownessAt)
+	if typical >= minLongLatency && ratio < faultyRatio {
+		weight = min(weight, longAnswerWeight)
+	}
 	known.slowness = known.slownessNow(now)*(1-weight) + ratio*weight
 	known.slownessAt = now
 	known.recordPace(took, typical, now)
--- a/internal/core/replica/state.go
+++ b/internal/core/replica/state.go
@@ -33,6 +33,13 @@
 // ewmaWeight is the weight of a new observation in the moving averages of slowness, failures and refusals.
 const ewmaWeight = 0.25
 
+// Single answers of long requests differ by their own work, by noise and by the queue that they met, and few come: they
+// change the average by longAnswerWeight only, unless they take faultyRatio times the typical latency.
+const (
+	longAnswerWeight = 0.1
+	faultyRatio      = 3.5
+)
+
 // Answers at long intervals weigh more in the moving average of slowness, at most maxEwmaWeight.
 const (
 	averageHalfLife = time.Second
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -119,16 +119,20 @@
 
 // Single requests of 220 ms have one send each, so that a wrong choice costs the wait for another one. The oracle knows the
 // speed of each replica and all requests there, those of the other nodes included, but not the noise of the moment or the
-// next pause. Measured over 12 seeds: 1.31 times its mean latency, and 1.52 before a node's own requests counted as work
-// ahead; what is left is the work that other nodes have sent.
+// next pause. Measured over 12 seeds: 1.26 times its mean latency at a quarter of the capacity and 1.37 at half of it (1.31
+// and 1.59 while single answers weighed more, 1.52 at a quarter before own requests counted as work ahead). What is left is the work that other
+// nodes have sent, and speeds that a node cannot learn from one answer in three seconds.
 func TestLongRequestsAreNearAnOracleOfSpeeds(t *testing.T) {
 	p := findPattern(t, "long-uneven")
-	own, oracle := runAll(p, Options{}), runAll(p, Options{OracleOfSpeeds: true})
-	require.Less(t, own.MeanLatency().Seconds(), 1.4*oracle.MeanLatency().Seconds())
+	for rate, most := range map[float64]float64{p.Rate: 1.32, 2 * p.Rate: 1.45} {
+		p.Rate = rate
+		own, oracle := runAll(p, Options{}), runAll(p, Options{OracleOfSpeeds: true})
+		require.Less(t, own.MeanLatency().Seconds(), most*oracle.MeanLatency().Seconds())
+	}
 }
 
 // A node could hold a long request until one of its own earlier ones has ended, rather than leave it in a replica's queue.
-// Measured: no difference up to 0.6 of the capacity, as a node has no reason to hold, and 0.003 of the credit at 0.8.
+// Measured: no difference up to half of the capacity, as a node has no reason to hold, and 0.003 of the credit at 0.63.
 func TestHoldingRequestsAtTheNodeGainsLittleByItsOwnCountAlone(t *testing.T) {
 	p := findPattern(t, "long-uneven")
 	p.Rate = 80
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -107,30 +107,6 @@
 	q.step(scatter.Begin{})
 }
 
-// isFull reports whether requests are held because this node has enough of them in flight at each replica.
-func (n *node) isFull() bool {
-	limit := n.simulation.options.HoldAbove
-	if limit == 0 {
-		return false
-	}
-	for _, u := range n.simulation.upstreams {
-		if !u.down && n.inFlight[u] < limit {
-			return false
-		}
-	}
-	return true
-}
-
-// countEnd counts the end of a request at a replica and releases a held one.
-func (n *node) countEnd(u *upstream) {
-	n.inFlight[u]--
-	if len(n.held) > 0 && !n.isFull() {
-		begin := n.held[0]
-		n.held = n.held[1:]
-		begin()
-	}
-}
-
 func (q *request) step(event scatter.Event) {
 	if q.finished {
 		return
@@ -331,40 +307,3 @@
 	}
 	return choice, ok
 }
-
-// refusalPenalty is the penalty of a replica that refuses all requests, in units of the mean work.
-const refusalPenalty = 5
-
-// oracle chooses replicas by their actual state. It is a reference for comparison, not a possible policy.
-type oracle struct {
-	scatter.Chooser
-	node     *node
-	meanWork time.Duration
-	// speedsOnly leaves out the noise of the moment and pauses.
-	speedsOnly bool
-}
-
-// Pick implements scatter.Chooser.
-func (o oracle) Pick(service string, tried []string, now core.Time) (replica.Choice, bool) {
-	var best *upstream
-	bestWait := time.Duration(0)
-	for _, u := range o.node.simulation.byService[service] {
-		if slices.Contains(tried, u.replica.ID) || u.down {
-			continue
-		}
-		wait := u.completionDelay(now, o.meanWork) + time.Duration(u.refuseShare*refusalPenalty)*o.meanWork
-		if o.speedsOnly {
-			wait = u.expectedCompletion(o.meanWork)
-		}
-		if u.replica.DataCentre != o.node.dataCentre.Name {
-			wait += 2 * remoteDelay
-		}
-		if best == nil || wait < bestWait {
-			best, bestWait = u, wait
-		}
-	}
-	if best == nil {
-		return replica.Choice{}, false
-	}
-	return replica.Choice{Replica: best.replica, Remote: best.replica.DataCentre != o.node.dataCentre.Name, ExpectedLatency: bestWait, Busy: true}, true
-}
--- a/internal/loadmodel/pattern.go
+++ b/internal/loadmodel/pattern.go
@@ -138,8 +138,8 @@
 }
 
 // longPattern models single requests of 220 ms that must not be repeated: 14 replicas of two slots in three data centres,
-// of three speeds, with pauses and noise, and six nodes, each of which sends to one replica every eight seconds. A quarter
-// of the capacity is used.
+// of three speeds, with pauses and noise, and six nodes, each of which sends to one replica about every three seconds. A
+// quarter of the capacity is used.
 func longPattern(name, description string, change func(*Pattern)) Pattern {
 	p := Pattern{
 		Name: name, Description: description,
