Word of others does not take back own failures; the way counts up to 60 ms

- A replica that loses one answer in five answers most requests of most nodes, so that what they told (slow, nothing failed) replaced the failures that a node had seen itself once these were seconds old.
Failures fade by themselves only.

--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -58,3 +58,22 @@
 	require.NotContains(t, out, "evacuation_in_force data_centre=east")
 	require.NotContains(t, out, "evacuation_ended data_centre=west")
 }
+
+// A request was late. The output must show each replica that the node believed to be slow at the time, and whether the
+// node asked for relief.
+func TestExplainShowsWhatTheNodeWasToldOfReplicas(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(`
+{"event":"replica_believed","node":"vm-1","time":"2030-01-01T00:00:01Z","replica":"i-1","from":"vm-2","slowness":5}
+{"event":"replica_believed","node":"vm-1","time":"2030-01-01T00:00:02Z","replica":"i-2","from":"vm-3","unreachable":true}
+{"event":"relief_asked","node":"vm-1","time":"2030-01-01T00:00:02Z","in_flight":90}
+{"event":"relief_ended","node":"vm-1","time":"2030-01-01T00:00:03Z","in_flight":5}
+{"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"whole"}
+`), 0o600))
+	code, out, errors := run("explain", "r1", path)
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, "replica=i-1")
+	require.Contains(t, out, "replica=i-2")
+	require.Contains(t, out, "relief_ended")
+	require.NotContains(t, out, "relief_asked")
+}
--- a/internal/core/condition/condition_test.go
+++ b/internal/core/condition/condition_test.go
@@ -88,6 +88,16 @@
 	require.Less(t, word.Merge(Own{Condition: Usual}, 12*time.Second).Slowness, 2.0)
 }
 
+// A replica loses part of its answers. Another node tells that it is slow and has failed none of its few requests; the
+// failure that this node has seen must still count.
+func TestWordDoesNotTakeBackOwnFailures(t *testing.T) {
+	var word Word
+	word.Take("n1", slow, 12*time.Second)
+	believed := word.Merge(Own{Condition: Condition{Slowness: 1, Failed: 0.2}, At: 5 * time.Second}, 12*time.Second)
+	require.Equal(t, 0.2, believed.Failed)
+	require.Greater(t, believed.Slowness, 4.0)
+}
+
 // A link is cut one way, or a node freezes: what it told last must end by itself.
 func TestWordExpires(t *testing.T) {
 	var word Word
--- a/internal/core/condition/word.go
+++ b/internal/core/condition/word.go
@@ -94,6 +94,9 @@
 // Merge weighs what was told against the node's own knowledge. While the node has outcomes of its own, it goes by them;
 // what others observed since then counts the more the older its own last outcome is. So a node with many requests is not
 // led by others, and all nodes together do not turn to the same replica.
+//
+// A replica that loses one answer in five answers most requests of most nodes. Their word does not take back what this node
+// has seen of failures, which fades by itself.
 func (w *Word) Merge(own Own, now core.Time) Condition {
 	if len(w.reports) == 0 {
 		return own.Condition
@@ -121,7 +124,7 @@
 	return Condition{
 		Slowness:    trust*own.Slowness + (1-trust)*told.Slowness/total,
 		Refused:     trust*own.Refused + (1-trust)*told.Refused/total,
-		Failed:      trust*own.Failed + (1-trust)*told.Failed/total,
+		Failed:      max(own.Failed, (1-trust)*told.Failed/total),
 		Unreachable: own.Unreachable || unreachableSources >= minUnreachableSources,
 	}
 }
--- a/internal/core/replica/choice.go
+++ b/internal/core/replica/choice.go
@@ -17,7 +17,7 @@
 	// its remote parts from few data centres.
 	rankCost = 0.4
 	// fullRemoteLatency is the longest typical latency for which these costs count in full.
-	fullRemoteLatency = 30 * time.Millisecond
+	fullRemoteLatency = 60 * time.Millisecond
 	// regionCost is added for another region, some ten milliseconds away.
 	regionCost  = 3.0
 	overdueCost = 4.0
