--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -119,7 +119,7 @@
 
 // Single requests of 220 ms have one send each, so that a wrong choice costs the wait for another one. The oracle knows the
 // speed of each replica and all requests there, those of the other nodes included, but not the noise of the moment or the
-// next pause. Measured over 12 seeds: 1.26 times its mean latency at a quarter of the capacity and 1.37 at half of it (1.31
+// next pause. Measured over 12 seeds: 1.23 times its mean latency at a quarter of the capacity and 1.32 at half of it (1.31
 // and 1.59 while single answers weighed more, 1.52 at a quarter before own requests counted as work ahead). What is left is the work that other
 // nodes have sent, and speeds that a node cannot learn from one answer in three seconds.
 func TestLongRequestsAreNearAnOracleOfSpeeds(t *testing.T) {
