A wait for a place is no slowness of the replica

The latency of a send began before its wait for a place, so that a queue at the node was learned as slowness of the replica, as pauses, and then counted once more with the requests in flight there.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -77,7 +77,8 @@
 	// place is the send's place at the replica, waited the time spent waiting for it.
 	place  heldPlace
 	waited time.Duration
-	// latency is that of the replica, without the transit through a helper.
+	// latency is that of the replica, without the transit through a helper and the wait for a place: a wait would be learned
+	// as slowness of the replica, and counted again with the requests in flight there.
 	latency time.Duration
 	// pauseEnded is how long ago a pause of the replica ended, as reported by a helper; 0 means none is
 	// known.
@@ -279,7 +280,7 @@
 	exchange.releasePlace()
 	exchange.broken = isBrokenByReplica(exchange.err)
 	q.recordTrial(exchange)
-	exchange.latency = q.node.now() - exchange.startAt
+	exchange.latency = q.node.now() - exchange.startAt - exchange.waited
 	q.recordEnd(exchange)
 }
 
@@ -390,7 +391,7 @@
 		return
 	}
 	q.recordAnswered(exchange.send.Replica.Service)
-	q.node.state.recordLateAnswer(q.route, exchange.send.Replica.Incarnation(), q.node.now()-exchange.startAt)
+	q.node.state.recordLateAnswer(q.route, exchange.send.Replica.Incarnation(), q.node.now()-exchange.startAt-exchange.waited)
 }
 
 // addFailureStep adds a step for an exchange that did not succeed.
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -94,6 +94,8 @@
 	placeID uint64
 	place   placement.Place
 	placed  bool
+	// placedAt is when the send got its place.
+	placedAt core.Time
 	// ahead is the number of claims that went first when there was no place.
 	ahead     int
 	connected bool
@@ -236,7 +238,7 @@
 	t.releasePlace(verdict)
 	q, s := t.request, t.request.node.simulation
 	incarnation, now := t.send.Replica.Incarnation(), s.clock.now
-	took := now - t.began
+	took := now - max(t.began, t.placedAt)
 	if t.via != q.node {
 		t.shareObservations(took, verdict)
 	}
--- a/internal/loadmodel/places.go
+++ b/internal/loadmodel/places.go
@@ -80,6 +80,7 @@
 	switch decision.Verdict {
 	case placement.Send:
 		t.place, t.placed = place, true
+		t.placedAt = s.clock.now
 		t.acquireConnection()
 	case placement.Elsewhere, placement.Reject:
 		t.ahead = decision.Ahead
@@ -101,6 +102,7 @@
 			continue
 		}
 		t.place, t.placed = end.Place, true
+		t.placedAt = s.clock.now
 		s.clock.after(1, t.acquireConnection)
 	}
 }
