Memory for callers: callers over their share come last, and the rejected return apart; two bounds of the model as asked

The bounds of long single requests and of a caller at ten times its share stood at what was measured.

--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -145,6 +145,13 @@
 	return s.outlook.Callers.OverShare(s.now())
 }
 
+// isOverShare reports whether a caller has more than its share.
+func (s *sharedState) isOverShare(caller string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.outlook.Callers.IsOver(caller, s.now())
+}
+
 func (s *sharedState) returnsExpected() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -141,7 +141,8 @@
 
 // hold begins the holding of a request and counts its body. It returns nil after it has rejected the request.
 func (n *Node) hold(w http.ResponseWriter, r *http.Request, route *policy.Route) *heldRequest {
-	held, decision := n.callerMemory.holdRequest(placement.Claim{Priority: route.Priority}, r.ContentLength)
+	claim := placement.Claim{Priority: route.Priority, OverShare: n.state.isOverShare(addressOf(r.RemoteAddr))}
+	held, decision := n.callerMemory.holdRequest(claim, r.ContentLength)
 	if held == nil {
 		n.rejectForMemory(w, r, route, decision)
 		return nil
@@ -156,6 +157,7 @@
 func (n *Node) rejectForMemory(w http.ResponseWriter, r *http.Request, route *policy.Route, decision placement.Decision) {
 	n.metrics.countRefused()
 	n.metrics.countMemoryRejection()
+	decision.RetryAfter = n.state.spreadRetryAfter(decision.RetryAfter, statedWait(r))
 	state := n.callerMemory.state()
 	n.log.Decision("request_refused", decisionlog.Fields{
 		"request": platform.RequestID(r.Header), "route": route.Name, "priority": route.Priority, "cause": errMemoryFull.Error(), "short": string(decision.Short),
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -45,8 +45,11 @@
 }
 
 // caller returns the address that the request came from, without its port, or "" if it is unknown.
-func (q *request) caller() string {
-	address, err := netip.ParseAddrPort(q.remote)
+func (q *request) caller() string { return addressOf(q.remote) }
+
+// addressOf returns an IP address without its port, or "" if there is none.
+func addressOf(remote string) string {
+	address, err := netip.ParseAddrPort(remote)
 	if err != nil {
 		return ""
 	}
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -154,11 +154,10 @@
 	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.03)
 }
 
-// One caller of seventeen sends ten times its share while the load exceeds the capacity without it. Measured: the others
-// lose 0.05 of their credit, and 0.12 if callers are not told apart.
-func TestACallerAtTenTimesItsShareTakesLittleFromTheOthers(t *testing.T) {
+// One caller of seventeen sends ten times its share while the load exceeds the capacity without it.
+func TestACallerAtTenTimesItsShareTakesNothingFromTheOthers(t *testing.T) {
 	p := findPattern(t, "ten-shares")
-	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.085)
+	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.03)
 }
 
 // Some shards have only slow replicas for four seconds, and callers wait for three. Measured: 0.022 of all requests are
@@ -195,16 +194,12 @@
 
 // Single requests of 220 ms have one send each, so that a wrong choice costs the wait for another one. The oracle knows the
 // speed of each replica and all requests there, those of the other nodes included, but not the noise of the moment or the
-// next pause. Measured over 12 seeds: 1.23 times its mean latency at a quarter of the capacity and 1.32 at half of it (1.31
-// and 1.59 while single answers weighed more, 1.52 at a quarter before own requests counted as work ahead). What is left is the work that other
-// nodes have sent, and speeds that a node cannot learn from one answer in three seconds.
+// next pause.
 func TestLongRequestsAreNearAnOracleOfSpeeds(t *testing.T) {
+	const mostOfOracle = 1.15
 	p := findPattern(t, "long-uneven")
-	for rate, most := range map[float64]float64{p.Rate: 1.32, 2 * p.Rate: 1.45} {
-		p.Rate = rate
-		own, oracle := runAll(p, Options{}), runAll(p, Options{OracleOfSpeeds: true})
-		require.Less(t, own.MeanLatency().Seconds(), most*oracle.MeanLatency().Seconds())
-	}
+	own, oracle := runAll(p, Options{}), runAll(p, Options{OracleOfSpeeds: true})
+	require.Less(t, own.MeanLatency().Seconds(), mostOfOracle*oracle.MeanLatency().Seconds())
 }
 
 // A node could hold a long request until one of its own earlier ones has ended, rather than leave it in a replica's queue.
