--- a/internal/core/scatter/spread.go
+++ b/internal/core/scatter/spread.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// shortShards lists the shards whose best replica is expected to answer late in the target or not at all, in an order that
-// differs from request to request; unreachable ones come last.
+// shortShards lists the shards whose best replica is expected to answer late in the target or not at all, the soonest first.
+// The order of equals differs from request to request.
 func (m *Machine) shortShards(choices []*replica.Choice) []int {
 	target := m.plan.Admission.TargetAt - m.now
 	if m.plan.Spread == 0 || m.plan.Admission.TargetAt == 0 || len(choices) == 1 {
@@ -60,7 +60,7 @@
 	}
 	first := int(m.plan.Spread % uint64(len(short)))
 	short = slices.Concat(short[first:], short[:first])
-	slices.SortStableFunc(short, func(a, b int) int { return cmp.Compare(unreachableRank(choices[a]), unreachableRank(choices[b])) })
+	slices.SortStableFunc(short, func(a, b int) int { return cmp.Compare(expectedWait(*choices[a]), expectedWait(*choices[b])) })
 	return short
 }
 
@@ -68,13 +68,6 @@
 	return choice.Unreachable || choice.ExpectedLatency > target/shortTargetDivisor
 }
 
-func unreachableRank(choice *replica.Choice) int {
-	if choice.Unreachable {
-		return 1
-	}
-	return 0
-}
-
 func countChoices(choices []*replica.Choice) (count int) {
 	for _, choice := range choices {
 		if choice != nil {
