--- a/internal/edge/claim.go
+++ b/internal/edge/claim.go
@@ -18,8 +18,8 @@
 // placeLingerTime is how long the exchange of a cancelled send may go on at its replica, and so keep its place.
 const placeLingerTime = 250 * time.Millisecond
 
-// waitMargin is how long before the request's deadline a claim is refused at the latest: what still waits at the deadline
-// would count as what may have run.
+// waitMargin is how long before the request's deadline a claim is refused at the latest: what still waits at a helper
+// then counts as what may have run.
 const waitMargin = 15 * time.Millisecond
 
 // acquirePlace takes a place for a send, and reports whether it has one. If not, the send has ended.
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -73,8 +73,7 @@
 
 // Replicas refuse 6 of 10 requests at any load. If refusals were not remembered, one in every few
 // requests would be refused there and use up the bound on extra sends. Both the choice of a replica and
-// the places there remember them: measured 0.95 of the credit, 0.69 without both (refusing); 0.986, and
-// 0.965 with the memory of the places alone (ranked-refusing).
+// the places there remember them.
 func TestAReplicaThatKeepsRefusingIsLeftForWhatDoesNotFitElsewhere(t *testing.T) {
 	p := findPattern(t, "refusing")
 	withRefusals := runAll(p, Options{})
@@ -87,8 +86,7 @@
 }
 
 // The middle kind comes three times as often, at shards with one replica left. In the replicas' own
-// queues the urgent kind waits behind it. Measured over 8 seeds: the burst costs the urgent kind 0.066 of
-// its credit there, and 0.013 where sends wait for places at the node.
+// queues the urgent kind waits behind it.
 func TestABurstOfALessUrgentKindCostsTheMostUrgentLittle(t *testing.T) {
 	calm, burst := runAll(findPattern(t, "ranked-short"), Options{}), runAll(findPattern(t, "ranked-burst"), Options{})
 	require.Less(t, calm.KindCredit["urgent"]-burst.KindCredit["urgent"], 0.02)
@@ -160,8 +158,8 @@
 	require.Greater(t, runAll(p, Options{}).OthersCredit, runAll(withoutRepeater(p), Options{}).OthersCredit-0.03)
 }
 
-// Some shards have only slow replicas for four seconds, and callers wait for three. Measured: 0.022 of all requests are
-// refused twice and lost if each is told when the queue it met will be gone and none is served late; 0.011 otherwise.
+// Some shards have only slow replicas for four seconds, and callers wait for three. Told when the queue that they met
+// will be gone, and never served late, one in forty-five would be refused twice and lost.
 func TestFewPatientCallersAreRefusedTwice(t *testing.T) {
 	m := RunAll(findPattern(t, "patient"), Options{}, 2*seeds)
 	require.Less(t, m.RefusedAgain, 0.016)
@@ -176,8 +174,7 @@
 }
 
 // Most shards have one or two replicas that refuse 6 of 10 requests, and each of nine nodes finds that out by refusals of
-// its own. Measured over 12 seeds: 0.044 of all arrivals are refused, and 0.037 when nodes tell each other; before refusals
-// were remembered for longer, 0.070.
+// its own.
 func TestNodesThatTellEachOtherMeetFewerRefusals(t *testing.T) {
 	p := findPattern(t, "large-refusing")
 	withWord, withoutWord := runAll(p, Options{}), runAll(p, Options{Without: []Mechanism{Word}})
@@ -203,7 +200,7 @@
 }
 
 // A node could hold a long request until one of its own earlier ones has ended, rather than leave it in a replica's queue.
-// Measured: no difference up to half of the capacity, as a node has no reason to hold, and 0.003 of the credit at 0.63.
+// Up to half of the capacity a node has no reason to hold.
 func TestHoldingRequestsAtTheNodeGainsLittleByItsOwnCountAlone(t *testing.T) {
 	p := findPattern(t, "long-uneven")
 	p.Rate = 80
