A shard that was left out is asked once the answer needs it

Where the short shards that a query was sent to fail, too few others were left and the query ended as failed, though it had left others out.

--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -126,8 +126,10 @@
 	broken      bool
 	answered    bool
 	brokenAlone bool
-	now         core.Time
-	actions     []Action
+	// leftOut lists the short shards that were left out.
+	leftOut []int
+	now     core.Time
+	actions []Action
 }
 
 // New returns the machine of one request.
@@ -157,6 +159,7 @@
 		m.plan.Deadline = min(m.plan.Deadline, now)
 	}
 	m.sendHeld()
+	m.sendLeftOut()
 	m.conclude()
 	if !m.finished {
 		m.wake()
@@ -281,12 +284,7 @@
 // conclude ends the request when all services are settled, when too few parts can still be received,
 // when the parts received suffice after PartialAt, or when the deadline has passed.
 func (m *Machine) conclude() {
-	open := 0
-	for i := range m.services {
-		if !m.services[i].isSettled() {
-			open++
-		}
-	}
+	open := m.openServices()
 	enough := m.result.Received >= m.plan.MinParts
 	late := m.now >= m.plan.Deadline
 	partial := m.plan.PartialAt > 0 && m.now >= m.plan.PartialAt && enough
@@ -305,6 +303,16 @@
 	m.act(Finish{Result: m.result})
 }
 
+// openServices counts the services that have neither answered nor failed.
+func (m *Machine) openServices() (open int) {
+	for i := range m.services {
+		if !m.services[i].isSettled() {
+			open++
+		}
+	}
+	return open
+}
+
 func (m *Machine) withdrawAll() {
 	for id := range m.sends {
 		if m.sends[id].inFlight {
--- a/internal/core/scatter/spread.go
+++ b/internal/core/scatter/spread.go
@@ -27,7 +27,8 @@
 // It guards against this load: a few shards more than an answer may lack have only slow replicas left, and each of these
 // bears a part of the load. Sent to all of them, every request lengthens every queue until all are late and the request is
 // too, although an answer needs only one of them. Sent to as many as it needs and one more, in turn, requests find short
-// queues. While an answer may lack all short shards, nothing is left out.
+// queues. A shard that was left out is asked once the answer needs it. While an answer may lack all short shards, nothing is
+// left out.
 func (m *Machine) spreadOverShort(choices []*replica.Choice) {
 	short := m.shortShards(choices)
 	needed := m.plan.MinParts - (countChoices(choices) - len(short))
@@ -35,13 +36,24 @@
 	if needed <= 0 || len(short) < minReliefFactor*kept || float64(len(short)-kept) > maxLeftOutShare*float64(len(choices)) {
 		return
 	}
-	for _, i := range short[kept:] {
+	m.leftOut = short[kept:]
+	for _, i := range m.leftOut {
 		m.withhold(i, First, OtherShardsSuffice)
 		m.services[i].failed = true
 		choices[i] = nil
 	}
 }
 
+// sendLeftOut sends to shards that were left out once too few others can still answer.
+func (m *Machine) sendLeftOut() {
+	for len(m.leftOut) > 0 && m.result.Received+m.openServices() < m.plan.MinParts {
+		i := m.leftOut[0]
+		m.leftOut = m.leftOut[1:]
+		m.services[i].failed = false
+		m.services[i].failed = !m.sendAnother(i, First)
+	}
+}
+
 // shortShards lists the shards whose best replica is expected to answer late in the target or not at all, the soonest first.
 // The order of equals differs from request to request.
 func (m *Machine) shortShards(choices []*replica.Choice) []int {
--- a/internal/core/scatter/spread_test.go
+++ b/internal/core/scatter/spread_test.go
@@ -79,3 +79,32 @@
 	plan.MinParts = 35
 	require.Len(t, firstSends(plan, chooser), 40, "four of forty would be left out")
 }
+
+// Guards against an answer that fails with the short shards that it was sent to, while others were left out.
+func TestAShardThatWasLeftOutIsAskedOnceItIsNeeded(t *testing.T) {
+	plan, chooser := shortPlan(4)
+	plan.MinParts = 37
+	m := New(plan, chooser)
+	var short []Send
+	for _, action := range m.Step(0, Begin{}) {
+		if send, ok := action.(Send); ok && send.Service < 4 {
+			short = append(short, send)
+		}
+	}
+	require.Len(t, short, 2)
+	require.Empty(t, sendsTo(m.Step(ms, SendEnded{Send: short[0].ID, Verdict: Failed})), "the other one suffices")
+	asked := sendsTo(m.Step(ms, SendEnded{Send: short[1].ID, Verdict: Failed}))
+	require.Len(t, asked, 1)
+	require.NotContains(t, []int{short[0].Service, short[1].Service}, asked[0])
+	require.Less(t, asked[0], 4)
+}
+
+// sendsTo returns the services that actions send to.
+func sendsTo(actions []Action) (services []int) {
+	for _, action := range actions {
+		if send, ok := action.(Send); ok {
+			services = append(services, send.Service)
+		}
+	}
+	return services
+}
