quarantine: the first update is sent at once

A request that ends replicas reached them in four tries after it had ended three, where three are allowed (TestARequestThatEndsReplicasIsSetAside/not_to_be_repeated).

Each update waited 5 ms, so that others could be sent with it, and the next try reached another node within that time. The first update now goes out at once, and those of the following 5 ms together. Gossip floods stay bounded by one send each 5 ms and node.

The first three tries come within 2 to 9 ms, before any update arrives, so that none is a trial. Of the two trials that follow, the end of one goes unseen, as the next incarnation accepts the connection of the check. So the sixth try is sent as a further trial, and the seventh 1 to 8 ms later at another node, 4 to 5 ms before the update leaves.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/wait"
 )
 
 // expireInterval is how often records of requests that have not arrived for a long time are removed.
@@ -48,6 +49,8 @@
 	done    sync.WaitGroup
 	// wake holds one element if updates are queued.
 	wake chan struct{}
+	// pause waits between two sends of updates and returns false if ctx ends first; tests replace it.
+	pause func(ctx context.Context, duration time.Duration) bool
 	// known is the number of recorded requests. It is usually 0, and then reading it is all that a request costs.
 	known atomic.Int64
 	// digest is the digest of the ledger.
@@ -66,7 +69,7 @@
 func New(options Options) *ReplicatedLedger {
 	ctx, stop := context.WithCancel(context.Background())
 	return &ReplicatedLedger{
-		options: options, ctx: ctx, stop: stop, wake: make(chan struct{}, 1),
+		options: options, ctx: ctx, stop: stop, wake: make(chan struct{}, 1), pause: wait.For,
 		ledger: quarantine.NewLedger(), queued: map[quarantine.Key]core.NodeID{}, comparisons: map[core.NodeID]comparison{},
 	}
 }
@@ -269,26 +272,14 @@
 		case <-expire.C:
 			r.expire()
 		case <-r.wake:
-			if !r.waitForBatch() {
+			r.sendUpdates()
+			if !r.pause(r.ctx, updateInterval) {
 				return
 			}
-			r.sendUpdates()
 		}
 	}
 }
 
-// waitForBatch waits batchDelay so that updates are sent together. It returns false if the ledger is closed.
-func (r *ReplicatedLedger) waitForBatch() bool {
-	timer := time.NewTimer(batchDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
-
 func (r *ReplicatedLedger) expire() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// batchDelay is how long updates are collected before they are sent: the replicas of many shards end within
-	// milliseconds of each other.
-	batchDelay = 5 * time.Millisecond
+	// updateInterval is the minimum time between two sends of updates. The first update is sent at once, because the
+	// next attempt of its request may reach another node within a millisecond. Those that follow within the interval are
+	// sent together: the replicas of many shards end within milliseconds of each other.
+	updateInterval = 5 * time.Millisecond
 	// compareInterval is how often two nodes with different digests exchange their records. The interval doubles, at
 	// most maxDoublings times, while the exchanges change nothing.
 	compareInterval = time.Second
