replicaconn: the next incarnation shows the end of a replica while the check is under way

A request that ends replicas went on reaching them at each node that had not seen the end, where the check of the broken connection took long: a broken request was kept for later evidence only after the check, so that the listing of the next incarnation, or a 421, that came before told nothing. It was also lost where no pool was left for the replica.

A broken request is now kept before the check begins, and before it fails for its caller. Whatever shows the end first reports it, once; a refused connection also those that are no longer kept. replica_ended says which evidence it was and how long after the break it was found.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -9,7 +9,6 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
 	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
-	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
@@ -130,10 +129,10 @@
 
 // replicaEnded handles the end of a replica, with the sends that were in flight there. A request that another
 // replica has answered in the meantime is suspected only at the shard of the ended replica.
-func (n *Node) replicaEnded(incarnation replica.Incarnation, requests []*replicaconn.Request) {
+func (n *Node) replicaEnded(end replicaconn.End) {
 	var named []endedRequest
-	fields := decisionlog.Fields{"replica": incarnation.ID, "born": incarnation.Born, "in_work": len(requests)}
-	for _, request := range requests {
+	fields := decisionlog.Fields{"replica": end.Replica.ID, "born": end.Replica.Born, "in_work": len(end.InFlight), "evidence": end.Evidence, "after_ms": end.Delay.Milliseconds()}
+	for _, request := range end.InFlight {
 		inFlight, ok := request.UserData.(inFlightSend)
 		if !ok {
 			continue
@@ -145,7 +144,7 @@
 			named = append(named, endedRequest{ID: q.id, Key: identity.Names().Exact.String(), Caller: q.caller(), Route: q.route.Name})
 		}
 		marks := quarantine.Ended | trialMarks(inFlight.send.send) | q.clearedMark()
-		n.quarantine.RecordFacts(identity, q.describe(), inFlight.send.send.Replica.Service, incarnation, marks)
+		n.quarantine.RecordFacts(identity, q.describe(), inFlight.send.send.Replica.Service, end.Replica, marks)
 	}
 	fields["requests"] = named
 	n.metrics.countReplicaEnded()
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -151,8 +151,8 @@
 	suspend         suspendWatch
 	// keepsNoIdle is set if a connection is closed when no request needs it.
 	keepsNoIdle bool
-	// onEnded receives an incarnation that has ended and the requests in flight there.
-	onEnded func(incarnation replica.Incarnation, inFlight []*Request)
+	// onEnded receives the ends of replicas with requests in flight.
+	onEnded func(End)
 	// successors detects that a replica whose connections broke was replaced by another incarnation at its address.
 	successors *successors
 	// acceptTime returns after which time an open connection counts as accepted; tests replace it.
@@ -161,12 +161,10 @@
 	refuses func(p *pool, request *Request) bool
 }
 
-// OnReplicaEnded sets the listener that is called when a replica has ended with requests in flight. The requests
-// themselves fail first, and requests that were already given up are included. It may be called more than once for the
-// same incarnation. It must be set before the first request, and must not block.
-func (c *Client) OnReplicaEnded(listener func(incarnation replica.Incarnation, inFlight []*Request)) {
-	c.onEnded = listener
-}
+// OnReplicaEnded sets the listener that is called when a replica has ended with requests in flight, those included that
+// were already given up. It may be called more than once for the same incarnation. It must be set before the first
+// request, and must not block: a request may fail only after it has returned.
+func (c *Client) OnReplicaEnded(listener func(End)) { c.onEnded = listener }
 
 // NewClient returns a client without connections.
 func NewClient(wire Wire) *Client {
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -340,8 +340,9 @@
 	if errors.Is(cause, io.EOF) {
 		cause = io.ErrUnexpectedEOF
 	}
-	ex.done <- outcome{err: &Error{Step: "await answer", Sent: true, Broken: connerr.ClosedByPeer(cause), Cause: cause}}
+	// The break is recorded before the request fails, and so before its caller can send it again.
 	c.client.connectionBroke(c.replica, ex.request, cause)
+	ex.done <- outcome{err: &Error{Step: "await answer", Sent: true, Broken: connerr.ClosedByPeer(cause), Cause: cause}}
 }
 
 // closedLocally reports whether this node decided to close the connection.
--- a/internal/replicaconn/ended_test.go
+++ b/internal/replicaconn/ended_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiopier/pistachiopier/internal/core/replica"
 	"github.com/pistachiopier/pistachiopier/internal/replicaconn"
 	"github.com/pistachiopier/pistachiopier/platform/platformtest"
 )
@@ -14,9 +13,9 @@
 // ends collects the ids of the requests in flight that a client reports with each replica that ended.
 func ends(client *replicaconn.Client) <-chan []string {
 	notified := make(chan []string, 16)
-	client.OnReplicaEnded(func(_ replica.Incarnation, inFlight []*replicaconn.Request) {
+	client.OnReplicaEnded(func(end replicaconn.End) {
 		var ids []string
-		for _, req := range inFlight {
+		for _, req := range end.InFlight {
 			ids = append(ids, req.ID)
 		}
 		notified <- ids
--- a/internal/replicaconn/host.go
+++ b/internal/replicaconn/host.go
@@ -34,7 +34,7 @@
 	restarted bool
 	// broken are the requests whose connections broke and for which the check whether the replica has ended has not begun;
 	// checkingEnded is set while the check runs for others.
-	broken        []*Request
+	broken        []*brokenRequest
 	checkingEnded bool
 }
 
--- a/internal/replicaconn/successor.go
+++ b/internal/replicaconn/successor.go
@@ -23,16 +23,18 @@
 type successors struct {
 	mutex sync.Mutex
 	// broken are in the order of their breaks.
-	broken []brokenRequest
+	broken []*brokenRequest
 	// latest holds the incarnation that was listed last at each address.
 	latest    map[string]listing
 	expiredAt time.Time
 }
 
-// brokenRequest is a request whose connection broke although its address still accepts connections.
+// brokenRequest is a request whose connection broke. The mutex of successors guards its fields.
 type brokenRequest struct {
 	*Request
 	at time.Time
+	// reported is set once its replica is known to have ended.
+	reported bool
 }
 
 type listing struct {
@@ -42,25 +44,40 @@
 
 func newSuccessors() *successors { return &successors{latest: map[string]listing{}} }
 
-// keep keeps broken requests to one incarnation. It returns false and keeps none if another incarnation was already
-// listed at their address.
-func (s *successors) keep(requests []*Request, now time.Time) bool {
+// keep keeps a request whose connection broke. It returns false and keeps nothing if another incarnation was already listed
+// at its address.
+func (s *successors) keep(request *Request, now time.Time) (*brokenRequest, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
-	latest, known := s.latest[requests[0].Address]
-	if known && latest.incarnation != requests[0].Replica && now.Sub(latest.at) < successorTimeout {
-		return false
-	}
-	for _, request := range requests {
-		s.broken = append(s.broken, brokenRequest{request, now})
+	latest, known := s.latest[request.Address]
+	if known && latest.incarnation != request.Replica && now.Sub(latest.at) < successorTimeout {
+		return nil, false
 	}
+	broken := &brokenRequest{Request: request, at: now}
+	s.broken = append(s.broken, broken)
 	s.broken = s.broken[max(len(s.broken)-maxBrokenRequests, 0):]
-	return true
+	return broken, true
+}
+
+// refused takes those of the given requests that were not taken before, also where they are no longer kept: their replica
+// refuses connections.
+func (s *successors) refused(requests []*brokenRequest) []*brokenRequest {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var taken []*brokenRequest
+	for _, broken := range requests {
+		if !broken.reported {
+			broken.reported = true
+			taken = append(taken, broken)
+		}
+	}
+	s.broken = slices.DeleteFunc(s.broken, func(broken *brokenRequest) bool { return broken.reported })
+	return taken
 }
 
 // listed records the incarnation that is now listed at an address, and takes the broken requests to others there.
-func (s *successors) listed(incarnation replica.Incarnation, address string, now time.Time) []*Request {
+func (s *successors) listed(incarnation replica.Incarnation, address string, now time.Time) []*brokenRequest {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
@@ -69,27 +86,28 @@
 }
 
 // misdirected takes the broken requests to an incarnation whose address now leads to another one.
-func (s *successors) misdirected(former replica.Incarnation, now time.Time) []*Request {
+func (s *successors) misdirected(former replica.Incarnation, now time.Time) []*brokenRequest {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
 	return s.take(func(request *Request) bool { return request.Replica == former })
 }
 
-func (s *successors) take(matches func(*Request) bool) []*Request {
-	var taken []*Request
-	s.broken = slices.DeleteFunc(s.broken, func(broken brokenRequest) bool {
+func (s *successors) take(matches func(*Request) bool) []*brokenRequest {
+	var taken []*brokenRequest
+	s.broken = slices.DeleteFunc(s.broken, func(broken *brokenRequest) bool {
 		if !matches(broken.Request) {
 			return false
 		}
-		taken = append(taken, broken.Request)
+		broken.reported = true
+		taken = append(taken, broken)
 		return true
 	})
 	return taken
 }
 
 func (s *successors) expire(now time.Time) {
-	s.broken = slices.DeleteFunc(s.broken, func(broken brokenRequest) bool { return now.Sub(broken.at) >= successorTimeout })
+	s.broken = slices.DeleteFunc(s.broken, func(broken *brokenRequest) bool { return now.Sub(broken.at) >= successorTimeout })
 	if now.Sub(s.expiredAt) < successorExpiryInterval {
 		return
 	}
