owner: a request that the owner knows to be set aside is refused there

Behind serve a request that ends replicas reached them in up to nine tries after it had ended three, where three are allowed, although their owner had seen the ends.

Only the entry, and the home of a submit, judged a request. The owner sees the ends first, but sent on what other entries asked, until its update reached them. It now judges by its own ledger what it receives, as a whole, at its service, its shard and over all services, and refuses it as not run. The entry does not ask another node for such a shard, and the home answers set_aside.

--- a/internal/app/start.go
+++ b/internal/app/start.go
@@ -96,6 +96,7 @@
 		Problems: n.problems,
 		Metrics:  n.metrics,
 		Recorder: n.quarantine,
+		Assessor: n.quarantine,
 	})
 }
 
--- a/internal/core/query/precaution_test.go
+++ b/internal/core/query/precaution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -102,6 +103,28 @@
 	require.Equal(t, []Missing{{Ref: core.ShardRef{Service: "base", Shard: 2}, Reason: core.ReasonSetAside}}, answer.Coverage.Missing)
 }
 
+// Guards against asking another node for a shard whose owner knows that the query is set aside: the answer names the shard
+// as missing, at once.
+func TestAShardWhoseOwnerRefusesTheQueryAsSetAsideIsNotAskedAgain(t *testing.T) {
+	options := testOptions()
+	options.Deadline = time.Hour
+	m := New(shardedPlan(), options)
+	first := sendsOf(m.Step(0, Started{}))
+	var top []Send
+	for i, send := range first {
+		if i == 0 {
+			refused := PartFailed{Send: send.ID, Need: send.Needs[0], Outcome: core.NotRun, Reason: core.ReasonSetAside, RetryAfter: time.Minute, Last: true}
+			require.Empty(t, sendsOf(m.Step(1, refused)))
+			continue
+		}
+		top = sendsOf(m.Step(1, partReply(send)))
+	}
+	require.Len(t, top, 1)
+	require.Equal(t, []int{0}, top[0].Needs)
+	answer := answerOf(t, m.Step(2, partReply(top[0])))
+	require.Equal(t, []Missing{{Ref: core.ShardRef{Service: "base"}, Reason: core.ReasonSetAside}}, answer.Coverage.Missing)
+}
+
 // Guards against two replicas crashing at once: while the owner of a shard on trial is silent, no
 // other node is asked.
 func TestShardOnTrialHasNoFallback(t *testing.T) {
--- a/internal/core/query/retry.go
+++ b/internal/core/query/retry.go
@@ -53,7 +53,7 @@
 	need := &m.needs[index]
 	reason, notRun := attempt.reason, attempt.outcome == core.NotRun
 	switch {
-	case reason == core.ReasonDeadline:
+	case reason == core.ReasonDeadline, reason == core.ReasonSetAside:
 		return false
 	case reason == core.ReasonVersionGone && notRun:
 		need.versionGone++
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -108,6 +108,20 @@
 	require.Equal(t, observe.KindOutcomeUnknown, h.options.Problems.List()[0].Kind)
 }
 
+// Guards against a home that answers a submit that the owner knows to be set aside with another code, or sends it again.
+func TestASubmitThatTheOwnerRefusesAsSetAsideIsSentOnce(t *testing.T) {
+	h, peers := startHome(t)
+	go func() {
+		received := <-peers.owner
+		received.sink(&peerpb.Envelope{Body: &peerpb.Envelope_SubmitReply{SubmitReply: &peerpb.SubmitReply{Outcome: uint32(core.NotRun), Code: string(core.ReasonSetAside)}}}, nil)
+	}()
+	reply := h.Submit(context.Background(), request(h.Prefix()+".a"))
+	require.Equal(t, core.NotRun, reply.Outcome)
+	require.Equal(t, fault.CodeSetAside, reply.Code)
+	require.Positive(t, reply.RetryAfter)
+	require.Equal(t, 1, peers.sentToOwner())
+}
+
 // A caller disconnects while its request is running and later retries. The request must
 // have continued, and the retry gets its outcome.
 func TestARunOutlivesItsCaller(t *testing.T) {
--- a/internal/home/send.go
+++ b/internal/home/send.go
@@ -134,6 +134,9 @@
 			ended.Outcome, ended.Reason = core.Outcome(message.GetOutcome()), core.Reason(message.GetCode())
 			ended.Message = message.GetMessage()
 			ended.Payload, ended.RetryAfter = message.GetPayload(), milliseconds(message.GetRetryAfterMs())
+			if ended.Outcome == core.NotRun && ended.Reason == core.ReasonSetAside {
+				ended = setAsideEnd(a)
+			}
 		default:
 			ended.Reason = core.ReasonCrossedReply
 		}
--- a/internal/home/setaside.go
+++ b/internal/home/setaside.go
@@ -19,7 +19,12 @@
 	if assessment.Request != corequarantine.SetAside && (assessment.Shards == nil || assessment.Shards[0] != corequarantine.SetAside) {
 		return nil
 	}
-	return &once.SendEnded{
+	return new(setAsideEnd(a))
+}
+
+// setAsideEnd returns the end of a send that this node or the owner refused because the request is set aside.
+func setAsideEnd(a once.Send) once.SendEnded {
+	return once.SendEnded{
 		Key: a.Key, Send: a.Send, Outcome: core.NotRun, Code: fault.CodeSetAside,
 		Message: "replicas ended each time this request ran", RetryAfter: corequarantine.RetryAfter,
 	}
--- a/internal/owner/bundle.go
+++ b/internal/owner/bundle.go
@@ -6,6 +6,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/catalog"
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
+	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -33,6 +34,7 @@
 		Weight:   customer.Weight,
 		Deadline: e.at + remainingTime(message.GetTimeLeftUs()),
 	}
+	setAside := l.setAsideAsks(reply, message.GetAsks())
 	for _, ask := range message.GetAsks() {
 		w := &bundleWork{reply: reply, ask: ask}
 		if reason := refusalReason(cat, core.BundleID(message.GetBundle()), ask); reason != core.ReasonNone {
@@ -44,6 +46,10 @@
 			w.refuse(core.ReasonNotOwner, 0)
 			continue
 		}
+		if setAside[ask] {
+			w.refuse(core.ReasonSetAside, corequarantine.RetryAfter)
+			continue
+		}
 		offered.Alone = ask.GetTrial() != 0
 		l.offer(s, e.inbound, w, offered)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core/budget"
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/ring"
 	"github.com/pistachiopier/pistachiopier/internal/sharedbudget"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -38,6 +39,8 @@
 	Metrics  observe.Registry
 	// Recorder receives the outcomes of requests at replicas; it may be nil.
 	Recorder Recorder
+	// Assessor returns the standings of requests that may end replicas; it may be nil.
+	Assessor quarantine.Assessor
 	// Loops is the number of goroutines; 0 means defaultLoops.
 	Loops int
 	// meters, budget and brokenSends are shared by the loops; number is the index of the loop.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -20,6 +20,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/observe"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
+	"github.com/pistachiopier/pistachiopier/internal/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/standin"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
 )
@@ -41,6 +42,11 @@
 }
 
 func startFixture(t *testing.T, addresses ...string) *fixture {
+	return startAssessedFixture(t, nil, addresses...)
+}
+
+// startAssessedFixture starts a fixture whose owner judges requests by assessor.
+func startAssessedFixture(t *testing.T, assessor quarantine.Assessor, addresses ...string) *fixture {
 	started := time.Now()
 	now := func() core.Time { return time.Since(started) }
 	log := logrus.New()
@@ -52,7 +58,7 @@
 	b.belief.SetSelf(route.Node{ID: "vm-1", DataCentre: "dc1"})
 	b.belief.SetView(route.NewView([]route.Node{{ID: "vm-1", DataCentre: "dc1"}}))
 	b.publish(addresses...)
-	b.owner = New(Options{Self: "vm-1", Belief: b.belief, Upstream: client, Now: now, Log: log, Problems: b.problems, Metrics: b.metrics})
+	b.owner = New(Options{Self: "vm-1", Belief: b.belief, Upstream: client, Now: now, Log: log, Problems: b.problems, Metrics: b.metrics, Assessor: assessor})
 	t.Cleanup(b.owner.Close)
 	return b
 }
@@ -67,7 +73,11 @@
 	}
 	parsed, err := catalog.Parse([]byte(text))
 	require.NoError(b.t, err)
-	b.belief.SetConfig(&belief.Config{Revision: 1, Catalog: parsed})
+	b.setConfig(1, parsed)
+}
+
+func (b *fixture) setConfig(revision uint64, parsed *catalog.Catalog) {
+	b.belief.SetConfig(&belief.Config{Revision: revision, Catalog: parsed})
 }
 
 // ask sends one request to the shard. The reply is sent to b.parts.
--- a/internal/owner/submit.go
+++ b/internal/owner/submit.go
@@ -9,6 +9,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/admit"
 	"github.com/pistachiopier/pistachiopier/internal/core/once"
+	corequarantine "github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/peer"
 	"github.com/pistachiopier/pistachiopier/internal/peer/peerpb"
 	"github.com/pistachiopier/pistachiopier/internal/upstream"
@@ -110,6 +111,10 @@
 		e.submit.refuse(core.ReasonNotOwner, 0)
 		return
 	}
+	if l.isSetAside(e.submit) {
+		e.submit.refuse(core.ReasonSetAside, corequarantine.RetryAfter)
+		return
+	}
 	customer, _ := cat.Customer(core.Customer(message.GetCustomer()))
 	l.offer(s, e.inbound, e.submit, admit.Offered{
 		Customer: customer.Name,
