Logs and explain say why an attempt of a request that ends replicas was sent

Why a replica ended under a late attempt could not be told from the log: whether the node took the request for suspected, how many ends it knew, whether the send counted as a trial, and when the other nodes learned of an end.

request_ended names the standing and the ends known on arrival, sent whether it was a trial; explain prints what the nodes learned of replicas that ended under any attempt of the request, in the order of time.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -73,6 +73,8 @@
 	requestLines []logLine
 	// states are the lines with an event of stateEvents, in the order of the logs.
 	states []logLine
+	// ends are the lines on replicas that ended and on the requests in flight there, in the order of the logs.
+	ends []logLine
 }
 
 func explain(request, files string, input io.Reader, out io.Writer) error {
@@ -116,6 +118,9 @@
 		if json.Unmarshal(text, &line) != nil || json.Unmarshal(text, &line.fields) != nil {
 			continue
 		}
+		if endEvents[line.Event] {
+			h.ends = append(h.ends, line)
+		}
 		switch {
 		case line.Request == request:
 			h.requestLines = append(h.requestLines, line)
@@ -139,6 +144,7 @@
 		fmt.Fprintf(out, "  %s %s\n", line.Time, describeLine(line))
 	}
 	printShortages(h.requestLines, out)
+	h.printEnds(request, out)
 	fmt.Fprintln(out, "\nwhat happened (at_ms counts from the request's arrival):")
 	for _, line := range h.requestLines {
 		fmt.Fprintf(out, "  %s %s\n", line.Time, describeLine(line))
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -94,3 +94,28 @@
 	require.Contains(t, out, "relief_ended")
 	require.NotContains(t, out, "relief_asked")
 }
+
+// An attempt of a request that ends replicas was sent although three replicas had ended before. The output must show when
+// which node learned of each end under the earlier attempts, and nothing of other requests.
+func TestExplainShowsWhatTheNodesLearnedOfEndedReplicas(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(`
+{"event":"replica_ended","node":"vm-1","time":"2030-01-01T00:00:01Z","replica":"i-1","evidence":"connection_refused","after_ms":1,"requests":[{"id":"try-1","key":"aa"},{"id":"beside","key":"bb"}]}
+{"event":"request_suspected","node":"vm-2","time":"2030-01-01T00:00:02Z","key":"aa","from":"vm-1","replicas_ended":1}
+{"event":"request_suspected","node":"vm-2","time":"2030-01-01T00:00:02Z","key":"bb","from":"vm-1","replicas_ended":1}
+{"event":"sent","node":"vm-2","time":"2030-01-01T00:00:03Z","request":"try-2","at_ms":0,"replica":"i-2","trial":true}
+{"event":"request_ended","node":"vm-2","time":"2030-01-01T00:00:04Z","request":"try-2","outcome":"failed","standing":"suspect","known_ended":1}
+{"event":"replica_ended","node":"vm-2","time":"2030-01-01T00:00:05Z","replica":"i-2","evidence":"successor_listed","after_ms":190,"requests":[{"id":"try-2","key":"aa"}]}
+{"event":"replica_ended","node":"vm-2","time":"2030-01-01T00:00:06Z","replica":"i-3","requests":[{"id":"beside-2","key":"bb"}]}
+`), 0o600))
+	code, out, errors := run("explain", "try-2", path)
+	require.Equal(t, ExitOK, code, errors)
+	require.Contains(t, out, "vm-1 replica_ended after_ms=1 attempts=try-1 evidence=connection_refused replica=i-1")
+	require.Contains(t, out, "vm-2 request_suspected from=vm-1 key=aa replicas_ended=1")
+	require.Contains(t, out, "vm-2 replica_ended after_ms=190 attempts=try-2 evidence=successor_listed replica=i-2")
+	require.Contains(t, out, "standing=suspect")
+	require.Contains(t, out, "trial=true")
+	for _, absent := range []string{"bb", "beside", "i-3"} {
+		require.NotContains(t, out, absent)
+	}
+}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -67,7 +67,7 @@
 // applyStandings applies the standings of the request, as a whole and at each shard, to its plan.
 func (q *request) applyStandings() {
 	assessment := q.node.quarantine.Assess(q.identity, q.services)
-	q.standing = assessment.Request
+	q.standing, q.knownEnded = assessment.Request, assessment.EndedReplicas
 	q.plan.Suspect = q.standing == quarantine.Suspect
 	q.plan.SuspectShards = assessment.ShardsWith(quarantine.Suspect)
 	q.plan.SetAsideShards = assessment.ShardsWith(quarantine.SetAside)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -43,10 +43,11 @@
 	// node's request.
 	held   *heldRequest
 	stream *callerStream
-	// standing is the standing of the whole request on arrival; answered is set once a replica has answered
-	// it.
-	standing quarantine.Standing
-	answered atomic.Bool
+	// standing is the standing of the whole request on arrival, knownEnded the number of replicas that were then known
+	// to have ended under it; answered is set once a replica has answered it.
+	standing   quarantine.Standing
+	knownEnded int
+	answered   atomic.Bool
 	// claim is what the request asks for places with. Waited is as of its arrival.
 	claim placement.Claim
 	// quarantineNames returns the names of the request in the quarantine, computed on first use.
@@ -215,7 +216,7 @@
 		q.node.metrics.countExtra(a.Cause)
 	}
 	if a.Cause != scatter.First || q.route.Gather == nil {
-		q.addStep(step{Event: "sent", Cause: string(a.Cause), Replica: a.Replica.ID, Service: a.Replica.Service})
+		q.addStep(step{Event: "sent", Cause: string(a.Cause), Replica: a.Replica.ID, Service: a.Replica.Service, Trial: a.Alone || a.ShardAlone})
 	}
 	return exchange
 }
--- a/internal/edge/story_test.go
+++ b/internal/edge/story_test.go
@@ -103,3 +103,20 @@
 	_, text := h.get("http://"+h.nodes[0].Settings.MetricsAddress+"/metrics", nil)
 	require.Contains(t, text, "requests_rejected_early_total")
 }
+
+// Guards against an attempt that ends a further replica without a word in the log on what its node knew, and on what showed
+// the end.
+func TestTheLogSaysWhatWasKnownOfARequestThatEndsReplicas(t *testing.T) {
+	h := newDeadlyHarness(t, func(seen platformtest.ReceivedRequest) bool { return seen.Body == "deadly" })
+	attempt := deadlyRequest{http.MethodPost, "/once/x", "deadly", "127.0.0.1"}
+	h.sendDeadly(h.nodes[0], attempt, "first")
+	h.awaitEnded(h.nodes[1], 1)
+	h.reviveReplicas()
+	h.sendDeadly(h.nodes[1], attempt, "second")
+	ended := h.waitForEvent(h.nodes[1], "replica_ended")
+	require.Contains(t, ended, `"evidence":"`)
+	require.Contains(t, ended, `"id":"second"`)
+	for _, field := range []string{`"known_ended":1`, `"standing":"suspect"`, `"trial":true`} {
+		require.Eventually(t, func() bool { return strings.Contains(h.nodes[1].log.String(), field) }, waitLimit, time.Millisecond, field)
+	}
+}
--- a/internal/edge/trail.go
+++ b/internal/edge/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pistachiopier/pistachiopier/internal/core/comeback"
+	"github.com/pistachiopier/pistachiopier/internal/core/quarantine"
 	"github.com/pistachiopier/pistachiopier/internal/core/scatter"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 )
@@ -25,6 +26,8 @@
 	WaitedMs int64
 	// Why is the reason for a send that was not made.
 	Why string
+	// Trial is set for the only send of a suspected request in flight, or the only one at its shard.
+	Trial bool
 }
 
 // maxSteps bounds the steps kept of one request, maxMissingSteps those for missing parts, which come in
@@ -60,9 +63,13 @@
 	}
 	var lines []decisionlog.Line
 	for _, s := range q.steps {
-		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: decisionlog.Fields{
+		fields := decisionlog.Fields{
 			"request": q.id, "at_ms": s.AtMs, "replica": s.Replica, "service": s.Service, "cause": s.Cause, "status": s.Status, "took_ms": s.TookMs, "via": s.Via, "why": s.Why, "expect_ms": s.ExpectMs, "short": s.Short, "ahead": s.Ahead, "waited_ms": s.WaitedMs,
-		}})
+		}
+		if s.Trial {
+			fields["trial"] = true
+		}
+		lines = append(lines, decisionlog.Line{Event: s.Event, Fields: fields})
 	}
 	fields := decisionlog.Fields{
 		"request": q.id, "route": q.route.Name, "priority": q.route.Priority, "config_version": q.config.Version, "outcome": outcome, "status": status,
@@ -79,6 +86,9 @@
 	if result.Admission.Return != comeback.Unknown {
 		fields["returned"] = result.Admission.Return.String()
 	}
+	if q.standing != quarantine.Trusted {
+		fields["standing"], fields["known_ended"] = q.standing.String(), q.knownEnded
+	}
 	if q.plan.Admission.OverShare {
 		fields["over_share"] = true
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -98,6 +98,8 @@
 type Assessment struct {
 	// Request is the standing of the request as a whole.
 	Request quarantine.Standing
+	// EndedReplicas counts the replicas that are known to have ended under the request.
+	EndedReplicas int
 	// Shards holds the standings at the requested shards, in the same order; nil if the request is trusted at all of them.
 	Shards []quarantine.Standing
 }
@@ -146,6 +148,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	assessment := Assessment{Request: r.ledger.Observe(names, r.options.Now())}
+	if record := r.ledger.Get(names.Exact); record != nil {
+		assessment.EndedReplicas = record.EndedCount()
+	}
 	for i, shard := range shards {
 		standing := r.ledger.StandingAtShard(names, quarantine.ShardOf(shard))
 		if standing == quarantine.Trusted {
