--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -20,6 +20,16 @@
 {"event":"config_in_force","node":"vm-1","time":"2030-01-01T00:00:06Z","version":10}
 `
 
+// explainLog returns what explain prints for a request and a log.
+func explainLog(t *testing.T, request, log string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "nodes.log")
+	require.NoError(t, os.WriteFile(path, []byte(log), 0o600))
+	code, out, errors := run("explain", request, path)
+	require.Equal(t, ExitOK, code, errors)
+	return out
+}
+
 // The lines of a request are interleaved with those of others and out of order, and the state
 // of the node has changed since. The output must hold the lines of this request only, in order,
 // with the state of the node at that time.
@@ -43,15 +53,12 @@
 // An answer lacks parts because of full replicas. The output must say which rooms were short and how many were ahead, and
 // show the most urgent priority, which is 0.
 func TestExplainShowsWhatWasShort(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "nodes.log")
-	require.NoError(t, os.WriteFile(path, []byte(`
+	out := explainLog(t, "r1", `
 {"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:01Z","request":"r1","service":"s1","short":"slots","ahead":3}
 {"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:02Z","request":"r1","service":"s2","short":"slots","ahead":0}
 {"event":"no_place","node":"vm-1","time":"2030-01-01T00:00:03Z","request":"r1","service":"s1","short":"slots","ahead":5}
 {"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"partial","priority":0}
-`), 0o600))
-	code, out, errors := run("explain", "r1", path)
-	require.Equal(t, ExitOK, code, errors)
+`)
 	require.Contains(t, out, "slots of s1: 2 sends without a place, 5 ahead at most")
 	require.Contains(t, out, "slots of s2: 1 sends without a place, 0 ahead at most")
 	require.Contains(t, out, "priority=0")
@@ -60,16 +67,13 @@
 // An answer was thin while a data centre was evacuated. The output must show that data centre as evacuated at
 // the time, although its evacuation ended later, and an earlier evacuation of another one as ended.
 func TestExplainShowsEvacuatedDataCentres(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "nodes.log")
-	require.NoError(t, os.WriteFile(path, []byte(`
+	out := explainLog(t, "r1", `
 {"event":"evacuation_in_force","node":"vm-1","time":"2030-01-01T00:00:01Z","data_centre":"east"}
 {"event":"evacuation_ended","node":"vm-1","time":"2030-01-01T00:00:02Z","data_centre":"east"}
 {"event":"evacuation_in_force","node":"vm-1","time":"2030-01-01T00:00:03Z","data_centre":"west"}
 {"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"partial"}
 {"event":"evacuation_ended","node":"vm-1","time":"2030-01-01T00:00:05Z","data_centre":"west"}
-`), 0o600))
-	code, out, errors := run("explain", "r1", path)
-	require.Equal(t, ExitOK, code, errors)
+`)
 	require.Contains(t, out, "evacuation_in_force data_centre=west")
 	require.Contains(t, out, "evacuation_ended data_centre=east")
 	require.NotContains(t, out, "evacuation_in_force data_centre=east")
@@ -79,16 +83,13 @@
 // A request was late. The output must show each replica that the node believed to be slow at the time, and whether the
 // node asked for relief.
 func TestExplainShowsWhatTheNodeWasToldOfReplicas(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "nodes.log")
-	require.NoError(t, os.WriteFile(path, []byte(`
+	out := explainLog(t, "r1", `
 {"event":"replica_believed","node":"vm-1","time":"2030-01-01T00:00:01Z","replica":"i-1","from":"vm-2","slowness":5}
 {"event":"replica_believed","node":"vm-1","time":"2030-01-01T00:00:02Z","replica":"i-2","from":"vm-3","unreachable":true}
 {"event":"relief_asked","node":"vm-1","time":"2030-01-01T00:00:02Z","in_flight":90}
 {"event":"relief_ended","node":"vm-1","time":"2030-01-01T00:00:03Z","in_flight":5}
 {"event":"request_ended","node":"vm-1","time":"2030-01-01T00:00:04Z","request":"r1","outcome":"whole"}
-`), 0o600))
-	code, out, errors := run("explain", "r1", path)
-	require.Equal(t, ExitOK, code, errors)
+`)
 	require.Contains(t, out, "replica=i-1")
 	require.Contains(t, out, "replica=i-2")
 	require.Contains(t, out, "relief_ended")
@@ -98,8 +99,7 @@
 // An attempt of a request that ends replicas was sent although three replicas had ended before. The output must show when
 // which node learned of each end under the earlier attempts, and nothing of other requests.
 func TestExplainShowsWhatTheNodesLearnedOfEndedReplicas(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "nodes.log")
-	require.NoError(t, os.WriteFile(path, []byte(`
+	out := explainLog(t, "try-2", `
 {"event":"replica_ended","node":"vm-1","time":"2030-01-01T00:00:01Z","replica":"i-1","evidence":"connection_refused","after_ms":1,"requests":[{"id":"try-1","key":"aa"},{"id":"beside","key":"bb"}]}
 {"event":"request_suspected","node":"vm-2","time":"2030-01-01T00:00:02Z","key":"aa","from":"vm-1","replicas_ended":1}
 {"event":"request_suspected","node":"vm-2","time":"2030-01-01T00:00:02Z","key":"bb","from":"vm-1","replicas_ended":1}
@@ -107,9 +107,7 @@
 {"event":"request_ended","node":"vm-2","time":"2030-01-01T00:00:04Z","request":"try-2","outcome":"failed","standing":"suspect","known_ended":1}
 {"event":"replica_ended","node":"vm-2","time":"2030-01-01T00:00:05Z","replica":"i-2","evidence":"successor_listed","after_ms":190,"requests":[{"id":"try-2","key":"aa"}]}
 {"event":"replica_ended","node":"vm-2","time":"2030-01-01T00:00:06Z","replica":"i-3","requests":[{"id":"beside-2","key":"bb"}]}
-`), 0o600))
-	code, out, errors := run("explain", "try-2", path)
-	require.Equal(t, ExitOK, code, errors)
+`)
 	require.Contains(t, out, "vm-1 replica_ended after_ms=1 attempts=try-1 evidence=connection_refused replica=i-1")
 	require.Contains(t, out, "vm-2 request_suspected from=vm-1 key=aa replicas_ended=1")
 	require.Contains(t, out, "vm-2 replica_ended after_ms=190 attempts=try-2 evidence=successor_listed replica=i-2")
--- a/internal/entry/precautions.go
+++ b/internal/entry/precautions.go
@@ -33,12 +33,9 @@
 		}
 		for at, need := range service.Shards {
 			switch {
-			case assessment.Request == corequarantine.SetAside:
+			case assessment.IsSetAside(at):
 				precautions.SetAside = addIndex(precautions.SetAside, need)
-			case assessment.Shards == nil:
-			case assessment.Shards[at] == corequarantine.SetAside:
-				precautions.SetAside = addIndex(precautions.SetAside, need)
-			case assessment.Shards[at] == corequarantine.Suspect:
+			case assessment.Shards != nil && assessment.Shards[at] == corequarantine.Suspect:
 				precautions.SuspectNeeds = addIndex(precautions.SuspectNeeds, need)
 			}
 		}
--- a/internal/home/setaside.go
+++ b/internal/home/setaside.go
@@ -16,7 +16,7 @@
 	assessment := l.options.Assessor.Assess(func() corequarantine.Identity {
 		return corequarantine.Submit(a.Service, a.Customer, a.Payload)
 	}, []string{shard.String()})
-	if assessment.Request != corequarantine.SetAside && (assessment.Shards == nil || assessment.Shards[0] != corequarantine.SetAside) {
+	if !assessment.IsSetAside(0) {
 		return nil
 	}
 	return new(setAsideEnd(a))
--- a/internal/owner/setaside.go
+++ b/internal/owner/setaside.go
@@ -15,23 +15,21 @@
 		return nil
 	}
 	setAside := map[*peerpb.ShardAsk]bool{}
+	closure, _, _ := (&bundleWork{reply: reply}).closureIdentity()
+	whole := l.options.Assessor.Assess(closure, nil).Request == corequarantine.SetAside
 	byService := map[string][]*peerpb.ShardAsk{}
 	for _, ask := range asks {
 		byService[ask.GetService()] = append(byService[ask.GetService()], ask)
 	}
 	for _, list := range byService {
 		w := &bundleWork{reply: reply, ask: list[0]}
-		closure, _, _ := w.closureIdentity()
-		whole := l.options.Assessor.Assess(closure, nil).Request == corequarantine.SetAside
 		var shards []string
 		for _, ask := range list {
 			shards = append(shards, core.ShardRef{Service: ask.GetService(), Shard: int(ask.GetShard())}.String())
 		}
 		assessment := l.options.Assessor.Assess(w.identity, shards)
-		whole = whole || assessment.Request == corequarantine.SetAside
-		atShards := assessment.ShardsWith(corequarantine.SetAside)
 		for i, ask := range list {
-			setAside[ask] = whole || atShards[i]
+			setAside[ask] = whole || assessment.IsSetAside(i)
 		}
 	}
 	return setAside
@@ -42,6 +40,5 @@
 	if l.options.Assessor == nil || l.options.Assessor.Empty() {
 		return false
 	}
-	assessment := l.options.Assessor.Assess(w.identity, []string{w.ref.String()})
-	return assessment.Request == corequarantine.SetAside || len(assessment.ShardsWith(corequarantine.SetAside)) > 0
+	return l.options.Assessor.Assess(w.identity, []string{w.ref.String()}).IsSetAside(0)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -120,6 +120,11 @@
 	return indexes
 }
 
+// IsSetAside reports whether the request is set aside as a whole or at the shard with the given index.
+func (a Assessment) IsSetAside(shard int) bool {
+	return a.Request == quarantine.SetAside || a.Shards != nil && a.Shards[shard] == quarantine.SetAside
+}
+
 // Assessor returns the standings of an incoming request, as a whole and at the given shards.
 type Assessor interface {
 	// Empty reports whether no request is recorded, in which case every request is trusted.
