--- /dev/null
+++ b/review/harness/replica.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pistachiopier/pistachiopier/platform"
+	"github.com/pistachiopier/pistachiopier/platform/platformtest"
+)
+
+// replica is a sound replica: it runs up to slots requests at a time, queues further ones, stops at their deadlines and
+// drops those whose connection closes.
+type replica struct {
+	world          *world
+	id, service    string
+	slots          chan struct{}
+	work           time.Duration
+	server         *http.Server
+	address        string
+	reports        int
+	mutex          sync.Mutex
+	arrivals, runs map[string]time.Time
+}
+
+// startReplica starts a replica and lists it in the store.
+func (w *world) startReplica(id, service string, slots int, work time.Duration) (*replica, error) {
+	listener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{world: w, id: id, service: service, slots: make(chan struct{}, slots), work: work, address: listener.Addr().String(), arrivals: map[string]time.Time{}, runs: map[string]time.Time{}}
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: dialTimeout}
+	go func() { _ = r.server.Serve(listener) }()
+	w.replicas = append(w.replicas, r)
+	r.report(platformtest.StateReady)
+	return r, nil
+}
+
+// report writes the replica's entry, and returns when the store has accepted it.
+func (r *replica) report(state string) time.Time {
+	r.reports++
+	r.world.store.Put(storeKey(r.id), map[string]any{
+		"service": r.service, "address": r.address, "zone": "hall-a", "version": "v1", "slots": cap(r.slots), "state": state, "warmupLeftMs": 0, "seq": r.reports,
+	})
+	r.world.note("the store has %s as %s", r.id, state)
+	return time.Now()
+}
+
+func (r *replica) close() { _ = r.server.Close() }
+
+// ServeHTTP runs a request.
+func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	id := platform.RequestID(request.Header)
+	r.noteEvent(r.arrivals, id, "reaches")
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	remaining, stated := platform.RemainingTime(request.Header)
+	if !stated {
+		remaining = time.Minute
+	}
+	deadline := time.NewTimer(remaining)
+	defer deadline.Stop()
+	w.Header().Set(idHeader, id)
+	platform.SetStamp(w.Header(), r.id+"."+id)
+	select {
+	case r.slots <- struct{}{}:
+	case <-deadline.C:
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	case <-request.Context().Done():
+		return
+	}
+	defer func() { <-r.slots }()
+	r.noteEvent(r.runs, id, "runs at")
+	select {
+	case <-time.After(r.work):
+		_, _ = fmt.Fprintf(w, "answer to %s", id)
+	case <-deadline.C:
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case <-request.Context().Done():
+		r.world.note("  %s is cut off at %s", id, r.id)
+	}
+}
+
+func (r *replica) noteEvent(events map[string]time.Time, id, what string) {
+	r.mutex.Lock()
+	events[id] = time.Now()
+	r.mutex.Unlock()
+	r.world.note("  %s %s %s", id, what, r.id)
+}
+
+// arrivedAt returns when a request reached the replica; false if it never did.
+func (r *replica) arrivedAt(id string) (time.Time, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at, ok := r.arrivals[id]
+	return at, ok
+}
+
+// idHeader is the header of a request's id, which replicas echo.
+var idHeader = func() string {
+	header := http.Header{}
+	platform.SetRequestHeaders(header, "id", 0)
+	for name := range header {
+		if header.Get(name) == "id" {
+			return name
+		}
+	}
+	panic("no header holds the id")
+}()
+
+// storeKey returns the key of a replica's entry.
+func storeKey(id string) string { return (&platformtest.Replica{ID: id}).Key() }
