--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/platform"
@@ -56,3 +57,13 @@
 }
 
 func isDialError(err error) bool { return bytes.Contains([]byte(fmt.Sprint(err)), []byte("dial tcp")) }
+
+// inParallel starts calls at an interval, each in a goroutine.
+func (w *world) inParallel(count int, interval time.Duration, call func(i int)) *sync.WaitGroup {
+	var running sync.WaitGroup
+	for i := range count {
+		running.Go(func() { call(i) })
+		time.Sleep(interval)
+	}
+	return &running
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,8 @@
 // the disruption.
 var cases = map[string]func(world *world, trouble bool) (broken bool, err error){
 	"settings-change-while-stopping": settingsChangeWhileStopping,
+	"removal-while-readers-are-dark": removalWhileReadersAreDark,
+	"drain-while-bodies-wait":        drainWhileBodiesWait,
 }
 
 func main() {
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -15,7 +15,7 @@
 // drops those whose connection closes.
 type replica struct {
 	world          *world
-	id, service    string
+	id, zone       string
 	slots          chan struct{}
 	work           time.Duration
 	server         *http.Server
@@ -25,13 +25,16 @@
 	arrivals, runs map[string]time.Time
 }
 
+// serviceName is the service of all replicas.
+const serviceName = "stemroom"
+
 // startReplica starts a replica and lists it in the store.
-func (w *world) startReplica(id, service string, slots int, work time.Duration) (*replica, error) {
+func (w *world) startReplica(id, zone string, slots int, work time.Duration) (*replica, error) {
 	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{world: w, id: id, service: service, slots: make(chan struct{}, slots), work: work, address: listener.Addr().String(), arrivals: map[string]time.Time{}, runs: map[string]time.Time{}}
+	r := &replica{world: w, id: id, zone: zone, slots: make(chan struct{}, slots), work: work, address: listener.Addr().String(), arrivals: map[string]time.Time{}, runs: map[string]time.Time{}}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: dialTimeout}
 	go func() { _ = r.server.Serve(listener) }()
 	w.replicas = append(w.replicas, r)
@@ -43,12 +46,33 @@
 func (r *replica) report(state string) time.Time {
 	r.reports++
 	r.world.store.Put(storeKey(r.id), map[string]any{
-		"service": r.service, "address": r.address, "zone": "hall-a", "version": "v1", "slots": cap(r.slots), "state": state, "warmupLeftMs": 0, "seq": r.reports,
+		"service": serviceName, "address": r.address, "zone": r.zone, "version": "v1", "slots": cap(r.slots), "state": state, "warmupLeftMs": 0, "seq": r.reports,
 	})
 	r.world.note("the store has %s as %s", r.id, state)
 	return time.Now()
 }
 
+// setWork changes how long requests take that begin from now on.
+func (r *replica) setWork(work time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.work = work
+	r.world.note("%s now works %v on each request", r.id, work)
+}
+
+func (r *replica) currentWork() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.work
+}
+
+// remove removes the replica's entry, and returns when the store has accepted it.
+func (r *replica) remove() time.Time {
+	r.world.store.Remove(storeKey(r.id))
+	r.world.note("the store no longer has %s", r.id)
+	return time.Now()
+}
+
 func (r *replica) close() { _ = r.server.Close() }
 
 // ServeHTTP runs a request.
@@ -77,7 +101,7 @@
 	defer func() { <-r.slots }()
 	r.noteEvent(r.runs, id, "runs at")
 	select {
-	case <-time.After(r.work):
+	case <-time.After(r.currentWork()):
 		_, _ = fmt.Fprintf(w, "answer to %s", id)
 	case <-deadline.C:
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/review/harness/stopping.go
+++ b/review/harness/stopping.go
@@ -18,8 +18,8 @@
 func config(kind string, timeout time.Duration) platformtest.Config {
 	return platformtest.Config{
 		Version:  7,
-		Routes:   []platformtest.Route{{Name: "stem-fetch", Host: routeHost, Prefix: routePath, Kind: kind, TimeoutMs: timeout.Milliseconds(), TargetLatencyMs: 400, Priority: 2, Service: "stemroom", MaxAttempts: 2}},
-		Services: []platformtest.Service{{Name: "stemroom", HealthPath: "/health", MaxConns: 96}},
+		Routes:   []platformtest.Route{{Name: "stem-fetch", Host: routeHost, Prefix: routePath, Kind: kind, TimeoutMs: timeout.Milliseconds(), TargetLatencyMs: 400, Priority: 2, Service: serviceName, MaxAttempts: 2}},
+		Services: []platformtest.Service{{Name: serviceName, HealthPath: "/health", MaxConns: 96}},
 		Limits:   platformtest.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}
 }
@@ -37,11 +37,11 @@
 	)
 	w.store.Publish(config(platformtest.KindNonIdempotent, deadline))
 	for i := range 3 {
-		if _, err := w.startReplica(fmt.Sprintf("i-%d", i+1), "stemroom", 6, work); err != nil {
+		if _, err := w.startReplica(fmt.Sprintf("i-%d", i+1), "hall-a", 6, work); err != nil {
 			return false, err
 		}
 	}
-	if err := w.startNodes(2); err != nil {
+	if err := w.startNodes("hall-a", "hall-a"); err != nil {
 		return false, err
 	}
 	time.Sleep(stability + time.Second)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -30,6 +30,9 @@
 // stability is how long a machine must have been without disruption to be in touch, as on the users' sheets.
 const stability = 4 * time.Second
 
+// drainTime is drainMs of the users' sheets.
+const drainTime = 3 * time.Second
+
 // world is a small deployment on loopback addresses.
 type world struct {
 	store    *platformtest.Store
@@ -73,6 +76,7 @@
 	var failures []error
 	for _, n := range w.nodes {
 		failures = append(failures, n.kill())
+		n.store.close()
 	}
 	for _, r := range w.replicas {
 		r.close()
@@ -85,18 +89,25 @@
 type node struct {
 	world   *world
 	name    string
+	zone    string
 	callers string
 	ready   string
+	// store is the node's own way to the store.
+	store   *storeProxy
 	process *exec.Cmd
 	// ended is closed once the process has ended.
 	ended chan struct{}
 }
 
-// startNodes starts nodes in one data centre and waits until all are ready.
-func (w *world) startNodes(count int) error {
-	for i := range count {
+// startNodes starts a node in each of the given zones, and waits until all are ready.
+func (w *world) startNodes(zones ...string) error {
+	for i, zone := range zones {
 		ip := fmt.Sprintf("127.%s.%d", w.network, i+1)
-		n := &node{world: w, name: fmt.Sprintf("front-%d", i+1), callers: ip + ":8104", ready: ip + ":8108", ended: make(chan struct{})}
+		store, err := startStoreProxy(w.store.Address())
+		if err != nil {
+			return err
+		}
+		n := &node{world: w, name: fmt.Sprintf("front-%d", i+1), zone: zone, callers: ip + ":8104", ready: ip + ":8108", store: store, ended: make(chan struct{})}
 		if err := n.start(ip); err != nil {
 			return err
 		}
@@ -114,14 +125,14 @@
 func (n *node) settings(ip string) string {
 	return strings.Join([]string{
 		"node=" + n.name, "role=edge", "machineClass=front", "serves=front,control,directory", "ip=" + ip,
-		"zone=hall-a", "region=east", "zones.hall-a=east",
+		"zone=" + n.zone, "region=east", "zones.hall-a=east", "zones.hall-b=east", "zones.hall-c=east",
 		"listenAddrs.front=" + n.callers, "listenAddrs.ready=" + n.ready, "listenAddrs.control=" + ip + ":8106", "listenAddrs.directory=" + ip + ":8100",
 		"portRange=7380,7395", "seeds=127." + n.world.network + ".1:8106", "bootstrap=true", "faultCounted=false",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0", "limits.diskMb=0",
 		"discovery=platform", "entry=directory", "heartbeatMs=1200",
 		"bounds.stabilityMs=4000", "bounds.ackMs=5000", "bounds.drainMs=3000", "bounds.graceS=6", "bounds.lossSlackMs=200", "bounds.configApplyMs=3000",
 		"bounds.downgradeMs=250", "bounds.maxSkewMs=12000", "bounds.retryBudgetRatio=0.2", "bounds.retryWindowS=10", "bounds.retrySlack=56", "bounds.recoveryS=12",
-		"platform.address=" + n.world.store.Address(), "platform.form=read", "platform.readsPerS=2000", "platform.historyS=20", "platform.valueBytes=1048576",
+		"platform.address=" + n.store.address(), "platform.form=read", "platform.readsPerS=2000", "platform.historyS=20", "platform.valueBytes=1048576",
 	}, "\n") + "\n"
 }
 
