--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -14,13 +14,16 @@
 // replica is a sound replica: it runs up to slots requests at a time, queues further ones, stops at their deadlines and
 // drops those whose connection closes.
 type replica struct {
-	world          *world
-	id, zone       string
-	slots          chan struct{}
-	work           time.Duration
-	server         *http.Server
-	address        string
-	reports        int
+	world    *world
+	id, zone string
+	slots    chan struct{}
+	work     time.Duration
+	server   *http.Server
+	address  string
+	reports  int
+	// state is what the replica reports every heartbeatInterval, "" once its entry is removed.
+	state          string
+	ended          chan struct{}
 	mutex          sync.Mutex
 	arrivals, runs map[string]time.Time
 }
@@ -34,22 +37,53 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{world: w, id: id, zone: zone, slots: make(chan struct{}, slots), work: work, address: listener.Addr().String(), arrivals: map[string]time.Time{}, runs: map[string]time.Time{}}
+	r := &replica{world: w, id: id, zone: zone, slots: make(chan struct{}, slots), work: work, address: listener.Addr().String(), ended: make(chan struct{}), arrivals: map[string]time.Time{}, runs: map[string]time.Time{}}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: dialTimeout}
 	go func() { _ = r.server.Serve(listener) }()
 	w.replicas = append(w.replicas, r)
 	r.report(platformtest.StateReady)
+	go r.sendHeartbeats()
 	return r, nil
 }
 
-// report writes the replica's entry, and returns when the store has accepted it.
+// heartbeatInterval is heartbeatMs of the settings.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// report changes what the replica reports, and returns when the store has accepted it.
 func (r *replica) report(state string) time.Time {
+	r.mutex.Lock()
+	r.state = state
+	r.mutex.Unlock()
+	r.write()
+	r.world.note("the store has %s as %s", r.id, state)
+	return time.Now()
+}
+
+// write writes the replica's entry, unless that was removed.
+func (r *replica) write() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.state == "" {
+		return
+	}
 	r.reports++
 	r.world.store.Put(storeKey(r.id), map[string]any{
-		"service": serviceName, "address": r.address, "zone": r.zone, "version": "v1", "slots": cap(r.slots), "state": state, "warmupLeftMs": 0, "seq": r.reports,
+		"service": serviceName, "address": r.address, "zone": r.zone, "version": "v1", "slots": cap(r.slots), "state": r.state, "warmupLeftMs": 0, "seq": r.reports,
 	})
-	r.world.note("the store has %s as %s", r.id, state)
-	return time.Now()
+}
+
+// sendHeartbeats writes the entry again and again until the replica ends.
+func (r *replica) sendHeartbeats() {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.write()
+		case <-r.ended:
+			return
+		}
+	}
 }
 
 // setWork changes how long requests take that begin from now on.
@@ -68,12 +102,18 @@
 
 // remove removes the replica's entry, and returns when the store has accepted it.
 func (r *replica) remove() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state = ""
 	r.world.store.Remove(storeKey(r.id))
 	r.world.note("the store no longer has %s", r.id)
 	return time.Now()
 }
 
-func (r *replica) close() { _ = r.server.Close() }
+func (r *replica) close() {
+	close(r.ended)
+	_ = r.server.Close()
+}
 
 // ServeHTTP runs a request.
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
