--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -24,12 +24,18 @@
 	retryAfter time.Duration
 	header     http.Header
 	body       string
+	// sentTarget is that of the request.
+	sentTarget string
+	// final is set for the last attempt of a request.
+	final bool
 }
 
 // clientOptions describe the requests of a client.
 type clientOptions struct {
 	method, target, body string
-	deadline             time.Duration
+	// query, if set, returns the query of each request.
+	query    func() string
+	deadline time.Duration
 	// retries is how often a request is repeated after an answer that promises that it has not run.
 	retries int
 }
@@ -101,26 +107,57 @@
 
 // request sends a request, and repeats it after a promise that it has not run, within its deadline.
 func (c *clients) request(zone string, options clientOptions) {
+	if options.query != nil {
+		options.target += "?" + options.query()
+	}
 	until := time.Now().Add(options.deadline)
+	var last *answerTo
+	defer func() {
+		if last != nil {
+			c.mutex.Lock()
+			last.final = true
+			c.mutex.Unlock()
+		}
+	}()
 	for attempt := 0; attempt <= options.retries; attempt++ {
 		left := time.Until(until)
 		if left < 20*time.Millisecond {
 			return
 		}
-		got := c.attempt(c.pick(zone), options, left)
-		promised := got.status == 503 || got.status == 429 || got.status == 408 || got.status == 421
-		if !promised {
+		last = c.attempt(c.pick(zone), options, left)
+		if !mayRepeat(options, last.status) {
 			return
 		}
-		if !c.world.sleep(min(got.retryAfter, time.Until(until)/3)) {
+		if !c.world.sleep(min(last.retryAfter, time.Until(until)/3)) {
 			return
 		}
 	}
 }
 
+// mayRepeat reports whether a client repeats a request: after a promise that it has not run, and an idempotent one after
+// any failure.
+func mayRepeat(options clientOptions, status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return options.method == http.MethodGet && (status == 0 || status >= 500)
+	}
+}
+
+// lastAttempts returns the answers to the last attempts of all requests that have ended.
+func (c *clients) lastAttempts() (last []*answerTo) {
+	for _, got := range c.all() {
+		if got.final {
+			last = append(last, got)
+		}
+	}
+	return last
+}
+
 // attempt makes one attempt on a connection of its own.
 func (c *clients) attempt(address string, options clientOptions, left time.Duration) *answerTo {
-	got := &answerTo{id: fmt.Sprintf("%08x", c.next.Add(1)), sentAt: c.world.at(), node: address}
+	got := &answerTo{id: fmt.Sprintf("%08x", c.next.Add(1)), sentAt: c.world.at(), node: address, sentTarget: options.target}
 	c.world.record("client: %s %s %s to %s, %d ms left", got.id, options.method, options.target, address, left.Milliseconds())
 	c.exchange(address, options, left, got)
 	c.mutex.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 
 var scenarios = map[string]scenario{
 	"drain-under-load": drainUnderLoad,
+	"popular-request":  popularRequest,
 }
 
 func main() {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -143,9 +143,15 @@
 }
 
 // setSlowness sets how many times as long as usual requests take that begin from now on, at all replicas.
-func (w *world) setSlowness(x float64) {
+func (w *world) setSlowness(x float64) { w.setServiceSlowness("", x) }
+
+// setServiceSlowness is setSlowness for the replicas of one service; "" is all.
+func (w *world) setServiceSlowness(service string, x float64) {
 	changed := false
 	for _, s := range w.servers() {
+		if service != "" && s.service != service {
+			continue
+		}
 		s.mutex.Lock()
 		changed = changed || s.slowness != x
 		s.slowness = x
