Review: the program of the scripts is a test binary

Done: review/rig has test files only and is built by go test -c; the scripts choose the case by environment variables. Nothing else changed.

--- a/review/rig/main.go
+++ b/review/rig/main_test.go
@@ -1,15 +1,15 @@
-// Command rig plays the scripted cases of the second review: it starts nodes of the forwarding tier as separate
+// Package rig plays the scripted cases of the second review: it starts nodes of the forwarding tier as separate
 // processes, with a store, replicas and clients of its own around them, and checks one rule from what these see.
 //
-// It exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
-package main
+// It is a test binary, built by review/build-2.sh: its stand-ins speak to the product as the platform does. It has no
+// tests of its own, so that the default test run plays nothing.
+package rig
 
 import (
 	"errors"
 	"fmt"
 	"os"
-	"sort"
-	"strings"
+	"testing"
 )
 
 // Exit codes.
@@ -30,21 +30,30 @@
 	"popular-request":  popularRequest,
 }
 
-func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		names := make([]string, 0, len(scenarios))
-		for name := range scenarios {
-			names = append(names, name)
-		}
-		sort.Strings(names)
-		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD, where CASE is one of", strings.Join(names, ", "))
+// Environment variables that choose the case and the file of its record, and switch its disruption off.
+const (
+	caseVariable    = "REVIEW_CASE"
+	recordVariable  = "REVIEW_RECORD"
+	troubleVariable = "TROUBLE"
+)
+
+// TestMain plays the case that the environment names. The exit code is 0 if the rule held, 1 if it was broken and 2 if the
+// case could not run. Without a case it runs the package's tests, of which there are none.
+func TestMain(m *testing.M) {
+	name := os.Getenv(caseVariable)
+	if name == "" {
+		os.Exit(m.Run())
+	}
+	run := scenarios[name]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "no such case:", name)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(scenarios[os.Args[1]], os.Args[2]))
+	os.Exit(play(run, os.Getenv(recordVariable)))
 }
 
 func play(run scenario, path string) int {
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Getenv(troubleVariable) != "0"
 	w, err := newWorld(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/rig/world.go
+++ b/review/rig/world_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"bytes"
