--- /dev/null
+++ b/test/crowd/heads_test.go
@@ -0,0 +1,92 @@
+package crowd_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// headCrowd is the number of clients that send long heads at once.
+const headCrowd = 600
+
+func smallestVM() vm { return vm{memoryMB: smallestMemoryMB, descriptors: smallestDescriptors} }
+
+// Guards against holding the parsed lines of heads that never end: a line of four bytes takes many times its size.
+func TestUnfinishedHeadsOfShortLines(t *testing.T) {
+	n := startNode(t, smallestVM())
+	sendCrowd(t, n.address(callerPort), headCrowd, text(head("GET", plainPath, shortLines(headerBytes)))).awaitDone()
+	n.requireWithinVM()
+}
+
+// Guards against holding the parsed header of each request uncounted, and a copy of it for its send.
+func TestRequestsWithShortHeaderLines(t *testing.T) {
+	n := startNode(t, smallestVM())
+	sendCrowd(t, n.address(callerPort), headCrowd, text(head("GET", heldPlainPath, shortLines(headerBytes))+"\r\n")).awaitDone()
+	n.requireWithinVM()
+}
+
+// Guards against a copy of the header for each shard that a request is sent to.
+func TestGatheredRequestsWithShortHeaderLines(t *testing.T) {
+	const crowd = 150
+	n := startNode(t, smallestVM())
+	sendCrowd(t, n.address(callerPort), crowd, text(head("GET", heldGatheredPath, shortLines(headerBytes))+"\r\n")).awaitDone()
+	n.requireWithinVM()
+}
+
+// Guards against heads of net/http's default size on the listeners that answer without a configuration.
+func TestLongHeadsAtOtherListeners(t *testing.T) {
+	const (
+		crowd     = 12
+		headBytes = 1000 << 10
+	)
+	for name, port := range otherPorts {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t, smallestVM())
+			sendCrowd(t, n.address(port), crowd, text(head("GET", "/x", shortLines(headBytes)))).awaitDone()
+			n.requireWithinVM()
+		})
+	}
+}
+
+// Guards against refusing what is inside the limits: the whole size of a head in its oddest form.
+func TestOneOddRequestIsServedInCalm(t *testing.T) {
+	const limitBytes = 16 << 10
+	filled := func(lines string) string { return lines + "\r\n" }
+	short := shortLines(limitBytes - len(head("GET", gatheredPath, "")) - len("\r\nabc:\n"))
+	for name, lines := range map[string]string{
+		"short lines":                 short,
+		"equal names":                 strings.Repeat("a:\n", limitBytes/4),
+		"one name of many bytes":      strings.Repeat("a", limitBytes/2) + ": 1\r\n",
+		"folded lines":                "a: 1\r\n" + strings.Repeat(" 2\r\n", limitBytes/8),
+		"Connection that names lines": shortLines(limitBytes/4) + "Connection: " + strings.ReplaceAll(shortLines(limitBytes/4), ":\n", ",") + "a\r\n",
+		"an expectation":              "Expect: 100-continue\r\n",
+		"an upgrade":                  "Connection: Upgrade\r\nUpgrade: websocket\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t, smallestVM())
+			for _, target := range []string{plainPath, gatheredPath} {
+				require.Equal(t, http.StatusOK, n.exchange(head("GET", target, filled(lines))))
+			}
+		})
+	}
+}
+
+// exchange sends a text on a new connection and returns the status of the answer, 0 if there is none.
+func (n *node) exchange(sent string) int {
+	conn, err := net.DialTimeout("tcp", n.address(callerPort), patience)
+	require.NoError(n.t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = conn.Write([]byte(sent))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
--- a/test/e2e/harness/process.go
+++ b/test/e2e/harness/process.go
@@ -88,6 +88,9 @@
 // Output returns the output of the process so far.
 func (p *Process) Output() string { return p.output.String() }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) {
 	p.t.Helper()
