--- a/test/crowd/connections_test.go
+++ b/test/crowd/connections_test.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// Guards against waiting for ever for callers that send one request after the other and read no answer.
+func TestUnreadAnswersOfPipelinedRequests(t *testing.T) {
+	const (
+		crowd    = 20
+		requests = 100_000
+	)
+	n := startNode(t, smallestVM())
+	calm := n.descriptors()
+	sendCrowd(t, n.address(callerPort), crowd, text(strings.Repeat(head("GET", "/nowhere", "\r\n"), requests)))
+	n.requireDescriptorsBack(calm)
+	n.requireWithinVM()
+}
+
 // Guards against waiting for ever for clients that ask and do not read.
 func TestUnreadAnswersOfOtherListeners(t *testing.T) {
 	const (
