Callers that read nothing are let go on every request of a connection

What callers saw: a node held a connection for ever whose caller sent one request after the other and read no answer.

Cause: net/http clears the write deadline after each request, and callerStream still took the one it had set for valid. An answer that was written within half a second of the last one had no deadline, and blocked once the kernel's buffers were full.

Change: callerStream sees the deadline being cleared and sets a new one with the next write.

--- a/internal/edge/callerstream.go
+++ b/internal/edge/callerstream.go
@@ -64,7 +64,7 @@
 		now := time.Now()
 		if s.deadlineAt.Sub(now) < s.stallTimeout-deadlineSlack {
 			s.deadlineAt = now.Add(s.stallTimeout)
-			_ = s.SetWriteDeadline(s.deadlineAt)
+			_ = s.Conn.SetWriteDeadline(s.deadlineAt)
 		}
 		n, err := s.Conn.Write(b[written:min(len(b), written+writeChunkBytes)])
 		written += n
@@ -81,6 +81,12 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. net/http clears the deadline after each request: the next write sets it anew.
+func (s *callerStream) SetWriteDeadline(at time.Time) error {
+	s.deadlineAt = time.Time{}
+	return s.Conn.SetWriteDeadline(at)
+}
+
 // reset closes the connection at once, also while a write is blocked on it.
 func (s *callerStream) reset() {
 	if tcp, ok := s.Conn.(*net.TCPConn); ok {
