Connections of clients are bounded by memory and descriptors, on every listener

What callers saw: a node whose descriptors were all held by clients that had sent nothing, or nothing more. It then reached neither replicas nor the store. At the directory, the readiness check and the metrics a client that asked and did not read was held for ever as well.

Cause: nothing counted connections; limits.maxFds was not read. The other listeners were plain net/http servers, without the write deadlines that callers' connections have.

Change: all listeners are callerServers. Callers may have half of the process's sockets, at most what a quarter of the memory holds at 40 KB each; the directory a quarter of that, the checks a sixteenth each. At the limit the connection that has waited longest for a request gives way, first of those that never brought one; a connection younger than 250 ms stays, and the new one is told 503 at once. No request in work gives way. Metrics by listener, one log line a second.

Weighed: refusing new connections only (a silent crowd then keeps everyone else out until its time limit), a limit by address (a person behind a proxy shares one).

TestUnreadAnswersOfOtherListeners: held after 30 s before, let go now.

--- a/internal/core/memory/memory.go
+++ b/internal/core/memory/memory.go
@@ -35,10 +35,7 @@
 
 // LimitBytes returns the limit of a VM with the given memory; 0 or less is unknown.
 func LimitBytes(vmBytes int64) int64 {
-	if vmBytes <= 0 {
-		return DefaultLimitBytes
-	}
-	return int64(vmShare * float64(vmBytes))
+	return int64(vmShare * float64(knownVMBytes(vmBytes)))
 }
 
 // Holding is what one request holds.
--- a/internal/edge/callerstream.go
+++ b/internal/edge/callerstream.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +42,11 @@
 	deadlineAt time.Time
 	// request identifies the request whose answer is written or awaited.
 	request atomic.Pointer[streamRequest]
+	// slot is the connection's place among those that the server may have, guarded by the server's mutex.
+	slot connectionSlot
+	// onClosed is called once, when the connection is first closed.
+	onClosed func()
+	closed   sync.Once
 }
 
 // streamRequest identifies a request in the log. It holds no bodies, as it is kept while the connection is idle.
@@ -57,6 +64,15 @@
 	return &callerStream{Conn: conn, onStalled: onStalled, stallTimeout: stallTimeout}
 }
 
+// streamOf returns the caller's connection, or nil in tests without one.
+func streamOf(ctx context.Context) *callerStream {
+	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	return conn.stream
+}
+
 // Write implements net.Conn.
 func (s *callerStream) Write(b []byte) (int, error) {
 	written := 0
@@ -87,6 +103,16 @@
 	return s.Conn.SetWriteDeadline(at)
 }
 
+// Close implements net.Conn.
+func (s *callerStream) Close() error {
+	s.closed.Do(func() {
+		if s.onClosed != nil {
+			s.onClosed()
+		}
+	})
+	return s.Conn.Close()
+}
+
 // reset closes the connection at once, also while a write is blocked on it.
 func (s *callerStream) reset() {
 	if tcp, ok := s.Conn.(*net.TCPConn); ok {
--- a/internal/edge/housekeeping.go
+++ b/internal/edge/housekeeping.go
@@ -45,6 +45,7 @@
 		n.updateExtraBound()
 		n.closeUnusable()
 		n.places.expire(n.isUsable)
+		n.logLimitedClients()
 	}
 }
 
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -29,6 +30,7 @@
 	// onStalled is called when a caller is let go that does not read its answer.
 	onStalled func(stream *callerStream, unwritten int)
 	mutex     sync.Mutex
+	slots     connectionSlots
 	limits    policy.Limits
 	current   *limitedServer
 	servers   map[*limitedServer]bool
@@ -45,9 +47,11 @@
 	openConns int
 }
 
-func serveCallers(listener net.Listener, handler http.Handler, onStalled func(stream *callerStream, unwritten int)) *callerServer {
+// serveCallers serves at most connectionLimit connections at a time.
+func serveCallers(listener net.Listener, handler http.Handler, connectionLimit int, onStalled func(stream *callerStream, unwritten int)) *callerServer {
 	s := &callerServer{handler: handler, listener: listener, onStalled: onStalled, servers: map[*limitedServer]bool{}}
-	s.setLimits(policy.Limits{MaxHeaderBytes: initialHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout})
+	s.slots.limit = connectionLimit
+	s.setLimits(policy.Limits{})
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
@@ -56,8 +60,12 @@
 	return s
 }
 
-// setLimits sets the limits of future connections.
+// setLimits sets the limits of future connections. One that is not given has its initial value: net/http would take it for
+// no limit, or for a megabyte of headers.
 func (s *callerServer) setLimits(limits policy.Limits) {
+	limits.MaxHeaderBytes = cmp.Or(max(limits.MaxHeaderBytes, 0), initialHeaderBytes)
+	limits.HeaderTimeout = cmp.Or(max(limits.HeaderTimeout, 0), initialHeaderTimeout)
+	limits.IdleTimeout = cmp.Or(max(limits.IdleTimeout, 0), initialIdleTimeout)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.closing || s.current != nil && limits == s.limits {
@@ -74,13 +82,16 @@
 func (s *callerServer) startServer(limits policy.Limits) *limitedServer {
 	server := &limitedServer{conns: &connListener{address: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}}
 	server.Server = &http.Server{
-		Handler:           s.handler,
+		Handler:           s,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnContext:       withCallerConn,
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateClosed {
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateIdle:
+				s.awaitRequest(conn.(*callerStream))
+			case http.StateClosed:
 				s.connClosed(server)
 			}
 		},
@@ -121,13 +132,25 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.mutex.Lock()
-		current := s.current
-		current.openConns++
-		s.mutex.Unlock()
-		if !current.conns.deliver(newCallerStream(conn, s.onStalled)) {
-			s.connClosed(current)
+		stream := newCallerStream(conn, s.onStalled)
+		if !s.admit(stream) {
+			writeRawRefusal(conn, retryAfterFull)
+			_ = conn.Close()
+			continue
 		}
+		stream.onClosed = func() { s.leave(stream) }
+		s.serve(stream)
+	}
+}
+
+// serve hands a connection to the server with the current limits.
+func (s *callerServer) serve(stream *callerStream) {
+	s.mutex.Lock()
+	current := s.current
+	current.openConns++
+	s.mutex.Unlock()
+	if !current.conns.deliver(stream) {
+		s.connClosed(current)
 	}
 }
 
@@ -151,6 +174,18 @@
 	return errors.Join(failures...)
 }
 
+// close closes the listener and all connections.
+func (s *callerServer) close() {
+	s.stopAccepting()
+	s.mutex.Lock()
+	s.closing = true
+	servers := maps.Clone(s.servers)
+	s.mutex.Unlock()
+	for server := range servers {
+		_ = server.Close()
+	}
+}
+
 // connListener is a listener for connections that another listener has accepted.
 type connListener struct {
 	address net.Addr
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -178,15 +177,6 @@
 	}
 }
 
-// streamOf returns the caller's connection, or nil in tests without one.
-func streamOf(ctx context.Context) *callerStream {
-	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	if !ok {
-		return nil
-	}
-	return conn.stream
-}
-
 // replicaBodyBytes bounds the bodies that one replica holds for all nodes: with its slots and queue full of the longest
 // bodies of 256 KB it holds about as much.
 const replicaBodyBytes = 4 << 20
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -21,6 +22,7 @@
 	"github.com/pistachiopier/pistachiopier/internal/core"
 	"github.com/pistachiopier/pistachiopier/internal/core/coldstart"
 	"github.com/pistachiopier/pistachiopier/internal/core/extra"
+	"github.com/pistachiopier/pistachiopier/internal/core/memory"
 	"github.com/pistachiopier/pistachiopier/internal/core/route"
 	"github.com/pistachiopier/pistachiopier/internal/decisionlog"
 	"github.com/pistachiopier/pistachiopier/internal/edge/settings"
@@ -72,7 +74,7 @@
 	members    *membership.Manager
 	seeds      *membership.Seeds
 	callers    *callerServer
-	auxiliary  []*http.Server
+	auxiliary  []auxiliaryServer
 	stopping   atomic.Bool
 	// stopExpiring is closed shortly before the time for a planned stop has passed.
 	stopExpiring chan struct{}
@@ -102,9 +104,13 @@
 	entryUntil atomic.Int64
 	// toldNoEntry is set if the log last told that this node is none of them; only housekeeping uses it.
 	toldNoEntry bool
-	ctx         context.Context
-	cancel      context.CancelFunc
-	done        sync.WaitGroup
+	// limitedTold are the counts of limited clients that the log last told, limitedToldAt when they were last compared; only
+	// housekeeping uses them.
+	limitedTold   limitedClients
+	limitedToldAt core.Time
+	ctx           context.Context
+	cancel        context.CancelFunc
+	done          sync.WaitGroup
 }
 
 // New returns a node as an fx application, which starts and stops it.
@@ -175,13 +181,14 @@
 	if err != nil {
 		return err
 	}
-	n.callers = serveCallers(callerSocket, n, n.callerStalled)
+	n.callers = serveCallers(callerSocket, n, n.connectionLimits().Callers, n.callerStalled)
 	// Look-ups are answered from the first moment on, with this node alone if need be.
 	n.updateEntries()
 	n.updateRole()
 	if err := n.startAuxiliary(s); err != nil {
 		return err
 	}
+	n.registerClientGauges()
 	n.follower.Start()
 	n.ready.Store(true)
 	n.done.Go(n.housekeep)
@@ -273,19 +280,29 @@
 // startAuxiliary starts the servers other than the callers'. The metrics are optional: the node starts even
 // if their port is taken.
 func (n *Node) startAuxiliary(s *settings.Edge) error {
-	if err := n.serveAuxiliary(s.DirectoryAddress, n.directoryHandler()); err != nil {
+	directoryLimit := func(limits memory.Connections) int { return limits.Directory }
+	checkLimit := func(limits memory.Connections) int { return limits.Checks }
+	if err := n.serveAuxiliary(listenerDirectory, s.DirectoryAddress, n.directoryHandler(), directoryLimit); err != nil {
 		return err
 	}
-	if err := n.serveAuxiliary(s.ReadyAddress, n.readinessHandler()); err != nil {
+	if err := n.serveAuxiliary(listenerReadiness, s.ReadyAddress, n.readinessHandler(), checkLimit); err != nil {
 		return err
 	}
-	if err := n.serveAuxiliary(s.MetricsAddress, n.operatorHandler()); err != nil {
+	if err := n.serveAuxiliary(listenerMetrics, s.MetricsAddress, n.operatorHandler(), checkLimit); err != nil {
 		n.log.Life("metrics_unavailable", decisionlog.Fields{"error": err.Error()})
 	}
 	return nil
 }
 
-func (n *Node) serveAuxiliary(address string, handler http.Handler) error {
+// auxiliaryServer is a server other than the callers', with the name of its listener and what selects its limit of
+// connections.
+type auxiliaryServer struct {
+	*callerServer
+	name  string
+	limit func(memory.Connections) int
+}
+
+func (n *Node) serveAuxiliary(name, address string, handler http.Handler, limit func(memory.Connections) int) error {
 	if address == "" {
 		return nil
 	}
@@ -293,12 +310,17 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
-	n.auxiliary = append(n.auxiliary, server)
-	go func() { _ = server.Serve(listener) }()
+	server := serveCallers(listener, handler, limit(n.connectionLimits()), n.callerStalled)
+	n.auxiliary = append(n.auxiliary, auxiliaryServer{callerServer: server, name: name, limit: limit})
 	return nil
 }
 
+// connectionLimits returns how many connections the node's listeners accept.
+func (n *Node) connectionLimits() memory.Connections {
+	s := n.settings.Load()
+	return memory.ConnectionLimits(s.MemoryBytes, cmp.Or(s.Descriptors, processDescriptors()))
+}
+
 // Handle implements peer.Handler.
 func (n *Node) Handle(inbound *peer.Inbound) {
 	switch {
@@ -345,6 +367,7 @@
 	n.seeds.Replace(s.Seeds)
 	n.updateExtraBound()
 	n.callerMemory.setLimit(s.MemoryBytes)
+	n.applyConnectionLimits()
 	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
 
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -36,6 +36,8 @@
 	Cores float64
 	// MemoryBytes is the memory of the VM that the process may use; 0 means unknown.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may have open; 0 means unknown.
+	Descriptors int
 	// StopWait is the time from the stop signal until the process is killed.
 	StopWait time.Duration
 	// ConfigApplyLimit is the time within which an acknowledged configuration must be in force.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -75,7 +75,7 @@
 	n.cancel()
 	n.done.Wait()
 	for _, server := range n.auxiliary {
-		_ = server.Close()
+		server.close()
 	}
 	if n.follower != nil {
 		n.follower.Close()
