Bodies that nobody reads end in time, and one that is announced as too long is refused at once

What callers saw: a connection with half a body for an unknown path, or at the directory, the readiness check or the metrics, was held for ever. A body that was announced as too long was awaited up to the limit, or told to come back later (503) where the memory for callers was short.

Cause: net/http reads up to 256 KiB of a body that the handler left, before the answer or the next request, and the time limit for a head doesn't cover it. The limit on bodies was only checked while they were read, and a configuration without one had none.

Change: each request with a body gets 2 s for what nobody reads; the handler sets its own time when it reads. A stated length beyond the limit is answered 413 before anything is read or counted. Without a limit in the configuration 1 MiB holds. Metric and log line.

--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -16,6 +16,9 @@
 // round trip.
 const minWaitTime = 250 * time.Millisecond
 
+// unreadBodyTimeout is how long net/http may wait for the rest of a body that the handler does not read.
+const unreadBodyTimeout = 2 * time.Second
+
 // connectionSlot is a connection's place among those of a server. It is in one of the server's lists while no request is
 // in work.
 type connectionSlot struct {
@@ -134,6 +137,10 @@
 		// The connection is closed, and nothing was sent to a replica.
 		panic(http.ErrAbortHandler)
 	}
+	if r.ContentLength != 0 {
+		// net/http reads the rest of a body before it takes the next request, without a time limit of its own.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -44,6 +44,8 @@
 	firstTransitTime = 16 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a limit.
 	defaultTimeout = 30 * time.Second
+	// defaultBodyBytes is the longest body if the configuration states no limit.
+	defaultBodyBytes = 1 << 20
 )
 
 // ServeHTTP serves a caller's request.
@@ -72,6 +74,10 @@
 		n.answerUnknownRoute(w, r, config)
 		return
 	}
+	if isTooLong(r, config.Limits.MaxBodyBytes) {
+		n.answerTooLong(w, r, config.Limits.MaxBodyBytes)
+		return
+	}
 	held := n.hold(w, r, route)
 	if held == nil {
 		return
@@ -82,6 +88,10 @@
 		n.rejectForMemory(w, r, route, held.rejection)
 		return
 	}
+	if failureStatus == http.StatusRequestEntityTooLarge {
+		n.answerTooLong(w, r, config.Limits.MaxBodyBytes)
+		return
+	}
 	if failureStatus != 0 {
 		http.Error(w, http.StatusText(failureStatus), failureStatus)
 		return
@@ -172,6 +182,25 @@
 	return q, 0
 }
 
+// bodyLimit returns the longest body that the configuration allows, in bytes.
+func bodyLimit(configured int64) int64 {
+	if configured <= 0 {
+		return defaultBodyBytes
+	}
+	return configured
+}
+
+// isTooLong reports whether the caller has announced a body beyond the limit.
+func isTooLong(r *http.Request, limit int64) bool { return r.ContentLength > bodyLimit(limit) }
+
+// answerTooLong refuses a body that is too long, before any of it is read.
+func (n *Node) answerTooLong(w http.ResponseWriter, r *http.Request, limit int64) {
+	n.metrics.countBodyTooLong()
+	n.log.Decision("body_too_long", decisionlog.Fields{"request": platform.RequestID(r.Header), "announced_bytes": r.ContentLength, "limit_bytes": bodyLimit(limit)})
+	w.Header().Set("Connection", "close")
+	http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
+}
+
 // readBody reads the whole body, so that it can be sent again and is known to be complete. The read is
 // bounded by the caller's own time limit. The read deadline is removed afterwards: net/http keeps reading in
 // the background to detect callers that disconnect, and would mistake the expired deadline for a disconnect.
@@ -181,9 +210,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(maxWait))
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
+	r.Body = http.MaxBytesReader(w, r.Body, bodyLimit(limit))
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
@@ -191,6 +218,7 @@
 	}
 	// Otherwise net/http would read the rest of the body before it answers.
 	w.Header().Set("Connection", "close")
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
