Long heads are counted while they are parsed

What callers saw: a node ran out of memory and ended, with every request in work, when some hundred clients sent heads inside maxHeaderBytes that were made of the shortest lines, finished or not.

Cause: net/http's parser holds a line of four bytes as an entry of a map with a name and a list, 77 to 114 bytes a line (measured), and hands nothing over before the head is whole. The account of callers' memory began in the handler, with 16 KB a request. The directory, the readiness check and the metrics took heads of 1 MiB.

Change: the connection itself counts bytes and lines as they are read for a head, 136 bytes a line and 3 a byte, an upper bound. What goes beyond 16 KB counts in one account for all listeners, a tenth of the VM's memory, until the request ends. A head that is alone always fits, so that any one inside the limit is served in calm. Ordinary heads (a hundred lines) never count. What the parser's buffer may hold of the next head counts once net/http goes on to read it.

Weighed: a bound on the number of lines (refuses what is legal); a parser of our own before net/http's (framing twice); a buffer for each head until it is whole (its end can't be told reliably behind a body).

--- a/internal/core/memory/connections.go
+++ b/internal/core/memory/connections.go
@@ -2,7 +2,7 @@
 
 const (
 	// connectionBytes is what a connection between requests takes at most: its goroutine, its buffers and a head of
-	// freeHeadBytes that is not finished.
+	// FreeHeadBytes that is not finished.
 	connectionBytes = 40 << 10
 	// connectionShare is the part of a VM's memory that callers' connections may take.
 	connectionShare = 0.25
--- a/internal/edge/callerstream.go
+++ b/internal/edge/callerstream.go
@@ -42,6 +42,8 @@
 	deadlineAt time.Time
 	// request identifies the request whose answer is written or awaited.
 	request atomic.Pointer[streamRequest]
+	// head follows the head of the next request.
+	head callerHead
 	// slot is the connection's place among those that the server may have, guarded by the server's mutex.
 	slot connectionSlot
 	// onClosed is called once, when the connection is first closed.
@@ -106,6 +108,7 @@
 // Close implements net.Conn.
 func (s *callerStream) Close() error {
 	s.closed.Do(func() {
+		s.head.release()
 		if s.onClosed != nil {
 			s.onClosed()
 		}
--- a/internal/edge/clientlimits.go
+++ b/internal/edge/clientlimits.go
@@ -25,6 +25,7 @@
 // limitedClients counts the clients that met a limit since the start.
 type limitedClients struct {
 	connectionsRefused, connectionsCut int64
+	headsRefused, headsCut             int64
 }
 
 // servers returns the node's servers by the names of their listeners.
@@ -38,7 +39,7 @@
 
 // limitedClients returns the counts of all listeners.
 func (n *Node) limitedClients() limitedClients {
-	var total limitedClients
+	total := limitedClients{headsRefused: n.headMemory.refused.Load(), headsCut: n.headMemory.cut.Load()}
 	for _, server := range n.servers() {
 		_, _, refused, cut := server.connectionCounts()
 		total.connectionsRefused += refused
@@ -61,6 +62,7 @@
 	n.limitedTold = counts
 	n.log.Life("clients_limited", decisionlog.Fields{
 		"connections_refused": counts.connectionsRefused, "connections_cut": counts.connectionsCut,
+		"heads_refused": counts.headsRefused, "heads_cut": counts.headsCut,
 	})
 }
 
@@ -78,4 +80,9 @@
 		watch("client_connections_refused_total", func(_, _, refused, _ int64) int64 { return refused })
 		watch("client_connections_cut_total", func(_, _, _, cut int64) int64 { return cut })
 	}
+	heads := n.headMemory
+	observe.GaugeFunc(n.metrics.reg, "head_memory_bytes", func() int64 { used, _ := heads.used(); return used })
+	observe.GaugeFunc(n.metrics.reg, "head_memory_limit_bytes", func() int64 { _, limit := heads.used(); return limit })
+	observe.GaugeFunc(n.metrics.reg, "heads_refused_total", heads.refused.Load)
+	observe.GaugeFunc(n.metrics.reg, "heads_cut_total", heads.cut.Load)
 }
--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -2,12 +2,8 @@
 
 import (
 	"container/list"
-	"io"
 	"math"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 )
@@ -116,6 +112,7 @@
 
 // awaitRequest notes that a connection waits for its next request.
 func (s *callerServer) awaitRequest(stream *callerStream) {
+	stream.head.begin()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.slots.await(stream)
@@ -133,14 +130,23 @@
 // ServeHTTP implements http.Handler around the server's handler.
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	stream := streamOf(r.Context())
-	if stream != nil && !s.beginRequest(stream) {
-		// The connection is closed, and nothing was sent to a replica.
-		panic(http.ErrAbortHandler)
+	if stream != nil {
+		stream.head.reading.Store(false)
 	}
 	if r.ContentLength != 0 {
 		// net/http reads the rest of a body before it takes the next request, without a time limit of its own.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
+	switch {
+	case stream == nil:
+	case !s.beginRequest(stream):
+		// The connection is closed, and nothing was sent to a replica.
+		panic(http.ErrAbortHandler)
+	case !stream.finishHead(r):
+		w.Header().Set("Connection", "close")
+		writeRefusal(w, spreadRefusal(retryAfterHeads))
+		return
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
@@ -176,20 +182,5 @@
 	return int(min(limit.Cur, math.MaxInt32))
 }
 
-// refusalTimeout bounds the writing of a refusal, which the kernel's buffer normally takes at once.
-const refusalTimeout = 100 * time.Millisecond
-
 // defaultDescriptors applies where the system does not tell the limit.
 const defaultDescriptors = 1024
-
-// spreadRefusal returns a time to return of half to all of the longest.
-func spreadRefusal(longest time.Duration) time.Duration { return longest/2 + rand.N(longest/2) }
-
-// writeRawRefusal writes a refusal to a connection without a request that a handler could answer.
-func writeRawRefusal(conn net.Conn, longest time.Duration) {
-	const body = "not run, come back later\n"
-	retryAfter := strconv.FormatFloat(spreadRefusal(longest).Seconds(), 'f', 3, 64)
-	_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: "+
-		retryAfter+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
-}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -29,13 +29,15 @@
 	listener net.Listener
 	// onStalled is called when a caller is let go that does not read its answer.
 	onStalled func(stream *callerStream, unwritten int)
-	mutex     sync.Mutex
-	slots     connectionSlots
-	limits    policy.Limits
-	current   *limitedServer
-	servers   map[*limitedServer]bool
-	closing   bool
-	done      sync.WaitGroup
+	// heads counts the memory of long heads; nil does not.
+	heads   *headMemory
+	mutex   sync.Mutex
+	slots   connectionSlots
+	limits  policy.Limits
+	current *limitedServer
+	servers map[*limitedServer]bool
+	closing bool
+	done    sync.WaitGroup
 }
 
 // limitedServer serves the connections that were accepted while its limits were in force.
@@ -48,8 +50,8 @@
 }
 
 // serveCallers serves at most connectionLimit connections at a time.
-func serveCallers(listener net.Listener, handler http.Handler, connectionLimit int, onStalled func(stream *callerStream, unwritten int)) *callerServer {
-	s := &callerServer{handler: handler, listener: listener, onStalled: onStalled, servers: map[*limitedServer]bool{}}
+func serveCallers(listener net.Listener, handler http.Handler, connectionLimit int, heads *headMemory, onStalled func(stream *callerStream, unwritten int)) *callerServer {
+	s := &callerServer{handler: handler, listener: listener, onStalled: onStalled, heads: heads, servers: map[*limitedServer]bool{}}
 	s.slots.limit = connectionLimit
 	s.setLimits(policy.Limits{})
 	s.done.Add(1)
@@ -133,6 +135,8 @@
 			continue
 		}
 		stream := newCallerStream(conn, s.onStalled)
+		stream.head.memory = s.heads
+		stream.head.begin()
 		if !s.admit(stream) {
 			writeRawRefusal(conn, retryAfterFull)
 			_ = conn.Close()
--- a/internal/edge/listen_test.go
+++ b/internal/edge/listen_test.go
@@ -20,7 +20,7 @@
 	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	listener, err := SystemSockets{}.ListenTCP("127.0.0.1:0")
 	require.NoError(t, err)
-	s := serveCallers(listener, answer, 10, nil)
+	s := serveCallers(listener, answer, 10, nil, nil)
 	t.Cleanup(func() { require.NoError(t, s.shutdown(t.Context())) })
 	conn, err := net.Dial("tcp", s.listener.Addr().String())
 	require.NoError(t, err)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -86,6 +86,8 @@
 	allowancePart extra.AllowancePart
 	// callerMemory bounds the memory that callers have this node hold.
 	callerMemory *callerMemory
+	// headMemory bounds the memory of long heads on all listeners.
+	headMemory *headMemory
 	// quarantine tracks the requests that may end the replicas that run them.
 	quarantine *quarantine.ReplicatedLedger
 	// delegatedGroups counts the groups of sends in progress for other nodes.
@@ -145,6 +147,7 @@
 	n.traffic = traffic.New(n.metrics.reg)
 	n.settings.Store(s)
 	n.callerMemory = newCallerMemory(s.MemoryBytes, n.now)
+	n.headMemory = newHeadMemory(s.MemoryBytes, n.now)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replicas.OnReplicaEnded(n.replicaEnded)
 	n.quarantine = quarantine.New(quarantine.Options{
@@ -181,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	n.callers = serveCallers(callerSocket, n, n.connectionLimits().Callers, n.callerStalled)
+	n.callers = serveCallers(callerSocket, n, n.connectionLimits().Callers, n.headMemory, n.callerStalled)
 	// Look-ups are answered from the first moment on, with this node alone if need be.
 	n.updateEntries()
 	n.updateRole()
@@ -310,7 +313,7 @@
 	if err != nil {
 		return err
 	}
-	server := serveCallers(listener, handler, limit(n.connectionLimits()), n.callerStalled)
+	server := serveCallers(listener, handler, limit(n.connectionLimits()), n.headMemory, n.callerStalled)
 	n.auxiliary = append(n.auxiliary, auxiliaryServer{callerServer: server, name: name, limit: limit})
 	return nil
 }
@@ -367,6 +370,7 @@
 	n.seeds.Replace(s.Seeds)
 	n.updateExtraBound()
 	n.callerMemory.setLimit(s.MemoryBytes)
+	n.headMemory.setLimit(s.MemoryBytes)
 	n.applyConnectionLimits()
 	n.log.Life("settings_reloaded", decisionlog.Fields{"changed": changed, "seeds": s.Seeds, "stop_wait_ms": s.StopWait.Milliseconds(), "needs_restart": kept})
 }
