Requests in work count what they take, and do not grow while they wait for a place

What callers saw: requests that nothing is wrong with, to a service that hangs or to very many shards, end a node as well: 600 of them to 150 shards take 889 MB, 860 to one hanging service 150 MB after 2 s.

Causes: a request counted 16 KB, whatever it was sent to; measured are about 75 KB with one service and 5 to 10 KB for each further one. A request that waits for a place tries every 20 ms, and the record of each try stayed until the request ended: 335 MB after 20 s with 566 requests. The heap may grow to twice of what is in use.

Change: a request counts 48 KB and 6 KB for each shard. The id of a send that had no place is used again, so that a waiting request keeps one record. The requests of one route may hold 0.7 of the memory where there are others, so that one that hangs leaves room. The Go runtime collects garbage as of three quarters of limits.memoryMb.

TestAnExtraSendWithoutAPlaceIsNotSpent named the id of its second hedge by number; it takes it from the send now.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -64,6 +65,7 @@
 		return err
 	}
 	s.SetMetricsPort(metricsPort)
+	limitHeap(s.MemoryBytes)
 	if peerListen != "" {
 		s.PeerListen = peerListen
 	}
@@ -120,5 +122,19 @@
 		return
 	}
 	s.SetMetricsPort(metricsPort)
+	limitHeap(s.MemoryBytes)
 	node.Reload(s)
 }
+
+// heapShare is the part of a VM's memory that the Go runtime may take before it collects garbage more often. The program
+// itself and the C library need the rest.
+const heapShare = 0.75
+
+// limitHeap sets the runtime's limit on memory from that of the VM; 0 is unknown, and changes nothing.
+//
+// It guards against a heap that has grown to twice of what is in use just when a crowd of clients has left its garbage.
+func limitHeap(vmBytes int64) {
+	if vmBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(vmBytes)))
+	}
+}
--- a/internal/core/memory/memory.go
+++ b/internal/core/memory/memory.go
@@ -24,6 +24,9 @@
 	// urgentShare is the part of the limit that the least urgent priority leaves to all others. Those between leave a
 	// part by their rank.
 	urgentShare = 0.3
+	// routeShare is the part of the limit that the requests of one route may hold where there are others. The answers of a
+	// route are not bounded by it.
+	routeShare = 0.7
 	// yieldAge is how long an answer has been unread before it gives way to an answer of the same priority.
 	yieldAge = 250 * time.Millisecond
 
@@ -53,6 +56,9 @@
 	// priorities are those that the configuration states, the most urgent first.
 	priorities []int
 	byPriority map[int]int64
+	// byRoute is what the requests of each route hold; manyRoutes is set if the configuration has more than one.
+	byRoute    map[string]int64
+	manyRoutes bool
 	answers    map[*Holding]struct{}
 	// releasedBytes decays with rateWindow, as of releasedAt.
 	releasedBytes float64
@@ -61,7 +67,7 @@
 
 // New returns an empty budget.
 func New(limitBytes int64) *Budget {
-	b := &Budget{byPriority: map[int]int64{}, answers: map[*Holding]struct{}{}}
+	b := &Budget{byPriority: map[int]int64{}, byRoute: map[string]int64{}, answers: map[*Holding]struct{}{}}
 	b.SetLimit(limitBytes)
 	return b
 }
@@ -79,6 +85,9 @@
 	b.priorities = slices.Compact(slices.Sorted(slices.Values(priorities)))
 }
 
+// SetRoutes sets how many routes share the limit.
+func (b *Budget) SetRoutes(count int) { b.manyRoutes = count > 1 }
+
 // Limit returns the limit, Used what is held of it.
 func (b *Budget) Limit() int64 { return b.limit }
 
@@ -95,7 +104,7 @@
 // Open begins the holding of a request with its first bytes. It is nil if the request is rejected, which it also is if
 // the bytes that it has announced beyond these would not fit.
 func (b *Budget) Open(now core.Time, claim placement.Claim, bytes, announced int64) (*Holding, placement.Decision) {
-	if !b.fits(claim, bytes+max(announced, 0)) {
+	if !b.fitsRequest(claim, bytes+max(announced, 0)) {
 		return nil, b.reject(now, claim, bytes+max(announced, 0))
 	}
 	h := &Holding{claim: claim}
@@ -105,7 +114,7 @@
 
 // Grow adds bytes of a request that is still being received.
 func (b *Budget) Grow(now core.Time, h *Holding, bytes int64) placement.Decision {
-	if !b.fits(h.claim, bytes) {
+	if !b.fitsRequest(h.claim, bytes) {
 		return b.reject(now, h.claim, bytes)
 	}
 	b.add(h, bytes)
@@ -144,6 +153,10 @@
 	if b.byPriority[h.claim.Priority] == 0 {
 		delete(b.byPriority, h.claim.Priority)
 	}
+	b.byRoute[h.claim.Route] += bytes
+	if b.byRoute[h.claim.Route] == 0 {
+		delete(b.byRoute, h.claim.Route)
+	}
 }
 
 // victim returns the unread answer that gives way first to a claim: the least urgent, and among those the one that has
@@ -171,6 +184,15 @@
 	return placement.Compare(fixed(a), fixed(b), 0)
 }
 
+// fitsRequest reports whether a request may hold further bytes: those of one route leave room for the others.
+//
+// It guards against a route whose replicas hang: its requests would hold all memory until their deadlines, and every other
+// route would be refused meanwhile.
+func (b *Budget) fitsRequest(claim placement.Claim, bytes int64) bool {
+	overRoute := b.manyRoutes && claim.Route != "" && b.byRoute[claim.Route]+bytes > int64(routeShare*float64(b.limit))
+	return b.used == 0 || !overRoute && b.fits(claim, bytes)
+}
+
 // fits reports whether a claim may hold further bytes. A node that holds nothing takes any request, as one beyond
 // the limit would otherwise never be served.
 func (b *Budget) fits(claim placement.Claim, bytes int64) bool {
--- a/internal/core/memory/memory_test.go
+++ b/internal/core/memory/memory_test.go
@@ -57,6 +57,22 @@
 	require.LessOrEqual(t, b.Used(), b.Limit())
 }
 
+// Guards against a route whose replicas hang: its requests would hold all memory, and those of other routes be refused.
+func TestOneRouteLeavesRoomForTheOthers(t *testing.T) {
+	b := budget(1000, 1)
+	b.SetRoutes(2)
+	hanging, decision := fill(b, placement.Claim{Priority: 1, Route: "hanging"})
+	require.Equal(t, int64(700), hanging)
+	require.Equal(t, placement.Reject, decision.Verdict)
+	require.GreaterOrEqual(t, decision.RetryAfter, minRetryAfter)
+	other, _ := fill(b, placement.Claim{Priority: 1, Route: "other"})
+	require.Equal(t, int64(300), other)
+	alone := budget(1000, 1)
+	alone.SetRoutes(1)
+	held, _ := fill(alone, placement.Claim{Priority: 1, Route: "hanging"})
+	require.Equal(t, int64(1000), held)
+}
+
 // Guards against a caller over its share using the room that is kept for urgent routes.
 func TestACallerOverItsShareIsTheLeastUrgent(t *testing.T) {
 	b := budget(1000, 0, 1)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -17,6 +17,8 @@
 type Claim struct {
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
+	// Route is the name of the route, which has a bound of its own on what its requests hold of a node's memory; "" has none.
+	Route string
 	// OverShare is set when the caller has more requests in progress than its share while others wait.
 	OverShare bool
 	// Waited is the time that the request has spent in this tier before now, its earlier attempts included as far as they
--- a/internal/core/scatter/event.go
+++ b/internal/core/scatter/event.go
@@ -36,7 +36,7 @@
 // Action is an output of the machine, to be carried out by its caller.
 type Action interface{ isAction() }
 
-// Send sends the request to a replica. Send ids start at 0.
+// Send sends the request to a replica. Send ids start at 0; that of a send that ended with NoPlace may be used again.
 type Send struct {
 	ID      int
 	Service int
--- a/internal/core/scatter/places_test.go
+++ b/internal/core/scatter/places_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiopier/pistachiopier/internal/core"
 )
 
 func noPlace(send int) SendEnded { return SendEnded{Send: send, Verdict: NoPlace} }
@@ -38,7 +41,7 @@
 	require.Len(t, again, 1)
 	require.Equal(t, "d-2", again[0].Replica.ID)
 	require.Zero(t, chooser.budget)
-	m.Step(17*ms, noPlace(5))
+	m.Step(17*ms, noPlace(again[0].ID))
 	require.Equal(t, 1, chooser.budget, "another request may have it")
 }
 
@@ -113,3 +116,23 @@
 	require.True(t, result.MayHaveRun)
 	require.False(t, result.OnlyWithdrawn, "one has failed")
 }
+
+// Guards against a request that grows with each try while it waits for a place.
+func TestTriesWithoutAPlaceUseOneID(t *testing.T) {
+	plan := gatherPlan()
+	plan.MinParts, plan.Deadline = 1, core.Time(time.Hour)
+	m := New(plan, &fakeChooser{replicas: 1})
+	tried := sends(m.Step(0, Begin{}))
+	now := core.Time(0)
+	for range 1000 {
+		require.Len(t, tried, 4)
+		for _, send := range tried {
+			require.Less(t, send.ID, 4)
+			m.Step(now, noPlace(send.ID))
+		}
+		now += refusedRetryDelay
+		tried = sends(m.Step(now, Tick{}))
+	}
+	require.Len(t, m.sends, 4)
+	require.Len(t, m.services[0].tried, 1)
+}
--- a/internal/core/scatter/scatter.go
+++ b/internal/core/scatter/scatter.go
@@ -4,6 +4,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pistachiopier/pistachiopier/internal/core"
@@ -119,6 +120,8 @@
 	chooser  Chooser
 	services []service
 	sends    []send
+	// vacant are the ids of sends that had no place.
+	vacant   []int
 	result   Result
 	finished bool
 	// broken is set once a replica has closed the connection instead of answering, answered once one
@@ -211,7 +214,7 @@
 	s := &m.services[i]
 	alone := m.oneAtATime()
 	shardAlone := alone || m.shardSuspect(i) && s.inFlight == 0
-	s.tried = append(s.tried, to.ID)
+	s.tried = appendNew(s.tried, to.ID)
 	s.sent++
 	s.inFlight++
 	s.hedgeAt = 0
@@ -221,8 +224,30 @@
 	if to.Remote && s.hedgeAt > 0 {
 		s.hedgeAt += m.plan.RemoteHedgeExtra
 	}
-	m.sends = append(m.sends, send{service: i, replica: to.ID, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
-	m.act(Send{ID: len(m.sends) - 1, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone, Extra: cause == Hedge && s.overdueCount < degradedHedgeAfter})
+	id := m.addSend(send{service: i, replica: to.ID, inFlight: true, extra: s.sent > 1, alone: alone, shardAlone: shardAlone})
+	m.act(Send{ID: id, Service: i, Replica: to.Replica, Remote: to.Remote, Cause: cause, Alone: alone, ShardAlone: shardAlone, Extra: cause == Hedge && s.overdueCount < degradedHedgeAfter})
+}
+
+// appendNew appends an id that the list does not hold.
+func appendNew(ids []string, id string) []string {
+	if slices.Contains(ids, id) {
+		return ids
+	}
+	return append(ids, id)
+}
+
+// addSend records a send and returns its id. That of a send without a place is used again: a request that waits for a place
+// tries many times a second, and would otherwise grow until its deadline.
+func (m *Machine) addSend(made send) int {
+	last := len(m.vacant) - 1
+	if last < 0 {
+		m.sends = append(m.sends, made)
+		return len(m.sends) - 1
+	}
+	id := m.vacant[last]
+	m.vacant = m.vacant[:last]
+	m.sends[id] = made
+	return id
 }
 
 func (m *Machine) sendEnded(e SendEnded) {
@@ -249,7 +274,8 @@
 		s.sent--
 	}
 	if e.Verdict == NoPlace {
-		s.full = append(s.full, ended.replica)
+		m.vacant = append(m.vacant, e.Send)
+		s.full = appendNew(s.full, ended.replica)
 		if ended.extra {
 			m.chooser.ReturnExtra(m.plan.Services[ended.service], m.now)
 		}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -73,7 +73,9 @@
 func (q *request) addMissingSteps(taken []bool) {
 	last := make([]*exchange, len(taken))
 	for _, exchange := range q.sends {
-		last[exchange.send.Service] = exchange
+		if former := last[exchange.send.Service]; former == nil || former.startAt <= exchange.startAt {
+			last[exchange.send.Service] = exchange
+		}
 	}
 	added := 0
 	for i, have := range taken {
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// requestOverheadBytes is what a request holds beyond its body: its header, goroutines and sends.
-	requestOverheadBytes = 16 << 10
+	// requestOverheadBytes is what a request holds beyond its body: its goroutines and buffers, and its tries at one service.
+	requestOverheadBytes = 48 << 10
+	// sendOverheadBytes is what a gathered request holds for each further service.
+	sendOverheadBytes = 6 << 10
 	// growStepBytes is the step in which the bytes of a body are counted while it is received.
 	growStepBytes = 16 << 10
 )
@@ -47,8 +49,8 @@
 	m.budget.SetLimit(memory.LimitBytes(vmBytes))
 }
 
-// setPriorities sets the priorities of a new configuration.
-func (m *callerMemory) setPriorities(config *policy.Config) {
+// setRoutes sets the routes and priorities of a new configuration.
+func (m *callerMemory) setRoutes(config *policy.Config) {
 	priorities := make([]int, len(config.Routes))
 	for i, route := range config.Routes {
 		priorities[i] = route.Priority
@@ -56,6 +58,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.budget.SetPriorities(priorities)
+	m.budget.SetRoutes(len(config.Routes))
 }
 
 // memoryState describes the budget for operators.
@@ -85,16 +88,24 @@
 }
 
 // holdRequest begins the holding of a request. It is nil if the request is rejected.
-func (m *callerMemory) holdRequest(claim placement.Claim, announcedBytes int64) (*heldRequest, placement.Decision) {
+func (m *callerMemory) holdRequest(claim placement.Claim, overheadBytes, announcedBytes int64) (*heldRequest, placement.Decision) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	holding, decision := m.budget.Open(m.now(), claim, requestOverheadBytes, announcedBytes)
+	holding, decision := m.budget.Open(m.now(), claim, overheadBytes, announcedBytes)
 	if holding == nil {
 		return nil, decision
 	}
 	return &heldRequest{memory: m, holding: holding}, decision
 }
 
+// overheadBytes returns what a request of a route holds beyond its body.
+func overheadBytes(route *policy.Route) int64 {
+	if route.Gather == nil {
+		return requestOverheadBytes
+	}
+	return requestOverheadBytes + sendOverheadBytes*int64(len(route.Gather.Shards))
+}
+
 // release gives all bytes back.
 func (h *heldRequest) release() {
 	m := h.memory
@@ -140,8 +151,8 @@
 
 // hold begins the holding of a request and counts its body. It returns nil after it has rejected the request.
 func (n *Node) hold(w http.ResponseWriter, r *http.Request, route *policy.Route) *heldRequest {
-	claim := placement.Claim{Priority: route.Priority, OverShare: n.state.isOverShare(addressOf(r.RemoteAddr))}
-	held, decision := n.callerMemory.holdRequest(claim, r.ContentLength)
+	claim := placement.Claim{Priority: route.Priority, Route: route.Name, OverShare: n.state.isOverShare(addressOf(r.RemoteAddr))}
+	held, decision := n.callerMemory.holdRequest(claim, overheadBytes(route), r.ContentLength)
 	if held == nil {
 		n.rejectForMemory(w, r, route, decision)
 		return nil
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -348,7 +348,7 @@
 func (n *Node) applyConfig() {
 	config := n.state.config.Load()
 	n.callers.setLimits(config.Limits)
-	n.callerMemory.setPriorities(config)
+	n.callerMemory.setRoutes(config)
 	n.metrics.removeServices(func(service string) bool { _, configured := config.Services[service]; return configured })
 	bounds := map[string]coldstart.Bound{}
 	for name, service := range config.Services {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -32,7 +32,7 @@
 	services []string
 	plan     scatter.Plan
 	arrived  core.Time
-	// sends are the exchanges by their id; ended receives those that have ended.
+	// sends are the exchanges by their id, without those that had no place and were followed by another; ended receives those that have ended.
 	sends []*exchange
 	ended chan []*exchange
 	// done is closed once nothing receives from ended any more.
@@ -211,7 +211,7 @@
 func (q *request) newExchange(ctx context.Context, a scatter.Send) *exchange {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	exchange := &exchange{send: a, ctx: ctx, cancel: cancel, startAt: q.node.now()}
-	q.sends = append(q.sends, exchange)
+	q.setSend(exchange)
 	if a.Cause != scatter.First {
 		q.node.metrics.countExtra(a.Cause)
 	}
@@ -221,6 +221,15 @@
 	return exchange
 }
 
+// setSend puts an exchange in the place of its id, which an exchange that had no place may have left.
+func (q *request) setSend(e *exchange) {
+	if e.send.ID < len(q.sends) {
+		q.sends[e.send.ID] = e
+		return
+	}
+	q.sends = append(q.sends, e)
+}
+
 // dispatch starts the exchanges: those to another data centre in groups through helpers, the others directly.
 func (q *request) dispatch(started []*exchange) {
 	q.node.state.withReplicas(func(table *replica.Table, now core.Time) {
--- a/test/crowd/heads_test.go
+++ b/test/crowd/heads_test.go
@@ -38,6 +38,30 @@
 	n.requireWithinVM()
 }
 
+// Guards against a copy of the header for each of very many shards.
+func TestRequestsToManyShardsWithShortHeaderLines(t *testing.T) {
+	const crowd = 60
+	n := startNodeOf(t, smallestVM(), manyShards)
+	sendCrowd(t, n.address(callerPort), crowd, text(head("GET", heldGatheredPath, shortLines(headerBytes))+"\r\n")).awaitDone()
+	n.requireWithinVM()
+}
+
+// Guards against ordinary requests to very many shards that take more than they count.
+func TestRequestsToManyShards(t *testing.T) {
+	const crowd = 600
+	n := startNodeOf(t, smallestVM(), manyShards)
+	sendCrowd(t, n.address(callerPort), crowd, text(head("GET", heldGatheredPath, "\r\n"))).awaitDone()
+	n.requireWithinVM()
+}
+
+// Guards against ordinary requests in work that take more than they count.
+func TestRequestsInWork(t *testing.T) {
+	const crowd = 860
+	n := startNode(t, smallestVM())
+	sendCrowd(t, n.address(callerPort), crowd, text(head("GET", heldPlainPath, "\r\n"))).awaitDone()
+	n.requireWithinVM()
+}
+
 // Guards against heads of net/http's default size on the listeners that answer without a configuration.
 func TestLongHeadsAtOtherListeners(t *testing.T) {
 	const (
--- a/test/crowd/node_test.go
+++ b/test/crowd/node_test.go
@@ -33,8 +33,8 @@
 
 const (
 	callerHost = "search.example"
-	// shardCount is the number of services that a gathered request asks.
-	shardCount = 20
+	// fewShards and manyShards are numbers of services that a gathered request asks; the users have up to 180.
+	fewShards, manyShards = 20, 150
 	// Ordinary requests are for plainPath and gatheredPath. Those for the held paths go to replicas of their own, which never
 	// answer them.
 	plainPath, gatheredPath         = "/plain/x", "/all/x"
@@ -78,9 +78,12 @@
 var startedNodes atomic.Int64
 
 // startNode starts a node and waits until it serves.
-func startNode(t *testing.T, v vm) *node {
+func startNode(t *testing.T, v vm) *node { return startNodeOf(t, v, fewShards) }
+
+// startNodeOf is startNode with a number of shards.
+func startNodeOf(t *testing.T, v vm, shards int) *node {
 	t.Helper()
-	store := startUpstreams(t)
+	store := startUpstreams(t, shards)
 	n := &node{t: t, vm: v, ip: fmt.Sprintf("127.%d.%d.1", 20+os.Getpid()%200, startedNodes.Add(1))}
 	settingsPath := filepath.Join(t.TempDir(), "boot.conf")
 	settings := fmt.Sprintf("node=vm-1\nzone=east\nip=%s\nlistenAddrs.front=%s\nlistenAddrs.ready=%s\nlistenAddrs.directory=%s\nportRange=%d,%d\nlimits.cpuShare=0.4\nlimits.memoryMb=%d\nlimits.maxFds=%d\nbounds.graceS=3\nbounds.configApplyMs=3000\nplatform.address=%s\n",
@@ -96,7 +99,7 @@
 }
 
 // startUpstreams starts a store and the replicas that it lists.
-func startUpstreams(t *testing.T) *platformtest.Store {
+func startUpstreams(t *testing.T, shards int) *platformtest.Store {
 	t.Helper()
 	store, err := platformtest.StartStore()
 	require.NoError(t, err)
@@ -108,7 +111,7 @@
 		config.Routes = append(config.Routes, newRoute(prefix+"plain"), newRoute(prefix+"all"))
 		plain, all := &config.Routes[len(config.Routes)-2], &config.Routes[len(config.Routes)-1]
 		plain.Service, all.TopK, all.MinCoverage = prefix+"notes", 3, 0.5
-		for i := range shardCount {
+		for i := range shards {
 			all.Gather = append(all.Gather, fmt.Sprintf("%sshard%d", prefix, i))
 		}
 		for _, name := range append([]string{plain.Service}, all.Gather...) {
