Connections to all replicas together are bounded by the process's descriptors

What callers would see: a node that has used up its descriptors accepts nobody and reaches neither the store nor other nodes.

Cause: each replica's connections are bounded by its own limit, and nothing bounded their sum.

At the bound the connection that has been idle for longest is closed for a new one; where none is idle the send fails as not sent.

--- a/internal/core/memory/connections.go
+++ b/internal/core/memory/connections.go
@@ -15,22 +15,29 @@
 	directoryDivisor = 4
 	checkDivisor     = 16
 	maxChecks        = 32
+	// reservedDivisor is the part of all sockets that remains for the store, other nodes and connections on their way out.
+	reservedDivisor = 16
 )
 
-// Connections are the most connections that a node accepts.
+// Connections are the most connections that a node accepts, and opens to replicas.
 type Connections struct {
 	Callers, Directory int
 	// Checks is that of the readiness check and of the metrics each.
 	Checks int
+	// Replicas is that to all replicas.
+	Replicas int
 }
 
 // ConnectionLimits returns the limits of a VM with the given memory, where 0 or less is unknown, and of a process with
 // the given descriptors.
 func ConnectionLimits(vmBytes int64, descriptors int) Connections {
-	bySockets := callerDescriptorShare * float64(descriptors-fileDescriptors)
+	sockets := max(descriptors-fileDescriptors, 1)
 	byMemory := connectionShare * float64(knownVMBytes(vmBytes)) / connectionBytes
-	callers := max(int(min(bySockets, byMemory)), 1)
-	return Connections{Callers: callers, Directory: max(callers/directoryDivisor, 1), Checks: min(max(callers/checkDivisor, 1), maxChecks)}
+	limits := Connections{Callers: max(int(min(callerDescriptorShare*float64(sockets), byMemory)), 1)}
+	limits.Directory = max(limits.Callers/directoryDivisor, 1)
+	limits.Checks = min(max(limits.Callers/checkDivisor, 1), maxChecks)
+	limits.Replicas = max(sockets-limits.Callers-limits.Directory-2*limits.Checks-sockets/reservedDivisor, 1)
+	return limits
 }
 
 // knownVMBytes returns the memory of a VM, or that at which LimitBytes gives the default if it is unknown.
--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -168,6 +168,7 @@
 func (n *Node) applyConnectionLimits() {
 	limits := n.connectionLimits()
 	n.callers.setConnectionLimit(limits.Callers)
+	n.replicas.SetMaxOpen(limits.Replicas)
 	for _, server := range n.auxiliary {
 		server.setConnectionLimit(server.limit(limits))
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -146,6 +146,7 @@
 	}
 	n.traffic = traffic.New(n.metrics.reg)
 	n.settings.Store(s)
+	n.replicas.SetMaxOpen(n.connectionLimits().Replicas)
 	n.callerMemory = newCallerMemory(s.MemoryBytes, n.now)
 	n.headMemory = newHeadMemory(s.MemoryBytes, n.now)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/replicaconn/client.go
+++ b/internal/replicaconn/client.go
@@ -145,7 +145,9 @@
 	pools  map[replica.Incarnation]*pool
 	closed bool
 	opened int64
-	bodies *bodyBytes
+	// open counts the connections that are open or being opened, at most maxOpen of them unless that is 0.
+	open, maxOpen int
+	bodies        *bodyBytes
 	// endedUnaccepted counts the connections that replicas closed before they were accepted.
 	endedUnaccepted int64
 	suspend         suspendWatch
--- a/internal/replicaconn/ended.go
+++ b/internal/replicaconn/ended.go
@@ -135,12 +135,13 @@
 	hasRoom := p.open < max(request.MaxConnections, 1) && !p.restarted
 	if hasRoom {
 		p.open++
+		c.open++
 	}
 	c.mutex.Unlock()
 	if !hasRoom {
 		return c.probeRefused(request.Address)
 	}
-	opened := c.open(request)
+	opened := c.openConnection(request)
 	if opened.err != nil {
 		return connerr.Refused(opened.err)
 	}
--- a/internal/replicaconn/pool.go
+++ b/internal/replicaconn/pool.go
@@ -102,8 +102,14 @@
 		return nil, nil, errRefusing
 	}
 	if p.mayOpen() && !time.Now().Before(p.noDialUntil) {
-		p.open++
-		return nil, nil, nil
+		if c.makeRoom() {
+			p.open++
+			c.open++
+			return nil, nil, nil
+		}
+		if p.open == 0 {
+			return nil, nil, errTooManyOpen
+		}
 	}
 	wait := make(chan error, 1)
 	p.waiters = append(p.waiters, wait)
@@ -185,7 +191,7 @@
 // the replica something.
 func (c *Client) dial(ctx context.Context, request *Request) (*conn, error) {
 	results := make(chan dialResult, 1)
-	go func() { results <- c.open(request) }()
+	go func() { results <- c.openConnection(request) }()
 	select {
 	case result := <-results:
 		return result.conn, result.err
@@ -199,7 +205,7 @@
 	}
 }
 
-func (c *Client) open(request *Request) dialResult {
+func (c *Client) openConnection(request *Request) dialResult {
 	incarnation, address := request.Replica, request.Address
 	dialer := net.Dialer{Control: setUserTimeout, Timeout: dialTimeout}
 	started := time.Now()
@@ -287,6 +293,7 @@
 		}
 	}
 	p.open--
+	c.open--
 	delete(p.connections, conn)
 	switch {
 	case conn != nil && conn.accepted:
