An answer whose status is none is no answer

The request was logged as served. After 101 the request hung until its deadline.

Cause: net/http's parser takes any three digits, and a sign, for a status, and interim answers were skipped with 101 among them. A status below 100 ended the handler in a panic when it was passed on.

Change: replicaconn ends the exchange of what is not from 100 to 599, or is 101, with a StatusError, and closes the connection. It counts as a failed answer that may have run: against the replica, retried where the kind allows it, 502 else.

Evidence: TestAnAnswerWithoutAStatusIsNone failed for 000, 099, +20, 600, 999 and 101 before, and passes; two digits, four, a minus and no digits were refused by the parser already.

--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -261,7 +261,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if answer.StatusCode < http.StatusContinue || answer.StatusCode >= http.StatusOK {
+		if err := checkStatus(answer.StatusCode); err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK {
 			return answer, nil
 		}
 	}
