Log lines hold at most 512 bytes of a text that callers choose

What an operator saw: a request with an id or host of 16 KB put all of it into each of its lines; 4,096 lines may wait while the reader of the log stands still, 64 MB and more. An idle connection kept the id of its last request.

Change: a text in a field is clipped when the line is made, without the rest in memory; the connection keeps a clipped id.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -27,6 +27,8 @@
 	// 60 KB/s at 300 bytes per line.
 	linesPerSecond = 110
 	burstLines     = 90
+	// maxFieldBytes bounds a text in a field. Callers choose ids, hosts and paths, and waiting lines hold them.
+	maxFieldBytes = 512
 	// summaryInterval is the interval between lines with the counts of successful requests
 	// and dropped lines.
 	summaryInterval = 10 * time.Second
@@ -114,11 +116,24 @@
 // Life writes a line about the life cycle or the state of the process. Such lines are
 // few and not subject to the rate limit.
 func (l *Log) Life(event string, fields Fields) {
+	for name, value := range fields {
+		if text, ok := value.(string); ok && len(text) > maxFieldBytes {
+			fields[name] = Clip(text)
+		}
+	}
 	if !l.lines.TryPut(line{at: time.Now(), event: event, fields: fields}) {
 		l.dropped.Add(1)
 	}
 }
 
+// Clip returns a text as a field of a line holds it, without the rest in memory.
+func Clip(text string) string {
+	if len(text) <= maxFieldBytes {
+		return text
+	}
+	return strings.Clone(text[:maxFieldBytes])
+}
+
 // CountSuccess counts a request that succeeded in time, which gets no line of its own.
 func (l *Log) CountSuccess() { l.succeeded.Add(1) }
 
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -88,3 +88,15 @@
 	require.Equal(t, "library_message", line["event"])
 	require.LessOrEqual(t, len(line["text"].(string)), maxLibraryLineBytes)
 }
+
+// Guards against waiting lines that hold the long ids, hosts and paths of callers.
+func TestALongFieldIsClipped(t *testing.T) {
+	var out strings.Builder
+	l := New(&out, nil)
+	l.Decision("request_refused", Fields{"request": strings.Repeat("x", 16<<10), "status": 503})
+	l.Close(time.Minute)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal([]byte(out.String()), &line))
+	require.Equal(t, strings.Repeat("x", maxFieldBytes), line["request"])
+	require.EqualValues(t, 503, line["status"])
+}
--- a/internal/edge/unread.go
+++ b/internal/edge/unread.go
@@ -39,7 +39,7 @@
 
 // streamRequest identifies the request on its connection.
 func (q *request) streamRequest() *streamRequest {
-	return &streamRequest{id: q.id, route: q.route.Name, caller: q.remote, priority: q.route.Priority, arrived: q.arrived}
+	return &streamRequest{id: decisionlog.Clip(q.id), route: q.route.Name, caller: q.remote, priority: q.route.Priority, arrived: q.arrived}
 }
 
 // holdAnswer counts the bytes of an answer before it is written. It reports false if there is no room for them.
