--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -27,12 +27,13 @@
 	return quarantine.Identity{Method: q.template.Method, Host: q.template.Host, Path: path, Query: query, Caller: platform.StableHeaderLines(q.template.Header), Body: q.template.Body}
 }
 
-// maxDescribedPathBytes bounds the path in a description.
-const maxDescribedPathBytes = 100
+// maxDescribedBytes bounds the host, and the path, in a description.
+const maxDescribedBytes = 100
 
 // describe returns a description of the request for operators.
 func (q *request) describe() string {
-	return q.template.Method + " " + q.template.Host + q.template.Target[:min(len(q.template.Target), maxDescribedPathBytes)] + " (" + q.route.Name + ")" + q.origin()
+	host, target := q.template.Host, q.template.Target
+	return q.template.Method + " " + host[:min(len(host), maxDescribedBytes)] + target[:min(len(target), maxDescribedBytes)] + " (" + q.route.Name + ")" + q.origin()
 }
 
 // origin returns the end of a description with the caller's address, if that is known.
