Limits of clients: the process's own limit on descriptors counts, and no log line for each long body

A process whose own limit on descriptors is below limits.maxFds is bounded by its own. A crowd with bodies over the limit took the log's rate for itself, a line each; they are counted in clients_limited, one line a second, and in the metric.

--- a/internal/edge/callerhead.go
+++ b/internal/edge/callerhead.go
@@ -91,8 +91,8 @@
 // callerHead follows the head of a request while net/http's parser reads it. The parser holds many times the bytes that
 // it has read where header lines are short, and hands nothing over before the head is whole.
 //
-// It guards against callers that send such heads on many connections at once, or never finish them: a VM of 136 MB would
-// run out of memory with 300 of them.
+// It guards against callers that send such heads on many connections at once, or never finish them: a small VM would run out
+// of memory with some hundred of them.
 type callerHead struct {
 	memory *headMemory
 	held   memory.Head
--- a/internal/edge/clientlimits.go
+++ b/internal/edge/clientlimits.go
@@ -26,6 +26,7 @@
 type limitedClients struct {
 	connectionsRefused, connectionsCut int64
 	headsRefused, headsCut             int64
+	bodiesTooLong                      int64
 }
 
 // servers returns the node's servers by the names of their listeners.
@@ -39,7 +40,7 @@
 
 // limitedClients returns the counts of all listeners.
 func (n *Node) limitedClients() limitedClients {
-	total := limitedClients{headsRefused: n.headMemory.refused.Load(), headsCut: n.headMemory.cut.Load()}
+	total := limitedClients{headsRefused: n.headMemory.refused.Load(), headsCut: n.headMemory.cut.Load(), bodiesTooLong: n.bodiesTooLong.Load()}
 	for _, server := range n.servers() {
 		_, _, refused, cut := server.connectionCounts()
 		total.connectionsRefused += refused
@@ -62,7 +63,7 @@
 	n.limitedTold = counts
 	n.log.Life("clients_limited", decisionlog.Fields{
 		"connections_refused": counts.connectionsRefused, "connections_cut": counts.connectionsCut,
-		"heads_refused": counts.headsRefused, "heads_cut": counts.headsCut,
+		"heads_refused": counts.headsRefused, "heads_cut": counts.headsCut, "bodies_too_long": counts.bodiesTooLong,
 	})
 }
 
@@ -85,4 +86,5 @@
 	observe.GaugeFunc(n.metrics.reg, "head_memory_limit_bytes", func() int64 { _, limit := heads.used(); return limit })
 	observe.GaugeFunc(n.metrics.reg, "heads_refused_total", heads.refused.Load)
 	observe.GaugeFunc(n.metrics.reg, "heads_cut_total", heads.cut.Load)
+	observe.GaugeFunc(n.metrics.reg, "bodies_too_long_total", n.bodiesTooLong.Load)
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -75,7 +75,7 @@
 		return
 	}
 	if isTooLong(r, config.Limits.MaxBodyBytes) {
-		n.answerTooLong(w, r, config.Limits.MaxBodyBytes)
+		n.answerTooLong(w)
 		return
 	}
 	held := n.hold(w, r, route)
@@ -89,7 +89,7 @@
 		return
 	}
 	if failureStatus == http.StatusRequestEntityTooLarge {
-		n.answerTooLong(w, r, config.Limits.MaxBodyBytes)
+		n.answerTooLong(w)
 		return
 	}
 	if failureStatus != 0 {
@@ -194,10 +194,9 @@
 // isTooLong reports whether the caller has announced a body beyond the limit.
 func isTooLong(r *http.Request, limit int64) bool { return r.ContentLength > bodyLimit(limit) }
 
-// answerTooLong refuses a body that is too long, before any of it is read.
-func (n *Node) answerTooLong(w http.ResponseWriter, r *http.Request, limit int64) {
-	n.metrics.countBodyTooLong()
-	n.log.Decision("body_too_long", decisionlog.Fields{"request": platform.RequestID(r.Header), "announced_bytes": r.ContentLength, "limit_bytes": bodyLimit(limit)})
+// answerTooLong refuses a body that is too long.
+func (n *Node) answerTooLong(w http.ResponseWriter) {
+	n.bodiesTooLong.Add(1)
 	w.Header().Set("Connection", "close")
 	http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -147,11 +147,6 @@
 	return instruments
 }
 
-// countBodyTooLong counts a request whose body was longer than the configuration allows.
-func (m *nodeMetrics) countBodyTooLong() {
-	observe.Counter(m.reg, "bodies_too_long_total").Inc(1)
-}
-
 // countRefused counts a request that was refused before any send.
 func (m *nodeMetrics) countRefused() { observe.Counter(m.reg, "requests_refused_at_once_total").Inc(1) }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -4,7 +4,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -106,6 +105,8 @@
 	entryUntil atomic.Int64
 	// toldNoEntry is set if the log last told that this node is none of them; only housekeeping uses it.
 	toldNoEntry bool
+	// bodiesTooLong counts the requests whose bodies were longer than the configuration allows.
+	bodiesTooLong atomic.Int64
 	// limitedTold are the counts of limited clients that the log last told, limitedToldAt when they were last compared; only
 	// housekeeping uses them.
 	limitedTold   limitedClients
@@ -322,7 +323,11 @@
 // connectionLimits returns how many connections the node's listeners accept.
 func (n *Node) connectionLimits() memory.Connections {
 	s := n.settings.Load()
-	return memory.ConnectionLimits(s.MemoryBytes, cmp.Or(s.Descriptors, processDescriptors()))
+	descriptors := processDescriptors()
+	if s.Descriptors > 0 {
+		descriptors = min(descriptors, s.Descriptors)
+	}
+	return memory.ConnectionLimits(s.MemoryBytes, descriptors)
 }
 
 // Handle implements peer.Handler.
