serve: heads have a limit of 16 KiB in place of net/http's megabyte

What callers saw: 12 clients with unfinished heads of 1,000 KB in short lines took 276 MB at the callers' listener of serve and 291 MB at the operators'.

Cause: the server's limit on heads was never set; net/http's default is 1 MiB.

Change: limits.max_header_bytes, 16 KiB by default, far beyond what callers of this interface send.

--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -59,7 +59,7 @@
 	}
 	limits := n.settings.Limits
 	listener := api.LimitConnections(inner, limits.Connections)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, ErrorLog: logs.NewHTTPErrorLog(n.log)}
+	server := &http.Server{Handler: handler, MaxHeaderBytes: limits.MaxHeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, ErrorLog: logs.NewHTTPErrorLog(n.log)}
 	go func() { _ = server.Serve(listener) }()
 	return &httpServer{Server: server, address: inner.Addr().String(), listener: listener}, nil
 }
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -38,6 +38,7 @@
 		{"tls.key", required, "PEM file or text", "this node's private key", ""},
 		{"tls.warn_before", DefaultWarnBefore.String(), "duration", "how long before its expiry a certificate is reported as a problem", "certificate_days_left"},
 		{"limits.max_body_bytes", fmt.Sprint(DefaultMaxBodyBytes), "bytes", "the maximum size of a request body", "caller_bodies_too_large_total"},
+		{"limits.max_header_bytes", fmt.Sprint(DefaultMaxHeaderBytes), "bytes", "the maximum size of the head of a request", ""},
 		{"limits.header_timeout", DefaultHeaderTimeout.String(), "duration", "the maximum time to receive the headers of a request", ""},
 		{"limits.body_timeout", DefaultBodyTimeout.String(), "duration", "the maximum time to receive the body of a request", "caller_bodies_late_total"},
 		{"limits.idle_timeout", DefaultIdleTimeout.String(), "duration", "how long an idle connection of a caller is kept open", "caller_connections"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,8 +16,10 @@
 
 // Defaults of the settings.
 const (
-	DefaultEntriesTTL        = 10 * time.Second
-	DefaultMaxBodyBytes      = 1 << 20
+	DefaultEntriesTTL   = 10 * time.Second
+	DefaultMaxBodyBytes = 1 << 20
+	// DefaultMaxHeaderBytes is far beyond what callers of this interface send.
+	DefaultMaxHeaderBytes    = 16 << 10
 	DefaultHeaderTimeout     = 5 * time.Second
 	DefaultBodyTimeout       = 10 * time.Second
 	DefaultIdleTimeout       = time.Minute
@@ -62,11 +64,13 @@
 
 // Limits bound the resources that callers may use.
 type Limits struct {
-	MaxBodyBytes  int           `yaml:"max_body_bytes"`
-	HeaderTimeout time.Duration `yaml:"header_timeout"`
-	BodyTimeout   time.Duration `yaml:"body_timeout"`
-	IdleTimeout   time.Duration `yaml:"idle_timeout"`
-	Connections   int           `yaml:"connections"`
+	MaxBodyBytes int `yaml:"max_body_bytes"`
+	// MaxHeaderBytes is the maximum size of a request's head. The parser holds many times the bytes of short lines.
+	MaxHeaderBytes int           `yaml:"max_header_bytes"`
+	HeaderTimeout  time.Duration `yaml:"header_timeout"`
+	BodyTimeout    time.Duration `yaml:"body_timeout"`
+	IdleTimeout    time.Duration `yaml:"idle_timeout"`
+	Connections    int           `yaml:"connections"`
 	// Entries is the maximum number of entry addresses returned to a caller.
 	Entries int `yaml:"entries"`
 	// InFlight is the maximum number of callers' requests in flight at this entry.
@@ -140,6 +144,7 @@
 	setDefault(&s.StopWait, DefaultStopWait)
 	setDefault(&s.LogLevel, DefaultLogLevel)
 	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&s.Limits.HeaderTimeout, DefaultHeaderTimeout)
 	setDefault(&s.Limits.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&s.Limits.IdleTimeout, DefaultIdleTimeout)
@@ -203,6 +208,7 @@
 	checkNotNegative(doc, "limits.body_timeout", s.Limits.BodyTimeout, duration)
 	checkNotNegative(doc, "limits.idle_timeout", s.Limits.IdleTimeout, duration)
 	checkNotNegative(doc, "limits.max_body_bytes", s.Limits.MaxBodyBytes, count)
+	checkNotNegative(doc, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, count)
 	checkNotNegative(doc, "limits.connections", s.Limits.Connections, count)
 	checkNotNegative(doc, "limits.entries", s.Limits.Entries, count)
 	checkNotNegative(doc, "limits.in_flight", s.Limits.InFlight, count)
--- a/test/crowd/node_test.go
+++ b/test/crowd/node_test.go
@@ -158,19 +158,19 @@
 	return int64(len(open))
 }
 
-// peakMemoryMB returns the most memory that the process has had resident.
-func (n *node) peakMemoryMB() int {
-	n.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
-	require.NoError(n.t, err)
+// peakMemoryMB returns the most memory that a process has had resident.
+func peakMemoryMB(t *testing.T, p *harness.Process) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	require.NoError(t, err)
 	for line := range bytes.Lines(status) {
 		if name, value, _ := bytes.Cut(line, []byte(":")); string(name) == "VmHWM" {
 			kilobytes, err := strconv.Atoi(string(bytes.TrimSuffix(bytes.TrimSpace(value), []byte(" kB"))))
-			require.NoError(n.t, err)
+			require.NoError(t, err)
 			return kilobytes >> 10
 		}
 	}
-	require.FailNow(n.t, "the process does not tell its memory")
+	require.FailNow(t, "the process does not tell its memory")
 	return 0
 }
 
@@ -179,7 +179,7 @@
 	n.t.Helper()
 	require.False(n.t, n.Exited(), "the process has ended")
 	n.requireServed()
-	peak, descriptors := n.peakMemoryMB(), n.mostDescriptors.Load()
+	peak, descriptors := peakMemoryMB(n.t, n.Process), n.mostDescriptors.Load()
 	n.t.Logf("peak memory %d MB of %d, descriptors %d of %d", peak, n.vm.memoryMB, descriptors, n.vm.descriptors)
 	require.LessOrEqual(n.t, peak, n.vm.memoryMB, "peak memory in MB")
 	require.LessOrEqual(n.t, descriptors, int64(n.vm.descriptors), "open descriptors")
